Workspace, protocol types, bundle crate, platform client and stand-in

Ruled out: nothing yet; HTTP/2 between daemons and tarpc under async-compat are weighed once the path stands. Change: typed protocol, bundle parsing with errors that point into the file, object API client with read-back of lost answers.

--- /dev/null
+++ b/crates/sorrelturn-bundle/src/check.rs
@@ -0,0 +1,284 @@
+//! Checks that a bundle can be kept: everything that an operator would otherwise learn under load.
+
+use crate::{
+    BundleSource, Diagnostic, Execution, Kind, PathPattern, SECTION_LIMIT_BYTES, SourceMap,
+    index::{MAX_DEPTH, Network, needs},
+    split,
+};
+use sorrelturn_protocol::Importance;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The longest deadline that makes sense for a call; longer ones are taken for a wrong unit.
+const MAX_DEADLINE_MS: u32 = 600_000;
+
+/// Returns all findings, in the file's order of services and callers.
+pub fn check(source: &BundleSource, map: &SourceMap) -> Vec<Diagnostic> {
+    let mut findings = Vec::new();
+    check_services(source, map, &mut findings);
+    check_kind_names(source, map, &mut findings);
+    check_overlaps(source, map, &mut findings);
+    check_calls(source, map, &mut findings);
+    check_callers(source, map, &mut findings);
+    check_sizes(source, map, &mut findings);
+    findings
+}
+
+fn kinds(source: &BundleSource) -> impl Iterator<Item = (&str, &str, &Kind)> {
+    source.services.iter().flat_map(|(service, entry)| {
+        entry
+            .kinds
+            .iter()
+            .map(move |(name, kind)| (service.as_str(), name.as_str(), kind))
+    })
+}
+
+fn check_services(source: &BundleSource, map: &SourceMap, findings: &mut Vec<Diagnostic>) {
+    if source.services.is_empty() {
+        findings.push(map.at(
+            &["services"],
+            "the bundle has no service",
+            "describe at least one",
+        ));
+    }
+    for (name, service) in &source.services {
+        let path = ["services", name, "slots"];
+        if service.slots == 0 {
+            findings.push(map.at(
+                &path,
+                format!("service {name} has no slots"),
+                "write 1 or more",
+            ));
+        }
+        if service.connections < service.slots {
+            findings.push(map.at(
+                &["services", name, "connections"],
+                format!("service {name} takes fewer connections than it has slots"),
+                format!("write {} or more", service.slots),
+            ));
+        }
+        if service.kinds.is_empty() {
+            findings.push(map.at(
+                &["services", name, "kinds"],
+                format!("service {name} answers no kind of request"),
+                "describe one or remove the service",
+            ));
+        }
+    }
+    let needs = needs(source);
+    for (service, name, kind) in kinds(source) {
+        check_kind(service, name, kind, needs[name], map, findings);
+    }
+}
+
+fn check_kind(
+    service: &str,
+    name: &str,
+    kind: &Kind,
+    need: u32,
+    map: &SourceMap,
+    findings: &mut Vec<Diagnostic>,
+) {
+    let mut at = |field: &str, message: String, help: String| {
+        let path = ["services", service, "kinds", name, field];
+        findings.push(map.at(&path, message, help));
+    };
+    if PathPattern::parse(&kind.path).is_none() {
+        at(
+            "path",
+            format!(
+                "kind {name} has the path {:?}, which is no pattern",
+                kind.path
+            ),
+            "write segments and {names}, as in /transcripts/{id}".to_owned(),
+        );
+    }
+    if kind.method.is_empty() || kind.method.bytes().any(|b| !b.is_ascii_uppercase()) {
+        at(
+            "method",
+            format!("kind {name} has the method {:?}", kind.method),
+            "write an HTTP method in capitals, as in GET".to_owned(),
+        );
+    }
+    if kind.deadline_ms == 0 || kind.deadline_ms > MAX_DEADLINE_MS {
+        at(
+            "deadline_ms",
+            format!("kind {name} has a deadline of {} ms", kind.deadline_ms),
+            format!("write milliseconds, from 1 to {MAX_DEADLINE_MS}"),
+        );
+    }
+    if kind.attempts < need {
+        at(
+            "attempts",
+            format!(
+                "kind {name} may cost {} executions but needs {need}",
+                kind.attempts
+            ),
+            format!("write {need} or more: itself and every call that it declares"),
+        );
+    }
+    if kind.importance == Importance::Critical
+        && kind.method != "GET"
+        && kind.execution != Execution::AtMostOnce
+    {
+        at(
+            "execution",
+            format!("kind {name} is critical and changes something but may run twice"),
+            "write \"at-most-once\", or make it a GET if it changes nothing".to_owned(),
+        );
+    }
+}
+
+fn check_kind_names(source: &BundleSource, map: &SourceMap, findings: &mut Vec<Diagnostic>) {
+    let mut seen = BTreeMap::new();
+    for (service, name, _) in kinds(source) {
+        if let Some(first) = seen.insert(name, service) {
+            findings.push(map.at(
+                &["services", service, "kinds", name],
+                format!("kind {name} stands in {first} and in {service}"),
+                "give each kind a name of its own",
+            ));
+        }
+    }
+}
+
+fn check_overlaps(source: &BundleSource, map: &SourceMap, findings: &mut Vec<Diagnostic>) {
+    let patterns: Vec<_> = kinds(source)
+        .filter_map(|(service, name, kind)| {
+            Some((service, name, &kind.method, PathPattern::parse(&kind.path)?))
+        })
+        .collect();
+    for (i, (service, name, method, pattern)) in patterns.iter().enumerate() {
+        for (_, earlier, earlier_method, earlier_pattern) in &patterns[..i] {
+            if method == earlier_method && pattern.overlaps(earlier_pattern) {
+                findings.push(map.at(
+                    &["services", service, "kinds", name, "path"],
+                    format!("kind {name} can't be reached: kind {earlier} has paths in common"),
+                    "give them paths or methods that differ",
+                ));
+            }
+        }
+    }
+}
+
+fn check_calls(source: &BundleSource, map: &SourceMap, findings: &mut Vec<Diagnostic>) {
+    let by_name: BTreeMap<&str, &Kind> =
+        kinds(source).map(|(_, name, kind)| (name, kind)).collect();
+    let mut called = BTreeSet::new();
+    for (service, name, kind) in kinds(source) {
+        for child in kind.calls.keys() {
+            called.insert(child.as_str());
+            if !by_name.contains_key(child.as_str()) {
+                findings.push(map.at(
+                    &["services", service, "kinds", name, "calls", child],
+                    format!("kind {name} calls {child}, which no service answers"),
+                    "correct the name or describe that kind",
+                ));
+            }
+        }
+        if reaches(&by_name, name, name, 0) {
+            findings.push(map.at(
+                &["services", service, "kinds", name, "calls"],
+                format!("kind {name} ends up calling itself"),
+                "break the cycle: a call graph must end",
+            ));
+        }
+    }
+    for (service, name, kind) in kinds(source) {
+        if !kind.exposed && !called.contains(name) {
+            findings.push(map.at(
+                &["services", service, "kinds", name],
+                format!("kind {name} can't be reached: it is not exposed and nothing calls it"),
+                "write \"exposed\": true, or name it in the calls of another kind",
+            ));
+        }
+    }
+}
+
+fn reaches(by_name: &BTreeMap<&str, &Kind>, from: &str, goal: &str, depth: u32) -> bool {
+    let Some(kind) = by_name.get(from) else {
+        return false;
+    };
+    depth < MAX_DEPTH
+        && kind
+            .calls
+            .keys()
+            .any(|child| child == goal || reaches(by_name, child, goal, depth + 1))
+}
+
+fn check_callers(source: &BundleSource, map: &SourceMap, findings: &mut Vec<Diagnostic>) {
+    let names: BTreeSet<&str> = kinds(source).map(|(_, name, _)| name).collect();
+    for (name, caller) in &source.callers {
+        let mut at = |field: &str, message: String, help: &str| {
+            findings.push(map.at(&["callers", name, field], message, help));
+        };
+        if caller.token_blake3.is_none() && caller.networks.is_empty() {
+            at(
+                "networks",
+                format!("caller {name} can't be recognised"),
+                "give token_blake3 or networks",
+            );
+        }
+        for network in &caller.networks {
+            if Network::parse(network).is_none() {
+                at(
+                    "networks",
+                    format!("caller {name} has the network {network:?}"),
+                    "write an address and its prefix length, as in 10.1.0.0/16",
+                );
+            }
+        }
+        if caller
+            .token_blake3
+            .as_ref()
+            .is_some_and(|hash| !is_hash(hash))
+        {
+            at(
+                "token_blake3",
+                format!("caller {name} has a token hash that is none"),
+                "write the 64 hexadecimal digits of the token's BLAKE3 hash",
+            );
+        }
+        if !(caller.rate_per_second > 0.0) {
+            at(
+                "rate_per_second",
+                format!("caller {name} may send nothing"),
+                "write requests a second, above 0",
+            );
+        }
+        if !(0.0..=1.0).contains(&caller.retry_fraction) {
+            at(
+                "retry_fraction",
+                format!(
+                    "caller {name} has the retry fraction {}",
+                    caller.retry_fraction
+                ),
+                "write a number from 0 to 1",
+            );
+        }
+        for kind in &caller.kinds {
+            if !names.contains(kind.as_str()) {
+                at(
+                    "kinds",
+                    format!("caller {name} may use {kind}, which no service answers"),
+                    "correct the name or describe that kind",
+                );
+            }
+        }
+    }
+}
+
+fn is_hash(text: &str) -> bool {
+    text.len() == 64 && text.bytes().all(|b| b.is_ascii_hexdigit())
+}
+
+fn check_sizes(source: &BundleSource, map: &SourceMap, findings: &mut Vec<Diagnostic>) {
+    for section in split(source) {
+        if section.bytes.len() > SECTION_LIMIT_BYTES {
+            findings.push(map.at(
+                &["services", &section.name],
+                format!("section {} has {} bytes", section.name, section.bytes.len()),
+                format!("the platform holds {SECTION_LIMIT_BYTES} bytes: cut the service in two"),
+            ));
+        }
+    }
+}
--- /dev/null
+++ b/crates/sorrelturn-bundle/src/index.rs
@@ -0,0 +1,209 @@
+//! A bundle in force: indexed for the path of a request.
+
+use crate::{BundleSource, Caller, Execution, Kind, PathPattern, Service};
+use sorrelturn_protocol::{CallerId, Importance};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::IpAddr,
+    sync::Arc,
+};
+
+/// A kind of request with what the path of a request needs of it.
+#[derive(Clone, Debug)]
+pub struct KindEntry {
+    /// Its name.
+    pub name: String,
+    /// The service that answers it.
+    pub service: String,
+    /// As the operators wrote it.
+    pub kind: Kind,
+    /// The executions that it needs when nothing fails: itself and all that it calls.
+    pub need: u32,
+    pattern: PathPattern,
+}
+
+impl KindEntry {
+    /// Whether it runs at most once.
+    pub fn at_most_once(&self) -> bool {
+        self.kind.execution == Execution::AtMostOnce
+    }
+
+    /// The importance of its root requests.
+    pub fn importance(&self) -> Importance {
+        self.kind.importance
+    }
+}
+
+/// A caller with what the entry needs of it.
+#[derive(Clone, Debug)]
+pub struct CallerEntry {
+    /// Its id.
+    pub id: CallerId,
+    /// Its name.
+    pub name: String,
+    /// As the operators wrote it.
+    pub caller: Caller,
+    networks: Vec<Network>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Network {
+    address: IpAddr,
+    prefix_bits: u32,
+}
+
+impl Network {
+    pub(crate) fn parse(text: &str) -> Option<Self> {
+        let (address, bits) = text.split_once('/')?;
+        let address: IpAddr = address.parse().ok()?;
+        let prefix_bits: u32 = bits.parse().ok()?;
+        let most = if address.is_ipv4() { 32 } else { 128 };
+        (prefix_bits <= most).then_some(Self {
+            address,
+            prefix_bits,
+        })
+    }
+
+    fn contains(self, address: IpAddr) -> bool {
+        match (self.address, address) {
+            (IpAddr::V4(net), IpAddr::V4(ip)) => {
+                let host_bits = 32 - self.prefix_bits;
+                (u64::from(net.to_bits()) >> host_bits) == (u64::from(ip.to_bits()) >> host_bits)
+            }
+            (IpAddr::V6(net), IpAddr::V6(ip)) => {
+                let shift = |bits: u128| bits.checked_shr(128 - self.prefix_bits).unwrap_or(0);
+                shift(net.to_bits()) == shift(ip.to_bits())
+            }
+            _ => false,
+        }
+    }
+}
+
+/// A checked bundle at its version.
+#[derive(Clone, Debug, Default)]
+pub struct Bundle {
+    /// Its version; rises with each publication.
+    pub version: u64,
+    source: BundleSource,
+    kinds: HashMap<String, Arc<KindEntry>>,
+    by_method: HashMap<String, Vec<Arc<KindEntry>>>,
+    callers: Vec<Arc<CallerEntry>>,
+}
+
+impl Bundle {
+    /// Indexes a bundle that passed [`check`](crate::check()); what doesn't fit is left out.
+    pub fn new(version: u64, source: BundleSource) -> Self {
+        let needs = needs(&source);
+        let mut kinds = HashMap::new();
+        let mut by_method: HashMap<String, Vec<Arc<KindEntry>>> = HashMap::new();
+        for (service_name, service) in &source.services {
+            for (name, kind) in &service.kinds {
+                let Some(pattern) = PathPattern::parse(&kind.path) else {
+                    continue;
+                };
+                let entry = Arc::new(KindEntry {
+                    name: name.clone(),
+                    service: service_name.clone(),
+                    kind: kind.clone(),
+                    need: needs.get(name.as_str()).copied().unwrap_or(1),
+                    pattern,
+                });
+                kinds.insert(name.clone(), Arc::clone(&entry));
+                by_method
+                    .entry(kind.method.clone())
+                    .or_default()
+                    .push(entry);
+            }
+        }
+        let callers = source.callers.iter().map(caller_entry).collect();
+        Self {
+            version,
+            source,
+            kinds,
+            by_method,
+            callers,
+        }
+    }
+
+    /// The bundle as operators wrote it.
+    pub fn source(&self) -> &BundleSource {
+        &self.source
+    }
+
+    /// The kind with this name.
+    pub fn kind(&self, name: &str) -> Option<&Arc<KindEntry>> {
+        self.kinds.get(name)
+    }
+
+    /// The kind of a request, by its method and its path without the query.
+    pub fn match_kind(&self, method: &str, path: &str) -> Option<&Arc<KindEntry>> {
+        self.by_method
+            .get(method)?
+            .iter()
+            .find(|entry| entry.pattern.matches(path))
+    }
+
+    /// The service with this name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.source.services.get(name)
+    }
+
+    /// Recognises a caller: by its bearer token if it sends one, else by its address.
+    pub fn match_caller(&self, bearer: Option<&str>, address: IpAddr) -> Option<&Arc<CallerEntry>> {
+        if let Some(token) = bearer {
+            let hash = blake3::hash(token.as_bytes()).to_hex();
+            return self
+                .callers
+                .iter()
+                .find(|entry| entry.caller.token_blake3.as_deref() == Some(hash.as_str()));
+        }
+        self.callers
+            .iter()
+            .find(|entry| entry.networks.iter().any(|net| net.contains(address)))
+    }
+}
+
+fn caller_entry((name, caller): (&String, &Caller)) -> Arc<CallerEntry> {
+    let hash = blake3::hash(name.as_bytes());
+    let mut id = [0; 8];
+    id.copy_from_slice(&hash.as_bytes()[..8]);
+    Arc::new(CallerEntry {
+        id: CallerId(u64::from_be_bytes(id)),
+        name: name.clone(),
+        caller: caller.clone(),
+        networks: caller
+            .networks
+            .iter()
+            .filter_map(|text| Network::parse(text))
+            .collect(),
+    })
+}
+
+/// For each kind, the executions that it needs when nothing fails.
+pub(crate) fn needs(source: &BundleSource) -> BTreeMap<&str, u32> {
+    let kinds: BTreeMap<&str, &Kind> = source
+        .services
+        .values()
+        .flat_map(|service| &service.kinds)
+        .map(|(name, kind)| (name.as_str(), kind))
+        .collect();
+    kinds
+        .keys()
+        .map(|name| (*name, need(&kinds, name, 0)))
+        .collect()
+}
+
+/// Chains deeper than this are refused by the check, so the recursion ends even in a cycle.
+pub(crate) const MAX_DEPTH: u32 = 16;
+
+fn need(kinds: &BTreeMap<&str, &Kind>, name: &str, depth: u32) -> u32 {
+    let Some(kind) = kinds.get(name) else {
+        return 1;
+    };
+    if depth >= MAX_DEPTH {
+        return 1;
+    }
+    kind.calls.iter().fold(1, |sum: u32, (child, times)| {
+        sum.saturating_add(need(kinds, child, depth + 1).saturating_mul(*times))
+    })
+}
--- /dev/null
+++ b/crates/sorrelturn-bundle/src/lib.rs
@@ -0,0 +1,22 @@
+#![doc = include_str!("../README.md")]
+
+mod check;
+mod diagnostic;
+mod index;
+mod manifest;
+mod model;
+mod parse;
+mod pattern;
+mod sign;
+
+pub use check::check;
+pub use diagnostic::{Diagnostic, SourceMap};
+pub use index::{Bundle, CallerEntry, KindEntry};
+pub use manifest::{
+    ContentHash, Manifest, ManifestError, SECTION_LIMIT_BYTES, SectionBytes, SignedManifest, join,
+    split,
+};
+pub use model::{BundleSource, Caller, Execution, Kind, Service};
+pub use parse::{ParseError, parse, parse_settings};
+pub use pattern::PathPattern;
+pub use sign::{KeyError, OperatorKey, TrustedKeys};
--- /dev/null
+++ b/crates/sorrelturn-platform/src/http.rs
@@ -0,0 +1,76 @@
+//! A minimal HTTP/1.1 exchange for control calls: one connection each, whole bodies, one timeout.
+
+use bytes::Bytes;
+use displaydoc::Display;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, Response, client::conn::http1, header::HOST};
+use smol::{
+    Timer,
+    future::{self, FutureExt},
+    net::TcpStream,
+};
+use smol_hyper::rt::FuturesIo;
+use std::{net::SocketAddr, time::Duration};
+
+/// The largest answer that a control call takes, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 64 << 20;
+
+/// Why an exchange has no answer.
+#[derive(Debug, Display)]
+pub enum ExchangeError {
+    /// no connection: {0}
+    NotSent(std::io::Error),
+    /// the exchange broke off after the request may have been sent: {0}
+    Broke(String),
+    /// no answer within {0:?}
+    TimedOut(Duration),
+}
+
+impl std::error::Error for ExchangeError {}
+
+/// Sends one request over a fresh connection and reads the whole answer.
+pub async fn exchange(
+    addr: SocketAddr,
+    req: Request<Bytes>,
+    timeout: Duration,
+) -> Result<Response<Bytes>, ExchangeError> {
+    let timed_out = async {
+        Timer::after(timeout).await;
+        Err(ExchangeError::TimedOut(timeout))
+    };
+    exchange_untimed(addr, req).or(timed_out).await
+}
+
+async fn exchange_untimed(
+    addr: SocketAddr,
+    mut req: Request<Bytes>,
+) -> Result<Response<Bytes>, ExchangeError> {
+    let stream = TcpStream::connect(addr)
+        .await
+        .map_err(ExchangeError::NotSent)?;
+    let broke = |error: hyper::Error| ExchangeError::Broke(error.to_string());
+    let (mut sender, conn) = http1::handshake(FuturesIo::new(stream))
+        .await
+        .map_err(broke)?;
+    let host = addr.to_string().parse();
+    req.headers_mut()
+        .entry(HOST)
+        .or_insert(host.expect("an address is a valid header value"));
+    let answer = async {
+        let res = sender
+            .send_request(req.map(Full::new))
+            .await
+            .map_err(broke)?;
+        let (head, body) = res.into_parts();
+        let body = Limited::new(body, ANSWER_LIMIT_BYTES)
+            .collect()
+            .await
+            .map_err(|error| ExchangeError::Broke(error.to_string()))?;
+        Ok(Response::from_parts(head, body.to_bytes()))
+    };
+    let drive = async {
+        let _ = conn.await;
+        future::pending().await
+    };
+    answer.or(drive).await
+}
--- /dev/null
+++ b/crates/sorrelturn-protocol/src/ids.rs
@@ -0,0 +1,86 @@
+//! Identifiers of requests, processes, spans and callers.
+//!
+//! Each is a newtype, so that a span can't be passed where a request is meant.
+
+use serde::{Deserialize, Serialize};
+use std::{fmt, str::FromStr};
+
+/// Identifies one root request over all its hops. The entry daemon draws it at random.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RequestId(pub u128);
+
+impl RequestId {
+    /// Draws a fresh id; 122 random bits and more make a collision within a fleet's life negligible.
+    pub fn random(rng: &mut fastrand::Rng) -> Self {
+        Self(rng.u128(1..))
+    }
+
+    /// The bucket (0 to 255) that decides which requests of one importance are kept.
+    ///
+    /// Every hop derives the same bucket from the same id, so all hops keep the same requests.
+    pub fn keep_bucket(self) -> u8 {
+        let folded = (self.0 >> 64) as u64 ^ self.0 as u64;
+        (folded.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 56) as u8
+    }
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for RequestId {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u128::from_str_radix(text, 16).map(Self)
+    }
+}
+
+/// Identifies one run of one daemon process; drawn at random at each start and never reused.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct Incarnation(pub u64);
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for Incarnation {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
+/// Identifies one hop of one request; goes out as the parent id of W3C `traceparent`.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct SpanId(pub u64);
+
+impl SpanId {
+    /// Draws a fresh id; zero is excluded because W3C Trace Context reserves it.
+    pub fn random(rng: &mut fastrand::Rng) -> Self {
+        Self(rng.u64(1..))
+    }
+}
+
+impl fmt::Display for SpanId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// Identifies a caller: the leading 64 bits of the hash of its name in the bundle.
+///
+/// Recorded outcomes are bound to it, so that nobody reads another caller's answer.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct CallerId(pub u64);
--- /dev/null
+++ b/crates/sorrelturn-protocol/src/lib.rs
@@ -0,0 +1,18 @@
+#![doc = include_str!("../README.md")]
+
+mod context;
+pub mod headers;
+mod ids;
+mod importance;
+mod member;
+mod refusal;
+mod token;
+mod verdict;
+
+pub use context::{AnswerContext, CallContext, HeaderError};
+pub use ids::{CallerId, Incarnation, RequestId, SpanId};
+pub use importance::{Importance, Priority};
+pub use member::{MemberRecord, MemberState};
+pub use refusal::Refusal;
+pub use token::{ExecutionToken, TokenError};
+pub use verdict::Verdict;
--- /dev/null
+++ b/crates/sorrelturn-protocol/src/refusal.rs
@@ -0,0 +1,82 @@
+//! Why a request was not answered by a backend server.
+
+use displaydoc::Display;
+use serde::{Deserialize, Serialize};
+
+/// The reason for a refusal; its text reaches the caller and the log.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Refusal {
+    /// the service is overloaded and sheds requests of this priority
+    Overload,
+    /// the request can't finish before its deadline
+    Deadline,
+    /// the instance is leaving
+    Leaving,
+    /// no bundle is in force here yet
+    NoBundle,
+    /// no instance of the service can be reached
+    NoInstance,
+    /// the attempts of the whole request are used up
+    AttemptsSpent,
+    /// the caller retries or asks more often than its allowance
+    CallerRate,
+    /// no kind of request matches this method and path
+    UnknownKind,
+    /// the caller is not known
+    UnknownCaller,
+    /// the caller may not use this kind of request
+    NotAllowed,
+    /// this kind runs at most once: send a token or an Idempotency-Key
+    TokenRequired,
+    /// the token is malformed, expired, or was used for another request
+    TokenRejected,
+    /// the request with this token is still running
+    StillRunning,
+    /// the request with this token was refused earlier and stays refused
+    Tombstone,
+    /// the outcome of this token is unknown
+    OutcomeUnknown,
+    /// the platform's store can't bind the Idempotency-Key now
+    StoreUnavailable,
+    /// the backend server can't be reached
+    BackendUnreachable,
+    /// the exchange with the backend server broke off
+    BackendBroke,
+    /// the exchange with the owner daemon broke off
+    PeerBroke,
+    /// the request is malformed or too large
+    Malformed,
+    /// the backend server refused before it ran the request
+    BackendRefused,
+}
+
+impl Refusal {
+    /// The HTTP status that a caller gets for this refusal.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::Malformed => 400,
+            Self::UnknownCaller => 401,
+            Self::NotAllowed => 403,
+            Self::UnknownKind => 404,
+            Self::StillRunning => 409,
+            Self::TokenRejected => 422,
+            Self::TokenRequired => 428,
+            Self::CallerRate => 429,
+            Self::BackendBroke | Self::PeerBroke | Self::OutcomeUnknown => 502,
+            Self::Deadline => 504,
+            _ => 503,
+        }
+    }
+
+    /// Whether another instance may take the request when this one refused it unrun.
+    pub fn elsewhere_may_differ(self) -> bool {
+        matches!(
+            self,
+            Self::Overload
+                | Self::Leaving
+                | Self::NoBundle
+                | Self::BackendUnreachable
+                | Self::BackendRefused
+        )
+    }
+}
--- /dev/null
+++ b/crates/sorrelturn-protocol/src/verdict.rs
@@ -0,0 +1,53 @@
+//! Whether a request may have run. See `docs/design/verdict.md`.
+
+use serde::{Deserialize, Serialize};
+use std::{fmt, str::FromStr};
+
+/// Says whether any backend server may have run a request.
+///
+/// The order is the order of composition: of several attempts the greatest verdict holds.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub enum Verdict {
+    /// No byte of the request reached any backend server, here or elsewhere.
+    NotRun,
+    /// A backend server may have received the request, and its outcome is unknown.
+    #[default]
+    MayHaveRun,
+    /// A backend server answered the request.
+    Ran,
+}
+
+impl Verdict {
+    /// The verdict over two attempts of one request.
+    pub fn and(self, other: Self) -> Self {
+        self.max(other)
+    }
+
+    /// The value of the `sorrelturn-verdict` header.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::MayHaveRun => "may-have-run",
+            Self::Ran => "ran",
+        }
+    }
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+impl FromStr for Verdict {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        [Self::NotRun, Self::MayHaveRun, Self::Ran]
+            .into_iter()
+            .find(|verdict| verdict.name() == text)
+            .ok_or(())
+    }
+}
--- /dev/null
+++ b/crates/sorrelturn-protocol/tests/headers_round_trip.rs
@@ -0,0 +1,76 @@
+//! Contexts, tokens and identifiers survive their way through headers.
+
+use proptest::prelude::*;
+use sorrelturn_protocol::*;
+
+fn context(request: u128, attempts: u32, nonce: u128, kind: String) -> CallContext {
+    CallContext {
+        request: RequestId(request),
+        trace: request ^ 1,
+        parent: SpanId(7),
+        kind,
+        importance: Importance::High,
+        depth: 3,
+        deadline_ms: 250,
+        attempts,
+        token: Some(ExecutionToken {
+            owner: Incarnation(9),
+            issued_ms: 12,
+            nonce,
+        }),
+        caller: CallerId(5),
+    }
+}
+
+proptest! {
+    #[test]
+    fn a_call_context_reads_back_as_written(
+        request: u128,
+        attempts: u32,
+        nonce: u128,
+        kind in "[a-z-]{1,24}",
+    ) {
+        let written = context(request, attempts, nonce, kind);
+        prop_assert_eq!(CallContext::decode(written.encode().as_bytes()), Ok(written));
+    }
+
+    #[test]
+    fn a_token_reads_back_as_written(owner: u64, issued_ms: u64, nonce: u128) {
+        let token = ExecutionToken { owner: Incarnation(owner), issued_ms, nonce };
+        prop_assert_eq!(token.to_string().parse(), Ok(token));
+    }
+
+    #[test]
+    fn garbage_in_a_context_header_is_an_error_and_no_panic(text in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = CallContext::decode(&text);
+        let _ = AnswerContext::decode(&text);
+    }
+}
+
+#[test]
+fn a_token_with_parts_missing_or_left_over_is_malformed() {
+    for text in ["", "1-2", "1-2-3-4", "x-2-3", "1--3"] {
+        assert_eq!(
+            text.parse::<ExecutionToken>(),
+            Err(TokenError::Malformed),
+            "{text}"
+        );
+    }
+}
+
+#[test]
+fn importance_outweighs_every_keep_bucket() {
+    for pair in Importance::ALL.windows(2) {
+        assert!(Priority::new(pair[0], u8::MAX) < Priority::new(pair[1], 0));
+        assert_eq!(Priority::new(pair[1], 0).importance(), pair[1]);
+    }
+}
+
+#[test]
+fn of_two_verdicts_the_one_that_ran_further_holds() {
+    assert_eq!(
+        Verdict::NotRun.and(Verdict::MayHaveRun),
+        Verdict::MayHaveRun
+    );
+    assert_eq!(Verdict::Ran.and(Verdict::NotRun), Verdict::Ran);
+}
