Decisions without I/O: policy, at-most-once, fleet; telemetry

Cause: the path needs its decisions before its sockets; they are pure so that failures are lists of events. Ruled out: a claim in the store per request and a shard lease for at-most-once (reasons in the design note to come). Change: gate, limit, pressure, routing, retries, attempts; ledger, records, bindings; membership, rank, spread; events, metrics, spans. Figures: 2000 random schedules of the ledger, no token run twice.

--- a/crates/sorrelturn-fleet/src/lib.rs
+++ b/crates/sorrelturn-fleet/src/lib.rs
@@ -1,1 +1,18 @@
-//! Stub.
+#![doc = include_str!("../README.md")]
+
+mod membership;
+mod messages;
+mod rank;
+mod spread;
+mod status;
+mod vm_list;
+
+pub use membership::{Membership, MembershipDigest, bucket_of};
+pub use messages::{Digest, DigestReply, Report};
+pub use rank::{DEPUTIES, WATCHERS, predecessors, ranked};
+pub use spread::{Fetch, PUSH_FAN_OUT, Source, Spread, push_targets};
+pub use status::{DomainStatus, DomainView, MemberStatus};
+pub use vm_list::{VmAdvice, advise};
+
+/// A point in time: what has passed of the process's monotonic clock since its start.
+pub type Now = std::time::Duration;
--- /dev/null
+++ b/crates/sorrelturn-once/src/ledger.rs
@@ -0,0 +1,254 @@
+//! The memory of one daemon process about the tokens that it issued.
+//! See `docs/design/at-most-once.md`.
+
+use crate::{OutcomeRecord, RecordedOutcome};
+use sorrelturn_protocol::{ExecutionToken, Incarnation, Verdict};
+use std::{
+    collections::{BTreeSet, HashMap, VecDeque},
+    time::Duration,
+};
+
+/// Limits of a ledger.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LedgerConfig {
+    /// How long a token can be used and its outcome be asked for.
+    pub ttl: Duration,
+    /// The most tokens that are out at once. At the limit new ones are refused, none forgotten.
+    pub capacity: usize,
+}
+
+/// What a token was first used for: a hash over caller, kind and target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Fingerprint(pub u64);
+
+/// How a request ended, as its caller gets it again when it asks once more.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outcome {
+    /// Whether it may have run.
+    pub verdict: Verdict,
+    /// The HTTP status.
+    pub status: u16,
+    /// The content type of the body.
+    pub content_type: Option<String>,
+    /// The whole body, or `None` where it was too large to keep.
+    pub body: Option<Vec<u8>>,
+}
+
+/// Whether a request may be forwarded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Begin {
+    /// Forward it: this is the token's one execution.
+    Run,
+    /// It is running now.
+    Running,
+    /// It ended; this is its answer.
+    Recorded(Outcome),
+    /// It was refused, and stays refused.
+    Refused,
+    /// The token was never issued here, or was issued for another request.
+    Rejected,
+    /// The token is too old to be remembered.
+    Expired,
+    /// This process runs no tokens any more and has not run this one.
+    Closed,
+}
+
+#[derive(Clone, Debug)]
+enum Entry {
+    Running,
+    Refused,
+    Ended(Outcome),
+}
+
+#[derive(Clone, Debug)]
+struct Seen {
+    fingerprint: Fingerprint,
+    entry: Entry,
+}
+
+/// Issues tokens and sees to it that each is forwarded at most once.
+///
+/// A token's memory is reserved when it is issued. Tokens are sealed with a key that only this
+/// process has, so forged ones take no memory.
+pub struct Ledger {
+    owner: Incarnation,
+    cfg: LedgerConfig,
+    seal_key: [u8; 32],
+    seen: HashMap<u128, Seen>,
+    by_age: BTreeSet<(u64, u128)>,
+    issued: VecDeque<u64>,
+    closed: bool,
+    record: OutcomeRecord,
+    unsaved: bool,
+}
+
+impl Ledger {
+    /// The ledger of a process that just started; `seal_key` must be secret and fresh.
+    pub fn new(owner: Incarnation, cfg: LedgerConfig, seal_key: [u8; 32]) -> Self {
+        Self {
+            owner,
+            cfg,
+            seal_key,
+            seen: HashMap::new(),
+            by_age: BTreeSet::new(),
+            issued: VecDeque::new(),
+            closed: false,
+            record: OutcomeRecord::new(owner),
+            unsaved: false,
+        }
+    }
+
+    /// Issues a token; `None` at the limit, or once the ledger is closed.
+    pub fn issue(&mut self, now: Duration, rng: &mut fastrand::Rng) -> Option<ExecutionToken> {
+        self.forget(now);
+        if self.closed || self.issued.len() >= self.cfg.capacity {
+            return None;
+        }
+        let issued_ms = now.as_millis() as u64;
+        self.issued.push_back(issued_ms);
+        let random = rng.u64(..);
+        Some(ExecutionToken {
+            owner: self.owner,
+            issued_ms,
+            nonce: u128::from(random) << 64 | u128::from(self.seal(issued_ms, random)),
+        })
+    }
+
+    /// A request with a token arrived: may it be forwarded?
+    pub fn begin(
+        &mut self,
+        now: Duration,
+        token: &ExecutionToken,
+        fingerprint: Fingerprint,
+    ) -> Begin {
+        if token.owner != self.owner || !self.is_sealed(token) {
+            return Begin::Rejected;
+        }
+        if let Some(seen) = self.seen.get(&token.nonce) {
+            return answer_again(seen, fingerprint);
+        }
+        if self.is_expired(now, token.issued_ms) {
+            return Begin::Expired;
+        }
+        if self.closed {
+            return Begin::Closed;
+        }
+        self.by_age.insert((token.issued_ms, token.nonce));
+        let entry = Entry::Running;
+        self.seen.insert(token.nonce, Seen { fingerprint, entry });
+        Begin::Run
+    }
+
+    /// The request was refused before a byte of it was forwarded.
+    ///
+    /// It must be noted before the refusal is answered: a delayed copy of the request stays
+    /// refused, so the caller can safely take a new token.
+    pub fn refuse(&mut self, token: &ExecutionToken) {
+        if let Some(seen) = self.seen.get_mut(&token.nonce) {
+            seen.entry = Entry::Refused;
+        }
+    }
+
+    /// The request ended.
+    pub fn end(&mut self, token: &ExecutionToken, outcome: Outcome) {
+        let recorded = RecordedOutcome {
+            verdict: outcome.verdict,
+            status: outcome.status,
+            issued_ms: token.issued_ms,
+        };
+        if let Some(seen) = self.seen.get_mut(&token.nonce) {
+            seen.entry = Entry::Ended(outcome);
+            self.record.add(token.nonce, recorded);
+            self.unsaved = true;
+        }
+    }
+
+    /// The process stops: no token is issued and no unseen one run from now on.
+    pub fn close(&mut self) {
+        self.closed = true;
+    }
+
+    /// The record to write to the store, if something is new since it was taken last.
+    ///
+    /// It is marked as closed once the ledger is, and no request is running any more.
+    pub fn take_unsaved(&mut self) -> Option<OutcomeRecord> {
+        let closing = self.closed && !self.record.closed && self.running() == 0;
+        if closing {
+            self.record.closed = true;
+        }
+        let news = std::mem::take(&mut self.unsaved) || closing;
+        news.then(|| self.record.clone())
+    }
+
+    /// The last record could not be written: it will be taken again.
+    pub fn save_failed(&mut self) {
+        self.unsaved = true;
+    }
+
+    /// Requests that are running under a token.
+    pub fn running(&self) -> usize {
+        self.seen
+            .values()
+            .filter(|seen| matches!(seen.entry, Entry::Running))
+            .count()
+    }
+
+    /// Tokens that are out and not expired.
+    pub fn outstanding(&self) -> usize {
+        self.issued.len()
+    }
+
+    /// Forgets what can't be asked for any more; running requests are never forgotten.
+    pub fn forget(&mut self, now: Duration) {
+        while self
+            .issued
+            .front()
+            .is_some_and(|issued_ms| self.is_expired(now, *issued_ms))
+        {
+            self.issued.pop_front();
+        }
+        while let Some((issued_ms, nonce)) = self.by_age.first().copied() {
+            let running = matches!(
+                self.seen.get(&nonce),
+                Some(Seen {
+                    entry: Entry::Running,
+                    ..
+                })
+            );
+            if running || !self.is_expired(now, issued_ms) {
+                break;
+            }
+            self.by_age.pop_first();
+            self.seen.remove(&nonce);
+        }
+    }
+
+    fn is_expired(&self, now: Duration, issued_ms: u64) -> bool {
+        now >= Duration::from_millis(issued_ms) + self.cfg.ttl
+    }
+
+    fn is_sealed(&self, token: &ExecutionToken) -> bool {
+        let random = (token.nonce >> 64) as u64;
+        self.seal(token.issued_ms, random) == token.nonce as u64
+    }
+
+    fn seal(&self, issued_ms: u64, random: u64) -> u64 {
+        let mut hasher = blake3::Hasher::new_keyed(&self.seal_key);
+        hasher.update(&issued_ms.to_be_bytes());
+        hasher.update(&random.to_be_bytes());
+        let mut seal = [0; 8];
+        hasher.finalize_xof().fill(&mut seal);
+        u64::from_be_bytes(seal)
+    }
+}
+
+fn answer_again(seen: &Seen, fingerprint: Fingerprint) -> Begin {
+    if seen.fingerprint != fingerprint {
+        return Begin::Rejected;
+    }
+    match &seen.entry {
+        Entry::Running => Begin::Running,
+        Entry::Refused => Begin::Refused,
+        Entry::Ended(outcome) => Begin::Recorded(outcome.clone()),
+    }
+}
--- a/crates/sorrelturn-once/src/lib.rs
+++ b/crates/sorrelturn-once/src/lib.rs
@@ -1,1 +1,11 @@
-//! Stub.
+#![doc = include_str!("../README.md")]
+
+mod binding;
+mod ledger;
+mod nested;
+mod record;
+
+pub use binding::{Binding, BindingStep, after_create, after_read_back};
+pub use ledger::{Begin, Fingerprint, Ledger, LedgerConfig, Outcome};
+pub use nested::{CallKey, NestedTokens};
+pub use record::{OutcomeRecord, RecordedOutcome};
--- /dev/null
+++ b/crates/sorrelturn-once/tests/at_most_once.rs
@@ -0,0 +1,251 @@
+//! A token runs at most once, whatever arrives late, twice or after a restart.
+
+use proptest::prelude::*;
+use sorrelturn_once::*;
+use sorrelturn_protocol::{ExecutionToken, Incarnation, Verdict};
+use std::time::Duration;
+
+const TTL: Duration = Duration::from_secs(60);
+const PRINT: Fingerprint = Fingerprint(1);
+
+fn ledger(owner: u64, capacity: usize) -> Ledger {
+    let cfg = LedgerConfig { ttl: TTL, capacity };
+    Ledger::new(Incarnation(owner), cfg, [owner as u8; 32])
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn outcome(status: u16) -> Outcome {
+    Outcome {
+        verdict: Verdict::Ran,
+        status,
+        content_type: None,
+        body: Some(b"seal 7".to_vec()),
+    }
+}
+
+#[test]
+fn a_repeat_gets_the_first_answer_and_runs_nothing() {
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut ledger = ledger(1, 10);
+    let token = ledger.issue(ms(0), &mut rng).expect("token");
+    assert_eq!(ledger.begin(ms(1), &token, PRINT), Begin::Run);
+    assert_eq!(ledger.begin(ms(2), &token, PRINT), Begin::Running);
+    ledger.end(&token, outcome(201));
+    assert_eq!(
+        ledger.begin(ms(3), &token, PRINT),
+        Begin::Recorded(outcome(201))
+    );
+}
+
+#[test]
+fn a_delayed_copy_of_a_refused_request_stays_refused() {
+    let mut rng = fastrand::Rng::with_seed(2);
+    let mut ledger = ledger(1, 10);
+    let token = ledger.issue(ms(0), &mut rng).expect("token");
+    assert_eq!(ledger.begin(ms(1), &token, PRINT), Begin::Run);
+    ledger.refuse(&token);
+    assert_eq!(ledger.begin(ms(2), &token, PRINT), Begin::Refused);
+}
+
+#[test]
+fn a_token_of_another_run_of_the_same_instance_never_runs() {
+    let mut rng = fastrand::Rng::with_seed(3);
+    let token = ledger(1, 10).issue(ms(0), &mut rng).expect("token");
+    assert_eq!(ledger(2, 10).begin(ms(1), &token, PRINT), Begin::Rejected);
+}
+
+#[test]
+fn a_forged_token_or_one_used_for_another_request_is_rejected() {
+    let mut rng = fastrand::Rng::with_seed(4);
+    let mut ledger = ledger(1, 10);
+    let token = ledger.issue(ms(0), &mut rng).expect("token");
+    let forged = ExecutionToken {
+        nonce: token.nonce ^ 1 << 80,
+        ..token
+    };
+    let redated = ExecutionToken {
+        issued_ms: 50,
+        ..token
+    };
+    assert_eq!(ledger.begin(ms(1), &forged, PRINT), Begin::Rejected);
+    assert_eq!(ledger.begin(ms(1), &redated, PRINT), Begin::Rejected);
+    assert_eq!(ledger.begin(ms(1), &token, PRINT), Begin::Run);
+    assert_eq!(ledger.begin(ms(2), &token, Fingerprint(2)), Begin::Rejected);
+}
+
+#[test]
+fn an_expired_token_is_refused_and_not_run_anew() {
+    let mut rng = fastrand::Rng::with_seed(5);
+    let mut ledger = ledger(1, 10);
+    let token = ledger.issue(ms(0), &mut rng).expect("token");
+    assert_eq!(ledger.begin(ms(1), &token, PRINT), Begin::Run);
+    ledger.end(&token, outcome(200));
+    ledger.forget(TTL);
+    assert_eq!(ledger.begin(TTL, &token, PRINT), Begin::Expired);
+}
+
+#[test]
+fn at_the_limit_new_tokens_are_refused_and_none_forgotten() {
+    let mut rng = fastrand::Rng::with_seed(6);
+    let mut ledger = ledger(1, 2);
+    let first = ledger.issue(ms(0), &mut rng).expect("token");
+    let second = ledger.issue(ms(0), &mut rng).expect("token");
+    assert_eq!(ledger.issue(ms(1), &mut rng), None);
+    assert_eq!(ledger.begin(ms(1), &first, PRINT), Begin::Run);
+    assert_eq!(ledger.begin(ms(1), &second, PRINT), Begin::Run);
+    assert!(ledger.issue(TTL, &mut rng).is_some());
+    assert_eq!(ledger.begin(TTL, &first, PRINT), Begin::Running);
+}
+
+#[test]
+fn only_a_closed_record_makes_an_unlisted_token_not_run() {
+    let mut rng = fastrand::Rng::with_seed(7);
+    let mut ledger = ledger(1, 10);
+    let ran = ledger.issue(ms(0), &mut rng).expect("token");
+    let unused = ledger.issue(ms(0), &mut rng).expect("token");
+    assert_eq!(ledger.begin(ms(1), &ran, PRINT), Begin::Run);
+    ledger.end(&ran, outcome(200));
+    let open = ledger.take_unsaved().expect("record");
+    assert_eq!(open.verdict(&ran).verdict, Verdict::Ran);
+    assert_eq!(open.verdict(&unused).verdict, Verdict::MayHaveRun);
+
+    ledger.close();
+    assert_eq!(ledger.begin(ms(2), &unused, PRINT), Begin::Closed);
+    let closed = ledger.take_unsaved().expect("record");
+    assert_eq!(closed.verdict(&unused).verdict, Verdict::NotRun);
+    assert_eq!(ledger.take_unsaved(), None);
+}
+
+#[test]
+fn a_record_is_not_closed_while_something_runs() {
+    let mut rng = fastrand::Rng::with_seed(8);
+    let mut ledger = ledger(1, 10);
+    let token = ledger.issue(ms(0), &mut rng).expect("token");
+    assert_eq!(ledger.begin(ms(1), &token, PRINT), Begin::Run);
+    ledger.close();
+    assert_eq!(ledger.take_unsaved(), None);
+    ledger.end(&token, outcome(200));
+    assert!(ledger.take_unsaved().is_some_and(|record| record.closed));
+}
+
+#[test]
+fn a_full_record_doesnt_call_dropped_outcomes_not_run() {
+    let mut rng = fastrand::Rng::with_seed(9);
+    let mut ledger = ledger(1, 20_000);
+    let tokens: Vec<_> = (0..10_001)
+        .map(|i| ledger.issue(ms(i), &mut rng).expect("token"))
+        .collect();
+    for token in &tokens {
+        assert_eq!(ledger.begin(ms(20_000), token, PRINT), Begin::Run);
+        ledger.end(token, outcome(200));
+    }
+    ledger.close();
+    let record = ledger.take_unsaved().expect("record");
+    assert_eq!(record.verdict(&tokens[0]).verdict, Verdict::MayHaveRun);
+    assert_eq!(record.verdict(&tokens[1]).verdict, Verdict::Ran);
+}
+
+#[test]
+fn a_key_whose_create_was_lost_uses_the_token_that_lies_in_the_store() {
+    let mut rng = fastrand::Rng::with_seed(10);
+    let token = ledger(1, 10).issue(ms(0), &mut rng).expect("token");
+    let bound = |fingerprint| Binding {
+        token: token.to_string(),
+        fingerprint,
+        attempt: 1,
+    };
+    assert_eq!(after_create(&bound(5), Some(true)), BindingStep::Use(token));
+    assert_eq!(after_create(&bound(5), Some(false)), BindingStep::ReadBack);
+    assert_eq!(after_create(&bound(5), None), BindingStep::Unavailable);
+    assert_eq!(after_read_back(5, Some(&bound(5))), BindingStep::Use(token));
+    assert_eq!(after_read_back(5, Some(&bound(6))), BindingStep::Mismatch);
+    assert_eq!(after_read_back(5, None), BindingStep::Unavailable);
+}
+
+#[test]
+fn a_repeated_nested_call_carries_the_token_of_the_first() {
+    let mut rng = fastrand::Rng::with_seed(11);
+    let mut owner = ledger(1, 10);
+    let mut issue = || owner.issue(ms(0), &mut rng).expect("token");
+    let (first, second) = (issue(), issue());
+    let mut nested = NestedTokens::default();
+    let key = CallKey("POST /bookings/3".to_owned());
+    assert_eq!(nested.note(key.clone(), first), first);
+    assert_eq!(nested.note(key.clone(), second), first);
+    nested.refused(&key, &first);
+    assert_eq!(nested.get(&key), None);
+}
+
+/// One thing that happens to a fleet of owners and the copies of requests on their way.
+#[derive(Clone, Debug)]
+enum Event {
+    Issue,
+    Deliver(prop::sample::Index),
+    End(prop::sample::Index),
+    Refuse(prop::sample::Index),
+    Restart,
+    Pass(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        Just(Event::Issue),
+        any::<prop::sample::Index>().prop_map(Event::Deliver),
+        any::<prop::sample::Index>().prop_map(Event::Deliver),
+        any::<prop::sample::Index>().prop_map(Event::End),
+        any::<prop::sample::Index>().prop_map(Event::Refuse),
+        Just(Event::Restart),
+        (0u64..40_000).prop_map(Event::Pass),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+    #[test]
+    fn in_no_schedule_does_a_token_run_twice(events in prop::collection::vec(event(), 1..80)) {
+        let mut rng = fastrand::Rng::with_seed(12);
+        let (mut owner, mut started, mut now) = (1, ms(0), ms(0));
+        let mut current = ledger(owner, 8);
+        let mut tokens = Vec::new();
+        let mut runs = std::collections::HashMap::new();
+        let mut told_not_run = std::collections::HashSet::new();
+        for event in events {
+            let local = now - started;
+            match event {
+                Event::Issue => tokens.extend(current.issue(local, &mut rng)),
+                Event::Deliver(at) if !tokens.is_empty() => {
+                    let token: ExecutionToken = tokens[at.index(tokens.len())];
+                    if current.begin(local, &token, PRINT) == Begin::Run {
+                        prop_assert!(!told_not_run.contains(&token), "ran after a refusal");
+                        *runs.entry(token).or_insert(0) += 1;
+                    }
+                }
+                Event::End(at) if !tokens.is_empty() => {
+                    let token = tokens[at.index(tokens.len())];
+                    if current.begin(local, &token, PRINT) == Begin::Running {
+                        current.end(&token, outcome(200));
+                    }
+                }
+                Event::Refuse(at) if !tokens.is_empty() => {
+                    let token = tokens[at.index(tokens.len())];
+                    if !runs.contains_key(&token) && current.begin(local, &token, PRINT) == Begin::Run {
+                        current.refuse(&token);
+                        told_not_run.insert(token);
+                    }
+                }
+                Event::Restart => {
+                    owner += 1;
+                    started = now;
+                    current = ledger(owner, 8);
+                }
+                Event::Pass(passed) => now += ms(passed),
+                _ => {}
+            }
+            current.forget(now - started);
+        }
+        prop_assert!(runs.values().all(|count| *count == 1));
+    }
+}
--- /dev/null
+++ b/crates/sorrelturn-policy/src/gate.rs
@@ -0,0 +1,224 @@
+//! Admission to one backend server: a limit and a short queue in the order of shedding.
+//! See `docs/design/admission.md`.
+
+use crate::{AdaptiveLimit, Now, Outcome, Pressure};
+use sorrelturn_protocol::{Importance, Priority, Refusal};
+use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
+
+/// What the bundle says about a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GateConfig {
+    /// How many requests it works on at once.
+    pub slots: u32,
+    /// How many requests may wait.
+    pub queue_len: u32,
+    /// The longest wait.
+    pub queue_wait: Duration,
+    /// The time over which a fresh backend server is brought to full load.
+    pub cold_start: Duration,
+}
+
+/// A request at the gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// Unique at this gate, and rising.
+    pub id: u64,
+    /// The root request's place in the shedding order.
+    pub priority: Priority,
+    /// Whether finished work of other backend servers is lost with it.
+    pub holds_work: bool,
+    /// When its answer is of no more use.
+    pub deadline: Now,
+}
+
+/// What becomes of an arrival.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Forward it now.
+    Admit,
+    /// It waits; [`Gate::finish`] releases it, or [`Gate::give_up`] takes it out.
+    Wait,
+    /// Refuse it now.
+    Refuse(Refusal),
+}
+
+/// The requests that leave the queue when another one finishes or arrives.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Released {
+    /// Forward these now.
+    pub admitted: Vec<u64>,
+    /// Refuse these now.
+    pub refused: Vec<(u64, Refusal)>,
+}
+
+/// The order of the queue: the greatest is admitted first, the least pushed out first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct QueueKey {
+    importance: Importance,
+    holds_work: bool,
+    priority: Priority,
+    deadline: Reverse<Now>,
+    id: Reverse<u64>,
+}
+
+impl From<&Arrival> for QueueKey {
+    fn from(arrival: &Arrival) -> Self {
+        Self {
+            importance: arrival.priority.importance(),
+            holds_work: arrival.holds_work,
+            priority: arrival.priority,
+            deadline: Reverse(arrival.deadline),
+            id: Reverse(arrival.id),
+        }
+    }
+}
+
+/// Admits requests to one backend server.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    cfg: GateConfig,
+    limit: AdaptiveLimit,
+    pressure: Pressure,
+    in_flight: u32,
+    queue: BTreeMap<QueueKey, Now>,
+}
+
+impl Gate {
+    /// A gate before a backend server that just started.
+    pub fn new(cfg: GateConfig, now: Now) -> Self {
+        Self {
+            cfg,
+            limit: AdaptiveLimit::new(cfg.slots, cfg.cold_start, now),
+            pressure: Pressure::new(now),
+            in_flight: 0,
+            queue: BTreeMap::new(),
+        }
+    }
+
+    /// Takes over what a new bundle says; nothing in flight or waiting is lost.
+    pub fn reconfigure(&mut self, cfg: GateConfig) {
+        if cfg != self.cfg {
+            self.cfg = cfg;
+            self.limit.reconfigure(cfg.slots, cfg.cold_start);
+        }
+    }
+
+    /// Decides on an arrival; the second value is a waiting request that it pushes out.
+    pub fn arrive(&mut self, now: Now, arrival: &Arrival) -> (Decision, Option<u64>) {
+        self.pressure.arrived(now, arrival.priority);
+        if self.has_room(now) && self.queue.is_empty() {
+            self.admit(Duration::ZERO);
+            return (Decision::Admit, None);
+        }
+        if now + self.expected_wait(now, arrival) >= arrival.deadline {
+            self.pressure.shed();
+            return (Decision::Refuse(Refusal::Deadline), None);
+        }
+        let key = QueueKey::from(arrival);
+        if self.queue.len() < self.cfg.queue_len as usize {
+            self.queue.insert(key, now);
+            return (Decision::Wait, None);
+        }
+        self.pressure.shed();
+        match self.queue.first_key_value() {
+            Some((least, _)) if *least < key => {
+                let pushed_out = least.id.0;
+                self.queue.pop_first();
+                self.queue.insert(key, now);
+                (Decision::Wait, Some(pushed_out))
+            }
+            _ => (Decision::Refuse(Refusal::Overload), None),
+        }
+    }
+
+    /// An admitted request is over.
+    pub fn finish(&mut self, now: Now, outcome: Outcome, took: Duration) -> Released {
+        self.limit.observe(now, outcome, took, self.in_flight);
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.release(now)
+    }
+
+    /// Takes a waiting request out: its wait is over, or its caller went away.
+    ///
+    /// Returns whether it was still waiting. A wait that is over is a sign of overload.
+    pub fn give_up(&mut self, arrival: &Arrival, wait_is_over: bool) -> bool {
+        let waited = self.queue.remove(&QueueKey::from(arrival)).is_some();
+        if waited && wait_is_over {
+            self.pressure.shed();
+        }
+        waited
+    }
+
+    /// The backend server was away and is back.
+    pub fn backend_restarted(&mut self, now: Now) {
+        self.limit.restarted(now);
+    }
+
+    /// The longest wait of a request in the queue.
+    pub fn queue_wait(&self) -> Duration {
+        self.cfg.queue_wait
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// The limit now.
+    pub fn limit(&self, now: Now) -> u32 {
+        self.limit.get(now).max(1)
+    }
+
+    /// Requests in flight and waiting, in percent of the limit.
+    pub fn load_percent(&self, now: Now) -> u16 {
+        let load = (u64::from(self.in_flight) + self.queue.len() as u64) * 100;
+        (load / u64::from(self.limit(now))).min(u64::from(u16::MAX)) as u16
+    }
+
+    /// Requests below this priority are being shed.
+    pub fn threshold(&mut self, now: Now) -> Priority {
+        self.pressure.threshold(now)
+    }
+
+    /// How long the pressure has lasted; `None` while there is none.
+    pub fn pressure_lasting(&self, now: Now) -> Option<Duration> {
+        self.pressure.lasting(now)
+    }
+
+    fn has_room(&self, now: Now) -> bool {
+        self.in_flight < self.limit(now)
+    }
+
+    fn admit(&mut self, wait: Duration) {
+        self.in_flight += 1;
+        self.pressure.admitted(wait);
+    }
+
+    fn release(&mut self, now: Now) -> Released {
+        let mut released = Released::default();
+        while self.has_room(now) {
+            let Some((key, since)) = self.queue.pop_last() else {
+                break;
+            };
+            if key.deadline.0 <= now {
+                self.pressure.shed();
+                released.refused.push((key.id.0, Refusal::Deadline));
+                continue;
+            }
+            self.admit(now.saturating_sub(since));
+            released.admitted.push(key.id.0);
+        }
+        released
+    }
+
+    /// The time until as many requests have finished as would go before this one.
+    fn expected_wait(&self, now: Now, arrival: &Arrival) -> Duration {
+        let ahead = self.queue.range(QueueKey::from(arrival)..).count() as u32;
+        self.limit.service_time() * ahead / self.limit(now)
+    }
+}
--- /dev/null
+++ b/crates/sorrelturn-policy/src/learned.rs
@@ -0,0 +1,51 @@
+//! The threshold of a kind of request as an entry daemon learns it from answers.
+
+use crate::Now;
+use sorrelturn_protocol::Priority;
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+/// Without news a threshold falls by one step in this time, so that recovery is found by probes.
+const DECAY_TIME: Duration = Duration::from_millis(50);
+/// The first step; each further one without news is twice as large.
+const DECAY_STEP: u64 = 16;
+
+/// Learns from answers, forgets by itself, and is read on the path of every request.
+///
+/// The value and its time share one atomic word. A lost update between two racing answers is
+/// harmless: the next answer brings the same news.
+#[derive(Debug, Default)]
+pub struct LearnedThreshold {
+    /// The time in milliseconds above, the threshold in the lowest 16 bits.
+    word: AtomicU64,
+}
+
+impl LearnedThreshold {
+    /// Takes the threshold of an answer: a higher one at once, a lower one by a quarter, since
+    /// the instances of a service differ.
+    pub fn observe(&self, now: Now, announced: Priority) {
+        let current = self.current(now).0;
+        let next = if announced.0 >= current {
+            announced.0
+        } else {
+            current - (current - announced.0).div_ceil(4)
+        };
+        let word = (now.as_millis() as u64) << 16 | u64::from(next);
+        self.word.store(word, Ordering::Relaxed);
+    }
+
+    /// The threshold now.
+    pub fn current(&self, now: Now) -> Priority {
+        let word = self.word.load(Ordering::Relaxed);
+        let learnt = word & 0xFFFF;
+        if learnt == 0 {
+            return Priority::LOWEST;
+        }
+        let silent_ms = (now.as_millis() as u64).saturating_sub(word >> 16);
+        let steps = (silent_ms / DECAY_TIME.as_millis() as u64).min(16) as u32;
+        let fallen = DECAY_STEP * ((1 << steps) - 1);
+        Priority(learnt.saturating_sub(fallen) as u16)
+    }
+}
--- a/crates/sorrelturn-policy/src/lib.rs
+++ b/crates/sorrelturn-policy/src/lib.rs
@@ -1,1 +1,26 @@
-//! Stub.
+#![doc = include_str!("../README.md")]
+
+mod attempts;
+mod bucket;
+mod gate;
+mod learned;
+mod leaving;
+mod limit;
+mod pressure;
+mod retry;
+mod retry_after;
+mod routing;
+
+pub use attempts::{AttemptPool, first_share};
+pub use bucket::{RateBucket, RetryBucket};
+pub use gate::{Arrival, Decision, Gate, GateConfig, Released};
+pub use learned::LearnedThreshold;
+pub use leaving::{Leaving, LeavingCause};
+pub use limit::{AdaptiveLimit, Outcome};
+pub use pressure::Pressure;
+pub use retry::{Attempt, Step, next_step};
+pub use retry_after::RetryAfter;
+pub use routing::{Instance, InstanceReport, choose};
+
+/// A point in time: what has passed of the process's monotonic clock since its start.
+pub type Now = std::time::Duration;
--- /dev/null
+++ b/crates/sorrelturn-policy/src/retry.rs
@@ -0,0 +1,68 @@
+//! What to do after one attempt at an instance. See `docs/design/retries.md`.
+
+use sorrelturn_protocol::{Refusal, Verdict};
+
+/// How many other instances are asked after refusals that ran nothing.
+const MAX_REROUTES: u32 = 2;
+/// How many after a refusal for overload: its neighbours are likely to be loaded as well.
+const MAX_OVERLOAD_REROUTES: u32 = 1;
+
+/// One attempt that didn't bring a good answer, and what is left for another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Attempt {
+    /// Whether it may have run.
+    pub verdict: Verdict,
+    /// Why it was refused, if it was.
+    pub refusal: Option<Refusal>,
+    /// Whether the failure lies deeper and was retried there.
+    pub already_retried: bool,
+    /// Whether a second run harms nobody.
+    pub repeatable: bool,
+    /// Refusals elsewhere so far.
+    pub reroutes: u32,
+    /// The attempts left for this call.
+    pub attempts_left: u32,
+    /// The attempts that another try needs.
+    pub need: u32,
+    /// Whether the deadline leaves time for another try.
+    pub time_left: bool,
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing ran: ask another instance, at no cost.
+    Reroute,
+    /// Something may have run: try again, if the retry bucket pays for it.
+    Retry,
+    /// Answer what there is.
+    Answer,
+}
+
+/// Decides what follows an attempt.
+pub fn next_step(attempt: &Attempt) -> Step {
+    if !attempt.time_left {
+        return Step::Answer;
+    }
+    match attempt.verdict {
+        Verdict::NotRun if may_reroute(attempt) => Step::Reroute,
+        Verdict::NotRun => Step::Answer,
+        Verdict::MayHaveRun | Verdict::Ran if may_retry(attempt) => Step::Retry,
+        Verdict::MayHaveRun | Verdict::Ran => Step::Answer,
+    }
+}
+
+fn may_reroute(attempt: &Attempt) -> bool {
+    let Some(refusal) = attempt.refusal else {
+        return false;
+    };
+    let most = match refusal {
+        Refusal::Overload => MAX_OVERLOAD_REROUTES,
+        _ => MAX_REROUTES,
+    };
+    refusal.elsewhere_may_differ() && attempt.reroutes < most
+}
+
+fn may_retry(attempt: &Attempt) -> bool {
+    attempt.repeatable && !attempt.already_retried && attempt.attempts_left >= attempt.need
+}
--- /dev/null
+++ b/crates/sorrelturn-telemetry/src/event.rs
@@ -0,0 +1,87 @@
+//! The shape of an event.
+
+use log::Level;
+use serde::{Deserialize, Serialize};
+use sorrelturn_protocol::RequestId;
+use std::fmt;
+
+/// One kind of event; all stand in [`crate::events`] and in `docs/EVENTS.md`.
+#[derive(Debug, PartialEq, Eq)]
+pub struct EventKind {
+    /// Its number; never reused.
+    pub number: u16,
+    /// Its name, in lower case with hyphens.
+    pub name: &'static str,
+    /// The level at which it is logged.
+    pub level: Level,
+    /// What happened, for `sorrelctl explain`.
+    pub text: &'static str,
+}
+
+/// One input of a decision.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Field {
+    /// Its name.
+    pub name: String,
+    /// Its value, with its unit where it has one.
+    pub value: String,
+}
+
+impl Field {
+    /// A field from anything that can be shown.
+    pub fn new(name: &str, value: impl fmt::Display) -> Self {
+        Self {
+            name: name.to_owned(),
+            value: value.to_string(),
+        }
+    }
+}
+
+/// One event that happened.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EventRecord {
+    /// When, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// The instance whose daemon noted it.
+    pub instance: String,
+    /// The kind's number.
+    pub number: u16,
+    /// The kind's name.
+    pub name: String,
+    /// What happened.
+    pub text: String,
+    /// The root request that it concerns.
+    pub request: Option<String>,
+    /// The inputs of the decision.
+    pub fields: Vec<Field>,
+}
+
+impl EventRecord {
+    /// Whether it concerns this request.
+    pub fn concerns(&self, request: RequestId) -> bool {
+        self.request
+            .as_ref()
+            .is_some_and(|id| *id == request.to_string())
+    }
+
+    /// The value of a field.
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.fields
+            .iter()
+            .find(|field| field.name == name)
+            .map(|field| field.value.as_str())
+    }
+}
+
+impl fmt::Display for EventRecord {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "S{:03} {}", self.number, self.name)?;
+        if let Some(request) = &self.request {
+            write!(f, " request={request}")?;
+        }
+        for field in &self.fields {
+            write!(f, " {}={}", field.name, field.value)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/sorrelturn-telemetry/src/events.rs
@@ -0,0 +1,64 @@
+//! The catalogue of events. `docs/EVENTS.md` says what to do about each; a test holds the two
+//! against each other.
+
+use crate::EventKind;
+use log::Level;
+
+macro_rules! catalogue {
+    ($($constant:ident = $number:literal $name:literal $level:ident $text:literal;)*) => {
+        $(
+            #[doc = $text]
+            pub static $constant: EventKind = EventKind {
+                number: $number,
+                name: $name,
+                level: Level::$level,
+                text: $text,
+            };
+        )*
+
+        /// All kinds of events, in the order of their numbers.
+        pub static CATALOGUE: &[&EventKind] = &[$(&$constant),*];
+    };
+}
+
+catalogue! {
+    STARTED = 1 "started" Info "The daemon started and listens.";
+    STOPPED = 2 "stopped" Info "The daemon has carried everything it had and exits.";
+    STOP_CUT = 3 "stop-cut" Warn "The daemon exits though requests were still in flight.";
+    LEAVING = 4 "leaving" Info "The daemon takes no new calls from now on.";
+    STAYING = 5 "staying" Info "The reason for leaving was taken back; the daemon takes calls again.";
+
+    HOP_SERVED = 100 "hop-served" Debug "The backend server answered this hop.";
+    HOP_FORWARDED = 101 "hop-forwarded" Debug "The call was forwarded to the owner daemon.";
+    REFUSED = 110 "refused" Debug "The request was refused here.";
+    REROUTED = 111 "rerouted" Debug "Another instance was asked, because the first one had not run the request.";
+    RETRIED = 112 "retried" Debug "The request was tried again, because a second run harms nobody.";
+    NOT_RETRIED = 113 "not-retried" Debug "The failure was passed on and not retried.";
+    CANCELLED = 114 "cancelled" Debug "The caller went away, and the call was cancelled at the backend server.";
+    RECORDED_ANSWER = 115 "recorded-answer" Debug "The answer of an earlier execution was given again.";
+
+    BACKEND_LOST = 200 "backend-lost" Warn "The backend server can't be reached.";
+    BACKEND_BACK = 201 "backend-back" Info "The backend server can be reached again and starts cold.";
+    LIMIT_CHANGED = 202 "limit-changed" Debug "The concurrency limit of the backend server changed.";
+    EJECTED = 203 "ejected" Warn "An instance failed repeatedly and gets no calls for a while.";
+
+    BUNDLE_IN_FORCE = 300 "bundle-in-force" Info "A higher bundle version is in force here.";
+    BUNDLE_REFUSED = 301 "bundle-refused" Error "A bundle was not taken.";
+    BUNDLE_FETCH_FAILED = 302 "bundle-fetch-failed" Warn "A higher bundle is known but could not be fetched.";
+
+    MEMBER_JOINED = 400 "member-joined" Info "A daemon joined or restarted.";
+    MEMBER_LEAVING = 401 "member-leaving" Info "A daemon takes no new calls any more.";
+    MEMBER_GONE = 402 "member-gone" Info "A daemon has gone.";
+    WATCHER_STARTED = 403 "watcher-started" Info "This daemon watches the platform for its failure domain from now on.";
+    WATCHER_ENDED = 404 "watcher-ended" Info "This daemon no longer watches the platform.";
+    VM_LIST_NOT_BELIEVED = 405 "vm-list-not-believed" Warn "The list of VMs would take away more than half of a service and was not believed.";
+    PAUSE_NOTICED = 406 "pause-noticed" Warn "The process was paused and lets go of what it can't know any more.";
+
+    PLATFORM_LOST = 500 "platform-lost" Warn "The platform doesn't answer; the daemon goes on with what it has.";
+    PLATFORM_BACK = 501 "platform-back" Info "The platform answers again.";
+    OUTCOMES_UNSAVED = 502 "outcomes-unsaved" Warn "The outcomes of tokens could not be written to the platform.";
+
+    BAD_PEER = 600 "bad-peer" Warn "Somebody on the peer or control port sent what no daemon sends.";
+    BAD_REQUEST = 601 "bad-request" Debug "A request was malformed or too large.";
+    KEYS_ROTATED = 602 "keys-rotated" Info "The fleet's keys were read anew.";
+}
--- a/crates/sorrelturn-telemetry/src/lib.rs
+++ b/crates/sorrelturn-telemetry/src/lib.rs
@@ -1,1 +1,13 @@
-//! Stub.
+#![doc = include_str!("../README.md")]
+
+mod event;
+pub mod events;
+pub mod metrics;
+mod ring;
+mod span;
+mod trace_context;
+
+pub use event::{EventKind, EventRecord, Field};
+pub use ring::EventRing;
+pub use span::{Span, SpanBuffer, SpanKind, to_otlp_json};
+pub use trace_context::TraceContext;
--- /dev/null
+++ b/crates/sorrelturn-telemetry/src/span.rs
@@ -0,0 +1,160 @@
+//! Spans, one for each hop, in OpenTelemetry's format.
+
+use crate::Field;
+use opentelemetry_proto::tonic::{
+    collector::trace::v1::ExportTraceServiceRequest,
+    common::v1::{AnyValue, KeyValue, any_value::Value},
+    resource::v1::Resource,
+    trace::v1::{ResourceSpans, ScopeSpans, Span as OtlpSpan, Status, span::SpanKind as OtlpKind},
+};
+use sorrelturn_protocol::SpanId;
+use std::sync::{
+    Mutex,
+    atomic::{AtomicU64, Ordering},
+};
+
+/// Which side of a call a span shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SpanKind {
+    /// The daemon took a call.
+    Server,
+    /// The daemon sent a call on.
+    Client,
+}
+
+/// One hop of one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Span {
+    /// The trace.
+    pub trace: u128,
+    /// The span itself.
+    pub id: SpanId,
+    /// The span that caused it.
+    pub parent: Option<SpanId>,
+    /// The kind of request.
+    pub name: String,
+    /// The side that it shows.
+    pub kind: SpanKind,
+    /// When it began, in nanoseconds since the Unix epoch.
+    pub start_ns: u64,
+    /// When it ended, in nanoseconds since the Unix epoch.
+    pub end_ns: u64,
+    /// Whether the hop failed.
+    pub failed: bool,
+    /// What else is known.
+    pub attributes: Vec<Field>,
+}
+
+/// Spans that wait to be sent, in bounded memory.
+#[derive(Debug)]
+pub struct SpanBuffer {
+    capacity: usize,
+    waiting: Mutex<Vec<Span>>,
+    dropped: AtomicU64,
+}
+
+impl SpanBuffer {
+    /// A buffer for `capacity` spans; 0 keeps none.
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            waiting: Mutex::new(Vec::new()),
+            dropped: AtomicU64::new(0),
+        }
+    }
+
+    /// Whether spans are kept at all.
+    pub fn is_on(&self) -> bool {
+        self.capacity > 0
+    }
+
+    /// Adds a span, or drops it where the buffer is full: traces never hold a request up.
+    pub fn add(&self, span: Span) {
+        if !self.is_on() {
+            return;
+        }
+        let mut waiting = self.lock();
+        if waiting.len() < self.capacity {
+            waiting.push(span);
+        } else {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Takes all that wait.
+    pub fn take(&self) -> Vec<Span> {
+        std::mem::take(&mut *self.lock())
+    }
+
+    /// How many were dropped since this was asked last.
+    pub fn take_dropped(&self) -> u64 {
+        self.dropped.swap(0, Ordering::Relaxed)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Span>> {
+        self.waiting
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
+
+/// Writes spans as the JSON body of an OTLP/HTTP export.
+pub fn to_otlp_json(service: &str, instance: &str, spans: &[Span]) -> Vec<u8> {
+    let scope_spans = ScopeSpans {
+        spans: spans.iter().map(to_otlp).collect(),
+        ..ScopeSpans::default()
+    };
+    let resource = Resource {
+        attributes: vec![
+            attribute("service.name", service),
+            attribute("service.instance.id", instance),
+        ],
+        ..Resource::default()
+    };
+    let resource_spans = ResourceSpans {
+        resource: Some(resource),
+        scope_spans: vec![scope_spans],
+        ..ResourceSpans::default()
+    };
+    let export = ExportTraceServiceRequest {
+        resource_spans: vec![resource_spans],
+    };
+    serde_json::to_vec(&export).unwrap_or_default()
+}
+
+fn to_otlp(span: &Span) -> OtlpSpan {
+    let kind = match span.kind {
+        SpanKind::Server => OtlpKind::Server,
+        SpanKind::Client => OtlpKind::Client,
+    };
+    let parent = span.parent.map(|parent| parent.0.to_be_bytes().to_vec());
+    OtlpSpan {
+        trace_id: span.trace.to_be_bytes().to_vec(),
+        span_id: span.id.0.to_be_bytes().to_vec(),
+        parent_span_id: parent.unwrap_or_default(),
+        name: span.name.clone(),
+        kind: kind as i32,
+        start_time_unix_nano: span.start_ns,
+        end_time_unix_nano: span.end_ns,
+        attributes: span
+            .attributes
+            .iter()
+            .map(|field| attribute(&field.name, &field.value))
+            .collect(),
+        status: Some(Status {
+            code: if span.failed { 2 } else { 1 },
+            ..Status::default()
+        }),
+        ..OtlpSpan::default()
+    }
+}
+
+fn attribute(key: &str, value: &str) -> KeyValue {
+    KeyValue {
+        key: key.to_owned(),
+        value: Some(AnyValue {
+            value: Some(Value::StringValue(value.to_owned())),
+        }),
+        ..KeyValue::default()
+    }
+}
