--- a/crates/sorrelturn-bundle/src/check.rs
+++ b/crates/sorrelturn-bundle/src/check.rs
@@ -175,6 +175,13 @@
                 ));
             }
         }
+        for child in at_most_once_children(kind, &by_name) {
+            findings.push(map.at(
+                &["services", service, "kinds", name, "execution"],
+                format!("kind {name} may run twice but calls {child}, which may not"),
+                "write \"at-most-once\": each run of it would run its calls again",
+            ));
+        }
         if reaches(&by_name, name, name, 0) {
             findings.push(map.at(
                 &["services", service, "kinds", name, "calls"],
@@ -194,6 +201,18 @@
     }
 }
 
+/// The calls by which a repeatable kind would repeat what must not be repeated.
+fn at_most_once_children<'a>(
+    kind: &'a Kind,
+    by_name: &'a BTreeMap<&str, &Kind>,
+) -> impl Iterator<Item = &'a String> {
+    let repeatable = kind.execution == Execution::Repeatable;
+    kind.calls.keys().filter(move |child| {
+        let child = by_name.get(child.as_str());
+        repeatable && child.is_some_and(|child| child.execution == Execution::AtMostOnce)
+    })
+}
+
 fn reaches(by_name: &BTreeMap<&str, &Kind>, from: &str, goal: &str, depth: u32) -> bool {
     let Some(kind) = by_name.get(from) else {
         return false;
--- a/crates/sorrelturn-bundle/src/index.rs
+++ b/crates/sorrelturn-bundle/src/index.rs
@@ -148,6 +148,12 @@
         self.source.services.get(name)
     }
 
+    /// The id of the caller with this name.
+    pub fn caller_id(&self, name: &str) -> Option<CallerId> {
+        let entry = self.callers.iter().find(|entry| entry.name == name)?;
+        Some(entry.id)
+    }
+
     /// Recognises a caller: by its bearer token if it sends one, else by its address.
     pub fn match_caller(&self, bearer: Option<&str>, address: IpAddr) -> Option<&Arc<CallerEntry>> {
         if let Some(token) = bearer {
--- a/crates/sorrelturn-bundle/src/model.rs
+++ b/crates/sorrelturn-bundle/src/model.rs
@@ -31,6 +31,12 @@
     /// Statuses by which the backend server says that it refused a request before it ran.
     #[serde(default)]
     pub refused_statuses: Vec<u16>,
+    /// The header by which the backend server says, in an answer, that it drains.
+    #[serde(default)]
+    pub drain_header: Option<String>,
+    /// The header in which the backend server wants the milliseconds left; ours where absent.
+    #[serde(default)]
+    pub deadline_header: Option<String>,
     /// The time over which a fresh instance is brought to full load, in milliseconds.
     #[serde(default = "default_cold_start_ms")]
     pub cold_start_ms: u32,
--- /dev/null
+++ b/crates/sorrelturn-command/src/commands/drain.rs
@@ -0,0 +1,34 @@
+//! `sorrelctl drain`
+
+use super::CommandEntry;
+use crate::{
+    Failure, Output,
+    remote::{address, ask_daemon, daemon_arg},
+};
+use clap::{ArgMatches, Command};
+use hyper::Method;
+use sorrelturn_daemon::StatusReport;
+
+pub(super) const ENTRY: CommandEntry = CommandEntry {
+    name: &["drain"],
+    signature,
+    run,
+};
+
+fn signature() -> Command {
+    Command::new("drain")
+        .about("Makes a daemon take no new calls; what it carries goes on")
+        .after_help("Example:\n  sorrelctl drain --daemon 127.0.0.1:7005")
+        .arg(daemon_arg())
+}
+
+fn run(args: &ArgMatches) -> Result<Output, Failure> {
+    let addr = address(args, "daemon");
+    let asked = ask_daemon::<StatusReport>(addr, Method::POST, "/drain", Vec::new());
+    let report = smol::block_on(asked)?;
+    let text = format!(
+        "{} takes no new calls; {} are in flight",
+        report.record.instance, report.in_flight
+    );
+    Ok(Output::new(text, &report))
+}
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/admin.rs
@@ -0,0 +1,120 @@
+//! The operators' side of a daemon: plain HTTP with JSON.
+
+use crate::{
+    body::{self, Body},
+    control::{self, StatusReport},
+    gossip,
+    node::{Node, lock},
+    serve::status,
+};
+use http_body_util::{BodyExt, Limited};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE};
+use serde::{Deserialize, Serialize};
+use sorrelturn_bundle::{ContentHash, SectionBytes, SignedManifest};
+use sorrelturn_policy::LeavingCause;
+use sorrelturn_telemetry::{Field, events};
+use std::sync::{Arc, atomic::Ordering};
+
+/// The largest bundle that an operator can bring, in bytes.
+const BUNDLE_LIMIT_BYTES: usize = 64 << 20;
+
+/// A bundle that an operator brings after it was accepted, for the case that the platform fails
+/// right then.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct BroughtBundle {
+    manifest: SignedManifest,
+    sections: Vec<SectionBytes>,
+}
+
+pub(crate) async fn serve(node: &Arc<Node>, req: Request<Incoming>) -> Response<Body> {
+    let path = req.uri().path().to_owned();
+    match (req.method(), path.as_str()) {
+        (&Method::GET, "/status") => json(&report(node)),
+        (&Method::GET, "/events") => json(&node.events.of_fleet()),
+        (&Method::GET, "/members") => {
+            let members: Vec<_> = lock(&node.membership).all().cloned().collect();
+            json(&members)
+        }
+        (&Method::POST, "/drain") => {
+            if node.leave(LeavingCause::Operator).is_some() {
+                gossip::spread_own_record(node);
+            }
+            json(&report(node))
+        }
+        (&Method::POST, "/keys/reload") => reload_keys(node),
+        (&Method::PUT, "/bundle") => take_bundle(node, req).await,
+        (&Method::GET, path) => match path.strip_prefix("/explain/").map(str::parse) {
+            Some(Ok(request)) => json(&control::explain(node, request).await),
+            Some(Err(_)) => status(StatusCode::BAD_REQUEST),
+            None => status(StatusCode::NOT_FOUND),
+        },
+        _ => status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn report(node: &Node) -> StatusReport {
+    let (in_flight, waiting, limit) = node
+        .room
+        .with_gate(|gate, now| (gate.in_flight(), gate.waiting(), gate.limit(now)));
+    StatusReport {
+        record: (**node.own_record.load()).clone(),
+        bundle_version: lock(&node.spread).in_force(),
+        in_flight,
+        waiting,
+        limit,
+        members: lock(&node.membership).present().count(),
+        control_bytes: node.counts.control_bytes.load(Ordering::Relaxed),
+        platform_calls: node.platform.calls(),
+        watcher: node.counts.watching.load(Ordering::Relaxed),
+    }
+}
+
+fn reload_keys(node: &Node) -> Response<Body> {
+    match node.keys.reload() {
+        Ok(()) => {
+            node.note(&events::KEYS_ROTATED, Vec::new());
+            status(StatusCode::NO_CONTENT)
+        }
+        Err(error) => {
+            let mut res = Response::new(body::full(format!("{error}\n")));
+            *res.status_mut() = StatusCode::CONFLICT;
+            res
+        }
+    }
+}
+
+async fn take_bundle(node: &Arc<Node>, req: Request<Incoming>) -> Response<Body> {
+    let Ok(body) = Limited::new(req.into_body(), BUNDLE_LIMIT_BYTES)
+        .collect()
+        .await
+    else {
+        return status(StatusCode::PAYLOAD_TOO_LARGE);
+    };
+    let Ok(brought) = serde_json::from_slice::<BroughtBundle>(&body.to_bytes()) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let sections = brought
+        .sections
+        .into_iter()
+        .map(|section| (ContentHash::of(&section.bytes), section))
+        .collect();
+    let taken = brought
+        .manifest
+        .verify(&node.trusted)
+        .and_then(|manifest| gossip::take(node, brought.manifest, &manifest, &sections));
+    match taken {
+        Ok(()) => json(&report(node)),
+        Err(error) => {
+            node.note(&events::BUNDLE_REFUSED, vec![Field::new("error", &error)]);
+            let mut res = Response::new(body::full(format!("{error}\n")));
+            *res.status_mut() = StatusCode::FORBIDDEN;
+            res
+        }
+    }
+}
+
+fn json(value: &impl Serialize) -> Response<Body> {
+    let mut res = Response::new(body::full(serde_json::to_vec(value).unwrap_or_default()));
+    crate::headers::set(res.headers_mut(), CONTENT_TYPE.as_str(), "application/json");
+    res
+}
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/answer.rs
@@ -0,0 +1,115 @@
+//! What comes back from a call, and how it is told to peers and to callers.
+
+use crate::{
+    body::{self, Body},
+    headers,
+};
+use hyper::{
+    Response, StatusCode,
+    header::{CONTENT_TYPE, RETRY_AFTER},
+};
+use sorrelturn_policy::RetryAfter;
+use sorrelturn_protocol::{
+    AnswerContext, Refusal, RequestId, Verdict,
+    headers::{ANSWER, REQUEST_ID, VERDICT},
+};
+use std::time::Duration;
+
+/// The result of a call: a backend server's answer, or a refusal without one.
+pub(crate) struct Reply {
+    /// What daemons tell one another about it.
+    pub(crate) context: AnswerContext,
+    /// The backend server's answer.
+    pub(crate) res: Option<Response<Body>>,
+}
+
+impl Reply {
+    /// A backend server's answer, of now or of an earlier execution.
+    pub(crate) fn answered(verdict: Verdict, res: Response<Body>) -> Self {
+        Self {
+            context: AnswerContext {
+                verdict,
+                ..AnswerContext::default()
+            },
+            res: Some(res),
+        }
+    }
+
+    /// A refusal with its verdict.
+    pub(crate) fn refused(refusal: Refusal, verdict: Verdict) -> Self {
+        Self {
+            context: AnswerContext {
+                verdict,
+                refusal: Some(refusal),
+                ..AnswerContext::default()
+            },
+            res: None,
+        }
+    }
+
+    /// A refusal of a request that ran nowhere.
+    pub(crate) fn not_run(refusal: Refusal) -> Self {
+        Self::refused(refusal, Verdict::NotRun)
+    }
+
+    /// Says when to come back.
+    pub(crate) fn come_back(mut self, after: Duration) -> Self {
+        self.context.retry_after_ms = after.as_millis() as u32;
+        self
+    }
+
+    /// The answer to a peer.
+    pub(crate) fn into_peer_response(self) -> Response<Body> {
+        let mut res = self.res.unwrap_or_else(|| {
+            let mut res = Response::new(body::full(""));
+            *res.status_mut() = refusal_status(&self.context);
+            res
+        });
+        headers::strip_hop_by_hop(res.headers_mut());
+        headers::set(res.headers_mut(), ANSWER, &self.context.encode());
+        res
+    }
+
+    /// The answer to a caller or to a backend server that made a nested call.
+    pub(crate) fn into_response(self, request: RequestId) -> Response<Body> {
+        let mut res = match self.res {
+            Some(mut res) => {
+                headers::strip_hop_by_hop(res.headers_mut());
+                headers::strip_internal(res.headers_mut());
+                res
+            }
+            None => refusal_response(&self.context, request),
+        };
+        let headers = res.headers_mut();
+        headers::set(headers, VERDICT, self.context.verdict.name());
+        headers::set(headers, REQUEST_ID, &request.to_string());
+        res
+    }
+}
+
+fn refusal_status(context: &AnswerContext) -> StatusCode {
+    context
+        .refusal
+        .and_then(|refusal| StatusCode::from_u16(refusal.status()).ok())
+        .unwrap_or(StatusCode::BAD_GATEWAY)
+}
+
+fn refusal_response(context: &AnswerContext, request: RequestId) -> Response<Body> {
+    let reason = context
+        .refusal
+        .map_or_else(String::new, |refusal| refusal.to_string());
+    let text = serde_json::json!({
+        "error": reason,
+        "verdict": context.verdict.name(),
+        "request": request.to_string(),
+    });
+    let mut res = Response::new(body::full(format!("{text}\n")));
+    *res.status_mut() = refusal_status(context);
+    let headers = res.headers_mut();
+    headers::set(headers, CONTENT_TYPE.as_str(), "application/json");
+    if context.retry_after_ms > 0 {
+        let seconds = RetryAfter::header_seconds(context.retry_after_ms);
+        headers.insert(RETRY_AFTER, seconds.into());
+    }
+    res
+}
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/entry.rs
@@ -0,0 +1,253 @@
+//! The entry: a caller's request becomes a root request.
+
+use crate::{
+    answer::Reply,
+    body::{self, Body},
+    export,
+    forward::{self, Call},
+    headers,
+    node::{Carried, InForce, Node},
+    owner,
+    payload::Payload,
+    tokens,
+};
+use bytes::Bytes;
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming, header::AUTHORIZATION,
+};
+use serde::Deserialize;
+use sorrelturn_bundle::{CallerEntry, KindEntry};
+use sorrelturn_protocol::{
+    CallContext, ExecutionToken, Refusal, RequestId, SpanId, Verdict,
+    headers::{IDEMPOTENCY_KEY, TOKEN, TRACEPARENT},
+};
+use sorrelturn_telemetry::{Field, TraceContext, events, metrics};
+use std::{net::IpAddr, sync::Arc, time::Duration};
+
+/// Where callers get tokens.
+const TOKENS_PATH: &str = "/.sorrelturn/tokens";
+/// A root request before it is forwarded.
+struct Root {
+    in_force: Arc<InForce>,
+    kind: Arc<KindEntry>,
+    caller: Arc<CallerEntry>,
+    context: CallContext,
+}
+
+/// What a caller sends to get a token.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TokenRequest {
+    method: String,
+    path: String,
+}
+
+/// Answers one request of a caller.
+pub(crate) async fn serve(
+    node: &Arc<Node>,
+    caller_ip: IpAddr,
+    req: Request<Incoming>,
+) -> Response<Body> {
+    let _carried = Carried::new(node);
+    let request = RequestId::random(&mut fastrand::Rng::new());
+    let started = node.now();
+    let reply = match (req.method(), req.uri().path()) {
+        (&Method::POST, TOKENS_PATH) => give_token(node, caller_ip, request, req).await,
+        _ => answer(node, caller_ip, request, req).await,
+    };
+    let (importance, reply) = match reply {
+        Ok((root, reply)) => (root.kind.importance().name(), reply),
+        Err(reply) => ("none", reply),
+    };
+    let verdict = reply.context.verdict.name();
+    let tags = [("importance", importance), ("verdict", verdict)];
+    export::count(node, &metrics::REQUESTS, &tags);
+    export::time(node, &metrics::HOP_TIME, node.now() - started, &tags[..1]);
+    reply.into_response(request)
+}
+
+async fn answer(
+    node: &Arc<Node>,
+    caller_ip: IpAddr,
+    request: RequestId,
+    req: Request<Incoming>,
+) -> Result<(Root, Reply), Reply> {
+    let (method, path) = (req.method().as_str(), req.uri().path());
+    let root = root(node, caller_ip, request, method, path, req.headers())?;
+    let token = headers::text(req.headers(), TOKEN).map(str::parse::<ExecutionToken>);
+    let key = headers::text(req.headers(), IDEMPOTENCY_KEY).map(str::to_owned);
+    shed_early(node, &root, token.is_some())?;
+    let (mut parts, incoming) = req.into_parts();
+    let payload = Payload::read(incoming).await?;
+    let deadline = node.now() + Duration::from_millis(root.kind.kind.deadline_ms.into());
+    headers::strip_for_peer(&mut parts.headers);
+    let mut call = Call {
+        in_force: Arc::clone(&root.in_force),
+        kind: Arc::clone(&root.kind),
+        context: root.context.clone(),
+        deadline,
+        method: parts.method,
+        target: target(&parts.uri),
+        headers: parts.headers,
+        payload,
+    };
+    let reply = match (root.kind.at_most_once(), token, key) {
+        (false, _, _) => forward::call(node, &mut call).await,
+        (true, Some(Ok(token)), _) => {
+            call.context.token = Some(token);
+            forward::call(node, &mut call).await
+        }
+        (true, Some(Err(_)), _) => Reply::not_run(Refusal::TokenRejected),
+        (true, None, Some(key)) => one_step(node, call, &key).await?,
+        (true, None, None) => Reply::not_run(Refusal::TokenRequired),
+    };
+    Ok((root, reply))
+}
+
+/// The one-step way: the caller's own key is bound to a token in the store.
+///
+/// A key whose token was refused before it ran is bound to a fresh one, so that the caller can
+/// come back with the same key.
+async fn one_step(node: &Arc<Node>, mut call: Call, key: &str) -> Result<Reply, Reply> {
+    let bound = tokens::bind(node, &call, key).await?;
+    call.context.token = Some(bound.token);
+    let reply = forward::call(node, &mut call).await;
+    if reply.context.refusal != Some(Refusal::Tombstone) {
+        return Ok(reply);
+    }
+    call.context.token = None;
+    let bound = tokens::bind_anew(node, &call, key, bound.version).await?;
+    call.context.token = Some(bound.token);
+    Ok(forward::call(node, &mut call).await)
+}
+
+/// Recognises the caller and the kind, and checks that the one may ask for the other.
+fn root(
+    node: &Arc<Node>,
+    caller_ip: IpAddr,
+    request: RequestId,
+    method: &str,
+    path: &str,
+    req_headers: &HeaderMap,
+) -> Result<Root, Reply> {
+    let come_back = || owner::come_back(node);
+    let in_force = node
+        .in_force
+        .load_full()
+        .ok_or_else(|| Reply::not_run(Refusal::NoBundle).come_back(come_back()))?;
+    if node.is_leaving() {
+        return Err(Reply::not_run(Refusal::Leaving).come_back(come_back()));
+    }
+    let bundle = &in_force.bundle;
+    let bearer = headers::text(req_headers, AUTHORIZATION.as_str())
+        .and_then(|value| value.strip_prefix("Bearer "));
+    let caller = bundle
+        .match_caller(bearer, caller_ip)
+        .ok_or_else(|| Reply::not_run(Refusal::UnknownCaller))?;
+    let kind = bundle
+        .match_kind(method, path)
+        .filter(|kind| kind.kind.exposed)
+        .ok_or_else(|| Reply::not_run(Refusal::UnknownKind))?;
+    let allowed = &caller.caller.kinds;
+    if !allowed.is_empty() && !allowed.contains(&kind.name) {
+        return Err(Reply::not_run(Refusal::NotAllowed));
+    }
+    if !in_force.caller_may_ask(caller, node.now()) {
+        return Err(Reply::not_run(Refusal::CallerRate).come_back(come_back()));
+    }
+    let trace = headers::text(req_headers, TRACEPARENT)
+        .and_then(|value| value.parse::<TraceContext>().ok());
+    let context = CallContext {
+        request,
+        trace: trace.map_or(request.0, |trace| trace.trace),
+        parent: trace.map_or(SpanId::default(), |trace| trace.parent),
+        kind: kind.name.clone(),
+        importance: kind.importance(),
+        depth: 0,
+        deadline_ms: kind.kind.deadline_ms,
+        attempts: kind.kind.attempts,
+        token: None,
+        caller: caller.id,
+    };
+    Ok(Root {
+        kind: Arc::clone(kind),
+        caller: Arc::clone(caller),
+        context,
+        in_force: Arc::clone(&in_force),
+    })
+}
+
+/// Refuses here what would be shed deeper after work was done for it.
+///
+/// A request that brings a token is let through: its owner may have its answer already.
+fn shed_early(node: &Node, root: &Root, has_token: bool) -> Result<(), Reply> {
+    let state = root.in_force.kind_state(&root.kind);
+    let threshold = state.threshold.current(node.now());
+    let priority = root.context.priority();
+    if has_token || priority >= threshold {
+        return Ok(());
+    }
+    node.events.note(
+        &events::REFUSED,
+        Some(root.context.request),
+        vec![
+            Field::new("kind", &root.kind.name),
+            Field::new("caller", &root.caller.name),
+            Field::new("reason", Refusal::Overload),
+            Field::new("importance", root.context.importance),
+            Field::new("priority", priority.0),
+            Field::new("threshold", threshold.0),
+        ],
+    );
+    Err(Reply::not_run(Refusal::Overload).come_back(owner::come_back(node)))
+}
+
+/// Path and query alone: where a request goes is for the kind to say.
+pub(crate) fn target(uri: &Uri) -> Uri {
+    uri.path_and_query()
+        .and_then(|target| target.as_str().parse().ok())
+        .unwrap_or_default()
+}
+
+/// The first, harmless call of the two-step way: the caller gets a token.
+async fn give_token(
+    node: &Arc<Node>,
+    caller_ip: IpAddr,
+    request: RequestId,
+    req: Request<Incoming>,
+) -> Result<(Root, Reply), Reply> {
+    let (parts, incoming) = req.into_parts();
+    let malformed = || Reply::not_run(Refusal::Malformed);
+    let Payload::Whole(body) = Payload::read(incoming).await? else {
+        return Err(malformed());
+    };
+    let wanted: TokenRequest = serde_json::from_slice(&body).map_err(|_| malformed())?;
+    let path = wanted.path.split('?').next().unwrap_or_default();
+    let root = root(
+        node,
+        caller_ip,
+        request,
+        &wanted.method,
+        path,
+        &parts.headers,
+    )?;
+    shed_early(node, &root, false)?;
+    let deadline = node.now() + Duration::from_millis(root.kind.kind.deadline_ms.into());
+    let call = Call {
+        in_force: Arc::clone(&root.in_force),
+        kind: Arc::clone(&root.kind),
+        context: root.context.clone(),
+        deadline,
+        method: Method::POST,
+        target: Uri::default(),
+        headers: HeaderMap::new(),
+        payload: Payload::Whole(Bytes::new()),
+    };
+    let token = tokens::obtain(node, &call).await?;
+    let ttl_s = node.settings.once.ttl_s;
+    let text = serde_json::json!({ "token": token.to_string(), "usable_s": ttl_s });
+    let mut res = Response::new(body::full(format!("{text}\n")));
+    *res.status_mut() = StatusCode::CREATED;
+    tokens::tell(res.headers_mut(), &token);
+    Ok((root, Reply::answered(Verdict::NotRun, res)))
+}
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/export.rs
@@ -0,0 +1,126 @@
+//! Metrics and spans on their way out.
+
+use crate::{node::Node, node::lock};
+use bytes::Bytes;
+use cadence::{
+    Counted, Gauged, MetricBuilder, NopMetricSink, QueuingMetricSink, StatsdClient, Timed,
+    UdpMetricSink,
+};
+use hyper::{Request, header::CONTENT_TYPE};
+use smol::Timer;
+use sorrelturn_platform::http::exchange;
+use sorrelturn_telemetry::{
+    metrics::{self, Metric},
+    to_otlp_json,
+};
+use std::{
+    io,
+    net::{SocketAddr, UdpSocket},
+    sync::Arc,
+    time::Duration,
+};
+
+/// The prefix of every metric.
+const PREFIX: &str = "sorrelturn";
+/// How often gauges and spans are sent.
+const SEND_EVERY: Duration = Duration::from_secs(1);
+/// The longest time for sending spans.
+const SEND_TIME: Duration = Duration::from_secs(2);
+/// Metrics that wait to be sent; more are dropped, so that they never hold a request up.
+const METRIC_QUEUE: usize = 4_096;
+
+/// A client for metrics; without a receiver it does nothing.
+pub(crate) fn client(statsd: Option<SocketAddr>) -> io::Result<StatsdClient> {
+    let Some(addr) = statsd else {
+        return Ok(StatsdClient::from_sink(PREFIX, NopMetricSink));
+    };
+    let socket = UdpSocket::bind("0.0.0.0:0")?;
+    socket.set_nonblocking(true)?;
+    let udp = UdpMetricSink::from(addr, socket).map_err(io::Error::other)?;
+    let queue = QueuingMetricSink::with_capacity(udp, METRIC_QUEUE);
+    Ok(StatsdClient::from_sink(PREFIX, queue))
+}
+
+/// Counts one.
+pub(crate) fn count<'t>(node: &'t Node, metric: &'t Metric, tags: &[(&'t str, &'t str)]) {
+    if node.settings.metrics.is_some() {
+        let builder = node.metrics.count_with_tags(metric.name, 1);
+        send(builder, tags);
+    }
+}
+
+/// Notes a duration.
+pub(crate) fn time<'t>(
+    node: &'t Node,
+    metric: &'t Metric,
+    took: Duration,
+    tags: &[(&'t str, &'t str)],
+) {
+    if node.settings.metrics.is_some() {
+        let builder = node.metrics.time_with_tags(metric.name, took);
+        send(builder, tags);
+    }
+}
+
+fn send<'t, T: cadence::Metric + From<String>>(
+    builder: MetricBuilder<'t, '_, T>,
+    tags: &[(&'t str, &'t str)],
+) {
+    tags.iter()
+        .fold(builder, |builder, (name, value)| {
+            builder.with_tag(name, value)
+        })
+        .send();
+}
+
+/// Sends gauges and spans every second.
+pub(crate) async fn run(node: Arc<Node>) {
+    loop {
+        Timer::after(SEND_EVERY).await;
+        gauges(&node);
+        spans(&node).await;
+    }
+}
+
+fn gauges(node: &Node) {
+    if node.settings.metrics.is_none() {
+        return;
+    }
+    let (in_flight, waiting, limit) = node
+        .room
+        .with_gate(|gate, now| (gate.in_flight(), gate.waiting(), gate.limit(now)));
+    let members = lock(&node.membership).present().count();
+    let tokens = lock(&node.ledger).outstanding();
+    let version = lock(&node.spread).in_force();
+    for (metric, value) in [
+        (&metrics::IN_FLIGHT, u64::from(in_flight)),
+        (&metrics::WAITING, waiting as u64),
+        (&metrics::LIMIT, u64::from(limit)),
+        (&metrics::MEMBERS, members as u64),
+        (&metrics::TOKENS, tokens as u64),
+        (&metrics::BUNDLE_VERSION, version),
+    ] {
+        let _ = node.metrics.gauge(metric.name, value);
+    }
+    let dropped = node.spans.take_dropped();
+    if dropped > 0 {
+        let _ = node.metrics.count(metrics::SPANS_DROPPED.name, dropped);
+    }
+}
+
+async fn spans(node: &Node) {
+    let Some(trace) = node.settings.trace else {
+        return;
+    };
+    let spans = node.spans.take();
+    if spans.is_empty() {
+        return;
+    }
+    let body = to_otlp_json(&node.settings.service, &node.settings.instance, &spans);
+    let req = Request::post("/v1/traces")
+        .header(CONTENT_TYPE, "application/json")
+        .body(Bytes::from(body));
+    if let Ok(req) = req {
+        let _ = exchange(trace.collector, req, SEND_TIME).await;
+    }
+}
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/forward.rs
@@ -0,0 +1,385 @@
+//! The forwarder's side of a call: which instance, and what follows from its answer.
+
+use crate::{
+    answer::Reply,
+    body::{self, Body},
+    clock::unix_ns,
+    export, headers,
+    node::{InForce, KindState, Node, lock},
+    owner,
+    payload::Payload,
+    peers::PeerError,
+    routes::Route,
+    tokens,
+};
+use hyper::{HeaderMap, Method, Request, Response, Uri, body::Incoming};
+use smol::{Timer, future::FutureExt};
+use sorrelturn_bundle::KindEntry;
+use sorrelturn_fleet::Source;
+use sorrelturn_policy::{Attempt, InstanceReport, Now, Step, choose, first_share, next_step};
+use sorrelturn_protocol::{
+    AnswerContext, CallContext, Incarnation, Refusal, SpanId, Verdict,
+    headers::{ANSWER, CONTEXT},
+};
+use sorrelturn_telemetry::{Field, Span, SpanKind, events, metrics};
+use std::{sync::Arc, time::Duration};
+
+/// Without this much time left, another try could not bring an answer.
+const LEAST_TIME_FOR_ANOTHER_TRY: Duration = Duration::from_millis(5);
+/// How often an owner is asked again for the outcome of a token when an exchange broke off.
+const TOKEN_ASKS: u32 = 2;
+
+/// A call that is to be forwarded.
+pub(crate) struct Call {
+    pub(crate) in_force: Arc<InForce>,
+    pub(crate) kind: Arc<KindEntry>,
+    /// Its `attempts` are the share of this call, its `parent` the span that makes it.
+    pub(crate) context: CallContext,
+    pub(crate) deadline: Now,
+    pub(crate) method: Method,
+    pub(crate) target: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) payload: Payload,
+}
+
+/// What the tries of one call have come to so far.
+struct Progress {
+    attempts_left: u32,
+    verdict: Verdict,
+    tried: Vec<Incarnation>,
+    reroutes: u32,
+    token_asks: u32,
+}
+
+/// Forwards a call until there is a final answer.
+pub(crate) async fn call(node: &Arc<Node>, call: &mut Call) -> Reply {
+    let kind_state = call.in_force.kind_state(&call.kind);
+    let span = SpanId::random(&mut fastrand::Rng::new());
+    let share = call.context.attempts;
+    let caused_by = std::mem::replace(&mut call.context.parent, span);
+    let start_ns = unix_ns();
+    let mut progress = Progress {
+        attempts_left: share,
+        verdict: Verdict::NotRun,
+        tried: Vec::new(),
+        reroutes: 0,
+        token_asks: 0,
+    };
+    let mut reply = loop {
+        let Some(reply) = one_try(node, call, &mut progress, &kind_state).await else {
+            break without_instance(node, call).await;
+        };
+        progress.verdict = progress.verdict.and(reply.context.verdict);
+        if !goes_on(node, call, &mut progress, &kind_state, &reply) {
+            break reply;
+        }
+    };
+    reply.context.verdict = reply.context.verdict.and(progress.verdict);
+    reply.context.attempts_left = progress.attempts_left;
+    call.context.attempts = progress.attempts_left;
+    call.context.parent = caused_by;
+    if node.spans.is_on() {
+        node.spans
+            .add(client_span(call, span, caused_by, start_ns, &reply));
+    }
+    reply
+}
+
+/// Asks one instance. `None` if there is none left to ask.
+async fn one_try(
+    node: &Arc<Node>,
+    call: &mut Call,
+    progress: &mut Progress,
+    kind_state: &KindState,
+) -> Option<Reply> {
+    let route = pick(node, call, progress)?;
+    let req = request(node, call, progress)?;
+    let share = call.context.attempts;
+    let on_its_way = OnItsWay::start(node, &route);
+    let result = exchange(node, &route, call, req).await;
+    if on_its_way.finish(report(&result)) {
+        route.link.forget();
+        node.note(
+            &events::EJECTED,
+            vec![Field::new("member", &route.record.instance)],
+        );
+    }
+    let reply = match result {
+        Ok(reply) => reply,
+        Err(failure) => failure.reply(&call.context),
+    };
+    learn(node, &route, kind_state, &reply.context);
+    progress.attempts_left += reply.context.attempts_left.min(share);
+    if call.context.token.is_none() {
+        progress.tried.push(route.record.incarnation);
+    }
+    node.events.note(
+        &events::HOP_FORWARDED,
+        Some(call.context.request),
+        vec![
+            Field::new("kind", &call.kind.name),
+            Field::new("depth", call.context.depth),
+            Field::new("to", &route.record.instance),
+            Field::new("verdict", reply.context.verdict),
+            Field::new(
+                "refusal",
+                reply.context.refusal.map_or("none", Refusal::name),
+            ),
+            Field::new("attempts", share),
+            Field::new("attempts_back", reply.context.attempts_left),
+        ],
+    );
+    Some(reply)
+}
+
+/// Counts a call at its instance; if it is dropped halfway, the call was cancelled.
+struct OnItsWay<'a> {
+    node: &'a Node,
+    route: &'a Route,
+    over: bool,
+}
+
+impl<'a> OnItsWay<'a> {
+    fn start(node: &'a Node, route: &'a Route) -> Self {
+        route.stats.started();
+        Self {
+            node,
+            route,
+            over: false,
+        }
+    }
+
+    /// Returns whether the instance is ejected by it.
+    fn finish(mut self, report: InstanceReport) -> bool {
+        self.over = true;
+        self.route.stats.finished(self.node.now(), report)
+    }
+}
+
+impl Drop for OnItsWay<'_> {
+    fn drop(&mut self) {
+        if !self.over {
+            self.route
+                .stats
+                .finished(self.node.now(), InstanceReport::Cancelled);
+        }
+    }
+}
+
+/// A token goes to its owner and nowhere else; any other call to the better of two instances.
+fn pick(node: &Node, call: &Call, progress: &Progress) -> Option<Arc<Route>> {
+    let routes = node.routes.load();
+    if let Some(token) = call.context.token {
+        return routes.of_incarnation(token.owner).cloned();
+    }
+    let instances = routes.of_service(&call.kind.service);
+    let stats = instances.iter().map(|route| &route.stats);
+    let mut rng = fastrand::Rng::new();
+    choose(stats, node.now(), &progress.tried, &mut rng).map(|at| Arc::clone(&instances[at]))
+}
+
+fn request(node: &Node, call: &mut Call, progress: &mut Progress) -> Option<Request<Body>> {
+    let body = call.payload.take()?;
+    let left = call.deadline.saturating_sub(node.now());
+    call.context.deadline_ms = left.as_millis().min(u128::from(u32::MAX)) as u32;
+    call.context.attempts = first_share(progress.attempts_left, call.kind.need);
+    progress.attempts_left -= call.context.attempts;
+    let mut req = Request::new(body);
+    *req.method_mut() = call.method.clone();
+    *req.uri_mut() = call.target.clone();
+    *req.headers_mut() = call.headers.clone();
+    Some(req)
+}
+
+/// Why an exchange with an instance has no answer.
+enum Failure {
+    NotSent,
+    Broke,
+    TooLate,
+}
+
+impl Failure {
+    /// What follows for the call. Without the owner's word a token is never "not run".
+    fn reply(&self, context: &CallContext) -> Reply {
+        let unknown = context.token.is_some();
+        match self {
+            Self::NotSent if unknown => {
+                Reply::refused(Refusal::OutcomeUnknown, Verdict::MayHaveRun)
+            }
+            Self::NotSent => {
+                let mut reply = Reply::not_run(Refusal::BackendUnreachable);
+                reply.context.attempts_left = context.attempts;
+                reply
+            }
+            Self::Broke => Reply::refused(Refusal::PeerBroke, Verdict::MayHaveRun),
+            Self::TooLate => Reply::refused(Refusal::Deadline, Verdict::MayHaveRun),
+        }
+    }
+}
+
+async fn exchange(
+    node: &Arc<Node>,
+    route: &Route,
+    call: &Call,
+    mut req: Request<Body>,
+) -> Result<Reply, Failure> {
+    let too_late = async {
+        Timer::at(node.clock.instant(call.deadline)).await;
+        Err(Failure::TooLate)
+    };
+    if route.record.incarnation == node.incarnation {
+        let serve = async { Ok(owner::serve(node, call.context.clone(), req).await) };
+        return serve.or(too_late).await;
+    }
+    headers::set(req.headers_mut(), CONTEXT, &call.context.encode());
+    let send = async {
+        match route.link.send(&node.ex, &node.keys, req).await {
+            Ok(res) => reply_of(res),
+            Err(PeerError::NotSent) => Err(Failure::NotSent),
+            Err(PeerError::Broke) => Err(Failure::Broke),
+        }
+    };
+    send.or(too_late).await
+}
+
+fn reply_of(mut res: Response<Incoming>) -> Result<Reply, Failure> {
+    let context = res
+        .headers_mut()
+        .remove(ANSWER)
+        .and_then(|value| AnswerContext::decode(value.as_bytes()).ok())
+        .ok_or(Failure::Broke)?;
+    let answered = context.refusal.is_none();
+    let res = answered.then(|| res.map(|body| body::watched(body, |_| {})));
+    Ok(Reply { context, res })
+}
+
+fn report(result: &Result<Reply, Failure>) -> InstanceReport {
+    match result {
+        Ok(reply) if reply.context.leaving => InstanceReport::Leaving,
+        Ok(reply) if is_instance_failure(reply) => InstanceReport::Failed,
+        Ok(reply) => InstanceReport::Answered {
+            load: reply.context.load,
+        },
+        Err(_) => InstanceReport::Failed,
+    }
+}
+
+/// Failures that speak against the instance, and not against what it calls.
+fn is_instance_failure(reply: &Reply) -> bool {
+    matches!(
+        reply.context.refusal,
+        Some(Refusal::BackendUnreachable | Refusal::BackendBroke | Refusal::NoBundle)
+    )
+}
+
+/// Takes what an answer tells besides the answer.
+fn learn(node: &Arc<Node>, route: &Route, kind_state: &KindState, answer: &AnswerContext) {
+    if answer.incarnation != route.record.incarnation {
+        return;
+    }
+    kind_state.threshold.observe(node.now(), answer.threshold);
+    if answer.refusal.is_none() {
+        lock(&kind_state.retries).succeeded();
+    }
+    crate::gossip::heard_version(
+        node,
+        answer.bundle_version,
+        Source::Peer(route.record.instance.clone()),
+    );
+}
+
+/// Decides whether another try follows.
+fn goes_on(
+    node: &Node,
+    call: &Call,
+    progress: &mut Progress,
+    kind_state: &KindState,
+    reply: &Reply,
+) -> bool {
+    let left = call.deadline.saturating_sub(node.now());
+    let time_left = left >= LEAST_TIME_FOR_ANOTHER_TRY;
+    if call.context.token.is_some() {
+        return asks_owner_again(progress, reply) && time_left && call.payload.can_be_sent_again();
+    }
+    if is_good(reply) || !call.payload.can_be_sent_again() {
+        return false;
+    }
+    let step = next_step(&Attempt {
+        verdict: reply.context.verdict,
+        refusal: reply.context.refusal,
+        already_retried: reply.context.already_retried,
+        repeatable: !call.kind.at_most_once(),
+        reroutes: progress.reroutes,
+        attempts_left: progress.attempts_left,
+        need: call.kind.need,
+        time_left,
+    });
+    let paid = step != Step::Retry || lock(&kind_state.retries).take();
+    let kind = match step {
+        Step::Reroute => &events::REROUTED,
+        Step::Retry if paid => &events::RETRIED,
+        _ => &events::NOT_RETRIED,
+    };
+    node.events.note(
+        kind,
+        Some(call.context.request),
+        vec![
+            Field::new("kind", &call.kind.name),
+            Field::new("depth", call.context.depth),
+            Field::new("verdict", reply.context.verdict),
+            Field::new("already_retried", reply.context.already_retried),
+            Field::new("attempts_left", progress.attempts_left),
+            Field::new("paid", paid),
+        ],
+    );
+    match step {
+        Step::Reroute => progress.reroutes += 1,
+        Step::Retry if paid => export::count(node, &metrics::RETRIES, &[("kind", &call.kind.name)]),
+        _ => return false,
+    }
+    true
+}
+
+/// The same token at the same owner runs nothing twice: it brings the outcome.
+fn asks_owner_again(progress: &mut Progress, reply: &Reply) -> bool {
+    progress.token_asks += 1;
+    reply.context.refusal == Some(Refusal::PeerBroke) && progress.token_asks <= TOKEN_ASKS
+}
+
+/// An answer of the backend server that isn't a failure of the server's.
+fn is_good(reply: &Reply) -> bool {
+    reply
+        .res
+        .as_ref()
+        .is_some_and(|res| !res.status().is_server_error())
+}
+
+async fn without_instance(node: &Arc<Node>, call: &Call) -> Reply {
+    match call.context.token {
+        Some(token) => tokens::of_lost_owner(node, &token).await,
+        None => Reply::not_run(Refusal::NoInstance).come_back(owner::come_back(node)),
+    }
+}
+
+fn client_span(call: &Call, span: SpanId, caused_by: SpanId, start_ns: u64, reply: &Reply) -> Span {
+    let is_root = call.context.depth == 0;
+    Span {
+        trace: call.context.trace,
+        id: span,
+        parent: (caused_by != SpanId::default()).then_some(caused_by),
+        name: call.kind.name.clone(),
+        kind: if is_root {
+            SpanKind::Server
+        } else {
+            SpanKind::Client
+        },
+        start_ns,
+        end_ns: unix_ns(),
+        failed: !is_good(reply),
+        attributes: vec![
+            Field::new("sorrelturn.request", call.context.request),
+            Field::new("sorrelturn.verdict", reply.context.verdict),
+            Field::new("sorrelturn.importance", call.context.importance),
+        ],
+    }
+}
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/nested.rs
@@ -0,0 +1,189 @@
+//! Calls that the own backend server makes while it works on a request.
+
+use crate::{
+    answer::Reply,
+    body::Body,
+    entry,
+    forward::{self, Call},
+    headers,
+    node::{Carried, InForce, Node, lock},
+    owner,
+    parents::Parent,
+    payload::Payload,
+    tokens,
+};
+use hyper::{Request, Response, body::Incoming};
+use smol::future::FutureExt;
+use sorrelturn_bundle::KindEntry;
+use sorrelturn_once::CallKey;
+use sorrelturn_protocol::{
+    CallContext, CallerId, ExecutionToken, Refusal, RequestId, SpanId, Verdict,
+    headers::{IDEMPOTENCY_KEY, PARENT, TRACEPARENT},
+};
+use sorrelturn_telemetry::TraceContext;
+use std::{sync::Arc, time::Duration};
+
+/// Answers one call of the own backend server.
+pub(crate) async fn serve(node: &Arc<Node>, req: Request<Incoming>) -> Response<Body> {
+    let _carried = Carried::new(node);
+    let parent = find_parent(node, &req);
+    let request = parent.as_ref().map_or_else(
+        || RequestId::random(&mut fastrand::Rng::new()),
+        |parent| parent.context.request,
+    );
+    let reply = match &parent {
+        Some(parent) => {
+            let over = async {
+                parent.over().await;
+                Reply::refused(Refusal::Deadline, Verdict::MayHaveRun)
+            };
+            answer(node, Some(parent), request, req).or(over).await
+        }
+        None => answer(node, None, request, req).await,
+    };
+    reply.into_response(request)
+}
+
+fn find_parent(node: &Node, req: &Request<Incoming>) -> Option<Arc<Parent>> {
+    let trace = headers::text(req.headers(), TRACEPARENT)
+        .and_then(|value| value.parse::<TraceContext>().ok());
+    let span = headers::text(req.headers(), PARENT)
+        .and_then(|value| u64::from_str_radix(value, 16).ok())
+        .map(SpanId)
+        .or(trace.map(|trace| trace.parent));
+    node.parents.find(span, trace.map(|trace| trace.trace))
+}
+
+async fn answer(
+    node: &Arc<Node>,
+    parent: Option<&Arc<Parent>>,
+    request: RequestId,
+    req: Request<Incoming>,
+) -> Reply {
+    let Some(in_force) = node.in_force.load_full() else {
+        return Reply::not_run(Refusal::NoBundle).come_back(owner::come_back(node));
+    };
+    let kind = in_force
+        .bundle
+        .match_kind(req.method().as_str(), req.uri().path())
+        .cloned();
+    let Some(kind) = kind else {
+        return Reply::not_run(Refusal::UnknownKind);
+    };
+    let share = match parent {
+        Some(parent) => lock(&parent.attempts).take(kind.need),
+        None => Some(kind.kind.attempts),
+    };
+    let Some(share) = share else {
+        return Reply::not_run(Refusal::AttemptsSpent).come_back(owner::come_back(node));
+    };
+    let context = context(node, parent.map(Arc::as_ref), request, &kind, share);
+    let reply = carry(node, parent, &in_force, kind, context, req).await;
+    if let Some(parent) = parent {
+        lock(&parent.attempts).give_back(reply.context.attempts_left);
+        if failed(&reply) {
+            parent.note_failure();
+        }
+    }
+    reply
+}
+
+/// A nested call inherits the root's importance, deadline and identity.
+fn context(
+    node: &Node,
+    parent: Option<&Parent>,
+    request: RequestId,
+    kind: &KindEntry,
+    attempts: u32,
+) -> CallContext {
+    let own_deadline = node.now() + Duration::from_millis(kind.kind.deadline_ms.into());
+    let deadline = parent.map_or(own_deadline, |parent| parent.deadline.min(own_deadline));
+    let left = deadline.saturating_sub(node.now());
+    CallContext {
+        request,
+        trace: parent.map_or(request.0, |parent| parent.context.trace),
+        parent: parent.map_or(SpanId::default(), |parent| parent.span),
+        kind: kind.name.clone(),
+        importance: parent.map_or(kind.importance(), |parent| parent.context.importance),
+        depth: parent.map_or(0, |parent| parent.context.depth.saturating_add(1)),
+        deadline_ms: left.as_millis() as u32,
+        attempts,
+        token: None,
+        caller: parent.map_or(CallerId::default(), |parent| parent.context.caller),
+    }
+}
+
+async fn carry(
+    node: &Arc<Node>,
+    parent: Option<&Arc<Parent>>,
+    in_force: &Arc<InForce>,
+    kind: Arc<KindEntry>,
+    context: CallContext,
+    req: Request<Incoming>,
+) -> Reply {
+    let share = context.attempts;
+    let deadline = node.now() + Duration::from_millis(context.deadline_ms.into());
+    let key = call_key(&req);
+    let (mut parts, incoming) = req.into_parts();
+    let payload = match Payload::read(incoming).await {
+        Ok(payload) => payload,
+        Err(refused) => return refused,
+    };
+    headers::strip_for_peer(&mut parts.headers);
+    let mut call = Call {
+        in_force: Arc::clone(in_force),
+        kind,
+        context,
+        deadline,
+        method: parts.method,
+        target: entry::target(&parts.uri),
+        headers: parts.headers,
+        payload,
+    };
+    if call.kind.at_most_once() {
+        match token(node, parent, &call, &key).await {
+            Ok(token) => call.context.token = Some(token),
+            Err(mut refused) => {
+                refused.context.attempts_left = share;
+                return refused;
+            }
+        }
+    }
+    let reply = forward::call(node, &mut call).await;
+    if let (Some(parent), Some(token)) = (parent, call.context.token)
+        && reply.context.verdict == Verdict::NotRun
+    {
+        lock(&parent.tokens).refused(&key, &token);
+    }
+    reply
+}
+
+/// The token of a nested call: the first one's, if the backend server repeats it.
+async fn token(
+    node: &Arc<Node>,
+    parent: Option<&Arc<Parent>>,
+    call: &Call,
+    key: &CallKey,
+) -> Result<ExecutionToken, Reply> {
+    let known = parent.and_then(|parent| lock(&parent.tokens).get(key));
+    if let Some(token) = known {
+        return Ok(token);
+    }
+    let fresh = tokens::obtain(node, call).await?;
+    Ok(match parent {
+        Some(parent) => lock(&parent.tokens).note(key.clone(), fresh),
+        None => fresh,
+    })
+}
+
+fn call_key(req: &Request<Incoming>) -> CallKey {
+    let own = headers::text(req.headers(), IDEMPOTENCY_KEY);
+    CallKey(own.map_or_else(|| format!("{} {}", req.method(), req.uri()), str::to_owned))
+}
+
+fn failed(reply: &Reply) -> bool {
+    reply
+        .res
+        .as_ref()
+        .is_none_or(|res| res.status().is_server_error())
+}
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -0,0 +1,338 @@
+//! What all tasks of a daemon share.
+
+use crate::{
+    backend::Backend, clock::Clock, control::ControlLinks, parents::Parents, room::Room,
+    routes::Routes, settings::Settings, stream::FleetKeys,
+};
+use arc_swap::{ArcSwap, ArcSwapOption};
+use cadence::StatsdClient;
+use smol::Executor;
+use sorrelturn_bundle::{
+    Bundle, CallerEntry, KindEntry, SectionBytes, SignedManifest, TrustedKeys,
+};
+use sorrelturn_fleet::{DomainView, Membership, Spread};
+use sorrelturn_once::Ledger;
+use sorrelturn_platform::Platform;
+use sorrelturn_policy::{
+    GateConfig, LearnedThreshold, Leaving, LeavingCause, Now, RateBucket, RetryBucket,
+};
+use sorrelturn_protocol::{CallerId, Incarnation, MemberRecord, MemberState};
+use sorrelturn_telemetry::{EventRing, Field, SpanBuffer, events};
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+/// The retries that each success of a kind pays for.
+const EDGE_RETRY_FRACTION: f64 = 0.1;
+
+/// A bundle in force with what is learnt under it.
+pub(crate) struct InForce {
+    /// The bundle.
+    pub(crate) bundle: Bundle,
+    /// The signed manifest, to pass on.
+    pub(crate) manifest: SignedManifest,
+    /// The sections, to pass on.
+    pub(crate) sections: Vec<SectionBytes>,
+    kinds: HashMap<String, Arc<KindState>>,
+    callers: HashMap<CallerId, Arc<Mutex<RateBucket>>>,
+}
+
+/// What is learnt about one kind of request.
+pub(crate) struct KindState {
+    /// The threshold that answers announced.
+    pub(crate) threshold: LearnedThreshold,
+    /// The retries that its successes pay for.
+    pub(crate) retries: Mutex<RetryBucket>,
+}
+
+impl InForce {
+    /// Puts a bundle in the place of `before`; what was learnt stays.
+    pub(crate) fn new(
+        bundle: Bundle,
+        manifest: SignedManifest,
+        sections: Vec<SectionBytes>,
+        before: Option<&Self>,
+        now: Now,
+    ) -> Self {
+        let source = bundle.source();
+        let kinds = source
+            .services
+            .values()
+            .flat_map(|service| service.kinds.keys())
+            .map(|name| {
+                let known = before.and_then(|before| before.kinds.get(name));
+                (
+                    name.clone(),
+                    known.map_or_else(KindState::fresh, Arc::clone),
+                )
+            })
+            .collect();
+        let callers = source
+            .callers
+            .iter()
+            .filter_map(|(name, caller)| {
+                let bucket = RateBucket::new(caller.rate_per_second, now);
+                let id = bundle.caller_id(name)?;
+                Some((id, Arc::new(Mutex::new(bucket))))
+            })
+            .collect();
+        Self {
+            bundle,
+            manifest,
+            sections,
+            kinds,
+            callers,
+        }
+    }
+
+    /// What is learnt about a kind of this bundle.
+    pub(crate) fn kind_state(&self, kind: &KindEntry) -> Arc<KindState> {
+        self.kinds
+            .get(&kind.name)
+            .map_or_else(KindState::fresh, Arc::clone)
+    }
+
+    /// The threshold over everything that a kind calls, as far as it is known here.
+    pub(crate) fn threshold_below(
+        &self,
+        kind: &KindEntry,
+        now: Now,
+    ) -> sorrelturn_protocol::Priority {
+        kind.kind
+            .calls
+            .keys()
+            .filter_map(|child| self.kinds.get(child))
+            .map(|state| state.threshold.current(now))
+            .max()
+            .unwrap_or_default()
+    }
+
+    /// Takes one request out of a caller's rate.
+    pub(crate) fn caller_may_ask(&self, caller: &CallerEntry, now: Now) -> bool {
+        self.callers
+            .get(&caller.id)
+            .is_none_or(|bucket| lock(bucket).take(now))
+    }
+}
+
+impl KindState {
+    fn fresh() -> Arc<Self> {
+        Arc::new(Self {
+            threshold: LearnedThreshold::default(),
+            retries: Mutex::new(RetryBucket::new(EDGE_RETRY_FRACTION)),
+        })
+    }
+}
+
+/// Everything that the tasks of one daemon share.
+pub(crate) struct Node {
+    pub(crate) ex: Arc<Executor<'static>>,
+    pub(crate) clock: Clock,
+    pub(crate) settings: Settings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) trusted: TrustedKeys,
+    pub(crate) keys: FleetKeys,
+    pub(crate) platform: Platform,
+    pub(crate) backend: Arc<Backend>,
+    pub(crate) room: Arc<Room>,
+    pub(crate) parents: Arc<Parents>,
+    pub(crate) in_force: ArcSwapOption<InForce>,
+    pub(crate) routes: ArcSwap<Routes>,
+    pub(crate) ledger: Mutex<Ledger>,
+    pub(crate) membership: Mutex<Membership>,
+    pub(crate) spread: Mutex<Spread>,
+    pub(crate) view: Mutex<DomainView>,
+    pub(crate) control_links: ControlLinks,
+    pub(crate) leaving: Mutex<Leaving>,
+    pub(crate) own_record: ArcSwap<MemberRecord>,
+    pub(crate) events: EventRing,
+    pub(crate) spans: SpanBuffer,
+    pub(crate) metrics: StatsdClient,
+    pub(crate) counts: Counts,
+}
+
+/// Numbers of the moment, for the planned stop and for operators.
+#[derive(Default)]
+pub(crate) struct Counts {
+    /// Requests that this daemon carries in any role.
+    pub(crate) carried: AtomicUsize,
+    /// Whether this daemon watches the platform.
+    pub(crate) watching: AtomicBool,
+    /// Bytes sent and received for control, for the budget of 3 KB a second.
+    pub(crate) control_bytes: AtomicU64,
+}
+
+/// Counts a request as carried while it lives.
+pub(crate) struct Carried {
+    node: Arc<Node>,
+}
+
+impl Carried {
+    pub(crate) fn new(node: &Arc<Node>) -> Self {
+        node.counts.carried.fetch_add(1, Ordering::Relaxed);
+        Self {
+            node: Arc::clone(node),
+        }
+    }
+}
+
+impl Drop for Carried {
+    fn drop(&mut self) {
+        self.node.counts.carried.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Locks a mutex; what another thread left behind when it panicked is still whole, because every
+/// critical section here is one step.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Node {
+    pub(crate) fn now(&self) -> Now {
+        self.clock.now()
+    }
+
+    /// Whether this daemon refuses new calls.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.own_record.load().state != MemberState::Live
+    }
+
+    /// Notes an event that concerns no single request.
+    pub(crate) fn note(&self, kind: &sorrelturn_telemetry::EventKind, fields: Vec<Field>) {
+        self.events.note(kind, None, fields);
+    }
+
+    /// Puts a bundle in force if its version is higher; returns whether it was.
+    pub(crate) fn put_in_force(
+        &self,
+        bundle: Bundle,
+        manifest: SignedManifest,
+        sections: Vec<SectionBytes>,
+    ) -> bool {
+        let version = bundle.version;
+        let mut spread = lock(&self.spread);
+        if !spread.put_in_force(version) {
+            return false;
+        }
+        let before = self.in_force.load();
+        let now = self.now();
+        if let Some(gate) = self.gate_config(&bundle) {
+            self.room.with_gate(|room, _| room.reconfigure(gate));
+        }
+        let in_force = InForce::new(bundle, manifest, sections, before.as_deref(), now);
+        self.in_force.store(Some(Arc::new(in_force)));
+        drop(spread);
+        self.note(
+            &events::BUNDLE_IN_FORCE,
+            vec![Field::new("version", version)],
+        );
+        true
+    }
+
+    /// What the bundle says about the own backend server.
+    fn gate_config(&self, bundle: &Bundle) -> Option<GateConfig> {
+        let service = bundle.service(&self.settings.service)?;
+        Some(GateConfig {
+            slots: service.slots,
+            queue_len: service.queue_len(),
+            queue_wait: Duration::from_millis(service.queue_wait_ms.into()),
+            cold_start: Duration::from_millis(service.cold_start_ms.into()),
+        })
+    }
+
+    /// Takes a record of a member; returns whether it was news.
+    pub(crate) fn merge_member(&self, record: MemberRecord) -> bool {
+        if record.instance == self.settings.instance && record.incarnation != self.incarnation {
+            // An older run of this instance; only this one knows that it is over.
+            return false;
+        }
+        let kind = match record.state {
+            MemberState::Live => &events::MEMBER_JOINED,
+            MemberState::Leaving => &events::MEMBER_LEAVING,
+            MemberState::Gone => &events::MEMBER_GONE,
+        };
+        let fields = vec![
+            Field::new("member", &record.instance),
+            Field::new("incarnation", record.incarnation),
+        ];
+        let mut membership = lock(&self.membership);
+        if !membership.merge(self.now(), record) {
+            return false;
+        }
+        self.rebuild_routes(&membership);
+        drop(membership);
+        self.note(kind, fields);
+        true
+    }
+
+    /// Takes many records with one rebuild of the routes; returns those that were news.
+    pub(crate) fn merge_members(&self, records: Vec<MemberRecord>) -> Vec<MemberRecord> {
+        let mut membership = lock(&self.membership);
+        let now = self.now();
+        let own = &self.settings.instance;
+        let news: Vec<MemberRecord> = records
+            .into_iter()
+            .filter(|record| record.instance != *own)
+            .filter(|record| membership.merge(now, record.clone()))
+            .collect();
+        if !news.is_empty() {
+            self.rebuild_routes(&membership);
+        }
+        news
+    }
+
+    fn rebuild_routes(&self, membership: &Membership) {
+        let in_force = self.in_force.load();
+        let cold_start = |service: &str| {
+            let service = in_force
+                .as_ref()
+                .and_then(|in_force| in_force.bundle.service(service));
+            Duration::from_millis(service.map_or(0, |service| service.cold_start_ms.into()))
+        };
+        let domain = &self.settings.failure_domain;
+        let before = self.routes.load();
+        let routes = before.rebuild(membership, domain, self.now(), cold_start);
+        self.routes.store(Arc::new(routes));
+    }
+
+    /// Changes the own record's state; peers hear of it from the gossip task.
+    pub(crate) fn set_own_state(&self, state: MemberState) -> MemberRecord {
+        let mut record = (**self.own_record.load()).clone();
+        record.state = state;
+        record.sequence += 1;
+        self.own_record.store(Arc::new(record.clone()));
+        let mut membership = lock(&self.membership);
+        membership.merge(self.now(), record.clone());
+        self.rebuild_routes(&membership);
+        record
+    }
+
+    /// Starts leaving; returns the own record if this is news.
+    pub(crate) fn leave(&self, cause: LeavingCause) -> Option<MemberRecord> {
+        if !lock(&self.leaving).leave(self.now(), cause) {
+            return None;
+        }
+        let record = self.set_own_state(MemberState::Leaving);
+        self.note(
+            &events::LEAVING,
+            vec![Field::new("cause", format!("{cause:?}").to_lowercase())],
+        );
+        Some(record)
+    }
+
+    /// Takes a reason for leaving back; returns the own record if this is news.
+    pub(crate) fn stay(&self, cause: LeavingCause) -> Option<MemberRecord> {
+        if !lock(&self.leaving).stay(cause) {
+            return None;
+        }
+        let record = self.set_own_state(MemberState::Live);
+        self.note(&events::STAYING, Vec::new());
+        Some(record)
+    }
+}
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/parents.rs
@@ -0,0 +1,118 @@
+//! The requests that this VM's backend server works on, by which its nested calls are recognised.
+
+use smol::channel::{self, Receiver, Sender};
+use sorrelturn_once::NestedTokens;
+use sorrelturn_policy::{AttemptPool, Now};
+use sorrelturn_protocol::{CallContext, SpanId};
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+/// One request at the backend server.
+pub(crate) struct Parent {
+    /// The call that brought it.
+    pub(crate) context: CallContext,
+    /// The span of this hop.
+    pub(crate) span: SpanId,
+    /// When its answer is of no more use.
+    pub(crate) deadline: Now,
+    /// The attempts left for its nested calls.
+    pub(crate) attempts: Mutex<AttemptPool>,
+    /// The tokens of its nested calls.
+    pub(crate) tokens: Mutex<NestedTokens>,
+    /// Whether a nested call failed for good, so that a failure of the parent is not retried.
+    pub(crate) failed_below: AtomicBool,
+    cancelled: Receiver<()>,
+}
+
+impl Parent {
+    /// Waits until the parent is over; its nested calls are of no more use then.
+    pub(crate) async fn over(&self) {
+        let _ = self.cancelled.recv().await;
+    }
+
+    /// Notes a nested call that failed for good.
+    pub(crate) fn note_failure(&self) {
+        self.failed_below.store(true, Ordering::Relaxed);
+    }
+}
+
+/// All requests at the backend server.
+#[derive(Default)]
+pub(crate) struct Parents {
+    by_span: Mutex<HashMap<SpanId, Arc<Parent>>>,
+}
+
+/// Keeps a parent registered; when it is dropped, its nested calls are cancelled.
+pub(crate) struct ParentGuard {
+    parents: Arc<Parents>,
+    parent: Arc<Parent>,
+    _cancel: Sender<()>,
+}
+
+impl ParentGuard {
+    /// Registers a request that is about to be forwarded to the backend server.
+    pub(crate) fn register(
+        parents: &Arc<Parents>,
+        context: CallContext,
+        span: SpanId,
+        deadline: Now,
+        need: u32,
+    ) -> Self {
+        let (cancel, cancelled) = channel::bounded(1);
+        let parent = Arc::new(Parent {
+            attempts: Mutex::new(AttemptPool::new(context.attempts, need)),
+            tokens: Mutex::default(),
+            failed_below: AtomicBool::new(false),
+            context,
+            span,
+            deadline,
+            cancelled,
+        });
+        parents.lock().insert(span, Arc::clone(&parent));
+        Self {
+            parents: Arc::clone(parents),
+            parent,
+            _cancel: cancel,
+        }
+    }
+
+    /// The request.
+    pub(crate) fn parent(&self) -> &Parent {
+        &self.parent
+    }
+}
+
+impl Drop for ParentGuard {
+    fn drop(&mut self) {
+        self.parents.lock().remove(&self.parent.span);
+    }
+}
+
+impl Parents {
+    /// The request that a nested call belongs to: by its span, else by its trace if only one
+    /// request of that trace is here. Backend servers that make spans of their own pass only the
+    /// trace on.
+    pub(crate) fn find(&self, span: Option<SpanId>, trace: Option<u128>) -> Option<Arc<Parent>> {
+        let by_span = self.lock();
+        if let Some(parent) = span.and_then(|span| by_span.get(&span)) {
+            return Some(Arc::clone(parent));
+        }
+        let trace = trace?;
+        let mut of_trace = by_span
+            .values()
+            .filter(|parent| parent.context.trace == trace);
+        let only = of_trace.next()?;
+        of_trace.next().is_none().then(|| Arc::clone(only))
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SpanId, Arc<Parent>>> {
+        self.by_span
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/payload.rs
@@ -0,0 +1,63 @@
+//! The bodies of requests, read first where they are small.
+
+use crate::{
+    answer::Reply,
+    body::{self, Body},
+};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body as _, Incoming};
+use smol::{Timer, future::FutureExt};
+use sorrelturn_protocol::Refusal;
+use std::time::Duration;
+
+/// A body up to this size is read before anything is decided, so that a slow sender holds no
+/// slot and a try can be repeated.
+const WHOLE_BODY_BYTES: u64 = 64 << 10;
+/// The longest time for reading such a body.
+const BODY_TIME: Duration = Duration::from_secs(10);
+
+/// The body of a request on its way.
+pub(crate) enum Payload {
+    /// Here as a whole, so the request can be sent again.
+    Whole(Bytes),
+    /// Still coming from its sender; can be sent once.
+    Stream(Option<Body>),
+}
+
+impl Payload {
+    /// Reads a small body as a whole and takes a larger one as a stream.
+    pub(crate) async fn read(incoming: Incoming) -> Result<Self, Reply> {
+        let upper = incoming.size_hint().upper();
+        if upper.is_none_or(|len| len > WHOLE_BODY_BYTES) {
+            return Ok(Self::Stream(Some(body::watched(incoming, |_| {}))));
+        }
+        let read = async {
+            let body = Limited::new(incoming, WHOLE_BODY_BYTES as usize);
+            body.collect().await.ok().map(|body| body.to_bytes())
+        };
+        let too_slow = async {
+            Timer::after(BODY_TIME).await;
+            None
+        };
+        read.or(too_slow)
+            .await
+            .map(Self::Whole)
+            .ok_or_else(|| Reply::not_run(Refusal::Malformed))
+    }
+
+    /// The body for one try, or `None` if it was used up by an earlier one.
+    pub(crate) fn take(&mut self) -> Option<Body> {
+        match self {
+            Self::Whole(bytes) => Some(body::full(bytes.clone())),
+            Self::Stream(body) => body.take(),
+        }
+    }
+
+    pub(crate) fn can_be_sent_again(&self) -> bool {
+        match self {
+            Self::Whole(_) => true,
+            Self::Stream(body) => body.is_some(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/routes.rs
@@ -0,0 +1,80 @@
+//! The instances that calls can go to, as one snapshot that requests read without a lock.
+
+use crate::peers::PeerLink;
+use sorrelturn_fleet::Membership;
+use sorrelturn_policy::{Instance, Now};
+use sorrelturn_protocol::{Incarnation, MemberRecord, MemberState};
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+/// One instance with its statistics and its connection.
+pub(crate) struct Route {
+    /// What it says of itself.
+    pub(crate) record: MemberRecord,
+    /// What is known here of its load and failures.
+    pub(crate) stats: Instance,
+    /// The connection to it.
+    pub(crate) link: PeerLink,
+}
+
+/// A snapshot of all instances.
+#[derive(Default)]
+pub(crate) struct Routes {
+    by_service: HashMap<String, Vec<Arc<Route>>>,
+    by_incarnation: HashMap<Incarnation, Arc<Route>>,
+}
+
+impl Routes {
+    /// The instances of a service that take calls.
+    pub(crate) fn of_service(&self, service: &str) -> &[Arc<Route>] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// The instance of an incarnation, whether it takes new calls or not.
+    pub(crate) fn of_incarnation(&self, incarnation: Incarnation) -> Option<&Arc<Route>> {
+        self.by_incarnation.get(&incarnation)
+    }
+
+    /// A snapshot of changed members; what is known of unchanged ones stays.
+    ///
+    /// `cold_start` gives the warm-up time of a service.
+    pub(crate) fn rebuild(
+        &self,
+        membership: &Membership,
+        own_domain: &str,
+        now: Now,
+        cold_start: impl Fn(&str) -> Duration,
+    ) -> Self {
+        let mut routes = Self::default();
+        let known_before = !self.by_incarnation.is_empty();
+        for record in membership.present() {
+            let known = self.by_incarnation.get(&record.incarnation);
+            let route = match known {
+                Some(route) if route.record == *record => Arc::clone(route),
+                _ => {
+                    // A daemon that just started knows nobody; all others are warm to it.
+                    let fresh = known.is_none() && known_before;
+                    let warm_up = if fresh {
+                        cold_start(&record.service)
+                    } else {
+                        Duration::ZERO
+                    };
+                    let near = record.failure_domain == own_domain;
+                    Arc::new(Route {
+                        stats: Instance::new(record.incarnation, near, warm_up, now),
+                        link: PeerLink::new(record.peer_addr),
+                        record: record.clone(),
+                    })
+                }
+            };
+            if record.state == MemberState::Live {
+                routes
+                    .by_service
+                    .entry(record.service.clone())
+                    .or_default()
+                    .push(Arc::clone(&route));
+            }
+            routes.by_incarnation.insert(record.incarnation, route);
+        }
+        routes
+    }
+}
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -0,0 +1,391 @@
+//! Starting and stopping a daemon.
+
+use crate::{
+    backend::Backend,
+    clock::{Clock, unix_ms},
+    control::{self, ControlLinks},
+    export, gossip,
+    node::{Counts, Node, lock},
+    outcomes,
+    parents::Parents,
+    room::Room,
+    routes::Routes,
+    serve,
+    settings::Settings,
+    stream::{FleetKeys, KeysError},
+    watch,
+};
+use arc_swap::{ArcSwap, ArcSwapOption};
+use displaydoc::Display;
+use serde::{Deserialize, Serialize};
+use smol::{
+    Executor, Timer,
+    channel::{self, Sender},
+    future::FutureExt,
+    net::{TcpListener, TcpStream},
+};
+use sorrelturn_bundle::{KeyError, TrustedKeys};
+use sorrelturn_fleet::{DomainView, Membership, Source, Spread};
+use sorrelturn_once::{Ledger, LedgerConfig};
+use sorrelturn_platform::{Expected, Platform, keys};
+use sorrelturn_policy::{Gate, GateConfig, Leaving, LeavingCause};
+use sorrelturn_protocol::{Incarnation, MemberRecord, MemberState};
+use sorrelturn_telemetry::{EventRing, Field, SpanBuffer, events};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, atomic::Ordering},
+    time::{Duration, Instant},
+};
+
+/// Events that are kept for explanations; a few kilobytes each second at the usual rate.
+const EVENT_CAPACITY: usize = 16_384;
+/// What a daemon without a bundle knows about its backend server: it admits nothing then anyway.
+const GATE_BEFORE_BUNDLE: GateConfig = GateConfig {
+    slots: 1,
+    queue_len: 1,
+    queue_wait: Duration::from_millis(100),
+    cold_start: Duration::ZERO,
+};
+/// How many peers a daemon asks for a bundle when it starts.
+const PEERS_ASKED: usize = 5;
+/// How often a daemon without a bundle looks for one.
+const BUNDLE_PAUSE: Duration = Duration::from_millis(500);
+/// How often the planned stop looks whether everything is carried.
+const STOP_STEP: Duration = Duration::from_millis(10);
+/// How long a leaving daemon still answers peers that haven't heard of it.
+const GRACE: Duration = Duration::from_millis(500);
+/// How often the process looks whether it was paused, and what counts as a pause.
+const PAUSE_CHECK: Duration = Duration::from_millis(200);
+const PAUSE: Duration = Duration::from_secs(2);
+
+/// Why a daemon doesn't start.
+#[derive(Debug, Display)]
+pub enum StartError {
+    /// can't listen on {addr}: {error}
+    Listen {
+        /// The address from the settings.
+        addr: SocketAddr,
+        /// The reason.
+        error: io::Error,
+    },
+    /// an operator's key can't be used: {0}
+    OperatorKey(KeyError),
+    /// the fleet's keys can't be used: {0}
+    FleetKeys(KeysError),
+    /// metrics can't be sent: {0}
+    Metrics(io::Error),
+    /// the system gives no random numbers
+    NoRandomness,
+}
+
+impl std::error::Error for StartError {}
+
+/// Where a daemon listens, with the ports that it got for port 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the own backend server's calls.
+    pub local: SocketAddr,
+    /// For calls of other daemons.
+    pub peers: SocketAddr,
+    /// For control messages of other daemons.
+    pub control: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+}
+
+/// A running daemon.
+pub struct Daemon {
+    /// Where it listens.
+    pub addresses: Addresses,
+    node: Arc<Node>,
+    closing: Sender<()>,
+}
+
+struct Listeners {
+    callers: TcpListener,
+    local: TcpListener,
+    peers: TcpListener,
+    control: TcpListener,
+    admin: TcpListener,
+}
+
+impl Daemon {
+    /// Starts a daemon on `ex`; whoever owns `ex` runs its threads.
+    pub async fn start(settings: Settings, ex: Arc<Executor<'static>>) -> Result<Self, StartError> {
+        let listeners = Listeners::bind(&settings).await?;
+        let addresses = listeners.addresses(&settings)?;
+        let node = Arc::new(node(settings, ex, &addresses)?);
+        let (closing, closed) = channel::bounded(1);
+        listeners.serve(&node, &closed);
+        let daemon = Self {
+            addresses,
+            node,
+            closing,
+        };
+        daemon.join().await;
+        daemon.spawn_tasks();
+        daemon.node.note(
+            &events::STARTED,
+            vec![Field::new("incarnation", daemon.node.incarnation)],
+        );
+        Ok(daemon)
+    }
+
+    /// Makes itself known, and finds members and a bundle.
+    async fn join(&self) {
+        let node = &self.node;
+        if let Ok(changes) = node.platform.list(keys::MEMBERS).await {
+            let records: Vec<MemberRecord> = changes
+                .objects
+                .iter()
+                .filter_map(|object| serde_json::from_str(&object.value).ok())
+                .collect();
+            self.start_after(&records);
+            node.merge_members(records);
+        }
+        node.set_own_state(MemberState::Live);
+        let own = (**node.own_record.load()).clone();
+        let value = serde_json::to_string(&own).unwrap_or_default();
+        let key = keys::member(&own.instance);
+        let _ = node.platform.put(&key, &value, Expected::Anything).await;
+    }
+
+    /// A clock that was set back must not make this run look older than the last one.
+    fn start_after(&self, records: &[MemberRecord]) {
+        let own = self.node.own_record.load();
+        let last = records
+            .iter()
+            .find(|record| record.instance == own.instance);
+        if let Some(last) = last
+            && last.started_ms >= own.started_ms
+        {
+            let mut later = (**own).clone();
+            later.started_ms = last.started_ms + 1;
+            self.node.own_record.store(Arc::new(later));
+        }
+    }
+
+    fn spawn_tasks(&self) {
+        let node = &self.node;
+        let spawn = |task: smol::future::Boxed<()>| node.ex.spawn(task).detach();
+        spawn(Box::pin(find_bundle(Arc::clone(node))));
+        spawn(Box::pin(gossip::run_exchanges(Arc::clone(node))));
+        spawn(Box::pin(gossip::run_reports(Arc::clone(node))));
+        spawn(Box::pin(watch::run(Arc::clone(node))));
+        spawn(Box::pin(outcomes::run(Arc::clone(node))));
+        spawn(Box::pin(export::run(Arc::clone(node))));
+        spawn(Box::pin(notice_pauses(Arc::clone(node))));
+        gossip::spread_own_record(node);
+    }
+
+    /// The planned stop: takes no new calls, carries what it has, closes its record, and returns.
+    /// Returns whether nothing was cut off.
+    pub async fn stop(self) -> bool {
+        let node = &self.node;
+        if node.leave(LeavingCause::Signal).is_some() {
+            gossip::spread_own_record(node);
+        }
+        // The first cause stays, so that a drain that came earlier is not prolonged by the signal.
+        let most = Duration::from_secs(node.settings.stop.most_s);
+        let since = Instant::now();
+        Timer::after(GRACE).await;
+        while node.counts.carried.load(Ordering::Relaxed) > 0 && since.elapsed() < most {
+            Timer::after(STOP_STEP).await;
+        }
+        let whole = node.counts.carried.load(Ordering::Relaxed) == 0;
+        outcomes::close(node).await;
+        let gone = node.set_own_state(MemberState::Gone);
+        gossip::spread_own_record(node);
+        let value = serde_json::to_string(&gone).unwrap_or_default();
+        let key = keys::member(&gone.instance);
+        let _ = node.platform.put(&key, &value, Expected::Anything).await;
+        drop(self.closing);
+        Timer::after(GRACE / 4).await;
+        node.note(
+            if whole {
+                &events::STOPPED
+            } else {
+                &events::STOP_CUT
+            },
+            Vec::new(),
+        );
+        whole
+    }
+}
+
+impl Listeners {
+    async fn bind(settings: &Settings) -> Result<Self, StartError> {
+        let listen = &settings.listen;
+        Ok(Self {
+            callers: bind(listen.callers).await?,
+            local: bind(listen.local).await?,
+            peers: bind(listen.peers).await?,
+            control: bind(listen.control).await?,
+            admin: bind(listen.admin).await?,
+        })
+    }
+
+    fn addresses(&self, settings: &Settings) -> Result<Addresses, StartError> {
+        let of = |listener: &TcpListener, addr| {
+            listener
+                .local_addr()
+                .map_err(|error| StartError::Listen { addr, error })
+        };
+        let listen = &settings.listen;
+        Ok(Addresses {
+            callers: of(&self.callers, listen.callers)?,
+            local: of(&self.local, listen.local)?,
+            peers: of(&self.peers, listen.peers)?,
+            control: of(&self.control, listen.control)?,
+            admin: of(&self.admin, listen.admin)?,
+        })
+    }
+
+    fn serve(self, node: &Arc<Node>, closing: &serve::Closing) {
+        let spawn = |listener, serve: fn(Arc<Node>, TcpStream, serve::Closing) -> _| {
+            let task = serve::accept(Arc::clone(node), listener, closing.clone(), serve);
+            node.ex.spawn(task).detach();
+        };
+        spawn(self.callers, |node, tcp, closing| {
+            serve::caller(node, tcp, closing).boxed()
+        });
+        spawn(self.local, |node, tcp, closing| {
+            serve::local(node, tcp, closing).boxed()
+        });
+        spawn(self.peers, |node, tcp, closing| {
+            serve::peer(node, tcp, closing).boxed()
+        });
+        spawn(self.control, |node, tcp, closing| {
+            control::serve(node, tcp, closing).boxed()
+        });
+        spawn(self.admin, |node, tcp, closing| {
+            serve::admin(node, tcp, closing).boxed()
+        });
+    }
+}
+
+async fn bind(addr: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(addr)
+        .await
+        .map_err(|error| StartError::Listen { addr, error })
+}
+
+fn node(
+    settings: Settings,
+    ex: Arc<Executor<'static>>,
+    addresses: &Addresses,
+) -> Result<Node, StartError> {
+    let clock = Clock::start();
+    let mut secret = [0; 40];
+    getrandom::fill(&mut secret).map_err(|_| StartError::NoRandomness)?;
+    let (id, seal) = secret.split_at(8);
+    let incarnation = Incarnation(u64::from_be_bytes(id.try_into().unwrap_or_default()));
+    let seal_key = seal.try_into().unwrap_or_default();
+    let trusted = TrustedKeys::from_hex(&settings.operators).map_err(StartError::OperatorKey)?;
+    let keys = FleetKeys::load(settings.fleet_keys.clone()).map_err(StartError::FleetKeys)?;
+    let metrics = export::client(settings.metrics.map(|metrics| metrics.statsd))
+        .map_err(StartError::Metrics)?;
+    let record = MemberRecord {
+        instance: settings.instance.clone(),
+        service: settings.service.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        incarnation,
+        started_ms: unix_ms(),
+        sequence: 0,
+        state: MemberState::Live,
+        peer_addr: addresses.peers,
+        control_addr: addresses.control,
+    };
+    let ledger = LedgerConfig {
+        ttl: Duration::from_secs(settings.once.ttl_s),
+        capacity: settings.once.capacity,
+    };
+    let spans = settings.trace.map_or(0, |trace| trace.buffer);
+    let timeout = Duration::from_millis(settings.platform.timeout_ms);
+    let connect_time = Duration::from_millis(settings.backend.connect_ms);
+    Ok(Node {
+        platform: Platform::new(settings.platform.address, timeout),
+        backend: Arc::new(Backend::new(settings.backend.address, connect_time)),
+        room: Arc::new(Room::new(clock, Gate::new(GATE_BEFORE_BUNDLE, clock.now()))),
+        parents: Arc::new(Parents::default()),
+        in_force: ArcSwapOption::empty(),
+        routes: ArcSwap::from_pointee(Routes::default()),
+        ledger: Mutex::new(Ledger::new(incarnation, ledger, seal_key)),
+        membership: Mutex::new(Membership::default()),
+        spread: Mutex::new(Spread::default()),
+        view: Mutex::new(DomainView::default()),
+        control_links: ControlLinks::default(),
+        leaving: Mutex::new(Leaving::default()),
+        own_record: ArcSwap::from_pointee(record),
+        events: EventRing::new(&settings.instance, EVENT_CAPACITY),
+        spans: SpanBuffer::new(spans),
+        metrics,
+        counts: Counts::default(),
+        ex,
+        clock,
+        incarnation,
+        trusted,
+        keys,
+        settings,
+    })
+}
+
+/// Looks for a bundle until there is one: in the store and at peers of several failure domains,
+/// because the store may be down and a peer may be behind.
+async fn find_bundle(node: Arc<Node>) {
+    while node.in_force.load().is_none() {
+        for seed in &node.settings.seeds {
+            let stranger = seed_record(&node, *seed);
+            if gossip::exchange(&node, &stranger).await.is_ok() {
+                let _ = gossip::fetch_from_member(&node, Some(&stranger)).await;
+            }
+        }
+        let peers: Vec<MemberRecord> = {
+            let own = node.own_record.load();
+            let membership = lock(&node.membership);
+            let mut rng = fastrand::Rng::new();
+            let picked =
+                sorrelturn_fleet::push_targets(membership.present(), &own, PEERS_ASKED, &mut rng);
+            picked.into_iter().cloned().collect()
+        };
+        for peer in &peers {
+            let _ = gossip::fetch_from_member(&node, Some(peer)).await;
+        }
+        let _ = gossip::fetch_from(&node, &Source::Store).await;
+        if node.in_force.load().is_none() {
+            Timer::after(BUNDLE_PAUSE).await;
+        }
+    }
+}
+
+/// A daemon of which only the control address is known.
+fn seed_record(node: &Node, control_addr: SocketAddr) -> MemberRecord {
+    let own = node.own_record.load();
+    let mut incarnation = [0; 8];
+    let hash = blake3::hash(control_addr.to_string().as_bytes());
+    incarnation.copy_from_slice(&hash.as_bytes()[..8]);
+    MemberRecord {
+        instance: format!("seed-{control_addr}"),
+        incarnation: Incarnation(u64::from_be_bytes(incarnation)),
+        control_addr,
+        ..(**own).clone()
+    }
+}
+
+/// A process that was paused has connections and thresholds of another time.
+async fn notice_pauses(node: Arc<Node>) {
+    let mut last = Instant::now();
+    loop {
+        Timer::after(PAUSE_CHECK).await;
+        let paused = last.elapsed().saturating_sub(PAUSE_CHECK);
+        last = Instant::now();
+        if paused >= PAUSE {
+            let fields = vec![Field::new("paused_ms", paused.as_millis())];
+            node.note(&events::PAUSE_NOTICED, fields);
+            gossip::spread_own_record(&node);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/serve.rs
@@ -0,0 +1,232 @@
+//! The listeners and their connections.
+
+use crate::{
+    answer::Reply,
+    body::{self, Body},
+    entry, headers, nested,
+    node::Node,
+    owner,
+    peers::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES},
+    tokens,
+};
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    server::conn::{http1, http2},
+    service::service_fn,
+};
+use smol::{
+    Timer,
+    channel::Receiver,
+    future::FutureExt,
+    net::{TcpListener, TcpStream},
+};
+use smol_hyper::rt::{FuturesIo, SmolExecutor, SmolTimer};
+use sorrelturn_protocol::{CallContext, Refusal, headers::CONTEXT};
+use sorrelturn_telemetry::{Field, events};
+use std::{
+    convert::Infallible,
+    pin::pin,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+/// The longest time for the head of a request, so that slow senders hold no connection for long.
+const HEAD_TIME: Duration = Duration::from_secs(10);
+/// The largest head of a request, in bytes.
+const HEAD_LIMIT_BYTES: usize = 64 << 10;
+/// The longest time for a peer to prove that it belongs to the fleet.
+const HANDSHAKE_TIME: Duration = Duration::from_secs(5);
+/// The most connections of one listener.
+const MAX_CONNECTIONS: usize = 8_192;
+/// The pause after a failed accept, which is most often a lack of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Ends when its sender is dropped; connections then finish what they carry and close.
+pub(crate) type Closing = Receiver<()>;
+
+/// Accepts connections until `closing` ends, and runs `serve` for each.
+pub(crate) async fn accept<F>(
+    node: Arc<Node>,
+    listener: TcpListener,
+    closing: Closing,
+    serve: impl Fn(Arc<Node>, TcpStream, Closing) -> F + Send + 'static,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let open = Arc::new(AtomicUsize::new(0));
+    loop {
+        let next = async { Some(listener.accept().await) };
+        let Some(accepted) = next.or(closed(&closing)).await else {
+            return;
+        };
+        let Ok((tcp, _)) = accepted else {
+            Timer::after(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if open.load(Ordering::Relaxed) >= MAX_CONNECTIONS {
+            continue;
+        }
+        open.fetch_add(1, Ordering::Relaxed);
+        let (open, conn) = (
+            Arc::clone(&open),
+            serve(Arc::clone(&node), tcp, closing.clone()),
+        );
+        let counted = async move {
+            conn.await;
+            open.fetch_sub(1, Ordering::Relaxed);
+        };
+        node.ex.spawn(counted).detach();
+    }
+}
+
+async fn closed<T>(closing: &Closing) -> Option<T> {
+    let _ = closing.recv().await;
+    None
+}
+
+/// A connection of a caller.
+pub(crate) async fn caller(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
+    let Ok(peer) = tcp.peer_addr() else {
+        return;
+    };
+    let ip = peer.ip();
+    let answer = move |req: Request<Incoming>| {
+        let node = Arc::clone(&node);
+        async move {
+            if ambiguous(&req) {
+                return bad_request(&node);
+            }
+            entry::serve(&node, ip, req).await
+        }
+    };
+    http1(tcp, closing, answer).await;
+}
+
+/// A connection of the own backend server.
+pub(crate) async fn local(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
+    let answer = move |req: Request<Incoming>| {
+        let node = Arc::clone(&node);
+        async move { nested::serve(&node, req).await }
+    };
+    http1(tcp, closing, answer).await;
+}
+
+/// A connection of an operator.
+pub(crate) async fn admin(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
+    let answer = move |req: Request<Incoming>| {
+        let node = Arc::clone(&node);
+        async move { crate::admin::serve(&node, req).await }
+    };
+    http1(tcp, closing, answer).await;
+}
+
+async fn http1<F>(tcp: TcpStream, closing: Closing, answer: impl Fn(Request<Incoming>) -> F)
+where
+    F: Future<Output = Response<Body>>,
+{
+    if tcp.set_nodelay(true).is_err() {
+        return;
+    }
+    let service = service_fn(|req| {
+        let answered = answer(req);
+        async { Ok::<_, Infallible>(answered.await) }
+    });
+    let conn = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(HEAD_TIME)
+        .max_buf_size(HEAD_LIMIT_BYTES)
+        .serve_connection(FuturesIo::new(tcp), service);
+    let mut conn = pin!(conn);
+    let finished = async { Some(conn.as_mut().await) };
+    if finished.or(closed(&closing)).await.is_none() {
+        conn.as_mut().graceful_shutdown();
+        let _ = conn.await;
+    }
+}
+
+/// A connection of another daemon.
+pub(crate) async fn peer(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
+    let too_late = async {
+        Timer::after(HANDSHAKE_TIME).await;
+        Err(std::io::ErrorKind::TimedOut.into())
+    };
+    let stream = match node.keys.accept(tcp).or(too_late).await {
+        Ok(stream) => stream,
+        Err(error) => {
+            node.note(&events::BAD_PEER, vec![Field::new("error", error)]);
+            return;
+        }
+    };
+    let for_service = Arc::clone(&node);
+    let service = service_fn(move |req| {
+        let node = Arc::clone(&for_service);
+        async move { Ok::<_, Infallible>(peer_call(&node, req).await) }
+    });
+    let conn = http2::Builder::new(SmolExecutor::new(Arc::clone(&node.ex)))
+        .timer(SmolTimer::new())
+        .initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .serve_connection(FuturesIo::new(stream), service);
+    let mut conn = pin!(conn);
+    let finished = async { Some(conn.as_mut().await) };
+    let result = match finished.or(closed(&closing)).await {
+        Some(result) => result,
+        None => {
+            conn.as_mut().graceful_shutdown();
+            conn.await
+        }
+    };
+    if let Err(error) = result
+        && error.is_parse()
+    {
+        node.note(&events::BAD_PEER, vec![Field::new("error", error)]);
+    }
+}
+
+async fn peer_call(node: &Arc<Node>, mut req: Request<Incoming>) -> Response<Body> {
+    let context = req
+        .headers_mut()
+        .remove(CONTEXT)
+        .and_then(|value| CallContext::decode(value.as_bytes()).ok());
+    let Some(context) = context else {
+        node.note(&events::BAD_PEER, vec![Field::new("error", "no context")]);
+        return status(StatusCode::BAD_REQUEST);
+    };
+    headers::strip_internal(req.headers_mut());
+    let reply = if req.uri().path() == tokens::ISSUE_PATH {
+        let mut reply = tokens::issue(node);
+        reply.context.attempts_left = context.attempts;
+        reply
+    } else {
+        let req = req.map(|body| body::watched(body, |_| {}));
+        owner::serve(node, context, req).await
+    };
+    reply.into_peer_response()
+}
+
+/// Two ways to tell where a body ends are a way to smuggle a request behind another one.
+fn ambiguous(req: &Request<Incoming>) -> bool {
+    let headers = req.headers();
+    let lengths = headers
+        .get_all(hyper::header::CONTENT_LENGTH)
+        .iter()
+        .count();
+    let chunked = headers.contains_key(hyper::header::TRANSFER_ENCODING);
+    lengths > 1 || (lengths == 1 && chunked)
+}
+
+fn bad_request(node: &Node) -> Response<Body> {
+    node.note(&events::BAD_REQUEST, Vec::new());
+    let request = sorrelturn_protocol::RequestId::random(&mut fastrand::Rng::new());
+    Reply::not_run(Refusal::Malformed).into_response(request)
+}
+
+pub(crate) fn status(code: StatusCode) -> Response<Body> {
+    let mut res = Response::new(body::full(""));
+    *res.status_mut() = code;
+    res
+}
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/settings.rs
@@ -0,0 +1,266 @@
+//! A daemon's settings. Each field is described in `docs/SETTINGS.md`, and the default file in
+//! `settings/sorrelturnd.jsonc` is tested against this code.
+
+use serde::{Deserialize, Serialize};
+use sorrelturn_bundle::{Diagnostic, SourceMap, TrustedKeys, parse_settings};
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf};
+
+/// The settings of one daemon.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The name of this instance; stays the same over restarts.
+    pub instance: String,
+    /// The service that the backend server belongs to.
+    pub service: String,
+    /// The failure domain of this VM.
+    pub failure_domain: String,
+    /// Where to listen.
+    pub listen: ListenSettings,
+    /// The backend server.
+    pub backend: BackendSettings,
+    /// The platform's object API.
+    pub platform: PlatformSettings,
+    /// Control addresses of daemons to ask when the platform is down at the start.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The public keys of the operators whose bundles are taken, in hexadecimal.
+    pub operators: BTreeMap<String, String>,
+    /// The fleet's keys; without them daemons talk in the clear, for tests and the demo only.
+    #[serde(default)]
+    pub fleet_keys: Option<FleetKeySettings>,
+    /// Threads that work on requests.
+    #[serde(default = "default_threads")]
+    pub threads: usize,
+    /// At-most-once execution.
+    #[serde(default)]
+    pub once: OnceSettings,
+    /// The planned stop.
+    #[serde(default)]
+    pub stop: StopSettings,
+    /// Traces; none are sent where this is absent.
+    #[serde(default)]
+    pub trace: Option<TraceSettings>,
+    /// Metrics; none are sent where this is absent.
+    #[serde(default)]
+    pub metrics: Option<MetricsSettings>,
+}
+
+/// Addresses to listen on; port 0 takes a free one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenSettings {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the own backend server's calls; must be on the loopback interface.
+    pub local: SocketAddr,
+    /// For calls of other daemons.
+    pub peers: SocketAddr,
+    /// For control messages of other daemons.
+    pub control: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+}
+
+/// The backend server beside this daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BackendSettings {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The longest time for a new connection to it, in milliseconds.
+    #[serde(default = "default_connect_ms")]
+    pub connect_ms: u64,
+}
+
+/// The platform's object API.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The longest time for one call, in milliseconds.
+    #[serde(default = "default_platform_timeout_ms")]
+    pub timeout_ms: u64,
+}
+
+/// Files with the keys by which daemons recognise one another, in PEM form.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetKeySettings {
+    /// The certificates of the authorities that are believed; two of them during a rotation.
+    pub authorities: PathBuf,
+    /// This daemon's certificate.
+    pub certificate: PathBuf,
+    /// Its secret key.
+    pub key: PathBuf,
+}
+
+/// At-most-once execution.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct OnceSettings {
+    /// How long a token can be used and its answer be asked for again, in seconds.
+    pub ttl_s: u64,
+    /// The most tokens that are out at once.
+    pub capacity: usize,
+}
+
+impl Default for OnceSettings {
+    fn default() -> Self {
+        Self {
+            ttl_s: 600,
+            capacity: 20_000,
+        }
+    }
+}
+
+/// The planned stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct StopSettings {
+    /// The longest time to wait for what is in flight, in seconds.
+    pub most_s: u64,
+}
+
+impl Default for StopSettings {
+    fn default() -> Self {
+        Self { most_s: 60 }
+    }
+}
+
+/// Where traces go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TraceSettings {
+    /// A receiver of OTLP over HTTP, with JSON bodies.
+    pub collector: SocketAddr,
+    /// The most spans that wait to be sent.
+    #[serde(default = "default_span_buffer")]
+    pub buffer: usize,
+}
+
+/// Where metrics go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MetricsSettings {
+    /// A receiver of StatsD over UDP.
+    pub statsd: SocketAddr,
+}
+
+fn default_threads() -> usize {
+    2
+}
+
+fn default_connect_ms() -> u64 {
+    300
+}
+
+fn default_platform_timeout_ms() -> u64 {
+    1_000
+}
+
+fn default_span_buffer() -> usize {
+    4_096
+}
+
+/// The most threads that make sense beside a backend server.
+const MAX_THREADS: usize = 64;
+
+impl Settings {
+    /// Reads and checks a settings file; `file` is its name for errors.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Vec<Diagnostic>> {
+        let settings: Self =
+            parse_settings(file, text, "docs/SETTINGS.md").map_err(|error| vec![error])?;
+        let findings = settings.check(&SourceMap::new(file, text));
+        if findings.is_empty() {
+            Ok(settings)
+        } else {
+            Err(findings)
+        }
+    }
+
+    fn check(&self, map: &SourceMap) -> Vec<Diagnostic> {
+        let mut findings = Vec::new();
+        let mut at = |path: &[&str], message: &str, help: &str| {
+            findings.push(map.at(path, message, help));
+        };
+        for (name, value) in [
+            ("instance", &self.instance),
+            ("service", &self.service),
+            ("failure_domain", &self.failure_domain),
+        ] {
+            if !is_name(value) {
+                let help = "write lower-case letters, digits, hyphens and dots, 63 at most";
+                at(&[name], &format!("{name} is {value:?}"), help);
+            }
+        }
+        if !self.listen.local.ip().is_loopback() {
+            at(
+                &["listen", "local"],
+                "the local listener would be open to others, who could pass for the backend server",
+                "write an address of the loopback interface, as in 127.0.0.1:7001",
+            );
+        }
+        if self.listens_twice() {
+            at(
+                &["listen"],
+                "two listeners have the same address",
+                "give each a port of its own, or port 0 for a free one",
+            );
+        }
+        if self.threads == 0 || self.threads > MAX_THREADS {
+            let help = format!("write a number from 1 to {MAX_THREADS}");
+            at(&["threads"], &format!("threads is {}", self.threads), &help);
+        }
+        if self.operators.is_empty() {
+            at(
+                &["operators"],
+                "no operator is trusted, so no bundle could ever come in force",
+                "add a name and the public key that `sorrelctl key new` printed",
+            );
+        }
+        if let Err(error) = TrustedKeys::from_hex(&self.operators) {
+            let help = "copy the public key that `sorrelctl key new` printed";
+            at(&["operators"], &error.to_string(), help);
+        }
+        if self.platform.timeout_ms == 0 || self.backend.connect_ms == 0 {
+            at(
+                &["platform", "timeout_ms"],
+                "a timeout of 0 ms lets no call succeed",
+                "write milliseconds, 1 or more",
+            );
+        }
+        if self.once.ttl_s == 0 || self.once.capacity == 0 {
+            at(
+                &["once"],
+                "no token could ever be used",
+                "write a ttl_s and a capacity of 1 or more",
+            );
+        }
+        findings
+    }
+
+    fn listens_twice(&self) -> bool {
+        let listen = &self.listen;
+        let mut fixed: Vec<SocketAddr> = [
+            listen.callers,
+            listen.local,
+            listen.peers,
+            listen.control,
+            listen.admin,
+        ]
+        .into_iter()
+        .filter(|addr| addr.port() != 0)
+        .collect();
+        let count = fixed.len();
+        fixed.sort();
+        fixed.dedup();
+        fixed.len() < count
+    }
+}
+
+fn is_name(text: &str) -> bool {
+    let fits = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-' || b == b'.';
+    !text.is_empty() && text.len() <= 63 && text.bytes().all(fits)
+}
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/tokens.rs
@@ -0,0 +1,172 @@
+//! Getting tokens for at-most-once calls, and what became of those whose owner is gone.
+
+use crate::{
+    answer::Reply,
+    body,
+    forward::{self, Call},
+    headers,
+    node::{Node, lock},
+    owner,
+    payload::Payload,
+};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::{HeaderMap, Method, Response, Uri};
+use sorrelturn_once::{Binding, BindingError, Fingerprint, OutcomeRecord};
+use sorrelturn_platform::{Expected, Object, PlatformError, keys};
+use sorrelturn_protocol::{CallContext, ExecutionToken, Refusal, Verdict};
+use std::sync::Arc;
+
+/// The path, on the peers' listener, by which an owner is asked for a token.
+pub(crate) const ISSUE_PATH: &str = "/.sorrelturn/issue";
+
+/// Answers a peer that asks for a token of this process.
+pub(crate) fn issue(node: &Node) -> Reply {
+    if node.is_leaving() {
+        return Reply::not_run(Refusal::Leaving);
+    }
+    if node.in_force.load().is_none() {
+        return Reply::not_run(Refusal::NoBundle);
+    }
+    let token = lock(&node.ledger).issue(node.now(), &mut fastrand::Rng::new());
+    match token {
+        Some(token) => {
+            let res = Response::new(body::full(token.to_string()));
+            Reply::answered(Verdict::NotRun, res)
+        }
+        None => Reply::not_run(Refusal::Overload).come_back(owner::come_back(node)),
+    }
+}
+
+/// Gets a token for a call from an instance of the kind's service.
+pub(crate) async fn obtain(node: &Arc<Node>, call: &Call) -> Result<ExecutionToken, Reply> {
+    let mut asking = Call {
+        in_force: Arc::clone(&call.in_force),
+        kind: Arc::clone(&call.kind),
+        context: CallContext {
+            token: None,
+            ..call.context.clone()
+        },
+        deadline: call.deadline,
+        method: Method::POST,
+        target: Uri::from_static(ISSUE_PATH),
+        headers: HeaderMap::new(),
+        payload: Payload::Whole(Bytes::new()),
+    };
+    let reply = forward::call(node, &mut asking).await;
+    let context = reply.context;
+    let Some(res) = reply.res else {
+        // Nothing but a token was asked for, so nothing ran whatever broke.
+        let refusal = context.refusal.unwrap_or(Refusal::PeerBroke);
+        let mut refused = Reply::not_run(refusal);
+        refused.context.retry_after_ms = context.retry_after_ms;
+        return Err(refused);
+    };
+    let unreadable = || Reply::not_run(Refusal::PeerBroke).come_back(owner::come_back(node));
+    let body = res.into_body().collect().await.map_err(|_| unreadable())?;
+    std::str::from_utf8(&body.to_bytes())
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .ok_or_else(unreadable)
+}
+
+/// A token that lies in the store under a caller's own key.
+pub(crate) struct Bound {
+    /// The token.
+    pub(crate) token: ExecutionToken,
+    /// The version of the object.
+    pub(crate) version: u64,
+}
+
+/// Binds a caller's own key to a token, so that it is used once whatever happens.
+pub(crate) async fn bind(node: &Arc<Node>, call: &Call, key: &str) -> Result<Bound, Reply> {
+    // A repeat finds its binding at once and needs no new token.
+    match node.platform.get(&binding_object(call, key)).await {
+        Ok(Some(found)) => settle(node, call, Some(&found)),
+        Ok(None) => write_binding(node, call, key, Expected::Absent).await,
+        Err(_) => settle(node, call, None),
+    }
+}
+
+/// Binds a key to a fresh token in the place of one that was refused before it ran.
+pub(crate) async fn bind_anew(
+    node: &Arc<Node>,
+    call: &Call,
+    key: &str,
+    version: u64,
+) -> Result<Bound, Reply> {
+    write_binding(node, call, key, Expected::Version(version)).await
+}
+
+async fn write_binding(
+    node: &Arc<Node>,
+    call: &Call,
+    key: &str,
+    expected: Expected,
+) -> Result<Bound, Reply> {
+    let object = binding_object(call, key);
+    let token = obtain(node, call).await?;
+    let own = Binding {
+        token: token.to_string(),
+        fingerprint: fingerprint(call).0,
+        attempt: fastrand::u64(..),
+    };
+    let value = serde_json::to_string(&own).unwrap_or_default();
+    match node.platform.put(&object, &value, expected).await {
+        Ok(version) => Ok(Bound { token, version }),
+        Err(PlatformError::Conflict(_) | PlatformError::AnswerLost(_)) => {
+            let found = node.platform.get(&object).await.ok().flatten();
+            settle(node, call, found.as_ref())
+        }
+        Err(_) => settle(node, call, None),
+    }
+}
+
+/// Whoever was first, the token that lies in the store is the only one that the key may use.
+fn settle(node: &Node, call: &Call, found: Option<&Object>) -> Result<Bound, Reply> {
+    let unavailable =
+        || Reply::not_run(Refusal::StoreUnavailable).come_back(owner::come_back(node));
+    let found = found.ok_or_else(unavailable)?;
+    let binding: Binding = serde_json::from_str(&found.value).map_err(|_| unavailable())?;
+    match binding.token_for(fingerprint(call)) {
+        Ok(token) => Ok(Bound {
+            token,
+            version: found.version,
+        }),
+        Err(BindingError::Mismatch) => Err(Reply::not_run(Refusal::TokenRejected)),
+        Err(BindingError::Unreadable) => Err(unavailable()),
+    }
+}
+
+fn binding_object(call: &Call, key: &str) -> String {
+    let hash = blake3::hash(key.as_bytes()).to_hex();
+    keys::binding(call.context.caller, hash.as_str())
+}
+
+fn fingerprint(call: &Call) -> Fingerprint {
+    owner::fingerprint(&call.context, &call.target.to_string())
+}
+
+/// What is known of a token whose owner can't be asked: the record that it left in the store.
+pub(crate) async fn of_lost_owner(node: &Node, token: &ExecutionToken) -> Reply {
+    let record = node.platform.get(&keys::outcomes(token.owner)).await;
+    let record: Option<OutcomeRecord> = record
+        .ok()
+        .flatten()
+        .and_then(|object| serde_json::from_str(&object.value).ok());
+    let verdict = record.map_or(Verdict::MayHaveRun, |record| record.verdict(token).verdict);
+    let refusal = match verdict {
+        Verdict::NotRun => Refusal::Tombstone,
+        _ => Refusal::OutcomeUnknown,
+    };
+    Reply::refused(refusal, verdict).come_back(owner::come_back(node))
+}
+
+/// Sets the header by which a caller is told its token.
+pub(crate) fn tell(headers: &mut HeaderMap, token: &ExecutionToken) {
+    headers::set(
+        headers,
+        sorrelturn_protocol::headers::TOKEN,
+        &token.to_string(),
+    );
+}
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/watch.rs
@@ -0,0 +1,253 @@
+//! Watching the platform for a failure domain. See `docs/design/spread.md`.
+
+use crate::{
+    clock::unix_ms,
+    control, gossip,
+    node::{Node, lock},
+};
+use smol::{Timer, future::FutureExt};
+use sorrelturn_bundle::SignedManifest;
+use sorrelturn_fleet::{Source, VmAdvice, WATCHERS, advise, predecessors, ranked};
+use sorrelturn_platform::{Changes, Expected, PlatformError, VmState, keys};
+use sorrelturn_protocol::{MemberRecord, MemberState};
+use sorrelturn_telemetry::{Field, events};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+/// How often a daemon that stands by asks those before it.
+const RANK_EVERY: Duration = Duration::from_secs(1);
+/// How long one watch waits; a watch counts as a call for the platform.
+const WATCH_TIME: Duration = Duration::from_secs(10);
+/// How often a watcher reads the head besides, because a watch may have stopped silently.
+const READ_EVERY: Duration = Duration::from_secs(2);
+/// The pause after a failed call to the platform.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// How often the status of the failure domain is written.
+const STATUS_EVERY: Duration = Duration::from_secs(5);
+/// A member that hasn't reported for this long counts as silent.
+const SILENCE: Duration = Duration::from_secs(30);
+
+/// Decides every second whether this daemon watches, and watches.
+pub(crate) async fn run(node: Arc<Node>) {
+    loop {
+        while !is_due(&node).await {
+            Timer::after(RANK_EVERY).await;
+        }
+        node.counts.watching.store(true, Ordering::Relaxed);
+        node.note(&events::WATCHER_STARTED, Vec::new());
+        let until_relieved = async {
+            while is_due(&node).await {
+                Timer::after(RANK_EVERY).await;
+            }
+        };
+        watch_all(&node).or(until_relieved).await;
+        node.counts.watching.store(false, Ordering::Relaxed);
+        node.note(&events::WATCHER_ENDED, Vec::new());
+    }
+}
+
+/// Whether fewer than the wanted number of daemons before this one are alive.
+async fn is_due(node: &Arc<Node>) -> bool {
+    let before: Option<Vec<MemberRecord>> = {
+        let membership = lock(&node.membership);
+        let ranked = ranked(membership.present(), &node.settings.failure_domain);
+        predecessors(&ranked, &node.settings.instance)
+            .map(|before| before.iter().map(|record| (*record).clone()).collect())
+    };
+    let Some(before) = before else {
+        return false;
+    };
+    let mut alive = 0;
+    for record in before {
+        if alive == WATCHERS {
+            break;
+        }
+        alive += usize::from(answers(node, &record).await);
+    }
+    alive < WATCHERS
+}
+
+async fn answers(node: &Arc<Node>, record: &MemberRecord) -> bool {
+    control::call(
+        node,
+        record,
+        |client, cx| async move { client.ping(cx).await },
+    )
+    .await
+    .is_ok_and(|incarnation| incarnation == record.incarnation)
+}
+
+async fn watch_all(node: &Arc<Node>) {
+    watch_head(node)
+        .or(read_head(node))
+        .or(watch_members(node))
+        .or(read_vm_list(node))
+        .or(write_status(node))
+        .await;
+}
+
+/// Waits for changes under a prefix, for ever.
+async fn follow(node: &Arc<Node>, prefix: &str, changed: impl Fn(Changes)) {
+    let mut since = None;
+    let mut lost = false;
+    loop {
+        let result = match since {
+            None => node.platform.list(prefix).await,
+            Some(since) => node.platform.watch(prefix, since, WATCH_TIME).await,
+        };
+        note_platform(node, &mut lost, result.as_ref().err());
+        match result {
+            Ok(changes) => {
+                since = Some(changes.revision);
+                changed(changes);
+            }
+            Err(_) => {
+                since = None;
+                pause().await;
+            }
+        }
+    }
+}
+
+async fn pause() {
+    Timer::after(RETRY_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
+}
+
+fn note_platform(node: &Node, lost: &mut bool, error: Option<&PlatformError>) {
+    match (error, *lost) {
+        (Some(error), false) => {
+            node.note(&events::PLATFORM_LOST, vec![Field::new("error", error)]);
+        }
+        (None, true) => node.note(&events::PLATFORM_BACK, Vec::new()),
+        _ => {}
+    }
+    *lost = error.is_some();
+}
+
+async fn watch_head(node: &Arc<Node>) {
+    follow(node, keys::BUNDLE_HEAD, |changes| {
+        for object in changes.objects {
+            heard_head(node, &object.value);
+        }
+    })
+    .await;
+}
+
+async fn read_head(node: &Arc<Node>) {
+    loop {
+        Timer::after(READ_EVERY).await;
+        if let Ok(Some(object)) = node.platform.get(keys::BUNDLE_HEAD).await {
+            heard_head(node, &object.value);
+        }
+    }
+}
+
+fn heard_head(node: &Arc<Node>, value: &str) {
+    let manifest = serde_json::from_str::<SignedManifest>(value)
+        .ok()
+        .and_then(|signed| signed.verify(&node.trusted).ok());
+    match manifest {
+        Some(manifest) => gossip::heard_version(node, manifest.version, Source::Store),
+        None => node.note(
+            &events::BUNDLE_REFUSED,
+            vec![Field::new(
+                "error",
+                "the head in the store is not signed by a trusted operator",
+            )],
+        ),
+    }
+}
+
+async fn watch_members(node: &Arc<Node>) {
+    follow(node, keys::MEMBERS, |changes| {
+        for object in changes.objects {
+            if let Ok(record) = serde_json::from_str(&object.value) {
+                gossip::heard_member(node, record);
+            }
+        }
+    })
+    .await;
+}
+
+async fn read_vm_list(node: &Arc<Node>) {
+    let mut not_believed = Vec::new();
+    loop {
+        Timer::after(READ_EVERY).await;
+        let Ok(vms) = node.platform.vms().await else {
+            continue;
+        };
+        let listed: BTreeMap<&str, bool> = vms
+            .iter()
+            .map(|vm| (vm.instance.as_str(), vm.state == VmState::Leaving))
+            .collect();
+        let advice = advise(
+            &lock(&node.membership),
+            &node.settings.failure_domain,
+            &listed,
+        );
+        if advice.not_believed != not_believed && !listed.is_empty() {
+            for service in &advice.not_believed {
+                let fields = vec![Field::new("service", service)];
+                node.note(&events::VM_LIST_NOT_BELIEVED, fields);
+            }
+        }
+        act_on(node, &advice).await;
+        not_believed = advice.not_believed;
+    }
+}
+
+async fn act_on(node: &Arc<Node>, advice: &VmAdvice) {
+    for (instances, leaving) in [(&advice.leaving, true), (&advice.staying, false)] {
+        for instance in instances {
+            let record = lock(&node.membership).get(instance).cloned();
+            if let Some(record) = record {
+                let _ = control::call(node, &record, |client, cx| async move {
+                    client.vm_state(cx, leaving).await
+                })
+                .await;
+            }
+        }
+    }
+    for instance in &advice.unlisted {
+        let record = lock(&node.membership).get(instance).cloned();
+        if let Some(record) = record
+            && !answers(node, &record).await
+        {
+            declare_gone(node, record).await;
+        }
+    }
+}
+
+/// A member that is neither listed nor answers has gone.
+async fn declare_gone(node: &Arc<Node>, mut record: MemberRecord) {
+    record.sequence += 1;
+    record.state = MemberState::Gone;
+    let value = serde_json::to_string(&record).unwrap_or_default();
+    let key = keys::member(&record.instance);
+    gossip::heard_member(node, record);
+    let _ = node.platform.put(&key, &value, Expected::Anything).await;
+}
+
+async fn write_status(node: &Arc<Node>) {
+    loop {
+        Timer::after(STATUS_EVERY.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
+        let domain = &node.settings.failure_domain;
+        let instance = &node.settings.instance;
+        let status = {
+            let membership = lock(&node.membership);
+            let mut view = lock(&node.view);
+            view.keep_only(|instance| {
+                membership
+                    .get(instance)
+                    .is_some_and(|record| record.state != MemberState::Gone)
+            });
+            view.status(node.now(), SILENCE, domain, instance, unix_ms())
+        };
+        let value = serde_json::to_string(&status).unwrap_or_default();
+        let key = keys::status(domain);
+        let _ = node.platform.put(&key, &value, Expected::Anything).await;
+    }
+}
--- a/crates/sorrelturn-once/src/lib.rs
+++ b/crates/sorrelturn-once/src/lib.rs
@@ -5,7 +5,7 @@
 mod nested;
 mod record;
 
-pub use binding::{Binding, BindingStep, after_create, after_read_back};
+pub use binding::{Binding, BindingError};
 pub use ledger::{Begin, Fingerprint, Ledger, LedgerConfig, Outcome};
 pub use nested::{CallKey, NestedTokens};
 pub use record::{OutcomeRecord, RecordedOutcome};
--- a/crates/sorrelturn-platform/src/api.rs
+++ b/crates/sorrelturn-platform/src/api.rs
@@ -77,6 +77,14 @@
     /// The members' own records.
     pub const MEMBERS: &str = "sorrelturn/members/";
 
+    /// The states of the failure domains.
+    pub const STATUS: &str = "sorrelturn/status/";
+
+    /// The state of one failure domain.
+    pub fn status(failure_domain: &str) -> String {
+        format!("{STATUS}{failure_domain}")
+    }
+
     /// A section of a bundle, by its content.
     pub fn section(hash: &str) -> String {
         format!("sorrelturn/bundle/sections/{hash}")
@@ -84,7 +92,12 @@
 
     /// An earlier signed manifest.
     pub fn history(version: u64) -> String {
-        format!("sorrelturn/bundle/history/{version:016}")
+        format!("{}{version:016}", history_prefix())
+    }
+
+    /// Where the earlier manifests lie.
+    pub fn history_prefix() -> String {
+        "sorrelturn/bundle/history/".to_owned()
     }
 
     /// A daemon's own record.
--- a/crates/sorrelturn-protocol/src/refusal.rs
+++ b/crates/sorrelturn-protocol/src/refusal.rs
@@ -68,6 +68,33 @@
         }
     }
 
+    /// The name that metrics use.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Overload => "overload",
+            Self::Deadline => "deadline",
+            Self::Leaving => "leaving",
+            Self::NoBundle => "no-bundle",
+            Self::NoInstance => "no-instance",
+            Self::AttemptsSpent => "attempts-spent",
+            Self::CallerRate => "caller-rate",
+            Self::UnknownKind => "unknown-kind",
+            Self::UnknownCaller => "unknown-caller",
+            Self::NotAllowed => "not-allowed",
+            Self::TokenRequired => "token-required",
+            Self::TokenRejected => "token-rejected",
+            Self::StillRunning => "still-running",
+            Self::Tombstone => "tombstone",
+            Self::OutcomeUnknown => "outcome-unknown",
+            Self::StoreUnavailable => "store-unavailable",
+            Self::BackendUnreachable => "backend-unreachable",
+            Self::BackendBroke => "backend-broke",
+            Self::PeerBroke => "peer-broke",
+            Self::Malformed => "malformed",
+            Self::BackendRefused => "backend-refused",
+        }
+    }
+
     /// Whether another instance may take the request when this one refused it unrun.
     pub fn elsewhere_may_differ(self) -> bool {
         matches!(
