--- /dev/null
+++ b/crates/sorrelturn-bench/src/client.rs
@@ -0,0 +1,182 @@
+//! A caller: pooled HTTP/1.1 connections, and a check that each answer is the own one and whole.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    HeaderMap, Request,
+    body::Incoming,
+    client::conn::http1::{SendRequest, handshake},
+    header::HOST,
+};
+use smol::{Executor, Timer, future::FutureExt, net::TcpStream};
+use smol_hyper::rt::FuturesIo;
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+/// What a caller expects of a good answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Expected {
+    /// The words that it sent in `x-echo`.
+    pub echo: String,
+}
+
+/// An answer as its caller sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// Whether the body is another caller's, or cut and given as whole.
+    pub wrong: bool,
+}
+
+impl Answer {
+    /// A header as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// The value of `sorrelturn-verdict`.
+    pub fn verdict(&self) -> &str {
+        self.header("sorrelturn-verdict").unwrap_or("none")
+    }
+}
+
+/// The body that a fake backend server answers: the caller's words, padding, and a checksum.
+pub(crate) fn answer_body(echo: &str, bytes: usize) -> Bytes {
+    let mut body = format!("{echo}\n").into_bytes();
+    let pad = bytes.saturating_sub(body.len());
+    body.extend(std::iter::repeat_n(b'.', pad));
+    let sum = blake3::hash(&body).to_hex();
+    body.extend_from_slice(sum.as_bytes());
+    body.into()
+}
+
+fn is_own_and_whole(body: &[u8], expected: &Expected) -> bool {
+    let Some(split) = body.len().checked_sub(64) else {
+        return false;
+    };
+    let (text, sum) = body.split_at(split);
+    let own = text.starts_with(format!("{}\n", expected.echo).as_bytes());
+    own && blake3::hash(text).to_hex().as_bytes() == sum
+}
+
+/// Connections to one address.
+#[derive(Clone)]
+pub struct Client {
+    ex: Arc<Executor<'static>>,
+    addr: SocketAddr,
+    idle: Arc<Mutex<Vec<SendRequest<Full<Bytes>>>>>,
+}
+
+impl Client {
+    /// A caller of `addr`.
+    pub fn new(ex: Arc<Executor<'static>>, addr: SocketAddr) -> Self {
+        Self {
+            ex,
+            addr,
+            idle: Arc::default(),
+        }
+    }
+
+    /// Sends a request and reads the whole answer; checks it if `expected` says how.
+    pub async fn send(
+        &self,
+        mut req: Request<Bytes>,
+        expected: Option<&Expected>,
+    ) -> io::Result<Answer> {
+        if let Some(expected) = expected
+            && let Ok(value) = expected.echo.parse()
+        {
+            req.headers_mut().insert("x-echo", value);
+        }
+        let host = self.addr.to_string().parse().map_err(io::Error::other)?;
+        req.headers_mut().insert(HOST, host);
+        let mut req = req.map(Full::new);
+        loop {
+            let (mut sender, reused) = match self.take_idle() {
+                Some(sender) => (sender, true),
+                None => (self.connect().await?, false),
+            };
+            if sender.ready().await.is_err() {
+                if reused {
+                    continue;
+                }
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+            match sender.try_send_request(req).await {
+                Ok(res) => {
+                    let answer = read(res, expected).await?;
+                    self.give_back(sender);
+                    return Ok(answer);
+                }
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) if reused => req = unsent,
+                    _ => return Err(io::Error::other(error.into_error())),
+                },
+            }
+        }
+    }
+
+    /// As [`Client::send`], given up after `timeout`.
+    pub async fn send_within(
+        &self,
+        req: Request<Bytes>,
+        expected: Option<&Expected>,
+        timeout: Duration,
+    ) -> io::Result<Answer> {
+        let too_late = async {
+            Timer::after(timeout).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        self.send(req, expected).or(too_late).await
+    }
+
+    fn take_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        while let Some(sender) = idle.pop() {
+            if !sender.is_closed() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    fn give_back(&self, sender: SendRequest<Full<Bytes>>) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.push(sender);
+    }
+
+    async fn connect(&self) -> io::Result<SendRequest<Full<Bytes>>> {
+        let tcp = TcpStream::connect(self.addr).await?;
+        tcp.set_nodelay(true)?;
+        let (sender, conn) = handshake(FuturesIo::new(tcp))
+            .await
+            .map_err(io::Error::other)?;
+        let drive = async move {
+            let _ = conn.await;
+        };
+        self.ex.spawn(drive).detach();
+        Ok(sender)
+    }
+}
+
+async fn read(res: hyper::Response<Incoming>, expected: Option<&Expected>) -> io::Result<Answer> {
+    let (head, body) = res.into_parts();
+    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    let good = head.status.is_success();
+    let wrong = expected.is_some_and(|expected| good && !is_own_and_whole(&body, expected));
+    Ok(Answer {
+        status: head.status.as_u16(),
+        headers: head.headers,
+        body,
+        wrong,
+    })
+}
--- a/crates/sorrelturn-bench/src/lib.rs
+++ b/crates/sorrelturn-bench/src/lib.rs
@@ -1,1 +1,15 @@
-//! Stub.
+#![doc = include_str!("../README.md")]
+
+mod backend;
+mod client;
+mod exec;
+mod fleet;
+mod plan;
+mod processes;
+
+pub use backend::{FakeBackend, serve_backend};
+pub use client::{Answer, Client, Expected};
+pub use exec::run_on;
+pub use fleet::{FleetPlan, InstancePlan, LocalFleet, operator_key, publish_bundle};
+pub use plan::{Fault, KindPlan, Plan, PlannedCall, plan_for};
+pub use processes::{DaemonProcess, Process, ProcessFleet, binary};
--- /dev/null
+++ b/crates/sorrelturn-bench/src/processes.rs
@@ -0,0 +1,271 @@
+//! A small fleet of real processes, on loopback.
+
+use crate::{
+    client::Client,
+    fleet::{FleetPlan, publish_bundle},
+    plan::{Plan, plan_for},
+};
+use bytes::Bytes;
+use hyper::Request;
+use smol::{Executor, Timer};
+use sorrelturn_daemon::{Addresses, Settings, StatusReport};
+use sorrelturn_platform::{Faults, Platform, VmEntry, http::exchange};
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// The longest time for anything that a test waits for; long, so that a busy machine doesn't fail.
+const WAIT: Duration = Duration::from_secs(60);
+
+/// The path of one of the workspace's programs: beside the running test or bench.
+pub fn binary(name: &str) -> PathBuf {
+    let own = std::env::current_exe().expect("the running program has a path");
+    let folder = own.parent().expect("a program lies in a folder");
+    // Tests lie one folder below the programs.
+    let candidates = [folder.join(name), folder.join("..").join(name)];
+    candidates
+        .into_iter()
+        .find(|path| path.exists())
+        .unwrap_or_else(|| panic!("{name} is not built; run `cargo build --workspace --bins`"))
+}
+
+/// One process; killed when it is dropped.
+pub struct Process {
+    child: Child,
+    /// The first line that it printed.
+    pub first_line: String,
+}
+
+impl Process {
+    /// Starts a program and waits for its first line.
+    pub fn start(name: &str, args: &[&str]) -> Self {
+        let mut child = Command::new(binary(name))
+            .args(args)
+            .env(
+                "RUST_LOG",
+                std::env::var("RUST_LOG").unwrap_or("error".to_owned()),
+            )
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let stdout = child.stdout.take().expect("standard output is piped");
+        let mut first_line = String::new();
+        BufReader::new(stdout)
+            .read_line(&mut first_line)
+            .expect("the program prints a line");
+        Self {
+            child,
+            first_line: first_line.trim().to_owned(),
+        }
+    }
+
+    /// Its process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends it a signal by its number.
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args(["-s", name, &self.pid().to_string()])
+            .status();
+        assert!(status.is_ok_and(|status| status.success()), "signal {name}");
+    }
+
+    /// Kills it without warning.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for its end.
+    pub async fn ended(&mut self) -> ExitStatus {
+        let until = Instant::now() + WAIT;
+        loop {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status;
+            }
+            assert!(Instant::now() < until, "the process doesn't end");
+            Timer::after(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A daemon with its fake backend server.
+pub struct DaemonProcess {
+    /// The daemon.
+    pub process: Process,
+    /// Where it listens.
+    pub addresses: Addresses,
+    /// The backend server.
+    pub backend: Process,
+    /// Where the backend server listens.
+    pub backend_addr: SocketAddr,
+    /// The daemon's settings.
+    pub settings: Settings,
+}
+
+/// A fleet of processes.
+pub struct ProcessFleet {
+    /// Runs the clients.
+    pub ex: Arc<Executor<'static>>,
+    /// The stand-in's process.
+    pub platform_process: Process,
+    /// Where the stand-in listens.
+    pub platform: SocketAddr,
+    /// The daemons, in the order of the plan.
+    pub daemons: Vec<DaemonProcess>,
+    /// The plan.
+    pub plan: FleetPlan,
+    folder: PathBuf,
+}
+
+impl ProcessFleet {
+    /// Starts everything; the bundle is published first. `folder` takes the settings files.
+    pub async fn start(ex: Arc<Executor<'static>>, plan: FleetPlan, folder: &Path) -> Self {
+        let platform_process = Process::start("sorrelturn-platform", &["--listen", "127.0.0.1:0"]);
+        let platform = platform_process.first_line.parse().expect("an address");
+        publish_bundle(&Platform::new(platform, WAIT), &plan.bundle).await;
+        let mut fleet = Self {
+            ex,
+            platform_process,
+            platform,
+            daemons: Vec::new(),
+            plan,
+            folder: folder.to_owned(),
+        };
+        for number in 0..fleet.plan.instances.len() {
+            let daemon = fleet.start_daemon(number).await;
+            fleet.daemons.push(daemon);
+        }
+        fleet.until_all_know_all().await;
+        fleet
+    }
+
+    /// Starts the daemon and the backend server of one instance of the plan.
+    pub async fn start_daemon(&self, number: usize) -> DaemonProcess {
+        let backend = Process::start("sorrelturn-bench", &["backend"]);
+        let backend_addr = backend.first_line.parse().expect("an address");
+        let instance = &self.plan.instances[number];
+        let settings = self.plan.settings(instance, self.platform, backend_addr);
+        self.start_with(settings, backend, backend_addr).await
+    }
+
+    /// Starts a daemon with changed settings beside a backend server that runs.
+    pub async fn start_with(
+        &self,
+        settings: Settings,
+        backend: Process,
+        backend_addr: SocketAddr,
+    ) -> DaemonProcess {
+        let file = self.folder.join(format!("{}.jsonc", settings.instance));
+        let text = serde_json::to_string_pretty(&settings).expect("settings are JSON");
+        std::fs::write(&file, text).expect("the folder can be written");
+        let file = file.display().to_string();
+        let process = Process::start("sorrelturnd", &["--settings", &file]);
+        let addresses: Addresses =
+            serde_json::from_str(&process.first_line).expect("the daemon prints its addresses");
+        let daemon = DaemonProcess {
+            process,
+            addresses,
+            backend,
+            backend_addr,
+            settings,
+        };
+        let service = &daemon.settings.service;
+        let mut plan = plan_for(&self.plan.indexed(), service, &self.plan.work_ms);
+        plan.local = Some(addresses.local);
+        daemon.set_plan(&plan).await;
+        daemon
+    }
+
+    /// A caller of one instance's daemon.
+    pub fn caller(&self, number: usize) -> Client {
+        let addr = self.daemons[number].addresses.callers;
+        Client::new(Arc::clone(&self.ex), addr)
+    }
+
+    /// Makes the stand-in play faults.
+    pub async fn play(&self, faults: &Faults) {
+        let body = serde_json::to_vec(faults).expect("faults are JSON");
+        put(self.platform, "/stand-in/faults", body).await;
+    }
+
+    /// Sets the list of VMs.
+    pub async fn set_vms(&self, vms: &[VmEntry]) {
+        let body = serde_json::to_vec(vms).expect("the list is JSON");
+        put(self.platform, "/stand-in/vms", body).await;
+    }
+
+    /// Waits until every daemon has the bundle and knows every other one.
+    pub async fn until_all_know_all(&self) {
+        let all = self.daemons.len();
+        for daemon in &self.daemons {
+            daemon
+                .until(|status| status.members == all && status.bundle_version > 0)
+                .await;
+        }
+    }
+}
+
+impl DaemonProcess {
+    /// Replaces the backend server's plan.
+    pub async fn set_plan(&self, plan: &Plan) {
+        let body = serde_json::to_vec(plan).expect("a plan is JSON");
+        put(self.backend_addr, "/fake/plan", body).await;
+    }
+
+    /// What the daemon says about itself, if it answers.
+    pub async fn status(&self) -> Option<StatusReport> {
+        let req = Request::get("/status").body(Bytes::new()).ok()?;
+        let res = exchange(self.addresses.admin, req, WAIT).await.ok()?;
+        serde_json::from_slice(res.body()).ok()
+    }
+
+    /// Waits until the daemon's status is as wanted.
+    pub async fn until(&self, wanted: impl Fn(&StatusReport) -> bool) -> StatusReport {
+        let until = Instant::now() + WAIT;
+        loop {
+            let status = self.status().await;
+            if let Some(status) = status.as_ref().filter(|status| wanted(status)) {
+                return status.clone();
+            }
+            assert!(
+                Instant::now() < until,
+                "not reached; last status {status:?}"
+            );
+            Timer::after(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// How often each request that carried `x-execution-key` was begun at the backend server.
+    pub async fn ran(&self) -> std::collections::HashMap<String, u32> {
+        let req = Request::get("/fake/ran")
+            .body(Bytes::new())
+            .expect("a request");
+        let res = exchange(self.backend_addr, req, WAIT)
+            .await
+            .expect("the fake answers");
+        serde_json::from_slice(res.body()).expect("counts")
+    }
+}
+
+async fn put(addr: SocketAddr, path: &str, body: Vec<u8>) {
+    let req = Request::put(path)
+        .body(Bytes::from(body))
+        .expect("a request");
+    let res = exchange(addr, req, WAIT).await.expect("it answers");
+    assert!(res.status().is_success(), "{path} answers {}", res.status());
+}
--- /dev/null
+++ b/crates/sorrelturn-bench/tests/whole_path.rs
@@ -0,0 +1,35 @@
+//! The whole path in separate processes: caller, entry, owner, backend server, nested call.
+
+mod common;
+
+use common::{bundle, folder, request};
+use sorrelturn_bench::{Expected, FleetPlan, ProcessFleet, run_on};
+
+#[test]
+fn a_callers_request_crosses_two_services_and_brings_its_own_whole_answer() {
+    let plan = FleetPlan::of(
+        bundle("protokols-riga.jsonc"),
+        &[("archive", 2), ("certification", 2)],
+        &["riga-a", "riga-b"],
+        &[],
+    );
+    let folder = folder("whole_path");
+    run_on(2, async |ex| {
+        let fleet = ProcessFleet::start(ex, plan, &folder).await;
+        for entry in 0..4 {
+            let caller = fleet.caller(entry);
+            for number in 0..5 {
+                let expected = Expected {
+                    echo: format!("caller {entry} request {number}"),
+                };
+                let answer = caller
+                    .send(request("GET", "/transcripts/7?bytes=5000"), Some(&expected))
+                    .await
+                    .expect("an answer");
+                assert_eq!(answer.status, 200, "{answer:?}");
+                assert_eq!(answer.verdict(), "ran");
+                assert!(!answer.wrong, "{answer:?}");
+            }
+        }
+    });
+}
--- a/crates/sorrelturn-bundle/src/check.rs
+++ b/crates/sorrelturn-bundle/src/check.rs
@@ -257,7 +257,7 @@
                 "write the 64 hexadecimal digits of the token's BLAKE3 hash",
             );
         }
-        if !(caller.rate_per_second > 0.0) {
+        if caller.rate_per_second.is_nan() || caller.rate_per_second <= 0.0 {
             at(
                 "rate_per_second",
                 format!("caller {name} may send nothing"),
--- a/crates/sorrelturn-daemon/src/answer.rs
+++ b/crates/sorrelturn-daemon/src/answer.rs
@@ -20,7 +20,7 @@
     /// What daemons tell one another about it.
     pub(crate) context: AnswerContext,
     /// The backend server's answer.
-    pub(crate) res: Option<Response<Body>>,
+    pub(crate) res: Option<Box<Response<Body>>>,
 }
 
 impl Reply {
@@ -31,7 +31,7 @@
                 verdict,
                 ..AnswerContext::default()
             },
-            res: Some(res),
+            res: Some(Box::new(res)),
         }
     }
 
@@ -60,7 +60,7 @@
 
     /// The answer to a peer.
     pub(crate) fn into_peer_response(self) -> Response<Body> {
-        let mut res = self.res.unwrap_or_else(|| {
+        let mut res = self.res.map(|res| *res).unwrap_or_else(|| {
             let mut res = Response::new(body::full(""));
             *res.status_mut() = refusal_status(&self.context);
             res
@@ -73,7 +73,8 @@
     /// The answer to a caller or to a backend server that made a nested call.
     pub(crate) fn into_response(self, request: RequestId) -> Response<Body> {
         let mut res = match self.res {
-            Some(mut res) => {
+            Some(res) => {
+                let mut res = *res;
                 headers::strip_hop_by_hop(res.headers_mut());
                 headers::strip_internal(res.headers_mut());
                 res
--- a/crates/sorrelturn-daemon/src/forward.rs
+++ b/crates/sorrelturn-daemon/src/forward.rs
@@ -249,7 +249,7 @@
         .and_then(|value| AnswerContext::decode(value.as_bytes()).ok())
         .ok_or(Failure::Broke)?;
     let answered = context.refusal.is_none();
-    let res = answered.then(|| res.map(|body| body::watched(body, |_| {})));
+    let res = answered.then(|| Box::new(res.map(|body| body::watched(body, |_| {}))));
     Ok(Reply { context, res })
 }
 
--- a/crates/sorrelturn-daemon/src/owner.rs
+++ b/crates/sorrelturn-daemon/src/owner.rs
@@ -218,7 +218,7 @@
                 return broke;
             }
         };
-        reply.res = Some(Response::from_parts(head, body));
+        reply.res = Some(Box::new(Response::from_parts(head, body)));
         reply
     }
 
@@ -356,7 +356,7 @@
             ],
         );
         self.span(failed, status);
-        let res = Some(self.stream(slot, guard, res, lease));
+        let res = Some(Box::new(self.stream(slot, guard, res, lease)));
         Reply { context, res }
     }
 
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -134,6 +134,12 @@
         Ok(daemon)
     }
 
+    /// How many members it knows, itself among them, and whether it has a bundle.
+    pub fn knows(&self) -> (usize, bool) {
+        let members = lock(&self.node.membership).present().count();
+        (members, self.node.in_force.load().is_some())
+    }
+
     /// Makes itself known, and finds members and a bundle.
     async fn join(&self) {
         let node = &self.node;
