--- a/crates/sorrelturn-bench/src/exec.rs
+++ b/crates/sorrelturn-bench/src/exec.rs
@@ -3,7 +3,7 @@
 use smol::{Executor, channel};
 use std::{sync::Arc, thread};
 
-/// Runs `f` with an executor that has so many threads besides the caller's own.
+/// Runs `f` with an executor that has so many threads besides the caller's own, which works too.
 pub fn run_on<T, F>(threads: usize, f: impl FnOnce(Arc<Executor<'static>>) -> F) -> T
 where
     F: Future<Output = T>,
@@ -18,7 +18,7 @@
             })
         })
         .collect();
-    let result = smol::block_on(f(ex));
+    let result = smol::block_on(ex.run(f(Arc::clone(&ex))));
     drop(stop);
     for thread in threads {
         let _ = thread.join();
--- a/crates/sorrelturn-bench/src/lib.rs
+++ b/crates/sorrelturn-bench/src/lib.rs
@@ -2,6 +2,8 @@
 
 mod backend;
 mod client;
+mod commands;
+mod examples;
 mod exec;
 mod fleet;
 mod plan;
@@ -9,7 +11,9 @@
 
 pub use backend::{FakeBackend, serve_backend};
 pub use client::{Answer, Client, Expected};
+pub use commands::{COMMANDS, CommandEntry, root};
+pub use examples::example_bundle;
 pub use exec::run_on;
 pub use fleet::{FleetPlan, InstancePlan, LocalFleet, operator_key, publish_bundle};
 pub use plan::{Fault, KindPlan, Plan, PlannedCall, plan_for};
-pub use processes::{DaemonProcess, Process, ProcessFleet, binary};
+pub use processes::{DaemonProcess, Process, ProcessFleet, binary, cpu_time, memory};
--- a/crates/sorrelturn-bench/src/processes.rs
+++ b/crates/sorrelturn-bench/src/processes.rs
@@ -262,6 +262,30 @@
     }
 }
 
+/// The processor time that a process has used.
+pub fn cpu_time(pid: u32) -> Duration {
+    /// Ticks of the kernel's clock in a second, on every Linux that this runs on.
+    const TICKS_PER_SECOND: u64 = 100;
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    // The name may hold spaces; the fields behind it don't. User time is the 12th, then system.
+    let fields = stat.rsplit(')').next().unwrap_or_default();
+    let ticks: u64 = fields
+        .split_whitespace()
+        .skip(11)
+        .take(2)
+        .filter_map(|field| field.parse::<u64>().ok())
+        .sum();
+    Duration::from_millis(ticks * 1000 / TICKS_PER_SECOND)
+}
+
+/// The memory that a process holds, in bytes.
+pub fn memory(pid: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+    kilobytes.unwrap_or(0) * 1024
+}
+
 async fn put(addr: SocketAddr, path: &str, body: Vec<u8>) {
     let req = Request::put(path)
         .body(Bytes::from(body))
--- a/crates/sorrelturn-daemon/src/bin/sorrelturnd.rs
+++ b/crates/sorrelturn-daemon/src/bin/sorrelturnd.rs
@@ -77,7 +77,9 @@
 fn run_daemon(settings: Settings) -> ExitCode {
     let ex = Arc::new(Executor::new());
     let (stop_threads, stopped) = channel::bounded::<()>(1);
-    let threads: Vec<_> = (0..settings.threads)
+    // The main thread is one of them: a thread that only waits would take the reactor and wake
+    // another one for each event.
+    let threads: Vec<_> = (1..settings.threads)
         .map(|_| {
             let (ex, stopped) = (Arc::clone(&ex), stopped.clone());
             thread::spawn(move || {
@@ -85,7 +87,7 @@
             })
         })
         .collect();
-    let code = smol::block_on(until_signal(settings, ex));
+    let code = smol::block_on(ex.run(until_signal(settings, Arc::clone(&ex))));
     drop(stop_threads);
     for thread in threads {
         let _ = thread.join();
--- a/crates/sorrelturn-daemon/src/body.rs
+++ b/crates/sorrelturn-daemon/src/body.rs
@@ -42,15 +42,15 @@
     B: HttpBody<Data = Bytes> + Send + Sync + Unpin + 'static,
     BodyError: From<B::Error>,
 {
-    let already_over = body.is_end_stream();
-    let mut watched = Watched {
+    if body.is_end_stream() {
+        on_end(true);
+        return body.map_err(BodyError::from).boxed();
+    }
+    let watched = Watched {
         body,
         stall: Timer::after(STALL_TIME),
         on_end: Some(Box::new(on_end)),
     };
-    if already_over {
-        watched.end(true);
-    }
     watched.boxed()
 }
 
--- a/crates/sorrelturn-daemon/src/clock.rs
+++ b/crates/sorrelturn-daemon/src/clock.rs
@@ -19,11 +19,6 @@
     pub(crate) fn now(&self) -> Now {
         self.start.elapsed()
     }
-
-    /// The instant of a point in time, for timers.
-    pub(crate) fn instant(&self, at: Now) -> Instant {
-        self.start + at
-    }
 }
 
 pub(crate) fn unix_time() -> Duration {
--- a/crates/sorrelturn-daemon/src/forward.rs
+++ b/crates/sorrelturn-daemon/src/forward.rs
@@ -13,7 +13,7 @@
     tokens,
 };
 use hyper::{HeaderMap, Method, Request, Response, Uri, body::Incoming};
-use smol::{Timer, future::FutureExt};
+use smol::future::FutureExt;
 use sorrelturn_bundle::KindEntry;
 use sorrelturn_fleet::Source;
 use sorrelturn_policy::{Attempt, InstanceReport, Now, Step, choose, first_share, next_step};
@@ -224,7 +224,7 @@
     mut req: Request<Body>,
 ) -> Result<Reply, Failure> {
     let too_late = async {
-        Timer::at(node.clock.instant(call.deadline)).await;
+        node.timers.at(call.deadline).await;
         Err(Failure::TooLate)
     };
     if route.record.incarnation == node.incarnation {
--- a/crates/sorrelturn-daemon/src/lib.rs
+++ b/crates/sorrelturn-daemon/src/lib.rs
@@ -24,6 +24,7 @@
 mod serve;
 mod settings;
 mod stream;
+mod timers;
 mod tokens;
 mod watch;
 
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     backend::Backend, clock::Clock, control::ControlLinks, parents::Parents, room::Room,
-    routes::Routes, settings::Settings, stream::FleetKeys,
+    routes::Routes, settings::Settings, stream::FleetKeys, timers::Timers,
 };
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cadence::StatsdClient;
@@ -133,6 +133,7 @@
 pub(crate) struct Node {
     pub(crate) ex: Arc<Executor<'static>>,
     pub(crate) clock: Clock,
+    pub(crate) timers: Timers,
     pub(crate) settings: Settings,
     pub(crate) incarnation: Incarnation,
     pub(crate) trusted: TrustedKeys,
--- a/crates/sorrelturn-daemon/src/owner.rs
+++ b/crates/sorrelturn-daemon/src/owner.rs
@@ -17,7 +17,7 @@
     body::{Body as _, Incoming},
     header::{CONTENT_TYPE, HOST},
 };
-use smol::{Timer, future::FutureExt};
+use smol::future::FutureExt;
 use sorrelturn_bundle::KindEntry;
 use sorrelturn_once::{Begin, Fingerprint, Outcome as OnceOutcome};
 use sorrelturn_policy::{LeavingCause, Now, Outcome, RetryAfter};
@@ -272,7 +272,7 @@
         let node = Arc::clone(&self.node);
         let exchange = async { Some(node.backend.send(&node.ex, req).await) };
         let too_late = async {
-            Timer::at(node.clock.instant(self.deadline)).await;
+            node.timers.at(self.deadline).await;
             None
         };
         match exchange.or(too_late).await {
--- a/crates/sorrelturn-daemon/src/payload.rs
+++ b/crates/sorrelturn-daemon/src/payload.rs
@@ -28,6 +28,9 @@
 impl Payload {
     /// Reads a small body as a whole and takes a larger one as a stream.
     pub(crate) async fn read(incoming: Incoming) -> Result<Self, Reply> {
+        if incoming.is_end_stream() {
+            return Ok(Self::Whole(Bytes::new()));
+        }
         let upper = incoming.size_hint().upper();
         if upper.is_none_or(|len| len > WHOLE_BODY_BYTES) {
             return Ok(Self::Stream(Some(body::watched(incoming, |_| {}))));
--- a/crates/sorrelturn-daemon/src/room.rs
+++ b/crates/sorrelturn-daemon/src/room.rs
@@ -1,8 +1,7 @@
 //! The gate with the tasks that wait at it.
 
-use crate::clock::Clock;
+use crate::{clock::Clock, timers::Timers};
 use smol::{
-    Timer,
     channel::{self, Receiver, Sender},
     future::FutureExt,
 };
@@ -19,6 +18,7 @@
 /// The gate before the backend server, shared by all requests.
 pub(crate) struct Room {
     clock: Clock,
+    timers: Timers,
     inner: Mutex<Inner>,
 }
 
@@ -50,7 +50,7 @@
 }
 
 impl Room {
-    pub(crate) fn new(clock: Clock, gate: Gate) -> Self {
+    pub(crate) fn new(clock: Clock, timers: Timers, gate: Gate) -> Self {
         let inner = Inner {
             gate,
             waiters: HashMap::new(),
@@ -58,6 +58,7 @@
         };
         Self {
             clock,
+            timers,
             inner: Mutex::new(inner),
         }
     }
@@ -181,7 +182,7 @@
 impl Waiting<'_> {
     async fn word(mut self, until: Now) -> Result<Slot, Refusal> {
         let timer = async {
-            Timer::at(self.room.clock.instant(until)).await;
+            self.room.timers.at(until).await;
             None
         };
         let word = async { self.rx.recv().await.ok() };
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -13,6 +13,7 @@
     serve,
     settings::Settings,
     stream::{FleetKeys, KeysError},
+    timers::Timers,
     watch,
 };
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -285,6 +286,8 @@
     addresses: &Addresses,
 ) -> Result<Node, StartError> {
     let clock = Clock::start();
+    let (timers, woken) = Timers::new(clock);
+    ex.spawn(timers.clone().run(woken)).detach();
     let mut secret = [0; 40];
     getrandom::fill(&mut secret).map_err(|_| StartError::NoRandomness)?;
     let (id, seal) = secret.split_at(8);
@@ -315,7 +318,11 @@
     Ok(Node {
         platform: Platform::new(settings.platform.address, timeout),
         backend: Arc::new(Backend::new(settings.backend.address, connect_time)),
-        room: Arc::new(Room::new(clock, Gate::new(GATE_BEFORE_BUNDLE, clock.now()))),
+        room: Arc::new(Room::new(
+            clock,
+            timers.clone(),
+            Gate::new(GATE_BEFORE_BUNDLE, clock.now()),
+        )),
         parents: Arc::new(Parents::default()),
         in_force: ArcSwapOption::empty(),
         routes: ArcSwap::from_pointee(Routes::default()),
@@ -332,6 +339,7 @@
         counts: Counts::default(),
         ex,
         clock,
+        timers,
         incarnation,
         trusted,
         keys,
--- a/crates/sorrelturn-daemon/src/serve.rs
+++ b/crates/sorrelturn-daemon/src/serve.rs
@@ -7,6 +7,7 @@
     node::Node,
     owner,
     peers::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES},
+    timers::Timers,
     tokens,
 };
 use hyper::{
@@ -21,7 +22,7 @@
     future::FutureExt,
     net::{TcpListener, TcpStream},
 };
-use smol_hyper::rt::{FuturesIo, SmolExecutor, SmolTimer};
+use smol_hyper::rt::{FuturesIo, SmolExecutor};
 use sorrelturn_protocol::{CallContext, Refusal, headers::CONTEXT};
 use sorrelturn_telemetry::{Field, events};
 use std::{
@@ -94,6 +95,7 @@
         return;
     };
     let ip = peer.ip();
+    let timers = node.timers.clone();
     let answer = move |req: Request<Incoming>| {
         let node = Arc::clone(&node);
         async move {
@@ -103,29 +105,35 @@
             entry::serve(&node, ip, req).await
         }
     };
-    http1(tcp, closing, answer).await;
+    http1(timers, tcp, closing, answer).await;
 }
 
 /// A connection of the own backend server.
 pub(crate) async fn local(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
+    let timers = node.timers.clone();
     let answer = move |req: Request<Incoming>| {
         let node = Arc::clone(&node);
         async move { nested::serve(&node, req).await }
     };
-    http1(tcp, closing, answer).await;
+    http1(timers, tcp, closing, answer).await;
 }
 
 /// A connection of an operator.
 pub(crate) async fn admin(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
+    let timers = node.timers.clone();
     let answer = move |req: Request<Incoming>| {
         let node = Arc::clone(&node);
         async move { crate::admin::serve(&node, req).await }
     };
-    http1(tcp, closing, answer).await;
+    http1(timers, tcp, closing, answer).await;
 }
 
-async fn http1<F>(tcp: TcpStream, closing: Closing, answer: impl Fn(Request<Incoming>) -> F)
-where
+async fn http1<F>(
+    timers: Timers,
+    tcp: TcpStream,
+    closing: Closing,
+    answer: impl Fn(Request<Incoming>) -> F,
+) where
     F: Future<Output = Response<Body>>,
 {
     if tcp.set_nodelay(true).is_err() {
@@ -136,7 +144,7 @@
         async { Ok::<_, Infallible>(answered.await) }
     });
     let conn = http1::Builder::new()
-        .timer(SmolTimer::new())
+        .timer(timers)
         .header_read_timeout(HEAD_TIME)
         .max_buf_size(HEAD_LIMIT_BYTES)
         .serve_connection(FuturesIo::new(tcp), service);
@@ -166,8 +174,9 @@
         let node = Arc::clone(&for_service);
         async move { Ok::<_, Infallible>(peer_call(&node, req).await) }
     });
+    let timers = node.timers.clone();
     let conn = http2::Builder::new(SmolExecutor::new(Arc::clone(&node.ex)))
-        .timer(SmolTimer::new())
+        .timer(timers)
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .serve_connection(FuturesIo::new(stream), service);
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/timers.rs
@@ -0,0 +1,171 @@
+//! Coarse timers for deadlines. See `docs/design/threads.md` for the measurement.
+//!
+//! A timer of the runtime costs several system calls, and nearly every deadline is dropped unused.
+//! Here a deadline is an entry in a map, and one task looks every few milliseconds whether the
+//! first is due; it sleeps while there is none.
+
+use crate::clock::Clock;
+use hyper::rt::{Sleep, Timer as HyperTimer};
+use smol::{
+    Timer,
+    channel::{self, Receiver, Sender},
+};
+use sorrelturn_policy::Now;
+use std::{
+    collections::BTreeMap,
+    pin::Pin,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    task::{Context, Poll, Waker},
+    time::{Duration, Instant},
+};
+
+/// How late a deadline may be noticed.
+const TICK: Duration = Duration::from_millis(5);
+
+/// The deadlines of one daemon.
+#[derive(Clone)]
+pub(crate) struct Timers {
+    clock: Clock,
+    shared: Arc<Shared>,
+    wake_up: Sender<()>,
+}
+
+struct Shared {
+    waiting: Mutex<Waiting>,
+}
+
+#[derive(Default)]
+struct Waiting {
+    wakers: BTreeMap<(Now, u64), Waker>,
+    next_id: u64,
+    running: bool,
+}
+
+impl Timers {
+    /// Timers, and the end of the channel that [`Timers::run`] needs.
+    pub(crate) fn new(clock: Clock) -> (Self, Receiver<()>) {
+        let (wake_up, woken) = channel::bounded(1);
+        let shared = Arc::new(Shared {
+            waiting: Mutex::default(),
+        });
+        let timers = Self {
+            clock,
+            shared,
+            wake_up,
+        };
+        (timers, woken)
+    }
+
+    /// Wakes what is due, for ever.
+    pub(crate) async fn run(self, woken: Receiver<()>) {
+        while woken.recv().await.is_ok() {
+            loop {
+                Timer::after(TICK).await;
+                let due = self.shared.take_due(self.clock.now());
+                for waker in due.wakers {
+                    waker.wake();
+                }
+                if due.was_last {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Ends at a point in time, or a little later.
+    pub(crate) fn at(&self, at: Now) -> Deadline {
+        Deadline {
+            timers: self.clone(),
+            at,
+            id: None,
+        }
+    }
+
+    /// Ends after some time, or a little later.
+    pub(crate) fn after(&self, wait: Duration) -> Deadline {
+        self.at(self.clock.now() + wait)
+    }
+}
+
+struct Due {
+    wakers: Vec<Waker>,
+    was_last: bool,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Waiting> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn take_due(&self, now: Now) -> Due {
+        let mut waiting = self.lock();
+        let later = waiting.wakers.split_off(&(now, u64::MAX));
+        let due = std::mem::replace(&mut waiting.wakers, later);
+        waiting.running = !waiting.wakers.is_empty();
+        Due {
+            wakers: due.into_values().collect(),
+            was_last: !waiting.running,
+        }
+    }
+}
+
+/// A future that ends at a point in time.
+pub(crate) struct Deadline {
+    timers: Timers,
+    at: Now,
+    id: Option<u64>,
+}
+
+impl Deadline {
+    fn forget(&mut self) {
+        if let Some(id) = self.id.take() {
+            self.timers.shared.lock().wakers.remove(&(self.at, id));
+        }
+    }
+}
+
+impl Future for Deadline {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        let this = &mut *self;
+        if this.timers.clock.now() >= this.at {
+            this.forget();
+            return Poll::Ready(());
+        }
+        let mut waiting = this.timers.shared.lock();
+        let id = *this.id.get_or_insert_with(|| {
+            waiting.next_id += 1;
+            waiting.next_id
+        });
+        let key = (this.at, id);
+        let known = waiting.wakers.get(&key);
+        if known.is_none_or(|waker| !waker.will_wake(cx.waker())) {
+            waiting.wakers.insert(key, cx.waker().clone());
+        }
+        if !waiting.running {
+            waiting.running = true;
+            let _ = this.timers.wake_up.try_send(());
+        }
+        Poll::Pending
+    }
+}
+
+impl Drop for Deadline {
+    fn drop(&mut self) {
+        self.forget();
+    }
+}
+
+impl Sleep for Deadline {}
+
+impl HyperTimer for Timers {
+    fn sleep(&self, duration: Duration) -> Pin<Box<dyn Sleep>> {
+        Box::pin(self.after(duration))
+    }
+
+    fn sleep_until(&self, deadline: Instant) -> Pin<Box<dyn Sleep>> {
+        let wait = deadline.saturating_duration_since(Instant::now());
+        Box::pin(self.after(wait))
+    }
+}
