Overload bench against two baselines; thresholds with memory; token issue at the own instance

Cause: (1) a token asked of the own instance went to the backend server, so 1 in 15 at-most-once requests broke; (2) answers' own headers were stripped, so no caller got its token; (3) thresholds followed the noise of windows with a handful of requests and reached into critical. Ruled out: too little capacity for critical: it takes about half of the narrowest service. Change: issue is served by the owner path; headers of backend servers are stripped where they come in; the histogram keeps 0.7 of each window, never rises above what was shed, falls evenly first; entries take the mean of announcements and hold it 300 ms.

--- /dev/null
+++ b/crates/sorrelturn-bench/src/baseline.rs
@@ -0,0 +1,176 @@
+//! The baselines: what a team has without sorrelturn. Every hop goes straight to a random
+//! instance and retries on failure, without a limit or with a fixed one.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Method, Request, Response, StatusCode, body::Incoming, server::conn::http1,
+    service::service_fn,
+};
+use smol::{Executor, Timer, net::TcpListener};
+use smol_hyper::rt::FuturesIo;
+use sorrelturn_bundle::Bundle;
+use std::{
+    collections::HashMap,
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use crate::client::Client;
+
+/// How often a hop tries a call.
+const TRIES: u32 = 3;
+/// The longest time for one try.
+const TRY_TIME: Duration = Duration::from_secs(2);
+
+/// Which baseline.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BaselineKind {
+    /// Every call is passed through.
+    PassThrough,
+    /// An instance takes as many calls at once as it has slots and half as many waiting, and
+    /// refuses the rest.
+    FixedLimits,
+}
+
+struct Target {
+    client: Client,
+    in_flight: AtomicUsize,
+    most: usize,
+}
+
+/// One proxy that stands for all: it knows every backend server.
+#[derive(Clone)]
+pub struct Baseline {
+    bundle: Arc<Bundle>,
+    targets: Arc<Mutex<HashMap<String, Vec<Arc<Target>>>>>,
+    kind: BaselineKind,
+}
+
+impl Baseline {
+    /// A proxy without backend servers.
+    pub fn new(kind: BaselineKind, bundle: Bundle) -> Self {
+        Self {
+            bundle: Arc::new(bundle),
+            targets: Arc::default(),
+            kind,
+        }
+    }
+
+    /// Adds a backend server.
+    pub fn add(&self, ex: &Arc<Executor<'static>>, service: &str, addr: SocketAddr) {
+        let slots = self.bundle.service(service).map_or(1, |s| s.slots as usize);
+        let target = Target {
+            client: Client::new(Arc::clone(ex), addr),
+            in_flight: AtomicUsize::new(0),
+            most: match self.kind {
+                BaselineKind::PassThrough => usize::MAX,
+                BaselineKind::FixedLimits => slots + slots / 2,
+            },
+        };
+        let mut targets = self.targets.lock().unwrap_or_else(PoisonError::into_inner);
+        targets
+            .entry(service.to_owned())
+            .or_default()
+            .push(Arc::new(target));
+    }
+
+    /// Serves callers and backend servers alike until the task is dropped.
+    pub async fn serve(self, ex: Arc<Executor<'static>>, listener: TcpListener) {
+        loop {
+            let Ok((tcp, _)) = listener.accept().await else {
+                Timer::after(Duration::from_millis(10)).await;
+                continue;
+            };
+            let _ = tcp.set_nodelay(true);
+            let proxy = self.clone();
+            let conn = async move {
+                let service = service_fn(|req| proxy.answer(req));
+                let _ = http1::Builder::new()
+                    .serve_connection(FuturesIo::new(tcp), service)
+                    .await;
+            };
+            ex.spawn(conn).detach();
+        }
+    }
+
+    async fn answer(&self, req: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+        let (mut parts, body) = req.into_parts();
+        parts.headers.remove(hyper::header::HOST);
+        let body = body
+            .collect()
+            .await
+            .map_or_else(|_| Bytes::new(), |body| body.to_bytes());
+        let kind = self
+            .bundle
+            .match_kind(parts.method.as_str(), parts.uri.path());
+        let Some(kind) = kind else {
+            return Ok(status(StatusCode::NOT_FOUND));
+        };
+        let mut answer = status(StatusCode::BAD_GATEWAY);
+        for _ in 0..TRIES {
+            let Some(target) = self.pick(&kind.service) else {
+                break;
+            };
+            let mut req = Request::new(body.clone());
+            *req.method_mut() = Method::clone(&parts.method);
+            *req.uri_mut() = parts.uri.clone();
+            *req.headers_mut() = parts.headers.clone();
+            answer = target.call(req).await;
+            if !answer.status().is_server_error() {
+                break;
+            }
+        }
+        Ok(answer)
+    }
+
+    fn pick(&self, service: &str) -> Option<Arc<Target>> {
+        let targets = self.targets.lock().unwrap_or_else(PoisonError::into_inner);
+        let targets = targets.get(service)?;
+        targets.get(fastrand::usize(..targets.len())).cloned()
+    }
+}
+
+impl Target {
+    async fn call(&self, req: Request<Bytes>) -> Response<Full<Bytes>> {
+        let _counted = Counted::new(&self.in_flight);
+        if self.in_flight.load(Ordering::Relaxed) > self.most {
+            return status(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        match self.client.send_within(req, None, TRY_TIME).await {
+            Ok(answer) => {
+                let mut res = Response::new(Full::new(answer.body));
+                *res.status_mut() = answer.status.try_into().unwrap_or_default();
+                res
+            }
+            Err(_) => status(StatusCode::BAD_GATEWAY),
+        }
+    }
+}
+
+/// Counts a call while it lives; calls are dropped when their caller goes away.
+struct Counted<'a>(&'a AtomicUsize);
+
+impl<'a> Counted<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn status(code: StatusCode) -> Response<Full<Bytes>> {
+    let mut res = Response::new(Full::default());
+    *res.status_mut() = code;
+    res
+}
--- a/crates/sorrelturn-bench/src/commands/mod.rs
+++ b/crates/sorrelturn-bench/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod backend;
 mod latency;
+mod overload;
 
 use clap::{ArgMatches, Command};
 use std::process::ExitCode;
@@ -17,7 +18,7 @@
 }
 
 /// All commands, in the order of the help.
-pub static COMMANDS: &[CommandEntry] = &[latency::ENTRY, backend::ENTRY];
+pub static COMMANDS: &[CommandEntry] = &[latency::ENTRY, overload::ENTRY, backend::ENTRY];
 
 /// The whole command line.
 pub fn root() -> Command {
--- /dev/null
+++ b/crates/sorrelturn-bench/src/commands/overload.rs
@@ -0,0 +1,170 @@
+//! `sorrelturn-bench overload`
+
+use super::CommandEntry;
+use crate::{
+    baseline::BaselineKind,
+    run_on,
+    scenario::{Lengths, SCENARIOS, Scenario, System, run_scenario},
+    summary::Summary,
+    workload::Workload,
+};
+use clap::{Arg, ArgAction, ArgMatches, Command, builder::PossibleValuesParser, value_parser};
+use std::{path::PathBuf, process::ExitCode, sync::Arc, time::Duration};
+
+pub(super) const ENTRY: CommandEntry = CommandEntry {
+    name: "overload",
+    signature,
+    run,
+};
+
+/// The systems that are compared in one run.
+pub(super) const SYSTEMS: [System; 3] = [
+    System::Sorrelturn,
+    System::Baseline(BaselineKind::FixedLimits),
+    System::Baseline(BaselineKind::PassThrough),
+];
+
+fn signature() -> Command {
+    Command::new("overload")
+        .about("Goodput and recovery under overload, against the baselines")
+        .after_help(
+            "Example:\n  sorrelturn-bench overload --deployment protokols-riga --json out.json",
+        )
+        .arg(
+            Arg::new("deployment")
+                .long("deployment")
+                .value_name("NAME")
+                .help("Whose services")
+                .default_value("protokols-riga")
+                .value_parser(PossibleValuesParser::new(["protokols-riga", "dalaqyz-soft"])),
+        )
+        .arg(
+            Arg::new("scenario")
+                .long("scenario")
+                .value_name("NUMBER")
+                .help("Only this scenario, from 1")
+                .value_parser(value_parser!(u64).range(1..=SCENARIOS.len() as u64)),
+        )
+        .arg(
+            Arg::new("only")
+                .long("only")
+                .value_name("SYSTEM")
+                .help("Only this system")
+                .value_parser(PossibleValuesParser::new(
+                    SYSTEMS.iter().map(|system| system.name()),
+                )),
+        )
+        .arg(
+            Arg::new("failures")
+                .long("failures")
+                .help("Count the failed requests by stretch, kind and last status")
+                .action(ArgAction::SetTrue),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .value_name("FILE")
+                .help("Write the results there as well")
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
+fn run(args: &ArgMatches) -> ExitCode {
+    let name = args
+        .get_one::<String>("deployment")
+        .expect("clap fills it in");
+    let workload = Arc::new(Workload::of(name));
+    println!("{name}: capacity {:.0} root requests/s", workload.capacity);
+    let wanted = args.get_one::<u64>("scenario");
+    let only = args.get_one::<String>("only");
+    let mut results = Vec::new();
+    for (at, scenario) in SCENARIOS.iter().enumerate() {
+        if wanted.is_some_and(|wanted| *wanted != at as u64 + 1) {
+            continue;
+        }
+        println!("\n{}", scenario.name);
+        println!("{}", heads());
+        for system in SYSTEMS {
+            if only.is_some_and(|only| only != system.name()) {
+                continue;
+            }
+            let summary = measure(&workload, scenario, system, |_| {});
+            println!("{}", row(&summary));
+            if args.get_flag("failures") {
+                println!("    failures: {:?}", summary.failures);
+            }
+            results.push((scenario.name, summary));
+        }
+    }
+    if let Some(file) = args.get_one::<PathBuf>("json") {
+        let text = serde_json::to_string_pretty(&results).unwrap_or_default();
+        if let Err(error) = std::fs::write(file, text) {
+            eprintln!("error: {}: {error}\n  help: name a file in a folder that is there", file.display());
+            return ExitCode::FAILURE;
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+/// Threads for the daemons, the backend servers and the callers together.
+const THREADS: usize = 5;
+
+pub(super) fn measure(
+    workload: &Arc<Workload>,
+    scenario: &Scenario,
+    system: System,
+    progress: impl Fn(&str),
+) -> Summary {
+    let lengths = Lengths {
+        before: Duration::from_secs(3),
+        pressure: Duration::from_secs(5),
+        after: Duration::from_secs(6),
+    };
+    run_on(THREADS, async |ex| {
+        run_scenario(ex, workload, scenario, system, lengths, progress).await
+    })
+}
+
+pub(super) fn heads() -> String {
+    format!(
+        "{:<13} {:>8} {:>8} {:>8} {:>8} | {:>7} {:>7} {:>9} {:>7} {:>6} {:>6} {:>6} {:>6}",
+        "system",
+        "critical",
+        "high",
+        "normal",
+        "before/s",
+        "under/s",
+        "recov s",
+        "executed",
+        "waste %",
+        "tries",
+        "double",
+        "wrong",
+        "false"
+    )
+}
+
+pub(super) fn row(summary: &Summary) -> String {
+    let percent = |importance: &str| {
+        summary
+            .under
+            .get(importance)
+            .map_or_else(|| "-".to_owned(), |sum| format!("{:.1}%", sum.percent()))
+    };
+    format!(
+        "{:<13} {:>8} {:>8} {:>8} {:>8.0} | {:>7.0} {:>7.2} {:>9} {:>7.1} {:>6.2} {:>6} {:>6} {:>6}",
+        summary.system,
+        percent("critical"),
+        percent("high"),
+        percent("normal"),
+        summary.goodput_before,
+        summary.goodput_under,
+        summary.recovery_s,
+        summary.executions,
+        summary.wasted_percent,
+        summary.tries_per_request,
+        summary.double_runs,
+        summary.wrong_answers,
+        summary.false_not_run
+    )
+}
--- a/crates/sorrelturn-bench/src/lib.rs
+++ b/crates/sorrelturn-bench/src/lib.rs
@@ -1,13 +1,18 @@
 #![doc = include_str!("../README.md")]
 
 mod backend;
+mod baseline;
 mod client;
 mod commands;
 mod examples;
 mod exec;
 mod fleet;
+mod load;
 mod plan;
 mod processes;
+mod scenario;
+mod summary;
+mod workload;
 
 pub use backend::{FakeBackend, serve_backend};
 pub use client::{Answer, Client, Expected};
@@ -17,3 +22,8 @@
 pub use fleet::{FleetPlan, InstancePlan, LocalFleet, operator_key, publish_bundle};
 pub use plan::{Fault, KindPlan, Plan, PlannedCall, plan_for};
 pub use processes::{DaemonProcess, Process, ProcessFleet, binary, cpu_time, memory};
+pub use baseline::{Baseline, BaselineKind};
+pub use load::{Load, OnceWay, Record, Retries, Stretch};
+pub use scenario::{Lengths, SCENARIOS, Scenario, System, run_scenario};
+pub use summary::{Goodput, Summary};
+pub use workload::{MixPart, Workload};
--- /dev/null
+++ b/crates/sorrelturn-bench/src/summary.rs
@@ -0,0 +1,183 @@
+//! What a run came to: goodput, wasted work, recovery, and the counters that must be zero.
+
+use crate::load::Record;
+use sorrelturn_protocol::Importance;
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+/// The width of the windows in which recovery is looked for.
+const WINDOW: Duration = Duration::from_millis(250);
+/// A window is well if this share of its requests got a good answer.
+const WELL: f64 = 0.95;
+
+/// Good answers of one importance in one stretch.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct Goodput {
+    /// Root requests that were sent.
+    pub offered: u64,
+    /// Those that got a whole, useful answer.
+    pub good: u64,
+}
+
+impl Goodput {
+    /// The share of good answers, in percent.
+    pub fn percent(self) -> f64 {
+        self.good as f64 * 100.0 / self.offered.max(1) as f64
+    }
+}
+
+/// The result of one run.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct Summary {
+    /// Which system carried the load.
+    pub system: String,
+    /// Before the pressure, by importance.
+    pub before: BTreeMap<String, Goodput>,
+    /// Under pressure, by importance.
+    pub under: BTreeMap<String, Goodput>,
+    /// Good answers a second before the pressure and under it.
+    pub goodput_before: f64,
+    /// As above, under pressure.
+    pub goodput_under: f64,
+    /// Seconds from the end of the pressure until requests are well again.
+    pub recovery_s: f64,
+    /// Executions at backend servers.
+    pub executions: u64,
+    /// Executions that no good answer came of, in percent.
+    pub wasted_percent: f64,
+    /// Sent requests for each root request.
+    pub tries_per_request: f64,
+    /// Keys of at-most-once kinds that ran more than once.
+    pub double_runs: u64,
+    /// Answers that were another caller's or cut and given as whole.
+    pub wrong_answers: u64,
+    /// Failed requests by stretch, kind, last status and reason.
+    pub failures: BTreeMap<String, u64>,
+    /// Requests all of whose tries were answered "not run" though one ran.
+    pub false_not_run: u64,
+}
+
+/// What the summary needs besides the records.
+pub struct Context<'a> {
+    /// The name of the system.
+    pub system: &'a str,
+    /// When the pressure began and ended.
+    pub pressure: (Duration, Duration),
+    /// Executions at all backend servers.
+    pub executions: u64,
+    /// Executions by key and kind.
+    pub ran: &'a HashMap<String, u32>,
+    /// The executions that a good answer of each kind needs.
+    pub need: &'a HashMap<String, u32>,
+    /// The kinds that run at most once.
+    pub once: &'a [String],
+}
+
+impl Summary {
+    /// Sums a run up.
+    pub fn of(records: &[Record], cx: &Context) -> Self {
+        let (begin, end) = cx.pressure;
+        let in_time = |from: Duration, to: Duration| {
+            records
+                .iter()
+                .filter(move |record| (from..to).contains(&record.sent))
+        };
+        let useful: u64 = records
+            .iter()
+            .filter(|record| record.good)
+            .map(|record| u64::from(cx.need.get(&record.kind).copied().unwrap_or(1)))
+            .sum();
+        let wasted = cx.executions.saturating_sub(useful);
+        let tries: u64 = records.iter().map(|record| u64::from(record.tries)).sum();
+        let per_second = |good: usize, length: Duration| good as f64 / length.as_secs_f64();
+        let good_in = |from, to| in_time(from, to).filter(|record| record.good).count();
+        Self {
+            system: cx.system.to_owned(),
+            before: by_importance(in_time(Duration::ZERO, begin)),
+            under: by_importance(in_time(begin, end)),
+            goodput_before: per_second(good_in(Duration::ZERO, begin), begin),
+            goodput_under: per_second(good_in(begin, end), end - begin),
+            recovery_s: recovery(records, end).as_secs_f64(),
+            executions: cx.executions,
+            wasted_percent: wasted as f64 * 100.0 / cx.executions.max(1) as f64,
+            tries_per_request: tries as f64 / records.len().max(1) as f64,
+            double_runs: double_runs(cx),
+            wrong_answers: records.iter().filter(|record| record.wrong).count() as u64,
+            failures: failures(records, cx.pressure),
+            false_not_run: false_not_run(records, cx),
+        }
+    }
+}
+
+fn by_importance<'a>(records: impl Iterator<Item = &'a Record>) -> BTreeMap<String, Goodput> {
+    let mut sums: BTreeMap<Importance, Goodput> = BTreeMap::new();
+    for record in records {
+        let sum = sums.entry(record.importance).or_default();
+        sum.offered += 1;
+        sum.good += u64::from(record.good);
+    }
+    sums.into_iter()
+        .map(|(importance, sum)| (importance.name().to_owned(), sum))
+        .collect()
+}
+
+/// The time from `end` to the end of the last window that was not well.
+fn recovery(records: &[Record], end: Duration) -> Duration {
+    let mut windows: BTreeMap<u32, Goodput> = BTreeMap::new();
+    for record in records.iter().filter(|record| record.sent >= end) {
+        let window = (record.sent - end).as_nanos() / WINDOW.as_nanos();
+        let sum = windows.entry(window as u32).or_default();
+        sum.offered += 1;
+        sum.good += u64::from(record.good);
+    }
+    let last_bad = windows
+        .iter()
+        .rfind(|(_, sum)| sum.percent() < WELL * 100.0)
+        .map(|(window, _)| *window);
+    last_bad.map_or(Duration::ZERO, |window| WINDOW * (window + 1))
+}
+
+fn failures(records: &[Record], (begin, end): (Duration, Duration)) -> BTreeMap<String, u64> {
+    let mut failures = BTreeMap::new();
+    for record in records.iter().filter(|record| !record.good) {
+        let stretch = if record.sent < begin {
+            "before"
+        } else if record.sent < end {
+            "under"
+        } else {
+            "after"
+        };
+        let Record {
+            kind,
+            status,
+            reason,
+            ..
+        } = record;
+        let name = format!("{stretch} {kind} {status} {reason}");
+        *failures.entry(name).or_default() += 1;
+    }
+    failures
+}
+
+fn double_runs(cx: &Context) -> u64 {
+    cx.ran
+        .iter()
+        .filter(|(name, count)| {
+            let kind = name.split(' ').next_back().unwrap_or_default();
+            **count > 1 && cx.once.iter().any(|once| once == kind)
+        })
+        .count() as u64
+}
+
+fn false_not_run(records: &[Record], cx: &Context) -> u64 {
+    records
+        .iter()
+        .filter(|record| record.told_not_run == record.tries)
+        .filter(|record| {
+            let name = format!("{} {}", record.key, record.kind);
+            cx.ran.get(&name).is_some_and(|count| *count > 0)
+        })
+        .count() as u64
+}
--- /dev/null
+++ b/crates/sorrelturn-bench/src/workload.rs
@@ -0,0 +1,186 @@
+//! The users' workloads scaled to one machine, and their capacity worked out from the bundle.
+
+use crate::{FleetPlan, examples::example_bundle, plan::concrete_path};
+use sorrelturn_bundle::{Bundle, BundleSource, Execution};
+use sorrelturn_protocol::Importance;
+use std::collections::BTreeMap;
+
+/// Slots of the users' tables are divided by this, so that one machine can play all instances.
+const SCALE: u32 = 4;
+/// The work of a kind that only reads, and of one that changes something, in milliseconds.
+const READ_MS: f64 = 40.0;
+const CHANGE_MS: f64 = 75.0;
+
+/// One kind of root request in a mix.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MixPart {
+    /// The kind's name.
+    pub kind: String,
+    /// Its method.
+    pub method: String,
+    /// A path of it.
+    pub path: String,
+    /// Its importance.
+    pub importance: Importance,
+    /// Whether it runs at most once.
+    pub at_most_once: bool,
+    /// Its share of all root requests.
+    pub share: f64,
+}
+
+/// A deployment with its load.
+#[derive(Clone, Debug)]
+pub struct Workload {
+    /// The fleet.
+    pub fleet: FleetPlan,
+    /// The mix of root requests.
+    pub mix: Vec<MixPart>,
+    /// Root requests a second that the fleet can carry, worked out from slots and work.
+    pub capacity: f64,
+    /// The deep service that is slowed in the scenarios.
+    pub deep_service: &'static str,
+}
+
+impl Workload {
+    /// One of the users' deployments, by the name of its bundle.
+    pub fn of(name: &str) -> Self {
+        let protokols = name != "dalaqyz-soft";
+        let mut bundle = example_bundle(name);
+        for service in bundle.services.values_mut() {
+            service.slots = (service.slots / SCALE).max(2);
+            service.connections /= SCALE;
+            service.cold_start_ms = 1;
+        }
+        let (instances, domains, shares, deep): (&[_], [&str; 3], &[_], _) = if protokols {
+            (
+                &[
+                    ("archive", 5),
+                    ("certification", 4),
+                    ("audio", 3),
+                    ("scheduling", 3),
+                ],
+                ["riga-a", "riga-b", "riga-c"],
+                &[
+                    ("transcript-open", 0.44),
+                    ("transcript-list", 0.20),
+                    ("certificate-verify", 0.12),
+                    ("calendar-view", 0.08),
+                    ("audio-pack", 0.10),
+                    ("certificate-issue", 0.05),
+                    ("stenographer-book", 0.01),
+                ],
+                "certification",
+            )
+        } else {
+            (
+                &[
+                    ("portal", 5),
+                    ("billing", 3),
+                    ("statements", 3),
+                    ("dispatch", 3),
+                ],
+                ["kz-north-a", "kz-north-b", "kz-north-c"],
+                &[
+                    ("balance-view", 0.60),
+                    ("crew-status", 0.08),
+                    ("statement-archive", 0.12),
+                    ("tariff-pay", 0.15),
+                    ("valve-shutoff", 0.05),
+                ],
+                "statements",
+            )
+        };
+        let work_ms = work(&bundle);
+        let indexed = Bundle::new(1, bundle.clone());
+        let mix: Vec<MixPart> = shares
+            .iter()
+            .filter_map(|(name, share)| part(&indexed, name, *share))
+            .collect();
+        let counts: BTreeMap<&str, usize> = instances.iter().copied().collect();
+        let capacity = capacity(&indexed, &mix, &counts, &work_ms);
+        let mut fleet = FleetPlan::of(bundle, instances, &domains, &[]);
+        fleet.work_ms = work_ms;
+        Self {
+            fleet,
+            mix,
+            capacity,
+            deep_service: deep,
+        }
+    }
+
+    /// Draws a kind of root request.
+    pub fn draw(&self, rng: &mut fastrand::Rng) -> &MixPart {
+        let mut left = rng.f64();
+        for part in &self.mix {
+            left -= part.share;
+            if left < 0.0 {
+                return part;
+            }
+        }
+        &self.mix[0]
+    }
+}
+
+fn work(bundle: &BundleSource) -> BTreeMap<String, f64> {
+    bundle
+        .services
+        .values()
+        .flat_map(|service| &service.kinds)
+        .map(|(name, kind)| {
+            let changes = kind.execution == Execution::AtMostOnce;
+            (name.clone(), if changes { CHANGE_MS } else { READ_MS })
+        })
+        .collect()
+}
+
+fn part(bundle: &Bundle, name: &str, share: f64) -> Option<MixPart> {
+    let kind = bundle.kind(name)?;
+    Some(MixPart {
+        kind: name.to_owned(),
+        method: kind.kind.method.clone(),
+        path: concrete_path(&kind.kind.path, "7"),
+        importance: kind.kind.importance,
+        at_most_once: kind.at_most_once(),
+        share,
+    })
+}
+
+/// A slot is held while nested calls run, so a kind holds its service's slot for its own work and
+/// all the work below it.
+fn capacity(
+    bundle: &Bundle,
+    mix: &[MixPart],
+    instances: &BTreeMap<&str, usize>,
+    work_ms: &BTreeMap<String, f64>,
+) -> f64 {
+    let mut busy: BTreeMap<String, f64> = BTreeMap::new();
+    for part in mix {
+        hold(bundle, &part.kind, part.share, work_ms, &mut busy);
+    }
+    busy.iter()
+        .filter_map(|(service, seconds)| {
+            let slots = f64::from(bundle.service(service)?.slots);
+            let instances = *instances.get(service.as_str())? as f64;
+            Some(slots * instances / seconds)
+        })
+        .fold(f64::INFINITY, f64::min)
+}
+
+fn hold(
+    bundle: &Bundle,
+    kind: &str,
+    times: f64,
+    work_ms: &BTreeMap<String, f64>,
+    busy: &mut BTreeMap<String, f64>,
+) -> f64 {
+    let Some(entry) = bundle.kind(kind) else {
+        return 0.0;
+    };
+    let mut seconds = work_ms.get(kind).copied().unwrap_or(1.0) / 1000.0;
+    for (child, count) in &entry.kind.calls {
+        let count = f64::from(*count);
+        seconds += count * hold(bundle, child, times * count, work_ms, busy);
+    }
+    *busy.entry(entry.service.clone()).or_default() += times * seconds;
+    seconds
+}
--- a/crates/sorrelturn-daemon/src/answer.rs
+++ b/crates/sorrelturn-daemon/src/answer.rs
@@ -76,7 +76,6 @@
             Some(res) => {
                 let mut res = *res;
                 headers::strip_hop_by_hop(res.headers_mut());
-                headers::strip_internal(res.headers_mut());
                 res
             }
             None => refusal_response(&self.context, request),
--- a/crates/sorrelturn-daemon/src/owner.rs
+++ b/crates/sorrelturn-daemon/src/owner.rs
@@ -9,6 +9,7 @@
     node::{Carried, InForce, Node, lock},
     parents::ParentGuard,
     room::Slot,
+    tokens,
 };
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -52,7 +53,11 @@
 
 /// Runs a call at this daemon's backend server, or refuses it.
 pub(crate) async fn serve(node: &Arc<Node>, context: CallContext, req: Request<Body>) -> Reply {
-    let mut reply = admit(node, context, req).await;
+    let mut reply = if req.uri().path() == tokens::ISSUE_PATH {
+        unused(tokens::issue(node), context.attempts)
+    } else {
+        admit(node, context, req).await
+    };
     let answer = &mut reply.context;
     answer.bundle_version = node
         .in_force
@@ -320,9 +325,11 @@
         self,
         slot: Slot,
         guard: ParentGuard,
-        res: Response<Incoming>,
+        mut res: Response<Incoming>,
         lease: Lease,
     ) -> Reply {
+        // Our own headers are ours to say: a backend server can't tell a caller a verdict.
+        headers::strip_internal(res.headers_mut());
         let status = res.status().as_u16();
         let service = self.in_force.bundle.service(&self.kind.service);
         let refused = service.is_some_and(|service| service.refused_statuses.contains(&status));
--- a/crates/sorrelturn-daemon/src/serve.rs
+++ b/crates/sorrelturn-daemon/src/serve.rs
@@ -8,7 +8,6 @@
     owner,
     peers::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES},
     timers::Timers,
-    tokens,
 };
 use hyper::{
     Request, Response, StatusCode,
@@ -206,15 +205,8 @@
         return status(StatusCode::BAD_REQUEST);
     };
     headers::strip_internal(req.headers_mut());
-    let reply = if req.uri().path() == tokens::ISSUE_PATH {
-        let mut reply = tokens::issue(node);
-        reply.context.attempts_left = context.attempts;
-        reply
-    } else {
-        let req = req.map(|body| body::watched(body, |_| {}));
-        owner::serve(node, context, req).await
-    };
-    reply.into_peer_response()
+    let req = req.map(|body| body::watched(body, |_| {}));
+    owner::serve(node, context, req).await.into_peer_response()
 }
 
 /// Two ways to tell where a body ends are a way to smuggle a request behind another one.
--- a/crates/sorrelturn-policy/src/gate.rs
+++ b/crates/sorrelturn-policy/src/gate.rs
@@ -111,7 +111,7 @@
             return (Decision::Admit, None);
         }
         if now + self.expected_wait(now, arrival) >= arrival.deadline {
-            self.pressure.shed();
+            self.pressure.shed(arrival.priority);
             return (Decision::Refuse(Refusal::Deadline), None);
         }
         let key = QueueKey::from(arrival);
@@ -119,15 +119,18 @@
             self.queue.insert(key, now);
             return (Decision::Wait, None);
         }
-        self.pressure.shed();
         match self.queue.first_key_value() {
             Some((least, _)) if *least < key => {
                 let pushed_out = least.id.0;
+                self.pressure.shed(least.priority);
                 self.queue.pop_first();
                 self.queue.insert(key, now);
                 (Decision::Wait, Some(pushed_out))
             }
-            _ => (Decision::Refuse(Refusal::Overload), None),
+            _ => {
+                self.pressure.shed(arrival.priority);
+                (Decision::Refuse(Refusal::Overload), None)
+            }
         }
     }
 
@@ -144,7 +147,7 @@
     pub fn give_up(&mut self, arrival: &Arrival, wait_is_over: bool) -> bool {
         let waited = self.queue.remove(&QueueKey::from(arrival)).is_some();
         if waited && wait_is_over {
-            self.pressure.shed();
+            self.pressure.shed(arrival.priority);
         }
         waited
     }
@@ -206,7 +209,7 @@
                 break;
             };
             if key.deadline.0 <= now {
-                self.pressure.shed();
+                self.pressure.shed(key.priority);
                 released.refused.push((key.id.0, Refusal::Deadline));
                 continue;
             }
--- a/crates/sorrelturn-policy/src/learned.rs
+++ b/crates/sorrelturn-policy/src/learned.rs
@@ -7,7 +7,9 @@
     time::Duration,
 };
 
-/// Without news a threshold falls by one step in this time, so that recovery is found by probes.
+/// So long a threshold stands without news; an entry sees few requests of a kind in a second.
+const HOLD_TIME: Duration = Duration::from_millis(300);
+/// Then it falls by one step in this time, so that recovery is found by probes.
 const DECAY_TIME: Duration = Duration::from_millis(50);
 /// The first step; each further one without news is twice as large.
 const DECAY_STEP: u64 = 16;
@@ -23,14 +25,14 @@
 }
 
 impl LearnedThreshold {
-    /// Takes the threshold of an answer: a higher one at once, a lower one by a quarter, since
-    /// the instances of a service differ.
+    /// Takes the threshold of an answer, halfway: the instances of a service differ, and their
+    /// mean is what the next request will meet.
     pub fn observe(&self, now: Now, announced: Priority) {
-        let current = self.current(now).0;
-        let next = if announced.0 >= current {
-            announced.0
+        let sum = u32::from(self.current(now).0) + u32::from(announced.0);
+        let next = if announced == Priority::LOWEST {
+            sum / 2
         } else {
-            current - (current - announced.0).div_ceil(4)
+            sum.div_ceil(2)
         };
         let word = (now.as_millis() as u64) << 16 | u64::from(next);
         self.word.store(word, Ordering::Relaxed);
@@ -44,7 +46,8 @@
             return Priority::LOWEST;
         }
         let silent_ms = (now.as_millis() as u64).saturating_sub(word >> 16);
-        let steps = (silent_ms / DECAY_TIME.as_millis() as u64).min(16) as u32;
+        let falling_ms = silent_ms.saturating_sub(HOLD_TIME.as_millis() as u64);
+        let steps = (falling_ms / DECAY_TIME.as_millis() as u64).min(16) as u32;
         let fallen = DECAY_STEP * ((1 << steps) - 1);
         Priority(learnt.saturating_sub(fallen) as u16)
     }
--- a/crates/sorrelturn-policy/src/pressure.rs
+++ b/crates/sorrelturn-policy/src/pressure.rs
@@ -13,22 +13,29 @@
 const BUCKET_WIDTH: usize = 8;
 const BUCKETS: usize = (Priority::HIGHEST.0 as usize + 1) / BUCKET_WIDTH;
 /// The share of the admitted requests that an overloaded window aims at for the next one.
-const AIM_PERCENT: u64 = 97;
+const AIM: f64 = 0.97;
+/// What is left of the counts of earlier windows. A small instance sees a handful of requests in
+/// a window; without memory the threshold follows their noise.
+const MEMORY: f64 = 0.7;
+/// Quiet windows in which the threshold falls by one step each before the steps double.
+const EVEN_STEPS: u32 = 4;
 
 /// Counts what arrives by priority and finds the threshold that fits the capacity.
 ///
-/// Raising works on the histogram of a window, so that it is right at once whatever the mix of
-/// priorities. Lowering can't: entry daemons already shed what it would count. It goes in steps
-/// that double while nothing is shed, so that the end of an overload is found in a few windows.
+/// Raising works on a histogram of arrivals, so that it is right at once whatever the mix of
+/// priorities, and never goes above what was really shed here. Lowering can't use it: entry
+/// daemons already shed what it would count. It goes in steps that double while nothing is shed,
+/// so that the end of an overload is found in a few windows.
 #[derive(Clone, Debug)]
 pub struct Pressure {
     window_start: Now,
-    arrived: [u32; BUCKETS],
-    admitted: u64,
-    shed: u64,
+    arrived: [f64; BUCKETS],
+    admitted: f64,
+    admitted_now: u32,
     waited: Duration,
+    highest_shed: Option<usize>,
     cut: usize,
-    step: usize,
+    quiet_windows: u32,
     since: Option<Now>,
 }
 
@@ -37,12 +44,13 @@
     pub fn new(now: Now) -> Self {
         Self {
             window_start: now,
-            arrived: [0; BUCKETS],
-            admitted: 0,
-            shed: 0,
+            arrived: [0.0; BUCKETS],
+            admitted: 0.0,
+            admitted_now: 0,
             waited: Duration::ZERO,
+            highest_shed: None,
             cut: 0,
-            step: 1,
+            quiet_windows: 0,
             since: None,
         }
     }
@@ -50,18 +58,19 @@
     /// A request arrived at the gate.
     pub fn arrived(&mut self, now: Now, priority: Priority) {
         self.roll(now);
-        self.arrived[bucket(priority)] += 1;
+        self.arrived[bucket(priority)] += 1.0;
     }
 
     /// A request was admitted after this wait.
     pub fn admitted(&mut self, wait: Duration) {
-        self.admitted += 1;
+        self.admitted += 1.0;
+        self.admitted_now += 1;
         self.waited += wait;
     }
 
     /// A request was refused or pushed out for lack of room.
-    pub fn shed(&mut self) {
-        self.shed += 1;
+    pub fn shed(&mut self, priority: Priority) {
+        self.highest_shed = self.highest_shed.max(Some(bucket(priority)));
     }
 
     /// Requests below this priority are being shed.
@@ -77,45 +86,54 @@
 
     fn roll(&mut self, now: Now) {
         while now >= self.window_start + WINDOW {
-            if self.overloaded() {
-                self.raise();
-                self.since.get_or_insert(self.window_start);
-            } else {
-                self.lower();
+            match self.highest_shed {
+                Some(highest) => self.raise(highest),
+                None if self.waits_too_long() => self.quiet_windows = 0,
+                None => self.lower(),
             }
-            self.arrived = [0; BUCKETS];
-            (self.admitted, self.shed) = (0, 0);
-            self.waited = Duration::ZERO;
-            self.window_start += WINDOW;
-            if self.cut == 0 && now > self.window_start + WINDOW {
+            self.next_window();
+            let idle = self.cut == 0 && now > self.window_start + WINDOW;
+            if idle {
                 self.window_start = now;
             }
         }
     }
 
-    fn overloaded(&self) -> bool {
-        let mean_wait = self.waited / (self.admitted.max(1) as u32);
-        self.shed > 0 || mean_wait > WAIT_TARGET
+    fn next_window(&mut self) {
+        for count in &mut self.arrived {
+            *count *= MEMORY;
+        }
+        self.admitted *= MEMORY;
+        self.admitted_now = 0;
+        self.waited = Duration::ZERO;
+        self.highest_shed = None;
+        self.window_start += WINDOW;
+    }
+
+    fn waits_too_long(&self) -> bool {
+        self.waited / self.admitted_now.max(1) > WAIT_TARGET
     }
 
-    fn raise(&mut self) {
-        self.step = 1;
-        let room = self.admitted * AIM_PERCENT / 100;
-        let mut above = 0;
+    fn raise(&mut self, highest_shed: usize) {
+        self.quiet_windows = 0;
+        self.since.get_or_insert(self.window_start);
+        let room = self.admitted * AIM;
+        let mut above = 0.0;
         let mut cut = BUCKETS - 1;
         while cut > self.cut {
-            above += u64::from(self.arrived[cut]);
+            above += self.arrived[cut];
             if above > room {
                 break;
             }
             cut -= 1;
         }
-        self.cut = cut.max(self.cut);
+        self.cut = cut.min(highest_shed + 1).min(BUCKETS - 1).max(self.cut);
     }
 
     fn lower(&mut self) {
-        self.cut = self.cut.saturating_sub(self.step);
-        self.step = (self.step * 2).min(BUCKETS);
+        let doublings = self.quiet_windows.saturating_sub(EVEN_STEPS).min(7);
+        self.quiet_windows += 1;
+        self.cut = self.cut.saturating_sub(1 << doublings);
         if self.cut == 0 {
             self.since = None;
         }
