--- a/crates/sorrelturn-bench/src/baseline.rs
+++ b/crates/sorrelturn-bench/src/baseline.rs
@@ -4,8 +4,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    Method, Request, Response, StatusCode, body::Incoming, server::conn::http1,
-    service::service_fn,
+    Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
 };
 use smol::{Executor, Timer, net::TcpListener};
 use smol_hyper::rt::FuturesIo;
--- a/crates/sorrelturn-bench/src/commands/mod.rs
+++ b/crates/sorrelturn-bench/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The bench's commands, one file each.
 
 mod backend;
+mod demo;
 mod latency;
 mod overload;
 
@@ -18,7 +19,8 @@
 }
 
 /// All commands, in the order of the help.
-pub static COMMANDS: &[CommandEntry] = &[latency::ENTRY, overload::ENTRY, backend::ENTRY];
+pub static COMMANDS: &[CommandEntry] =
+    &[demo::ENTRY, latency::ENTRY, overload::ENTRY, backend::ENTRY];
 
 /// The whole command line.
 pub fn root() -> Command {
--- a/crates/sorrelturn-bench/src/commands/overload.rs
+++ b/crates/sorrelturn-bench/src/commands/overload.rs
@@ -36,7 +36,10 @@
                 .value_name("NAME")
                 .help("Whose services")
                 .default_value("protokols-riga")
-                .value_parser(PossibleValuesParser::new(["protokols-riga", "dalaqyz-soft"])),
+                .value_parser(PossibleValuesParser::new([
+                    "protokols-riga",
+                    "dalaqyz-soft",
+                ])),
         )
         .arg(
             Arg::new("scenario")
@@ -99,7 +102,10 @@
     if let Some(file) = args.get_one::<PathBuf>("json") {
         let text = serde_json::to_string_pretty(&results).unwrap_or_default();
         if let Err(error) = std::fs::write(file, text) {
-            eprintln!("error: {}: {error}\n  help: name a file in a folder that is there", file.display());
+            eprintln!(
+                "error: {}: {error}\n  help: name a file in a folder that is there",
+                file.display()
+            );
             return ExitCode::FAILURE;
         }
     }
--- a/crates/sorrelturn-bench/src/lib.rs
+++ b/crates/sorrelturn-bench/src/lib.rs
@@ -15,15 +15,15 @@
 mod workload;
 
 pub use backend::{FakeBackend, serve_backend};
+pub use baseline::{Baseline, BaselineKind};
 pub use client::{Answer, Client, Expected};
 pub use commands::{COMMANDS, CommandEntry, root};
 pub use examples::example_bundle;
 pub use exec::run_on;
 pub use fleet::{FleetPlan, InstancePlan, LocalFleet, operator_key, publish_bundle};
+pub use load::{Load, OnceWay, Record, Retries, Stretch};
 pub use plan::{Fault, KindPlan, Plan, PlannedCall, plan_for};
 pub use processes::{DaemonProcess, Process, ProcessFleet, binary, cpu_time, memory};
-pub use baseline::{Baseline, BaselineKind};
-pub use load::{Load, OnceWay, Record, Retries, Stretch};
 pub use scenario::{Lengths, SCENARIOS, Scenario, System, run_scenario};
 pub use summary::{Goodput, Summary};
 pub use workload::{MixPart, Workload};
--- a/crates/sorrelturn-bench/src/load.rs
+++ b/crates/sorrelturn-bench/src/load.rs
@@ -88,7 +88,11 @@
 
 impl Load {
     /// Sends the stretches one after another; `at_stretch` is called when each begins.
-    pub async fn run(&self, stretches: &[Stretch], mut at_stretch: impl FnMut(usize)) -> Vec<Record> {
+    pub async fn run(
+        &self,
+        stretches: &[Stretch],
+        mut at_stretch: impl FnMut(usize),
+    ) -> Vec<Record> {
         let records = Arc::new(Mutex::new(Vec::new()));
         let start = Instant::now();
         let mut rng = fastrand::Rng::with_seed(11);
@@ -220,5 +224,10 @@
     let refusal: Option<serde_json::Value> = serde_json::from_slice(&answer.body).ok();
     refusal
         .and_then(|refusal| Some(refusal.get("error")?.as_str()?.to_owned()))
-        .unwrap_or_else(|| String::from_utf8_lossy(&answer.body).chars().take(40).collect())
+        .unwrap_or_else(|| {
+            String::from_utf8_lossy(&answer.body)
+                .chars()
+                .take(40)
+                .collect()
+        })
 }
--- a/crates/sorrelturn-bench/src/scenario.rs
+++ b/crates/sorrelturn-bench/src/scenario.rs
@@ -211,7 +211,9 @@
 
 async fn start_daemons(ex: &Arc<Executor<'static>>, workload: &Workload) -> Running {
     let fleet = LocalFleet::start(Arc::clone(ex), workload.fleet.clone()).await;
-    let entries = (0..fleet.daemons.len()).map(|at| fleet.caller(at)).collect();
+    let entries = (0..fleet.daemons.len())
+        .map(|at| fleet.caller(at))
+        .collect();
     let backends = fleet
         .plan
         .instances
--- a/crates/sorrelturn-bundle/src/model.rs
+++ b/crates/sorrelturn-bundle/src/model.rs
@@ -22,7 +22,7 @@
     pub slots: u32,
     /// How many connections one instance takes.
     pub connections: u32,
-    /// How many requests may wait for a slot; half of the slots where it is absent.
+    /// How many requests may wait for a slot; as many as there are slots where it is absent.
     #[serde(default)]
     pub queue: Option<u32>,
     /// The longest time that a request waits for a slot, in milliseconds.
@@ -55,7 +55,7 @@
 impl Service {
     /// How many requests may wait for a slot.
     pub fn queue_len(&self) -> u32 {
-        self.queue.unwrap_or(self.slots / 2).max(1)
+        self.queue.unwrap_or(self.slots).max(1)
     }
 }
 
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -162,6 +162,8 @@
 pub(crate) struct Counts {
     /// Requests that this daemon carries in any role.
     pub(crate) carried: AtomicUsize,
+    /// Whether the backend server could not be reached last.
+    pub(crate) backend_lost: AtomicBool,
     /// Whether this daemon watches the platform.
     pub(crate) watching: AtomicBool,
     /// Bytes sent and received for control, for the budget of 3 KB a second.
@@ -247,6 +249,19 @@
         })
     }
 
+    /// Notes whether the backend server could be reached; one that is back starts cold.
+    pub(crate) fn backend_reached(&self, reached: bool) {
+        let was_lost = self.counts.backend_lost.swap(!reached, Ordering::Relaxed);
+        match (was_lost, reached) {
+            (false, false) => self.note(&events::BACKEND_LOST, Vec::new()),
+            (true, true) => {
+                self.room.with_gate(|gate, now| gate.backend_restarted(now));
+                self.note(&events::BACKEND_BACK, Vec::new());
+            }
+            _ => {}
+        }
+    }
+
     /// Takes a record of a member; returns whether it was news.
     pub(crate) fn merge_member(&self, record: MemberRecord) -> bool {
         if record.instance == self.settings.instance && record.incarnation != self.incarnation {
--- a/crates/sorrelturn-daemon/src/owner.rs
+++ b/crates/sorrelturn-daemon/src/owner.rs
@@ -281,8 +281,12 @@
             None
         };
         match exchange.or(too_late).await {
-            Some(Ok((res, lease))) => self.answered(slot, guard, res, lease),
+            Some(Ok((res, lease))) => {
+                node.backend_reached(true);
+                self.answered(slot, guard, res, lease)
+            }
             Some(Err(BackendError::NotSent)) => {
+                node.backend_reached(false);
                 slot.release(Outcome::Broke);
                 let share = self.context.attempts;
                 unused(self.refused(Refusal::BackendUnreachable), share)
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -195,14 +195,13 @@
         if node.leave(LeavingCause::Signal).is_some() {
             gossip::spread_own_record(node);
         }
-        // The first cause stays, so that a drain that came earlier is not prolonged by the signal.
         let most = Duration::from_secs(node.settings.stop.most_s);
-        let since = Instant::now();
+        let carried = || node.counts.carried.load(Ordering::Relaxed);
         Timer::after(GRACE).await;
-        while node.counts.carried.load(Ordering::Relaxed) > 0 && since.elapsed() < most {
+        while !lock(&node.leaving).may_exit(node.now(), carried(), most) {
             Timer::after(STOP_STEP).await;
         }
-        let whole = node.counts.carried.load(Ordering::Relaxed) == 0;
+        let whole = carried() == 0;
         outcomes::close(node).await;
         let gone = node.set_own_state(MemberState::Gone);
         gossip::spread_own_record(node);
--- a/crates/sorrelturn-policy/src/gate.rs
+++ b/crates/sorrelturn-policy/src/gate.rs
@@ -5,6 +5,11 @@
 use sorrelturn_protocol::{Importance, Priority, Refusal};
 use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
+/// A critical request waits so many times longer: asking for it again costs its caller more.
+const CRITICAL_WAITS: u32 = 4;
+/// Critical requests find so many times more room in the queue.
+const CRITICAL_ROOM: usize = 2;
+
 /// What the bundle says about a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GateConfig {
@@ -115,7 +120,7 @@
             return (Decision::Refuse(Refusal::Deadline), None);
         }
         let key = QueueKey::from(arrival);
-        if self.queue.len() < self.cfg.queue_len as usize {
+        if self.queue.len() < self.room_for(arrival.priority.importance()) {
             self.queue.insert(key, now);
             return (Decision::Wait, None);
         }
@@ -157,9 +162,12 @@
         self.limit.restarted(now);
     }
 
-    /// The longest wait of a request in the queue.
-    pub fn queue_wait(&self) -> Duration {
-        self.cfg.queue_wait
+    /// The longest wait of a request of this importance.
+    pub fn queue_wait(&self, importance: Importance) -> Duration {
+        match importance {
+            Importance::Critical => self.cfg.queue_wait * CRITICAL_WAITS,
+            _ => self.cfg.queue_wait,
+        }
     }
 
     /// Requests in flight.
@@ -193,6 +201,15 @@
         self.pressure.lasting(now)
     }
 
+    /// How many may wait before one of this importance finds no room.
+    fn room_for(&self, importance: Importance) -> usize {
+        let all = self.cfg.queue_len as usize;
+        match importance {
+            Importance::Critical => all * CRITICAL_ROOM,
+            _ => all,
+        }
+    }
+
     fn has_room(&self, now: Now) -> bool {
         self.in_flight < self.limit(now)
     }
--- a/crates/sorrelturn-policy/src/leaving.rs
+++ b/crates/sorrelturn-policy/src/leaving.rs
@@ -3,7 +3,7 @@
 use crate::Now;
 use std::time::Duration;
 
-/// Why a daemon leaves; the first cause stays.
+/// Why a daemon leaves; the first cause stays, but a signal takes the place of any other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeavingCause {
     /// The process was told to stop.
@@ -26,7 +26,10 @@
     /// Starts leaving; returns whether this is news.
     pub fn leave(&mut self, now: Now, cause: LeavingCause) -> bool {
         let news = self.cause.is_none();
-        self.cause.get_or_insert((cause, now));
+        let told_to_stop = cause == LeavingCause::Signal && self.cause() != Some(cause);
+        if news || told_to_stop {
+            self.cause = Some((cause, now));
+        }
         news
     }
 
--- /dev/null
+++ b/crates/sorrelturn-policy/tests/routing.rs
@@ -0,0 +1,109 @@
+//! Routing avoids what is loaded, broken, leaving or cold, and never empties a service.
+
+use sorrelturn_policy::*;
+use sorrelturn_protocol::Incarnation;
+use std::time::Duration;
+
+const NONE: Duration = Duration::ZERO;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn service(count: u64) -> Vec<Instance> {
+    (0..count)
+        .map(|id| Instance::new(Incarnation(id), true, NONE, NONE))
+        .collect()
+}
+
+fn shares(instances: &[Instance], now: Duration) -> Vec<usize> {
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut shares = vec![0; instances.len()];
+    for _ in 0..1_000 {
+        if let Some(at) = choose(instances.iter(), now, &[], &mut rng) {
+            shares[at] += 1;
+        }
+    }
+    shares
+}
+
+fn report(instance: &Instance, now: Duration, report: InstanceReport) {
+    instance.started();
+    instance.finished(now, report);
+}
+
+#[test]
+fn a_loaded_instance_gets_fewer_calls_until_its_report_is_old() {
+    let instances = service(4);
+    report(
+        &instances[0],
+        ms(1_000),
+        InstanceReport::Answered { load: 200 },
+    );
+    assert_eq!(shares(&instances, ms(1_000))[0], 0);
+    assert!(shares(&instances, ms(10_000))[0] > 150);
+}
+
+#[test]
+fn an_instance_that_fails_in_a_row_is_ejected_and_comes_back() {
+    let instances = service(4);
+    for _ in 0..5 {
+        report(&instances[0], ms(0), InstanceReport::Failed);
+    }
+    assert_eq!(shares(&instances, ms(100))[0], 0);
+    assert!(shares(&instances, ms(600))[0] > 150);
+}
+
+#[test]
+fn ejections_never_empty_a_service() {
+    let instances = service(4);
+    for instance in &instances {
+        for _ in 0..5 {
+            report(instance, ms(0), InstanceReport::Failed);
+        }
+    }
+    assert!(shares(&instances, ms(100)).iter().all(|share| *share > 150));
+}
+
+#[test]
+fn a_leaving_instance_gets_nothing_even_if_it_is_the_last() {
+    let instances = service(1);
+    report(&instances[0], ms(0), InstanceReport::Leaving);
+    assert_eq!(shares(&instances, ms(0)), [0]);
+}
+
+#[test]
+fn an_instance_that_was_asked_already_is_not_asked_again() {
+    let instances = service(2);
+    let mut rng = fastrand::Rng::with_seed(2);
+    for _ in 0..100 {
+        let at = choose(instances.iter(), NONE, &[Incarnation(0)], &mut rng);
+        assert_eq!(at, Some(1));
+    }
+}
+
+#[test]
+fn the_own_failure_domain_is_preferred_until_it_is_loaded() {
+    let mut instances = service(2);
+    instances.extend((2..4).map(|id| Instance::new(Incarnation(id), false, NONE, NONE)));
+    let idle = shares(&instances, NONE);
+    assert!(idle[0] + idle[1] > 800, "{idle:?}");
+    for instance in &instances[..2] {
+        report(instance, ms(0), InstanceReport::Answered { load: 100 });
+    }
+    let loaded = shares(&instances, ms(0));
+    assert!(loaded[2] + loaded[3] > 800, "{loaded:?}");
+}
+
+#[test]
+fn a_cold_instance_gets_a_small_share_that_grows() {
+    let mut instances = service(3);
+    instances.push(Instance::new(Incarnation(3), true, ms(1_000), NONE));
+    let cold = shares(&instances, ms(0))[3];
+    let warmer = shares(&instances, ms(500))[3];
+    let warm = shares(&instances, ms(1_000))[3];
+    assert!(
+        cold < 100 && cold < warmer && warmer < warm,
+        "{cold} {warmer} {warm}"
+    );
+}
