--- a/crates/sorrelturn-bench/src/fleet.rs
+++ b/crates/sorrelturn-bench/src/fleet.rs
@@ -9,7 +9,8 @@
 use sorrelturn_bundle::{Bundle, BundleSource, OperatorKey, SignedManifest};
 use sorrelturn_command::{Publication, publish, read_head};
 use sorrelturn_daemon::{
-    BackendSettings, Daemon, ListenSettings, OnceSettings, PlatformSettings, Settings, StopSettings,
+    BackendSettings, Daemon, FleetKeySettings, ListenSettings, MetricsSettings, OnceSettings,
+    PlatformSettings, Settings, StopSettings, TraceSettings,
 };
 use sorrelturn_platform::{Platform, StandIn, serve};
 use std::{
@@ -50,6 +51,12 @@
     pub instances: Vec<InstancePlan>,
     /// The work of each kind, in milliseconds; 1 where it is absent.
     pub work_ms: BTreeMap<String, f64>,
+    /// Where the daemons send traces.
+    pub trace: Option<TraceSettings>,
+    /// Where the daemons send metrics.
+    pub metrics: Option<MetricsSettings>,
+    /// The keys by which the daemons recognise one another.
+    pub fleet_keys: Option<FleetKeySettings>,
 }
 
 impl FleetPlan {
@@ -77,6 +84,9 @@
             bundle,
             instances,
             work_ms,
+            trace: None,
+            metrics: None,
+            fleet_keys: None,
         }
     }
 
@@ -110,12 +120,12 @@
             },
             seeds: Vec::new(),
             operators: BTreeMap::from([(OPERATOR.to_owned(), key.public_hex())]),
-            fleet_keys: None,
+            fleet_keys: self.fleet_keys.clone(),
             threads: 1,
             once: OnceSettings::default(),
             stop: StopSettings::default(),
-            trace: None,
-            metrics: None,
+            trace: self.trace,
+            metrics: self.metrics,
         }
     }
 
