Fleet bench: control cost and seconds to in force at growing sizes

Cause: CAPACITY.md needs slopes from runs. Ruled out: nothing yet. Change: sorrelturn-bench fleet with real daemon processes, healthy and in an outage.

--- a/crates/sorrelturn-bench/src/commands/mod.rs
+++ b/crates/sorrelturn-bench/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod backend;
 mod demo;
+mod fleet;
 mod latency;
 mod overload;
 
@@ -19,8 +20,13 @@
 }
 
 /// All commands, in the order of the help.
-pub static COMMANDS: &[CommandEntry] =
-    &[demo::ENTRY, latency::ENTRY, overload::ENTRY, backend::ENTRY];
+pub static COMMANDS: &[CommandEntry] = &[
+    demo::ENTRY,
+    latency::ENTRY,
+    overload::ENTRY,
+    fleet::ENTRY,
+    backend::ENTRY,
+];
 
 /// The whole command line.
 pub fn root() -> Command {
