--- a/crates/sorrelturn-daemon/src/control.rs
+++ b/crates/sorrelturn-daemon/src/control.rs
@@ -32,7 +32,7 @@
 /// The largest control message, in bytes; a section has a megabyte at the most.
 const MESSAGE_LIMIT_BYTES: usize = 8 << 20;
 /// A connection that nobody used for this long is closed.
-const IDLE_TIME: Duration = Duration::from_secs(120);
+const IDLE_TIME: Duration = Duration::from_secs(60);
 /// How many hops an explanation follows.
 const EXPLAIN_DEPTH: u8 = 16;
 
@@ -116,6 +116,7 @@
 impl Control for Server {
     async fn exchange(self, _: context::Context, digest: Digest) -> DigestReply {
         let from = digest.from.instance.clone();
+        gossip::visited_by(&self.node, &from);
         gossip::heard_member(&self.node, digest.from);
         gossip::heard_version(
             &self.node,
@@ -347,10 +348,14 @@
 
     fn keep(&self, incarnation: Incarnation, client: &ControlClient) {
         let mut open = lock(&self.open);
-        open.retain(|_, (_, used)| used.elapsed() < IDLE_TIME);
         open.insert(incarnation, (client.clone(), Instant::now()));
     }
 
+    /// Closes connections that nobody used for a while.
+    pub(crate) fn close_idle(&self) {
+        lock(&self.open).retain(|_, (_, used)| used.elapsed() < IDLE_TIME);
+    }
+
     fn drop_link(&self, incarnation: Incarnation) {
         lock(&self.open).remove(&incarnation);
     }
--- a/crates/sorrelturn-daemon/src/gossip.rs
+++ b/crates/sorrelturn-daemon/src/gossip.rs
@@ -12,7 +12,7 @@
     Digest, Fetch, PUSH_FAN_OUT, Report, Source, WATCHERS, push_targets, ranked,
 };
 use sorrelturn_platform::{PlatformError, keys};
-use sorrelturn_protocol::MemberRecord;
+use sorrelturn_protocol::{MemberRecord, MemberState};
 use sorrelturn_telemetry::{Field, events};
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -22,8 +22,12 @@
 
 /// How often a daemon compares what it knows with a neighbour.
 const EXCHANGE_EVERY: Duration = Duration::from_secs(2);
-/// How many neighbours a daemon keeps connections to.
-const NEIGHBOURS: usize = 5;
+/// How many neighbours a daemon keeps connections to and sends news to.
+const NEIGHBOURS: usize = PUSH_FAN_OUT;
+/// So long a visitor is told of news: it comes round every ten seconds.
+const VISITOR_TIME: Duration = Duration::from_secs(15);
+/// The most visitors that are told of news.
+const MOST_VISITORS: usize = 10;
 /// After so many exchanges one neighbour is replaced, so that the graph keeps mixing.
 const EXCHANGES_PER_NEIGHBOUR: u32 = 30;
 /// How often a daemon reports to its watchers without a reason.
@@ -53,6 +57,14 @@
     }
 }
 
+/// A daemon compared notes with this one, so this one is its neighbour.
+pub(crate) fn visited_by(node: &Node, instance: &str) {
+    let mut visitors = lock(&node.visitors);
+    if visitors.len() < MOST_VISITORS || visitors.contains_key(instance) {
+        visitors.insert(instance.to_owned(), node.now());
+    }
+}
+
 /// Sends the own record out after it changed.
 pub(crate) fn spread_own_record(node: &Arc<Node>) {
     push_news(node, vec![(**node.own_record.load()).clone()]);
@@ -73,12 +85,24 @@
     }
 }
 
+/// News goes to the neighbours and to those whose neighbour this daemon is, over connections that
+/// stay open; a fresh one for each piece of news would cost a handshake and its memory. Without the
+/// visitors, a daemon that nobody happens to have chosen would hear everything last.
 fn targets(node: &Node) -> Vec<MemberRecord> {
-    let own = node.own_record.load();
+    let mut neighbours = lock(&node.neighbours);
+    refill(node, &mut neighbours);
+    let mut visitors = lock(&node.visitors);
+    visitors.retain(|_, seen| node.now().saturating_sub(*seen) < VISITOR_TIME);
     let membership = lock(&node.membership);
-    let mut rng = fastrand::Rng::new();
-    push_targets(membership.present(), &own, PUSH_FAN_OUT, &mut rng)
-        .into_iter()
+    neighbours
+        .iter()
+        .chain(
+            visitors
+                .keys()
+                .filter(|instance| !neighbours.contains(instance)),
+        )
+        .filter_map(|instance| membership.get(instance))
+        .filter(|record| record.state != MemberState::Gone)
         .cloned()
         .collect()
 }
@@ -261,27 +285,33 @@
 
 /// Compares notes with neighbours, one after another.
 pub(crate) async fn run_exchanges(node: Arc<Node>) {
-    let mut neighbours: VecDeque<String> = VecDeque::new();
     let mut exchanges = 0;
     loop {
         let jitter = 0.75 + fastrand::f64() / 2.0;
         Timer::after(EXCHANGE_EVERY.mul_f64(jitter)).await;
         lock(&node.membership).forget_gone(node.now());
-        refill(&node, &mut neighbours);
-        let Some(instance) = neighbours.pop_front() else {
-            continue;
-        };
-        let Some(record) = lock(&node.membership).get(&instance).cloned() else {
+        node.control_links.close_idle();
+        let Some(record) = next_neighbour(&node) else {
             continue;
         };
         exchanges += 1;
         let answered = exchange(&node, &record).await.is_ok();
-        if answered && exchanges % EXCHANGES_PER_NEIGHBOUR != 0 {
-            neighbours.push_back(instance);
+        if !answered || exchanges % EXCHANGES_PER_NEIGHBOUR == 0 {
+            lock(&node.neighbours).retain(|instance| *instance != record.instance);
         }
     }
 }
 
+/// The neighbour whose turn it is; it goes to the end of the row.
+fn next_neighbour(node: &Node) -> Option<MemberRecord> {
+    let mut neighbours = lock(&node.neighbours);
+    refill(node, &mut neighbours);
+    let instance = neighbours.pop_front()?;
+    let record = lock(&node.membership).get(&instance).cloned()?;
+    neighbours.push_back(instance);
+    Some(record)
+}
+
 fn refill(node: &Node, neighbours: &mut VecDeque<String>) {
     if neighbours.len() >= NEIGHBOURS {
         return;
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -19,7 +19,7 @@
 use sorrelturn_protocol::{CallerId, Incarnation, MemberRecord, MemberState};
 use sorrelturn_telemetry::{EventRing, Field, SpanBuffer, events};
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -149,6 +149,8 @@
     pub(crate) spread: Mutex<Spread>,
     pub(crate) view: Mutex<DomainView>,
     pub(crate) control_links: ControlLinks,
+    pub(crate) neighbours: Mutex<VecDeque<String>>,
+    pub(crate) visitors: Mutex<HashMap<String, Now>>,
     pub(crate) leaving: Mutex<Leaving>,
     pub(crate) own_record: ArcSwap<MemberRecord>,
     pub(crate) events: EventRing,
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -330,6 +330,8 @@
         spread: Mutex::new(Spread::default()),
         view: Mutex::new(DomainView::default()),
         control_links: ControlLinks::default(),
+        neighbours: Mutex::default(),
+        visitors: Mutex::default(),
         leaving: Mutex::new(Leaving::default()),
         own_record: ArcSwap::from_pointee(record),
         events: EventRing::new(&settings.instance, EVENT_CAPACITY),
--- /dev/null
+++ b/crates/sorrelturn-daemon/tests/settings.rs
@@ -0,0 +1,136 @@
+//! The default settings file fits the code, and bad settings are refused at their place.
+
+use sorrelturn_daemon::Settings;
+use std::{path::Path, process::Command};
+
+fn default_file() -> std::path::PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../settings/sorrelturnd.jsonc")
+}
+
+fn default_text() -> String {
+    std::fs::read_to_string(default_file()).expect("the file is in the repository")
+}
+
+#[test]
+fn the_default_file_says_what_the_code_takes_for_granted() {
+    let settings = Settings::parse("default", &default_text()).expect("the default is right");
+    // What may be left out has the same value when it is left out.
+    let mut text = serde_json::to_value(&settings).expect("json");
+    let object = text.as_object_mut().expect("an object");
+    for field in [
+        "threads",
+        "once",
+        "stop",
+        "seeds",
+        "fleet_keys",
+        "trace",
+        "metrics",
+    ] {
+        object.remove(field);
+    }
+    object["backend"]
+        .as_object_mut()
+        .expect("an object")
+        .remove("connect_ms");
+    object["platform"]
+        .as_object_mut()
+        .expect("an object")
+        .remove("timeout_ms");
+    let short = Settings::parse("short", &text.to_string()).expect("the rest has defaults");
+    assert_eq!(short, settings);
+}
+
+#[test]
+fn every_field_of_the_default_file_stands_on_the_page() {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/SETTINGS.md");
+    let page = std::fs::read_to_string(page).expect("the page is in the repository");
+    let settings = Settings::parse("default", &default_text()).expect("the default is right");
+    let json = serde_json::to_value(&settings).expect("json");
+    for (field, value) in json.as_object().expect("an object") {
+        let nested = value.as_object().filter(|_| field != "operators");
+        let names: Vec<String> = match nested {
+            Some(nested) => nested
+                .keys()
+                .map(|name| format!("`{field}.{name}`"))
+                .collect(),
+            None => vec![format!("`{field}")],
+        };
+        for name in names {
+            assert!(page.contains(&name), "{name} is not described");
+        }
+    }
+}
+
+#[test]
+fn bad_settings_are_refused_with_file_line_and_help() {
+    let cases = [
+        (
+            r#""instance": "archive-0""#,
+            r#""instance": "Archive 0""#,
+            "instance is",
+        ),
+        (
+            r#""local": "127.0.0.1:7001""#,
+            r#""local": "10.0.0.1:7001""#,
+            "open to others",
+        ),
+        (
+            r#""peers": "127.0.0.1:7002""#,
+            r#""peers": "127.0.0.1:7000""#,
+            "two listeners",
+        ),
+        (r#""threads": 2"#, r#""threads": 0"#, "threads is 0"),
+        (
+            r#""threads": 2"#,
+            r#""thread": 2"#,
+            "unknown field `thread`",
+        ),
+        (
+            r#""timeout_ms": 1000"#,
+            r#""timeout_ms": "1s""#,
+            "invalid type",
+        ),
+        (
+            r#""address": "127.0.0.1:8080""#,
+            r#""address": "backend""#,
+            "invalid socket address",
+        ),
+        (
+            r#""ttl_s": 600"#,
+            r#""ttl_s": 0"#,
+            "no token could ever be used",
+        ),
+        (
+            r#""example": "2152"#,
+            r#""example": "zz52"#,
+            "64 hexadecimal digits",
+        ),
+    ];
+    for (from, to, message) in cases {
+        let text = default_text();
+        assert!(text.contains(from), "{from}");
+        let bad = text.replacen(from, to, 1);
+        let findings = Settings::parse("bad.jsonc", &bad).expect_err(to);
+        let shown = findings.iter().map(ToString::to_string).collect::<String>();
+        assert!(shown.contains(message), "{to}: {shown}");
+        assert!(shown.contains("--> bad.jsonc:"), "{shown}");
+        assert!(shown.contains("help: "), "{shown}");
+    }
+}
+
+#[test]
+fn the_program_checks_settings_and_exits_as_its_help_says() {
+    let program = env!("CARGO_BIN_EXE_sorrelturnd");
+    let check = |file: &Path| {
+        Command::new(program)
+            .arg("--settings")
+            .arg(file)
+            .arg("--check-settings")
+            .output()
+            .expect("it runs")
+    };
+    assert_eq!(check(&default_file()).status.code(), Some(0));
+    let missing = check(Path::new("/nowhere/settings.jsonc"));
+    assert_eq!(missing.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&missing.stderr).contains("help:"));
+}
--- a/crates/sorrelturn-fleet/src/spread.rs
+++ b/crates/sorrelturn-fleet/src/spread.rs
@@ -5,8 +5,8 @@
 use sorrelturn_protocol::MemberRecord;
 use std::time::Duration;
 
-/// How many peers hear of a new bundle from each daemon.
-pub const PUSH_FAN_OUT: usize = 4;
+/// How many neighbours hear of news from each daemon.
+pub const PUSH_FAN_OUT: usize = 5;
 /// A fetch that has taken longer is given up for another source.
 const FETCH_TIME: Duration = Duration::from_secs(2);
 
--- /dev/null
+++ b/crates/sorrelturn-fleet/tests/membership.rs
@@ -0,0 +1,208 @@
+//! Membership and ranks converge whatever the order of news, and wrong lists do no harm.
+
+use proptest::prelude::*;
+use sorrelturn_fleet::*;
+use sorrelturn_protocol::{Incarnation, MemberRecord, MemberState};
+use std::{collections::BTreeMap, time::Duration};
+
+const NOW: Duration = Duration::ZERO;
+
+fn record(number: u64, started_ms: u64, sequence: u32, state: MemberState) -> MemberRecord {
+    MemberRecord {
+        instance: format!("i{number}"),
+        service: format!("s{}", number % 3),
+        failure_domain: format!("d{}", number % 2),
+        incarnation: Incarnation(number * 1_000 + started_ms),
+        started_ms,
+        sequence,
+        state,
+        peer_addr: ([127, 0, 0, 1], 1).into(),
+        control_addr: ([127, 0, 0, 1], 2).into(),
+    }
+}
+
+fn live(number: u64) -> MemberRecord {
+    record(number, 1, 0, MemberState::Live)
+}
+
+fn membership(records: impl IntoIterator<Item = MemberRecord>) -> Membership {
+    let mut membership = Membership::default();
+    for record in records {
+        membership.merge(NOW, record);
+    }
+    membership
+}
+
+#[test]
+fn stale_news_of_an_earlier_run_changes_nothing() {
+    let mut known = membership([record(1, 5, 0, MemberState::Live)]);
+    assert!(!known.merge(NOW, record(1, 4, 9, MemberState::Gone)));
+    assert!(!known.merge(NOW, record(1, 5, 0, MemberState::Live)));
+    assert!(known.merge(NOW, record(1, 5, 1, MemberState::Leaving)));
+    assert_eq!(known.live_of("s1").count(), 0);
+}
+
+#[test]
+fn with_the_first_watchers_gone_the_next_in_rank_stand_in() {
+    let known = membership((0..20).map(live));
+    let ranked_before: Vec<String> = ranked(known.present(), "d0")
+        .iter()
+        .map(|r| r.instance.clone())
+        .collect();
+    let without: Vec<MemberRecord> = known
+        .present()
+        .filter(|record| !ranked_before[..WATCHERS].contains(&record.instance))
+        .cloned()
+        .collect();
+    let known = membership(without);
+    let ranked_after: Vec<String> = ranked(known.present(), "d0")
+        .iter()
+        .map(|r| r.instance.clone())
+        .collect();
+    assert_eq!(ranked_after, ranked_before[WATCHERS..]);
+}
+
+#[test]
+fn only_those_near_the_front_ask_those_before_them() {
+    let known = membership((0..40).map(live));
+    let ranked = ranked(known.present(), "d0");
+    for (position, record) in ranked.iter().enumerate() {
+        let before = predecessors(&ranked, &record.instance).map(<[_]>::len);
+        let stands_by = position < WATCHERS + DEPUTIES;
+        assert_eq!(before, stands_by.then_some(position));
+    }
+}
+
+#[test]
+fn a_list_that_takes_too_much_of_a_service_is_not_believed_for_it() {
+    let known = membership((0..12).map(live));
+    let mut listed: BTreeMap<&str, bool> = BTreeMap::new();
+    let names: Vec<String> = (0..12).map(|number| format!("i{number}")).collect();
+    // s0 has i0, i3, i6, i9: three of four are taken; s1 loses i1 only; s2 is whole.
+    for (number, name) in names.iter().enumerate() {
+        listed.insert(name, matches!(number, 0 | 3 | 6 | 1));
+    }
+    let advice = advise(&known, "d0", &listed);
+    assert_eq!(advice.not_believed, ["s0"]);
+    assert!(advice.leaving.is_empty(), "i1 is in d1: {advice:?}");
+    let advice = advise(&known, "d1", &listed);
+    assert_eq!(advice.leaving, ["i1"]);
+    let empty = advise(&known, "d0", &BTreeMap::new());
+    assert_eq!((empty.unlisted.len(), empty.not_believed.len()), (0, 3));
+}
+
+#[test]
+fn pushes_go_to_both_the_own_and_other_failure_domains() {
+    let known = membership((0..40).map(live));
+    let own = live(0);
+    let mut rng = fastrand::Rng::with_seed(1);
+    for _ in 0..100 {
+        let targets = push_targets(known.present(), &own, PUSH_FAN_OUT, &mut rng);
+        let near = targets
+            .iter()
+            .filter(|t| t.failure_domain == own.failure_domain)
+            .count();
+        assert_eq!(targets.len(), PUSH_FAN_OUT);
+        assert!(near >= 2 && near < PUSH_FAN_OUT, "{near}");
+        assert!(targets.iter().all(|target| target.instance != own.instance));
+    }
+}
+
+#[test]
+fn a_version_only_rises_and_a_second_source_is_tried() {
+    let mut spread = Spread::default();
+    let peer = |name: &str| Source::Peer(name.to_owned());
+    let first = spread.heard(NOW, 5, peer("a")).expect("a fetch");
+    assert_eq!(spread.heard(NOW, 5, peer("b")), None);
+    // The first source fails; the second one is asked.
+    let second = spread.fetch_over(NOW, &first).expect("another fetch");
+    assert_eq!(second.source, peer("b"));
+    assert!(spread.put_in_force(5));
+    assert!(!spread.put_in_force(4) && !spread.put_in_force(5));
+    assert_eq!(spread.fetch_over(NOW, &second), None);
+    assert_eq!(spread.heard(NOW, 5, peer("c")), None);
+    assert_eq!(spread.in_force(), 5);
+    // A source that never answers doesn't block the next one for ever.
+    assert!(spread.heard(NOW, 6, peer("d")).is_some());
+    assert!(spread.heard(Duration::from_secs(3), 6, peer("e")).is_some());
+}
+
+/// News spread by push and by exchanges among daemons that never lose what they know.
+fn spread_to_all(count: usize, seed: u64, cut_off: usize) -> usize {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let all = membership((0..count as u64).map(live));
+    let records: Vec<MemberRecord> = all.present().cloned().collect();
+    let mut knows = vec![false; count];
+    let index_of =
+        |record: &MemberRecord| records.iter().position(|r| r.instance == record.instance);
+    let mut fresh = vec![cut_off];
+    knows[cut_off] = true;
+    let mut rounds = 0;
+    while !fresh.is_empty() {
+        rounds += 1;
+        let mut next = Vec::new();
+        for at in fresh {
+            for target in push_targets(records.iter(), &records[at], PUSH_FAN_OUT, &mut rng) {
+                let target = index_of(target).expect("a member");
+                if target >= cut_off && !knows[target] {
+                    knows[target] = true;
+                    next.push(target);
+                }
+            }
+        }
+        fresh = next;
+    }
+    assert!(rounds < 20);
+    knows.iter().filter(|knows| **knows).count()
+}
+
+#[test]
+fn a_push_alone_reaches_nearly_everybody_in_a_few_rounds() {
+    for seed in 0..5 {
+        let reached = spread_to_all(2_700, seed, 0);
+        assert!(reached > 2_600, "{reached} of 2700");
+        // A third is cut off; the rest is still reached, and exchanges do the remainder.
+        let reached = spread_to_all(2_700, seed, 900);
+        assert!(reached > 1_500, "{reached} of 1800");
+    }
+}
+
+proptest! {
+    #[test]
+    fn in_any_order_of_news_all_come_to_the_same_members_and_digest(
+        news in prop::collection::vec((0u64..10, 1u64..4, 0u32..4, 0u8..3), 1..60),
+        seed: u64,
+    ) {
+        let states = [MemberState::Live, MemberState::Leaving, MemberState::Gone];
+        let mut records: Vec<MemberRecord> = news
+            .into_iter()
+            .map(|(number, started, sequence, state)| record(number, started, sequence, states[usize::from(state)]))
+            .collect();
+        let one = membership(records.clone());
+        fastrand::Rng::with_seed(seed).shuffle(&mut records);
+        let mut other = membership(records.clone());
+        for record in records {
+            other.merge(NOW, record);
+        }
+        prop_assert_eq!(one.digest(), other.digest());
+        prop_assert_eq!(one.digest().differing(&other.digest()), Vec::<u8>::new());
+        let names = |m: &Membership| m.all().cloned().collect::<Vec<_>>();
+        prop_assert_eq!(names(&one), names(&other));
+    }
+
+    #[test]
+    fn an_exchange_of_differing_groups_makes_two_daemons_agree(
+        left in prop::collection::vec((0u64..200, 1u64..3), 0..100),
+        right in prop::collection::vec((0u64..200, 1u64..3), 0..100),
+    ) {
+        let build = |list: Vec<(u64, u64)>| {
+            membership(list.into_iter().map(|(n, s)| record(n, s, 0, MemberState::Live)))
+        };
+        let (mut left, mut right) = (build(left), build(right));
+        let differing = left.digest().differing(&right.digest());
+        let (from_left, from_right) = (left.in_buckets(&differing), right.in_buckets(&differing));
+        for record in from_right { left.merge(NOW, record); }
+        for record in from_left { right.merge(NOW, record); }
+        prop_assert_eq!(left.digest(), right.digest());
+    }
+}
--- /dev/null
+++ b/crates/sorrelturn-telemetry/tests/catalogues.rs
@@ -0,0 +1,52 @@
+//! The pages in docs/ and the catalogues in the code say the same.
+
+use sorrelturn_telemetry::{events, metrics};
+use std::{collections::HashSet, path::Path};
+
+fn page(name: &str) -> String {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../../docs")
+        .join(name);
+    std::fs::read_to_string(file).expect("the page is in the repository")
+}
+
+#[test]
+fn every_event_stands_on_its_page_and_nothing_else_does() {
+    let page = page("EVENTS.md");
+    let rows: Vec<&str> = page
+        .lines()
+        .filter(|line| line.starts_with("| S"))
+        .collect();
+    assert_eq!(rows.len(), events::CATALOGUE.len());
+    for (row, kind) in rows.iter().zip(events::CATALOGUE) {
+        let level = kind.level.as_str().to_lowercase();
+        let start = format!(
+            "| S{:03} | {} | {level} | {} |",
+            kind.number, kind.name, kind.text
+        );
+        assert!(row.starts_with(&start), "{row}\n{start}");
+    }
+}
+
+#[test]
+fn numbers_and_names_of_events_are_unique_and_rise() {
+    let numbers: Vec<u16> = events::CATALOGUE.iter().map(|kind| kind.number).collect();
+    assert!(numbers.is_sorted_by(|left, right| left < right));
+    let names: HashSet<&str> = events::CATALOGUE.iter().map(|kind| kind.name).collect();
+    assert_eq!(names.len(), numbers.len());
+}
+
+#[test]
+fn every_metric_stands_on_its_page_and_nothing_else_does() {
+    let page = page("METRICS.md");
+    let rows: Vec<&str> = page
+        .lines()
+        .filter(|line| line.starts_with("| `"))
+        .collect();
+    assert_eq!(rows.len(), metrics::CATALOGUE.len());
+    for (row, metric) in rows.iter().zip(metrics::CATALOGUE) {
+        let kind = format!("{:?}", metric.kind).to_lowercase();
+        let start = format!("| `{}` | {kind} |", metric.name);
+        assert!(row.starts_with(&start), "{row}\n{start}");
+    }
+}
