Daemon split into smaller modules; short reports; thresholds halve while slots stay free; bench runs apart

Change: owner_once, fetch, reports, control_client, metered, explain, status, in_force, join; reports without the record and only when nothing was reported for 20 s; a window without a busy gate halves the threshold; each measurement in a process of its own.

--- a/crates/sorrelturn-bench/src/commands/overload.rs
+++ b/crates/sorrelturn-bench/src/commands/overload.rs
@@ -91,12 +91,17 @@
             if only.is_some_and(|only| only != system.name()) {
                 continue;
             }
-            let summary = measure(&workload, scenario, system, |_| {});
+            let alone = wanted.is_some() && only.is_some();
+            let summary = if alone {
+                measure(&workload, scenario, system, |_| {})
+            } else {
+                measure_apart(name, at + 1, system)
+            };
             println!("{}", row(&summary));
             if args.get_flag("failures") {
                 println!("    failures: {:?}", summary.failures);
             }
-            results.push((scenario.name, summary));
+            results.push((scenario.name.to_owned(), summary));
         }
     }
     if let Some(file) = args.get_one::<PathBuf>("json") {
@@ -112,6 +117,29 @@
     ExitCode::SUCCESS
 }
 
+/// Measures one system under one scenario in a process of its own, so that nothing of the one
+/// before it is left: its connections are many.
+fn measure_apart(deployment: &str, scenario: usize, system: System) -> Summary {
+    let file = std::env::temp_dir().join(format!("sorrelturn-overload-{}", std::process::id()));
+    let own = std::env::current_exe().expect("the running program has a path");
+    let status = std::process::Command::new(own)
+        .args(["overload", "--deployment", deployment])
+        .args(["--scenario", &scenario.to_string()])
+        .args(["--only", system.name()])
+        .arg("--json")
+        .arg(&file)
+        .stdout(std::process::Stdio::null())
+        .status();
+    assert!(
+        status.is_ok_and(|status| status.success()),
+        "the run failed"
+    );
+    let text = std::fs::read_to_string(&file).expect("the run wrote its results");
+    let _ = std::fs::remove_file(&file);
+    let mut results: Vec<(String, Summary)> = serde_json::from_str(&text).expect("its results");
+    results.remove(0).1
+}
+
 /// Threads for the daemons, the backend servers and the callers together.
 const THREADS: usize = 5;
 
--- a/crates/sorrelturn-bench/src/summary.rs
+++ b/crates/sorrelturn-bench/src/summary.rs
@@ -1,6 +1,7 @@
 //! What a run came to: goodput, wasted work, recovery, and the counters that must be zero.
 
 use crate::load::Record;
+use serde::{Deserialize, Serialize};
 use sorrelturn_protocol::Importance;
 use std::{
     collections::{BTreeMap, HashMap},
@@ -13,7 +14,7 @@
 const WELL: f64 = 0.95;
 
 /// Good answers of one importance in one stretch.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Goodput {
     /// Root requests that were sent.
     pub offered: u64,
@@ -29,7 +30,7 @@
 }
 
 /// The result of one run.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Summary {
     /// Which system carried the load.
     pub system: String,
--- a/crates/sorrelturn-daemon/src/admin.rs
+++ b/crates/sorrelturn-daemon/src/admin.rs
@@ -2,10 +2,10 @@
 
 use crate::{
     body::{self, Body},
-    control::{self, StatusReport},
-    gossip,
+    explain, fetch, gossip,
     node::{Node, lock},
     serve::status,
+    status::StatusReport,
 };
 use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE};
@@ -44,7 +44,7 @@
         (&Method::POST, "/keys/reload") => reload_keys(node),
         (&Method::PUT, "/bundle") => take_bundle(node, req).await,
         (&Method::GET, path) => match path.strip_prefix("/explain/").map(str::parse) {
-            Some(Ok(request)) => json(&control::explain(node, request).await),
+            Some(Ok(request)) => json(&explain::explain(node, request).await),
             Some(Err(_)) => status(StatusCode::BAD_REQUEST),
             None => status(StatusCode::NOT_FOUND),
         },
@@ -101,7 +101,7 @@
     let taken = brought
         .manifest
         .verify(&node.trusted)
-        .and_then(|manifest| gossip::take(node, brought.manifest, &manifest, &sections));
+        .and_then(|manifest| fetch::take(node, brought.manifest, &manifest, &sections));
     match taken {
         Ok(()) => json(&report(node)),
         Err(error) => {
--- a/crates/sorrelturn-daemon/src/forward.rs
+++ b/crates/sorrelturn-daemon/src/forward.rs
@@ -4,8 +4,9 @@
     answer::Reply,
     body::{self, Body},
     clock::unix_ns,
-    export, headers,
-    node::{InForce, KindState, Node, lock},
+    export, fetch, headers,
+    in_force::{InForce, KindState},
+    node::{Node, lock},
     owner,
     payload::Payload,
     peers::PeerError,
@@ -292,7 +293,7 @@
     if answer.refusal.is_none() {
         lock(&kind_state.retries).succeeded();
     }
-    crate::gossip::heard_version(
+    fetch::heard_version(
         node,
         answer.bundle_version,
         Source::Peer(route.record.instance.clone()),
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/join.rs
@@ -0,0 +1,89 @@
+//! Joining the fleet: becoming known, and finding members and a bundle.
+
+use crate::{
+    fetch, gossip,
+    node::{Node, lock},
+};
+use smol::Timer;
+use sorrelturn_fleet::{Source, push_targets};
+use sorrelturn_platform::{Expected, keys};
+use sorrelturn_protocol::{Incarnation, MemberRecord, MemberState};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+/// How many peers a daemon asks for a bundle when it starts.
+const PEERS_ASKED: usize = 5;
+/// How often a daemon without a bundle looks for one.
+const BUNDLE_PAUSE: Duration = Duration::from_millis(500);
+/// Makes itself known, and finds members and a bundle.
+pub(crate) async fn join(node: &Arc<Node>) {
+    if let Ok(changes) = node.platform.list(keys::MEMBERS).await {
+        let records: Vec<MemberRecord> = changes
+            .objects
+            .iter()
+            .filter_map(|object| serde_json::from_str(&object.value).ok())
+            .collect();
+        start_after(node, &records);
+        node.merge_members(records);
+    }
+    node.set_own_state(MemberState::Live);
+    let own = (**node.own_record.load()).clone();
+    let value = serde_json::to_string(&own).unwrap_or_default();
+    let key = keys::member(&own.instance);
+    let _ = node.platform.put(&key, &value, Expected::Anything).await;
+}
+
+/// A clock that was set back must not make this run look older than the last one.
+fn start_after(node: &Node, records: &[MemberRecord]) {
+    let own = node.own_record.load();
+    let last = records
+        .iter()
+        .find(|record| record.instance == own.instance);
+    if let Some(last) = last
+        && last.started_ms >= own.started_ms
+    {
+        let mut later = (**own).clone();
+        later.started_ms = last.started_ms + 1;
+        node.own_record.store(Arc::new(later));
+    }
+}
+
+/// Looks for a bundle until there is one: in the store and at peers of several failure domains,
+/// because the store may be down and a peer may be behind.
+pub(crate) async fn find_bundle(node: Arc<Node>) {
+    while node.in_force.load().is_none() {
+        for seed in &node.settings.seeds {
+            let stranger = seed_record(&node, *seed);
+            if gossip::exchange(&node, &stranger).await.is_ok() {
+                let _ = fetch::fetch_from_member(&node, Some(&stranger)).await;
+            }
+        }
+        let peers: Vec<MemberRecord> = {
+            let own = node.own_record.load();
+            let membership = lock(&node.membership);
+            let mut rng = fastrand::Rng::new();
+            let picked = push_targets(membership.present(), &own, PEERS_ASKED, &mut rng);
+            picked.into_iter().cloned().collect()
+        };
+        for peer in &peers {
+            let _ = fetch::fetch_from_member(&node, Some(peer)).await;
+        }
+        let _ = fetch::fetch_from(&node, &Source::Store).await;
+        if node.in_force.load().is_none() {
+            Timer::after(BUNDLE_PAUSE).await;
+        }
+    }
+}
+
+/// A daemon of which only the control address is known.
+fn seed_record(node: &Node, control_addr: SocketAddr) -> MemberRecord {
+    let own = node.own_record.load();
+    let mut incarnation = [0; 8];
+    let hash = blake3::hash(control_addr.to_string().as_bytes());
+    incarnation.copy_from_slice(&hash.as_bytes()[..8]);
+    MemberRecord {
+        instance: format!("seed-{control_addr}"),
+        incarnation: Incarnation(u64::from_be_bytes(incarnation)),
+        control_addr,
+        ..(**own).clone()
+    }
+}
--- a/crates/sorrelturn-daemon/src/lib.rs
+++ b/crates/sorrelturn-daemon/src/lib.rs
@@ -6,32 +6,41 @@
 mod body;
 mod clock;
 mod control;
+mod control_client;
 mod entry;
+mod explain;
 mod export;
+mod fetch;
 mod forward;
 mod gossip;
 mod headers;
+mod in_force;
+mod join;
+mod metered;
 mod nested;
 mod node;
 mod outcomes;
 mod owner;
+mod owner_once;
 mod parents;
 mod payload;
 mod peers;
+mod reports;
 mod room;
 mod routes;
 mod run;
 mod serve;
 mod settings;
+mod status;
 mod stream;
 mod timers;
 mod tokens;
 mod watch;
 
-pub use control::{FleetReport, StatusReport};
 pub use run::{Addresses, Daemon, StartError};
 pub use settings::{
     BackendSettings, FleetKeySettings, ListenSettings, MetricsSettings, OnceSettings,
     PlatformSettings, Settings, StopSettings, TraceSettings,
 };
+pub use status::{FleetReport, StatusReport};
 pub use stream::fleet_client_stream;
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -1,22 +1,19 @@
 //! What all tasks of a daemon share.
 
 use crate::{
-    backend::Backend, clock::Clock, control::ControlLinks, parents::Parents, room::Room,
-    routes::Routes, settings::Settings, stream::FleetKeys, timers::Timers,
+    backend::Backend, clock::Clock, control_client::ControlLinks, in_force::InForce,
+    parents::Parents, room::Room, routes::Routes, settings::Settings, stream::FleetKeys,
+    timers::Timers,
 };
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cadence::StatsdClient;
 use smol::Executor;
-use sorrelturn_bundle::{
-    Bundle, CallerEntry, KindEntry, SectionBytes, SignedManifest, TrustedKeys,
-};
+use sorrelturn_bundle::{Bundle, SectionBytes, SignedManifest, TrustedKeys};
 use sorrelturn_fleet::{DomainView, Membership, Spread};
 use sorrelturn_once::Ledger;
 use sorrelturn_platform::Platform;
-use sorrelturn_policy::{
-    GateConfig, LearnedThreshold, Leaving, LeavingCause, Now, RateBucket, RetryBucket,
-};
-use sorrelturn_protocol::{CallerId, Incarnation, MemberRecord, MemberState};
+use sorrelturn_policy::{GateConfig, Leaving, LeavingCause, Now};
+use sorrelturn_protocol::{Incarnation, MemberRecord, MemberState};
 use sorrelturn_telemetry::{EventRing, Field, SpanBuffer, events};
 use std::{
     collections::{HashMap, VecDeque},
@@ -27,130 +24,6 @@
     time::Duration,
 };
 
-/// The retries that each success of a kind pays for.
-const EDGE_RETRY_FRACTION: f64 = 0.1;
-
-/// A bundle in force with what is learnt under it.
-pub(crate) struct InForce {
-    /// The bundle.
-    pub(crate) bundle: Bundle,
-    /// The signed manifest, to pass on.
-    pub(crate) manifest: SignedManifest,
-    /// The sections, to pass on.
-    pub(crate) sections: Vec<SectionBytes>,
-    kinds: HashMap<String, Arc<KindState>>,
-    callers: HashMap<CallerId, CallerState>,
-}
-
-/// What one caller may still ask for at this entry.
-struct CallerState {
-    rate: Mutex<RateBucket>,
-    retries: Mutex<RetryBucket>,
-}
-
-/// What is learnt about one kind of request.
-pub(crate) struct KindState {
-    /// The threshold that answers announced.
-    pub(crate) threshold: LearnedThreshold,
-    /// The retries that its successes pay for.
-    pub(crate) retries: Mutex<RetryBucket>,
-}
-
-impl InForce {
-    /// Puts a bundle in the place of `before`; what was learnt stays.
-    pub(crate) fn new(
-        bundle: Bundle,
-        manifest: SignedManifest,
-        sections: Vec<SectionBytes>,
-        before: Option<&Self>,
-        now: Now,
-    ) -> Self {
-        let source = bundle.source();
-        let kinds = source
-            .services
-            .values()
-            .flat_map(|service| service.kinds.keys())
-            .map(|name| {
-                let known = before.and_then(|before| before.kinds.get(name));
-                (
-                    name.clone(),
-                    known.map_or_else(KindState::fresh, Arc::clone),
-                )
-            })
-            .collect();
-        let callers = source
-            .callers
-            .iter()
-            .filter_map(|(name, caller)| {
-                let state = CallerState {
-                    rate: Mutex::new(RateBucket::new(caller.rate_per_second, now)),
-                    retries: Mutex::new(RetryBucket::new(caller.retry_fraction)),
-                };
-                Some((bundle.caller_id(name)?, state))
-            })
-            .collect();
-        Self {
-            bundle,
-            manifest,
-            sections,
-            kinds,
-            callers,
-        }
-    }
-
-    /// What is learnt about a kind of this bundle.
-    pub(crate) fn kind_state(&self, kind: &KindEntry) -> Arc<KindState> {
-        self.kinds
-            .get(&kind.name)
-            .map_or_else(KindState::fresh, Arc::clone)
-    }
-
-    /// The threshold over everything that a kind calls, as far as it is known here.
-    pub(crate) fn threshold_below(
-        &self,
-        kind: &KindEntry,
-        now: Now,
-    ) -> sorrelturn_protocol::Priority {
-        kind.kind
-            .calls
-            .keys()
-            .filter_map(|child| self.kinds.get(child))
-            .map(|state| state.threshold.current(now))
-            .max()
-            .unwrap_or_default()
-    }
-
-    /// Takes one request out of a caller's rate.
-    pub(crate) fn caller_may_ask(&self, caller: &CallerEntry, now: Now) -> bool {
-        self.callers
-            .get(&caller.id)
-            .is_none_or(|state| lock(&state.rate).take(now))
-    }
-
-    /// Takes the price of a retry that is made for a caller's request; its successes pay for it.
-    pub(crate) fn caller_pays_retry(&self, caller: CallerId) -> bool {
-        self.callers
-            .get(&caller)
-            .is_none_or(|state| lock(&state.retries).take())
-    }
-
-    /// A caller's request succeeded.
-    pub(crate) fn caller_succeeded(&self, caller: CallerId) {
-        if let Some(state) = self.callers.get(&caller) {
-            lock(&state.retries).succeeded();
-        }
-    }
-}
-
-impl KindState {
-    fn fresh() -> Arc<Self> {
-        Arc::new(Self {
-            threshold: LearnedThreshold::default(),
-            retries: Mutex::new(RetryBucket::new(EDGE_RETRY_FRACTION)),
-        })
-    }
-}
-
 /// Everything that the tasks of one daemon share.
 pub(crate) struct Node {
     pub(crate) ex: Arc<Executor<'static>>,
@@ -190,12 +63,28 @@
     pub(crate) connections: Arc<AtomicUsize>,
     /// Whether the backend server could not be reached last.
     pub(crate) backend_lost: AtomicBool,
+    /// When this daemon reported to its watchers last.
+    pub(crate) reported: LastTime,
     /// Whether this daemon watches the platform.
     pub(crate) watching: AtomicBool,
     /// Bytes sent and received for control, for the budget of 3 KB a second.
     pub(crate) control_bytes: AtomicU64,
 }
 
+/// A point in time that tasks share; before it is set, it lies infinitely long ago.
+#[derive(Default)]
+pub(crate) struct LastTime(Mutex<Option<Now>>);
+
+impl LastTime {
+    pub(crate) fn set(&self, now: Now) {
+        *lock(&self.0) = Some(now);
+    }
+
+    pub(crate) fn elapsed_since(&self, now: Now) -> Duration {
+        lock(&self.0).map_or(Duration::MAX, |last| now.saturating_sub(last))
+    }
+}
+
 /// Counts a request as carried while it lives.
 pub(crate) struct Carried {
     node: Arc<Node>,
--- a/crates/sorrelturn-daemon/src/owner.rs
+++ b/crates/sorrelturn-daemon/src/owner.rs
@@ -6,24 +6,23 @@
     body::{self, Body},
     clock::unix_ns,
     export, headers,
-    node::{Carried, InForce, Node, lock},
+    in_force::InForce,
+    node::{Carried, Node, lock},
     parents::ParentGuard,
     room::Slot,
     tokens,
 };
-use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::{
     Request, Response,
     body::{Body as _, Incoming},
-    header::{CONTENT_TYPE, HOST},
+    header::HOST,
 };
-use smol::{channel, future::FutureExt};
+use smol::future::FutureExt;
 use sorrelturn_bundle::KindEntry;
-use sorrelturn_once::{Begin, Fingerprint, Outcome as OnceOutcome};
+use sorrelturn_once::{Begin, Fingerprint};
 use sorrelturn_policy::{LeavingCause, Now, Outcome, RetryAfter};
 use sorrelturn_protocol::{
-    AnswerContext, CallContext, ExecutionToken, Refusal, SpanId, Verdict,
+    AnswerContext, CallContext, Refusal, SpanId, Verdict,
     headers::{DEADLINE_MS, IMPORTANCE, PARENT, REQUEST_ID, TRACEPARENT},
 };
 use sorrelturn_telemetry::{Field, Span, SpanKind, TraceContext, events, metrics};
@@ -36,15 +35,12 @@
 /// A larger one waits for its reader most of the time, so its slot is free after the head; only
 /// the connection is held. See `docs/design/streaming.md`.
 const ONE_PIECE_BYTES: u64 = 64 << 10;
-/// The largest answer of an at-most-once request that is kept for repeats.
-const KEPT_ANSWER_BYTES: usize = 64 << 10;
-
 /// One call at its owner.
-struct Hop {
-    node: Arc<Node>,
+pub(crate) struct Hop {
+    pub(crate) node: Arc<Node>,
     in_force: Arc<InForce>,
     kind: Arc<KindEntry>,
-    context: CallContext,
+    pub(crate) context: CallContext,
     span: SpanId,
     deadline: Now,
     started_ns: u64,
@@ -111,7 +107,7 @@
 }
 
 /// Hands the whole share of a call that cost no execution back.
-fn unused(mut reply: Reply, share: u32) -> Reply {
+pub(crate) fn unused(mut reply: Reply, share: u32) -> Reply {
     reply.context.attempts_left = share;
     reply
 }
@@ -155,114 +151,7 @@
         }
     }
 
-    /// A call that runs at most once. It goes on when its caller goes away, so that its outcome
-    /// is known.
-    async fn once(self, token: ExecutionToken, req: Request<Body>) -> Reply {
-        let target = req
-            .uri()
-            .path_and_query()
-            .map_or("", |target| target.as_str());
-        let fingerprint = fingerprint(&self.context, target);
-        let node = Arc::clone(&self.node);
-        let share = self.context.attempts;
-        let begin = lock(&node.ledger).begin(node.now(), &token, fingerprint);
-        match begin {
-            Begin::Run => {}
-            Begin::Recorded(outcome) => return unused(self.recorded(outcome), share),
-            other => return unused(self.not_begun(&other), share),
-        }
-        let spent = SpentToken {
-            node: Arc::clone(&node),
-            token,
-            forwarded: false,
-            ended: false,
-        };
-        let (tx, rx) = channel::bounded(1);
-        let run = async move {
-            // Nobody listens any more when the caller has gone; the outcome is noted all the same.
-            let _ = tx.send(self.run_once(spent, req).await).await;
-        };
-        node.ex.spawn(run).detach();
-        rx.recv()
-            .await
-            .unwrap_or_else(|_| Reply::refused(Refusal::OutcomeUnknown, Verdict::MayHaveRun))
-    }
-
-    async fn run_once(self, mut spent: SpentToken, req: Request<Body>) -> Reply {
-        let share = self.context.attempts;
-        if self.node.is_leaving() {
-            spent.refuse();
-            return unused(self.refused(Refusal::Leaving), share);
-        }
-        let slot = match self.enter().await {
-            Ok(slot) => slot,
-            Err(refusal) => {
-                spent.refuse();
-                return unused(self.refused(refusal), share);
-            }
-        };
-        spent.forwarded = true;
-        let mut reply = self.forward(slot, req).await;
-        if reply.context.verdict == Verdict::NotRun {
-            spent.refuse();
-            return reply;
-        }
-        let Some(res) = reply.res.take() else {
-            spent.end(reply.context.verdict, 502, None, None);
-            return reply;
-        };
-        let (head, body) = res.into_parts();
-        let content_type = headers::text(&head.headers, CONTENT_TYPE.as_str()).map(str::to_owned);
-        let status = head.status.as_u16();
-        let body = match collect(body).await {
-            Collected::Whole(bytes) => {
-                spent.end(Verdict::Ran, status, content_type, Some(bytes.to_vec()));
-                body::full(bytes)
-            }
-            Collected::TooLarge(body) => {
-                spent.end(Verdict::Ran, status, content_type, None);
-                body
-            }
-            Collected::Broke => {
-                spent.end(Verdict::MayHaveRun, 502, None, None);
-                let mut broke = Reply::refused(Refusal::BackendBroke, Verdict::MayHaveRun);
-                broke.context.attempts_left = reply.context.attempts_left;
-                return broke;
-            }
-        };
-        reply.res = Some(Box::new(Response::from_parts(head, body)));
-        reply
-    }
-
-    fn recorded(&self, outcome: OnceOutcome) -> Reply {
-        self.note(&events::RECORDED_ANSWER, Vec::new());
-        let Some(body) = outcome.body else {
-            return Reply::refused(Refusal::OutcomeUnknown, outcome.verdict);
-        };
-        let mut res = Response::new(body::full(body));
-        if let Ok(status) = outcome.status.try_into() {
-            *res.status_mut() = status;
-        }
-        if let Some(content_type) = outcome.content_type {
-            headers::set(res.headers_mut(), CONTENT_TYPE.as_str(), &content_type);
-        }
-        Reply::answered(outcome.verdict, res)
-    }
-
-    fn not_begun(&self, begin: &Begin) -> Reply {
-        let (refusal, verdict) = match begin {
-            Begin::Running => (Refusal::StillRunning, Verdict::MayHaveRun),
-            Begin::Refused => (Refusal::Tombstone, Verdict::NotRun),
-            Begin::Rejected => (Refusal::TokenRejected, Verdict::NotRun),
-            Begin::Closed => (Refusal::Leaving, Verdict::NotRun),
-            _ => (Refusal::OutcomeUnknown, Verdict::MayHaveRun),
-        };
-        let mut reply = self.refused(refusal);
-        reply.context.verdict = verdict;
-        reply
-    }
-
-    async fn enter(&self) -> Result<Slot, Refusal> {
+    pub(crate) async fn enter(&self) -> Result<Slot, Refusal> {
         let priority = self.context.priority();
         let holds_work = self.context.depth > 0;
         self.node
@@ -272,7 +161,7 @@
     }
 
     /// Sends the call to the backend server. From here on it may have run.
-    async fn forward(self, slot: Slot, req: Request<Body>) -> Reply {
+    pub(crate) async fn forward(self, slot: Slot, req: Request<Body>) -> Reply {
         let guard = ParentGuard::register(
             &self.node.parents,
             self.context.clone(),
@@ -426,7 +315,7 @@
         reply
     }
 
-    fn refused(&self, refusal: Refusal) -> Reply {
+    pub(crate) fn refused(&self, refusal: Refusal) -> Reply {
         let (load, threshold) = self
             .node
             .room
@@ -453,7 +342,7 @@
         Reply::not_run(refusal)
     }
 
-    fn note(&self, kind: &sorrelturn_telemetry::EventKind, fields: Vec<Field>) {
+    pub(crate) fn note(&self, kind: &sorrelturn_telemetry::EventKind, fields: Vec<Field>) {
         self.node
             .events
             .note(kind, Some(self.context.request), fields);
@@ -476,71 +365,3 @@
         });
     }
 }
-
-/// A token whose one execution is under way; whatever happens, its end is noted.
-struct SpentToken {
-    node: Arc<Node>,
-    token: ExecutionToken,
-    forwarded: bool,
-    ended: bool,
-}
-
-impl SpentToken {
-    fn refuse(&mut self) {
-        self.ended = true;
-        lock(&self.node.ledger).refuse(&self.token);
-    }
-
-    fn end(
-        &mut self,
-        verdict: Verdict,
-        status: u16,
-        content_type: Option<String>,
-        body: Option<Vec<u8>>,
-    ) {
-        self.ended = true;
-        let outcome = OnceOutcome {
-            verdict,
-            status,
-            content_type,
-            body,
-        };
-        lock(&self.node.ledger).end(&self.token, outcome);
-    }
-}
-
-impl Drop for SpentToken {
-    fn drop(&mut self) {
-        if self.ended {
-            return;
-        }
-        if self.forwarded {
-            self.end(Verdict::MayHaveRun, 502, None, None);
-        } else {
-            self.refuse();
-        }
-    }
-}
-
-enum Collected {
-    Whole(Bytes),
-    TooLarge(Body),
-    Broke,
-}
-
-/// Reads a body up to the size that is kept; a larger one streams on behind what was read.
-async fn collect(mut body: Body) -> Collected {
-    let mut read = Vec::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else {
-            return Collected::Broke;
-        };
-        if let Ok(data) = frame.into_data() {
-            read.extend_from_slice(&data);
-        }
-        if read.len() > KEPT_ANSWER_BYTES {
-            return Collected::TooLarge(body::prefixed(read, body));
-        }
-    }
-    Collected::Whole(read.into())
-}
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/owner_once.rs
@@ -0,0 +1,197 @@
+//! The owner's side of a call that runs at most once. See `docs/design/at-most-once.md`.
+
+use crate::{
+    answer::Reply,
+    body::{self, Body},
+    headers,
+    node::{Node, lock},
+    owner::{Hop, fingerprint, unused},
+};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::{Request, Response, header::CONTENT_TYPE};
+use smol::channel;
+use sorrelturn_once::{Begin, Outcome as OnceOutcome};
+use sorrelturn_protocol::{ExecutionToken, Refusal, Verdict};
+use sorrelturn_telemetry::events;
+use std::sync::Arc;
+
+/// The largest answer of an at-most-once request that is kept for repeats.
+const KEPT_ANSWER_BYTES: usize = 64 << 10;
+
+impl Hop {
+    /// A call that runs at most once. It goes on when its caller goes away, so that its outcome
+    /// is known.
+    pub(crate) async fn once(self, token: ExecutionToken, req: Request<Body>) -> Reply {
+        let target = req
+            .uri()
+            .path_and_query()
+            .map_or("", |target| target.as_str());
+        let fingerprint = fingerprint(&self.context, target);
+        let node = Arc::clone(&self.node);
+        let share = self.context.attempts;
+        let begin = lock(&node.ledger).begin(node.now(), &token, fingerprint);
+        match begin {
+            Begin::Run => {}
+            Begin::Recorded(outcome) => return unused(self.recorded(outcome), share),
+            other => return unused(self.not_begun(&other), share),
+        }
+        let spent = SpentToken {
+            node: Arc::clone(&node),
+            token,
+            forwarded: false,
+            ended: false,
+        };
+        let (tx, rx) = channel::bounded(1);
+        let run = async move {
+            // Nobody listens any more when the caller has gone; the outcome is noted all the same.
+            let _ = tx.send(self.run_once(spent, req).await).await;
+        };
+        node.ex.spawn(run).detach();
+        rx.recv()
+            .await
+            .unwrap_or_else(|_| Reply::refused(Refusal::OutcomeUnknown, Verdict::MayHaveRun))
+    }
+
+    async fn run_once(self, mut spent: SpentToken, req: Request<Body>) -> Reply {
+        let share = self.context.attempts;
+        if self.node.is_leaving() {
+            spent.refuse();
+            return unused(self.refused(Refusal::Leaving), share);
+        }
+        let slot = match self.enter().await {
+            Ok(slot) => slot,
+            Err(refusal) => {
+                spent.refuse();
+                return unused(self.refused(refusal), share);
+            }
+        };
+        spent.forwarded = true;
+        let mut reply = self.forward(slot, req).await;
+        if reply.context.verdict == Verdict::NotRun {
+            spent.refuse();
+            return reply;
+        }
+        let Some(res) = reply.res.take() else {
+            spent.end(reply.context.verdict, 502, None, None);
+            return reply;
+        };
+        let (head, body) = res.into_parts();
+        let content_type = headers::text(&head.headers, CONTENT_TYPE.as_str()).map(str::to_owned);
+        let status = head.status.as_u16();
+        let body = match collect(body).await {
+            Collected::Whole(bytes) => {
+                spent.end(Verdict::Ran, status, content_type, Some(bytes.to_vec()));
+                body::full(bytes)
+            }
+            Collected::TooLarge(body) => {
+                spent.end(Verdict::Ran, status, content_type, None);
+                body
+            }
+            Collected::Broke => {
+                spent.end(Verdict::MayHaveRun, 502, None, None);
+                let mut broke = Reply::refused(Refusal::BackendBroke, Verdict::MayHaveRun);
+                broke.context.attempts_left = reply.context.attempts_left;
+                return broke;
+            }
+        };
+        reply.res = Some(Box::new(Response::from_parts(head, body)));
+        reply
+    }
+
+    fn recorded(&self, outcome: OnceOutcome) -> Reply {
+        self.note(&events::RECORDED_ANSWER, Vec::new());
+        let Some(body) = outcome.body else {
+            return Reply::refused(Refusal::OutcomeUnknown, outcome.verdict);
+        };
+        let mut res = Response::new(body::full(body));
+        if let Ok(status) = outcome.status.try_into() {
+            *res.status_mut() = status;
+        }
+        if let Some(content_type) = outcome.content_type {
+            headers::set(res.headers_mut(), CONTENT_TYPE.as_str(), &content_type);
+        }
+        Reply::answered(outcome.verdict, res)
+    }
+
+    fn not_begun(&self, begin: &Begin) -> Reply {
+        let (refusal, verdict) = match begin {
+            Begin::Running => (Refusal::StillRunning, Verdict::MayHaveRun),
+            Begin::Refused => (Refusal::Tombstone, Verdict::NotRun),
+            Begin::Rejected => (Refusal::TokenRejected, Verdict::NotRun),
+            Begin::Closed => (Refusal::Leaving, Verdict::NotRun),
+            _ => (Refusal::OutcomeUnknown, Verdict::MayHaveRun),
+        };
+        let mut reply = self.refused(refusal);
+        reply.context.verdict = verdict;
+        reply
+    }
+}
+
+/// A token whose one execution is under way; whatever happens, its end is noted.
+struct SpentToken {
+    node: Arc<Node>,
+    token: ExecutionToken,
+    forwarded: bool,
+    ended: bool,
+}
+
+impl SpentToken {
+    fn refuse(&mut self) {
+        self.ended = true;
+        lock(&self.node.ledger).refuse(&self.token);
+    }
+
+    fn end(
+        &mut self,
+        verdict: Verdict,
+        status: u16,
+        content_type: Option<String>,
+        body: Option<Vec<u8>>,
+    ) {
+        self.ended = true;
+        let outcome = OnceOutcome {
+            verdict,
+            status,
+            content_type,
+            body,
+        };
+        lock(&self.node.ledger).end(&self.token, outcome);
+    }
+}
+
+impl Drop for SpentToken {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        if self.forwarded {
+            self.end(Verdict::MayHaveRun, 502, None, None);
+        } else {
+            self.refuse();
+        }
+    }
+}
+
+enum Collected {
+    Whole(Bytes),
+    TooLarge(Body),
+    Broke,
+}
+
+/// Reads a body up to the size that is kept; a larger one streams on behind what was read.
+async fn collect(mut body: Body) -> Collected {
+    let mut read = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return Collected::Broke;
+        };
+        if let Ok(data) = frame.into_data() {
+            read.extend_from_slice(&data);
+        }
+        if read.len() > KEPT_ANSWER_BYTES {
+            return Collected::TooLarge(body::prefixed(read, body));
+        }
+    }
+    Collected::Whole(read.into())
+}
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/reports.rs
@@ -0,0 +1,61 @@
+//! Reports to the watchers of the own failure domain, from which they write its status.
+
+use crate::{
+    control_client as control,
+    node::{Node, lock},
+};
+use smol::Timer;
+use sorrelturn_fleet::{Report, WATCHERS, ranked};
+use sorrelturn_protocol::MemberRecord;
+use std::{sync::Arc, time::Duration};
+
+/// A daemon that had nothing to report for this long reports to its watchers all the same.
+const REPORT_EVERY: Duration = Duration::from_secs(20);
+
+/// Reports to the watchers of the own failure domain when nothing was reported for a while.
+pub(crate) async fn run_reports(node: Arc<Node>) {
+    loop {
+        let jitter = 0.75 + fastrand::f64() / 2.0;
+        let due = node.counts.reported.elapsed_since(node.now());
+        if due >= REPORT_EVERY {
+            report(&node).await;
+        }
+        Timer::after((REPORT_EVERY / 4).mul_f64(jitter)).await;
+    }
+}
+
+pub(crate) fn report_soon(node: &Arc<Node>) {
+    let node = Arc::clone(node);
+    let ex = Arc::clone(&node.ex);
+    ex.spawn(async move { report(&node).await }).detach();
+}
+
+async fn report(node: &Arc<Node>) {
+    let report = Report {
+        instance: node.settings.instance.clone(),
+        state: node.own_record.load().state,
+        version: lock(&node.spread).in_force(),
+        trouble: None,
+    };
+    node.counts.reported.set(node.now());
+    for watcher in watchers(node) {
+        let report = report.clone();
+        if watcher.instance == node.settings.instance {
+            lock(&node.view).report(node.now(), report);
+            continue;
+        }
+        let _ = control::call(node, &watcher, |client, cx| async move {
+            client.report(cx, report).await
+        })
+        .await;
+    }
+}
+
+fn watchers(node: &Node) -> Vec<MemberRecord> {
+    let membership = lock(&node.membership);
+    ranked(membership.present(), &node.settings.failure_domain)
+        .into_iter()
+        .take(WATCHERS)
+        .cloned()
+        .collect()
+}
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -3,11 +3,13 @@
 use crate::{
     backend::Backend,
     clock::{Clock, unix_ms},
-    control::{self, ControlLinks},
-    export, gossip,
+    control,
+    control_client::ControlLinks,
+    export, gossip, join,
     node::{Counts, Node, lock},
     outcomes,
     parents::Parents,
+    reports,
     room::Room,
     routes::Routes,
     serve,
@@ -26,7 +28,7 @@
     net::{TcpListener, TcpStream},
 };
 use sorrelturn_bundle::{KeyError, TrustedKeys};
-use sorrelturn_fleet::{DomainView, Membership, Source, Spread};
+use sorrelturn_fleet::{DomainView, Membership, Spread};
 use sorrelturn_once::{Ledger, LedgerConfig};
 use sorrelturn_platform::{Expected, Platform, keys};
 use sorrelturn_policy::{Gate, GateConfig, Leaving, LeavingCause};
@@ -48,10 +50,6 @@
     queue_wait: Duration::from_millis(100),
     cold_start: Duration::ZERO,
 };
-/// How many peers a daemon asks for a bundle when it starts.
-const PEERS_ASKED: usize = 5;
-/// How often a daemon without a bundle looks for one.
-const BUNDLE_PAUSE: Duration = Duration::from_millis(500);
 /// How often the planned stop looks whether everything is carried.
 const STOP_STEP: Duration = Duration::from_millis(10);
 /// How long a leaving daemon still answers peers that haven't heard of it.
@@ -128,7 +126,7 @@
             node,
             closing,
         };
-        daemon.join().await;
+        join::join(&daemon.node).await;
         daemon.spawn_tasks();
         daemon.node.note(
             &events::STARTED,
@@ -143,46 +141,12 @@
         (members, self.node.in_force.load().is_some())
     }
 
-    /// Makes itself known, and finds members and a bundle.
-    async fn join(&self) {
-        let node = &self.node;
-        if let Ok(changes) = node.platform.list(keys::MEMBERS).await {
-            let records: Vec<MemberRecord> = changes
-                .objects
-                .iter()
-                .filter_map(|object| serde_json::from_str(&object.value).ok())
-                .collect();
-            self.start_after(&records);
-            node.merge_members(records);
-        }
-        node.set_own_state(MemberState::Live);
-        let own = (**node.own_record.load()).clone();
-        let value = serde_json::to_string(&own).unwrap_or_default();
-        let key = keys::member(&own.instance);
-        let _ = node.platform.put(&key, &value, Expected::Anything).await;
-    }
-
-    /// A clock that was set back must not make this run look older than the last one.
-    fn start_after(&self, records: &[MemberRecord]) {
-        let own = self.node.own_record.load();
-        let last = records
-            .iter()
-            .find(|record| record.instance == own.instance);
-        if let Some(last) = last
-            && last.started_ms >= own.started_ms
-        {
-            let mut later = (**own).clone();
-            later.started_ms = last.started_ms + 1;
-            self.node.own_record.store(Arc::new(later));
-        }
-    }
-
     fn spawn_tasks(&self) {
         let node = &self.node;
         let spawn = |task: smol::future::Boxed<()>| node.ex.spawn(task).detach();
-        spawn(Box::pin(find_bundle(Arc::clone(node))));
+        spawn(Box::pin(join::find_bundle(Arc::clone(node))));
         spawn(Box::pin(gossip::run_exchanges(Arc::clone(node))));
-        spawn(Box::pin(gossip::run_reports(Arc::clone(node))));
+        spawn(Box::pin(reports::run_reports(Arc::clone(node))));
         spawn(Box::pin(watch::run(Arc::clone(node))));
         spawn(Box::pin(outcomes::run(Arc::clone(node))));
         spawn(Box::pin(export::run(Arc::clone(node))));
@@ -355,48 +319,6 @@
     })
 }
 
-/// Looks for a bundle until there is one: in the store and at peers of several failure domains,
-/// because the store may be down and a peer may be behind.
-async fn find_bundle(node: Arc<Node>) {
-    while node.in_force.load().is_none() {
-        for seed in &node.settings.seeds {
-            let stranger = seed_record(&node, *seed);
-            if gossip::exchange(&node, &stranger).await.is_ok() {
-                let _ = gossip::fetch_from_member(&node, Some(&stranger)).await;
-            }
-        }
-        let peers: Vec<MemberRecord> = {
-            let own = node.own_record.load();
-            let membership = lock(&node.membership);
-            let mut rng = fastrand::Rng::new();
-            let picked =
-                sorrelturn_fleet::push_targets(membership.present(), &own, PEERS_ASKED, &mut rng);
-            picked.into_iter().cloned().collect()
-        };
-        for peer in &peers {
-            let _ = gossip::fetch_from_member(&node, Some(peer)).await;
-        }
-        let _ = gossip::fetch_from(&node, &Source::Store).await;
-        if node.in_force.load().is_none() {
-            Timer::after(BUNDLE_PAUSE).await;
-        }
-    }
-}
-
-/// A daemon of which only the control address is known.
-fn seed_record(node: &Node, control_addr: SocketAddr) -> MemberRecord {
-    let own = node.own_record.load();
-    let mut incarnation = [0; 8];
-    let hash = blake3::hash(control_addr.to_string().as_bytes());
-    incarnation.copy_from_slice(&hash.as_bytes()[..8]);
-    MemberRecord {
-        instance: format!("seed-{control_addr}"),
-        incarnation: Incarnation(u64::from_be_bytes(incarnation)),
-        control_addr,
-        ..(**own).clone()
-    }
-}
-
 /// A process that was paused has connections and thresholds of another time.
 async fn notice_pauses(node: Arc<Node>) {
     let mut last = Instant::now();
--- a/crates/sorrelturn-daemon/src/watch.rs
+++ b/crates/sorrelturn-daemon/src/watch.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     clock::unix_ms,
-    control, gossip,
+    control_client as control, fetch, gossip,
     node::{Node, lock},
 };
 use smol::{Timer, future::FutureExt};
@@ -28,7 +28,7 @@
 /// How often the status of the failure domain is written.
 const STATUS_EVERY: Duration = Duration::from_secs(5);
 /// A member that hasn't reported for this long counts as silent.
-const SILENCE: Duration = Duration::from_secs(30);
+const SILENCE: Duration = Duration::from_secs(60);
 
 /// Decides every second whether this daemon watches, and watches.
 pub(crate) async fn run(node: Arc<Node>) {
@@ -150,7 +150,7 @@
         .ok()
         .and_then(|signed| signed.verify(&node.trusted).ok());
     match manifest {
-        Some(manifest) => gossip::heard_version(node, manifest.version, Source::Store),
+        Some(manifest) => fetch::heard_version(node, manifest.version, Source::Store),
         None => node.note(
             &events::BUNDLE_REFUSED,
             vec![Field::new(
--- a/crates/sorrelturn-fleet/src/messages.rs
+++ b/crates/sorrelturn-fleet/src/messages.rs
@@ -2,7 +2,7 @@
 
 use crate::MembershipDigest;
 use serde::{Deserialize, Serialize};
-use sorrelturn_protocol::MemberRecord;
+use sorrelturn_protocol::{MemberRecord, MemberState};
 
 /// One daemon's side of a periodic exchange.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -37,10 +37,14 @@
 }
 
 /// What a daemon tells the watchers of its failure domain, on a change and now and then.
+///
+/// A watcher gets one from each member of its failure domain, so it is kept short.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Report {
-    /// Its record.
-    pub record: MemberRecord,
+    /// Its instance.
+    pub instance: String,
+    /// Whether it takes new calls.
+    pub state: MemberState,
     /// The version of its bundle in force.
     pub version: u64,
     /// Why it is behind, if it knows.
--- a/crates/sorrelturn-fleet/src/status.rs
+++ b/crates/sorrelturn-fleet/src/status.rs
@@ -49,11 +49,10 @@
 impl DomainView {
     /// Takes a report.
     pub fn report(&mut self, now: Now, report: Report) {
-        let instance = report.record.instance.clone();
-        if report.record.state == MemberState::Gone {
-            self.reports.remove(&instance);
+        if report.state == MemberState::Gone {
+            self.reports.remove(&report.instance);
         } else {
-            self.reports.insert(instance, (report, now));
+            self.reports.insert(report.instance.clone(), (report, now));
         }
     }
 
@@ -88,7 +87,7 @@
                 status.silent += 1;
             } else {
                 *status.in_force.entry(report.version).or_default() += 1;
-                status.leaving += usize::from(report.record.state == MemberState::Leaving);
+                status.leaving += usize::from(report.state == MemberState::Leaving);
             }
             let named = silent || report.version < newest;
             if named && status.behind.len() < MOST_NAMED {
--- a/crates/sorrelturn-policy/src/gate.rs
+++ b/crates/sorrelturn-policy/src/gate.rs
@@ -10,6 +10,9 @@
 /// Critical requests find so many times more room in the queue.
 const CRITICAL_ROOM: usize = 2;
 
+/// With this share of the limit in use, a gate counts as busy.
+const BUSY_SHARE: f64 = 0.9;
+
 /// What the bundle says about a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GateConfig {
@@ -112,7 +115,7 @@
     pub fn arrive(&mut self, now: Now, arrival: &Arrival) -> (Decision, Option<u64>) {
         self.pressure.arrived(now, arrival.priority);
         if self.has_room(now) && self.queue.is_empty() {
-            self.admit(Duration::ZERO);
+            self.admit(now, Duration::ZERO);
             return (Decision::Admit, None);
         }
         if now + self.expected_wait(now, arrival) >= arrival.deadline {
@@ -214,9 +217,12 @@
         self.in_flight < self.limit(now)
     }
 
-    fn admit(&mut self, wait: Duration) {
+    fn admit(&mut self, now: Now, wait: Duration) {
         self.in_flight += 1;
         self.pressure.admitted(wait);
+        if f64::from(self.in_flight) >= f64::from(self.limit(now)) * BUSY_SHARE {
+            self.pressure.busy();
+        }
     }
 
     fn release(&mut self, now: Now) -> Released {
@@ -230,7 +236,7 @@
                 released.refused.push((key.id.0, Refusal::Deadline));
                 continue;
             }
-            self.admit(now.saturating_sub(since));
+            self.admit(now, now.saturating_sub(since));
             released.admitted.push(key.id.0);
         }
         released
--- a/crates/sorrelturn-policy/src/pressure.rs
+++ b/crates/sorrelturn-policy/src/pressure.rs
@@ -25,7 +25,8 @@
 /// Raising works on a histogram of arrivals, so that it is right at once whatever the mix of
 /// priorities, and never goes above what was really shed here. Lowering can't use it: entry
 /// daemons already shed what it would count. It goes in steps that double while nothing is shed,
-/// so that the end of an overload is found in a few windows.
+/// and halves the threshold besides while slots stay free, so that the end of an overload is found
+/// in a few windows.
 #[derive(Clone, Debug)]
 pub struct Pressure {
     window_start: Now,
@@ -34,6 +35,7 @@
     admitted_now: u32,
     waited: Duration,
     highest_shed: Option<usize>,
+    busy: bool,
     cut: usize,
     quiet_windows: u32,
     since: Option<Now>,
@@ -49,6 +51,7 @@
             admitted_now: 0,
             waited: Duration::ZERO,
             highest_shed: None,
+            busy: false,
             cut: 0,
             quiet_windows: 0,
             since: None,
@@ -68,6 +71,11 @@
         self.waited += wait;
     }
 
+    /// Nearly all slots are taken.
+    pub fn busy(&mut self) {
+        self.busy = true;
+    }
+
     /// A request was refused or pushed out for lack of room.
     pub fn shed(&mut self, priority: Priority) {
         self.highest_shed = self.highest_shed.max(Some(bucket(priority)));
@@ -107,6 +115,7 @@
         self.admitted_now = 0;
         self.waited = Duration::ZERO;
         self.highest_shed = None;
+        self.busy = false;
         self.window_start += WINDOW;
     }
 
@@ -134,6 +143,10 @@
         let doublings = self.quiet_windows.saturating_sub(EVEN_STEPS).min(7);
         self.quiet_windows += 1;
         self.cut = self.cut.saturating_sub(1 << doublings);
+        if !self.busy {
+            // Slots stayed free through the whole window: what is shed for them is shed in vain.
+            self.cut /= 2;
+        }
         if self.cut == 0 {
             self.since = None;
         }
