Refusals of tokens and keys by others than their owner say may have run; an earlier run can't hide a daemon

Cause, found by reading: (1) an entry that was leaving, had no bundle or had a caller over its rate said not run for a request with a token or key that may have run elsewhere; its caller would take a new one, and both run. The key way could say not run although a delayed copy could still bind and run. (2) A broken ask for a token forfeited the attempts of its one execution. (3) With the platform down and the clock set back, an earlier run's record hid its successor from peers. Ruled out: a tombstone for each key: one more write to the store for each refusal. Change: such refusals say may have run; each ask for a token carries the whole share; a young run puts its start behind an earlier one's, wherever it hears of it. A test's expectation changed from not run to may have run for a key in an outage: not run was false where an earlier copy had run; the new one is as strict and also counts that nothing ran.

--- a/crates/sorrelturn-bench/tests/at_most_once.rs
+++ b/crates/sorrelturn-bench/tests/at_most_once.rs
@@ -8,7 +8,7 @@
 use hyper::Request;
 use smol::{Executor, Timer};
 use sorrelturn_bench::{Answer, Client, FleetPlan, ProcessFleet, plan_for, run_on};
-use sorrelturn_platform::{Faults, Platform, keys};
+use sorrelturn_platform::{Faults, Platform, http::exchange, keys};
 use sorrelturn_protocol::ExecutionToken;
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
@@ -121,12 +121,14 @@
             })
             .await;
         let refused = book(&caller, "idempotency-key", "outage").await;
+        // Whether an earlier copy with this key ran, nobody can say now.
         assert_eq!(
             (refused.status, refused.verdict()),
-            (503, "not-run"),
+            (503, "may-have-run"),
             "{refused:?}"
         );
         assert!(refused.header("retry-after").is_some());
+        assert_eq!(runs(&fleet, "outage").await, 0);
         // The token way keeps going.
         let token = token(&caller).await;
         assert_eq!(book(&caller, "sorrelturn-token", &token).await.status, 200);
@@ -188,6 +190,40 @@
     });
 }
 
+#[test]
+fn an_entry_that_refuses_never_says_that_a_token_or_key_did_not_run() {
+    run_on(1, async |ex| {
+        let fleet = start(ex, "once_refusing_entry").await;
+        let caller = fleet.caller(0);
+        let token = token(&caller).await;
+        assert_eq!(book(&caller, "sorrelturn-token", &token).await.status, 200);
+        assert_eq!(book(&caller, "idempotency-key", "k9").await.status, 200);
+        let drain = Request::post("/drain")
+            .body(Bytes::new())
+            .expect("a request");
+        let admin = fleet.daemons[ENTRY].addresses.admin;
+        let drained = exchange(admin, drain, Duration::from_secs(20)).await;
+        assert!(drained.is_ok_and(|res| res.status().is_success()));
+        for (header, value) in [
+            ("sorrelturn-token", token.as_str()),
+            ("idempotency-key", "k9"),
+        ] {
+            let refused = book(&fleet.caller(ENTRY), header, value).await;
+            assert_eq!(
+                (refused.status, refused.verdict()),
+                (503, "may-have-run"),
+                "{refused:?}"
+            );
+        }
+        let fresh = book(&fleet.caller(ENTRY), "x-none", "fresh").await;
+        assert_eq!(
+            (fresh.status, fresh.verdict()),
+            (503, "not-run"),
+            "{fresh:?}"
+        );
+    });
+}
+
 #[test]
 fn a_booking_goes_on_when_its_caller_goes_away_and_its_answer_waits() {
     run_on(1, async |ex| {
--- a/crates/sorrelturn-daemon/src/entry.rs
+++ b/crates/sorrelturn-daemon/src/entry.rs
@@ -52,12 +52,14 @@
     let carried = Carried::new(node);
     let request = RequestId::random(&mut fastrand::Rng::new());
     let started = node.now();
+    let may_be_repeat = may_be_repeat(node, &req);
     let reply = match (req.method(), req.uri().path()) {
         (&Method::POST, TOKENS_PATH) => give_token(node, caller_ip, request, req).await,
         _ => answer(node, caller_ip, request, req).await,
     };
     let (importance, reply) = match reply {
         Ok((root, reply)) => (root.kind.importance().name(), reply),
+        Err(reply) if may_be_repeat => ("none", unknown_here(reply)),
         Err(reply) => ("none", reply),
     };
     let verdict = reply.context.verdict.name();
@@ -67,6 +69,29 @@
     reply.into_response(request, carried)
 }
 
+/// Whether this may repeat an at-most-once request that ran already: only its owner knows.
+fn may_be_repeat(node: &Node, req: &Request<Incoming>) -> bool {
+    let marked = [TOKEN, IDEMPOTENCY_KEY]
+        .iter()
+        .any(|name| req.headers().contains_key(*name));
+    let in_force = node.in_force.load();
+    let repeatable = in_force
+        .as_ref()
+        .and_then(|in_force| {
+            let bundle = &in_force.bundle;
+            bundle.match_kind(req.method().as_str(), req.uri().path())
+        })
+        .is_some_and(|kind| !kind.at_most_once());
+    marked && !repeatable
+}
+
+/// A refusal by somebody who doesn't know what became of earlier copies of the request. "Not run"
+/// would invite the caller to ask under another token or key, and both would run.
+fn unknown_here(mut reply: Reply) -> Reply {
+    reply.context.verdict = reply.context.verdict.and(Verdict::MayHaveRun);
+    reply
+}
+
 async fn answer(
     node: &Arc<Node>,
     caller_ip: IpAddr,
@@ -99,7 +124,7 @@
             forward::call(node, &mut call).await
         }
         (true, Some(Err(_)), _) => Reply::not_run(Refusal::TokenRejected),
-        (true, None, Some(key)) => one_step(node, call, &key).await?,
+        (true, None, Some(key)) => unknown_here(one_step(node, call, &key).await?),
         (true, None, None) => Reply::not_run(Refusal::TokenRequired),
     };
     Ok((root, reply))
@@ -108,7 +133,8 @@
 /// The one-step way: the caller's own key is bound to a token in the store.
 ///
 /// A key whose token was refused before it ran is bound to a fresh one, so that the caller can
-/// come back with the same key.
+/// come back with the same key. Since a delayed copy could do so as well, a refusal of this way
+/// never says "not run".
 async fn one_step(node: &Arc<Node>, mut call: Call, key: &str) -> Result<Reply, Reply> {
     let bound = tokens::bind(node, &call, key).await?;
     call.context.token = Some(bound.token);
--- a/crates/sorrelturn-daemon/src/forward.rs
+++ b/crates/sorrelturn-daemon/src/forward.rs
@@ -45,6 +45,8 @@
 
 /// What the tries of one call have come to so far.
 struct Progress {
+    /// The share of the whole call.
+    share: u32,
     attempts_left: u32,
     verdict: Verdict,
     tried: Vec<Incarnation>,
@@ -60,6 +62,7 @@
     let caused_by = std::mem::replace(&mut call.context.parent, span);
     let start_ns = unix_ns();
     let mut progress = Progress {
+        share,
         attempts_left: share,
         verdict: Verdict::NotRun,
         tried: Vec::new(),
@@ -113,7 +116,10 @@
     if call.context.depth == 0 && is_good(&reply) {
         call.in_force.caller_succeeded(call.context.caller);
     }
-    progress.attempts_left += reply.context.attempts_left.min(share);
+    // An ask after a broken one may bring the outcome of an execution that spent the share.
+    if progress.token_asks == 0 {
+        progress.attempts_left += reply.context.attempts_left.min(share);
+    }
     if call.context.token.is_none() {
         progress.tried.push(route.record.incarnation);
     }
@@ -194,8 +200,8 @@
     let body = call.payload.take()?;
     let left = call.deadline.saturating_sub(node.now());
     call.context.deadline_ms = left.as_millis().min(u128::from(u32::MAX)) as u32;
-    call.context.attempts = first_share(progress.attempts_left, call.kind.need);
-    progress.attempts_left -= call.context.attempts;
+    call.context.attempts = share_of_try(call, progress);
+    progress.attempts_left = progress.attempts_left.saturating_sub(call.context.attempts);
     let mut req = Request::new(body);
     *req.method_mut() = call.method.clone();
     *req.uri_mut() = call.target.clone();
@@ -203,6 +209,14 @@
     Some(req)
 }
 
+/// A token runs once, whichever ask brings it to its owner, so each ask can carry the whole share.
+fn share_of_try(call: &Call, progress: &Progress) -> u32 {
+    match call.context.token {
+        Some(_) => progress.share,
+        None => first_share(progress.attempts_left, call.kind.need),
+    }
+}
+
 /// Why an exchange with an instance has no answer.
 enum Failure {
     NotSent,
@@ -361,8 +375,9 @@
 
 /// The same token at the same owner runs nothing twice: it brings the outcome.
 fn asks_owner_again(progress: &mut Progress, reply: &Reply) -> bool {
-    progress.token_asks += 1;
-    reply.context.refusal == Some(Refusal::PeerBroke) && progress.token_asks <= TOKEN_ASKS
+    let broke = reply.context.refusal == Some(Refusal::PeerBroke);
+    progress.token_asks += u32::from(broke);
+    broke && progress.token_asks <= TOKEN_ASKS
 }
 
 /// An answer of the backend server that isn't a failure of the server's.
--- a/crates/sorrelturn-daemon/src/gossip.rs
+++ b/crates/sorrelturn-daemon/src/gossip.rs
@@ -24,7 +24,13 @@
 const EXCHANGES_PER_NEIGHBOUR: u32 = 30;
 /// A record arrived from wherever; if it is news, it goes on.
 pub(crate) fn heard_member(node: &Arc<Node>, record: MemberRecord) {
-    if node.merge_member(record.clone()) {
+    let own = record.instance == node.settings.instance;
+    if !node.merge_member(record.clone()) {
+        return;
+    }
+    if own {
+        spread_own_record(node);
+    } else {
         push_news(node, vec![record]);
     }
 }
@@ -172,7 +178,12 @@
                 .is_none_or(|other| own.supersedes(other))
         })
         .collect();
-    let _news = node.merge_members(records);
+    for record in &records {
+        if node.outrank_earlier_run(record) {
+            spread_own_record(node);
+        }
+    }
+    node.merge_members(records);
     if !unknown_there.is_empty() {
         control::call(node, peer, |client, cx| async move {
             client.news(cx, unknown_there).await
--- a/crates/sorrelturn-daemon/src/join.rs
+++ b/crates/sorrelturn-daemon/src/join.rs
@@ -14,6 +14,7 @@
 const PEERS_ASKED: usize = 5;
 /// How often a daemon without a bundle looks for one.
 const BUNDLE_PAUSE: Duration = Duration::from_millis(500);
+
 /// Makes itself known, and finds members and a bundle.
 pub(crate) async fn join(node: &Arc<Node>) {
     if let Ok(changes) = node.platform.list(keys::MEMBERS).await {
@@ -22,7 +23,9 @@
             .iter()
             .filter_map(|object| serde_json::from_str(&object.value).ok())
             .collect();
-        start_after(node, &records);
+        for record in &records {
+            node.outrank_earlier_run(record);
+        }
         node.merge_members(records);
     }
     node.set_own_state(MemberState::Live);
@@ -32,21 +35,6 @@
     let _ = node.platform.put(&key, &value, Expected::Anything).await;
 }
 
-/// A clock that was set back must not make this run look older than the last one.
-fn start_after(node: &Node, records: &[MemberRecord]) {
-    let own = node.own_record.load();
-    let last = records
-        .iter()
-        .find(|record| record.instance == own.instance);
-    if let Some(last) = last
-        && last.started_ms >= own.started_ms
-    {
-        let mut later = (**own).clone();
-        later.started_ms = last.started_ms + 1;
-        node.own_record.store(Arc::new(later));
-    }
-}
-
 /// Looks for a bundle until there is one: in the store and at peers of several failure domains,
 /// because the store may be down and a peer may be behind.
 pub(crate) async fn find_bundle(node: Arc<Node>) {
--- a/crates/sorrelturn-daemon/src/nested.rs
+++ b/crates/sorrelturn-daemon/src/nested.rs
@@ -76,7 +76,13 @@
         None => Some(kind.kind.attempts),
     };
     let Some(share) = share else {
-        return Reply::not_run(Refusal::AttemptsSpent).come_back(owner::come_back(node));
+        // An earlier call with the same token may have run, and only its owner knows.
+        let verdict = if kind.at_most_once() {
+            Verdict::MayHaveRun
+        } else {
+            Verdict::NotRun
+        };
+        return Reply::refused(Refusal::AttemptsSpent, verdict).come_back(owner::come_back(node));
     };
     let context = context(node, parent.map(Arc::as_ref), request, &kind, share);
     let reply = carry(node, parent, &in_force, kind, context, req).await;
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -24,6 +24,9 @@
     time::Duration,
 };
 
+/// A run of a daemon is young for so long.
+const YOUNG_TIME: Duration = Duration::from_secs(30);
+
 /// Everything that the tasks of one daemon share.
 pub(crate) struct Node {
     pub(crate) ex: Arc<Executor<'static>>,
@@ -180,8 +183,7 @@
     /// Takes a record of a member; returns whether it was news.
     pub(crate) fn merge_member(&self, record: MemberRecord) -> bool {
         if record.instance == self.settings.instance && record.incarnation != self.incarnation {
-            // An older run of this instance; only this one knows that it is over.
-            return false;
+            return self.outrank_earlier_run(&record);
         }
         let kind = match record.state {
             MemberState::Live => &events::MEMBER_JOINED,
@@ -202,6 +204,22 @@
         true
     }
 
+    /// An earlier run of this instance may look newer, if the clock was set back meanwhile. While
+    /// this run is young, it puts its start behind the earlier one's; later it is the one that was
+    /// replaced. Returns whether the own record changed.
+    pub(crate) fn outrank_earlier_run(&self, other: &MemberRecord) -> bool {
+        let own = self.own_record.load();
+        let is_earlier_run = other.instance == own.instance && other.incarnation != own.incarnation;
+        if !is_earlier_run || !other.supersedes(&own) || self.now() >= YOUNG_TIME {
+            return false;
+        }
+        let mut later = (**own).clone();
+        later.started_ms = other.started_ms + 1;
+        self.own_record.store(Arc::new(later));
+        self.set_own_state(own.state);
+        true
+    }
+
     /// Takes many records with one rebuild of the routes; returns those that were news.
     pub(crate) fn merge_members(&self, records: Vec<MemberRecord>) -> Vec<MemberRecord> {
         let mut membership = lock(&self.membership);
