--- a/crates/sorrelturn-daemon/src/lib.rs
+++ b/crates/sorrelturn-daemon/src/lib.rs
@@ -42,5 +42,5 @@
     BackendSettings, FleetKeySettings, ListenSettings, MetricsSettings, OnceSettings,
     PlatformSettings, Settings, StopSettings, TraceSettings,
 };
-pub use status::{FleetReport, StatusReport};
+pub use status::StatusReport;
 pub use stream::fleet_client_stream;
--- a/crates/sorrelturn-daemon/src/status.rs
+++ b/crates/sorrelturn-daemon/src/status.rs
@@ -25,6 +25,3 @@
     /// Whether it watches the platform for its failure domain.
     pub watcher: bool,
 }
-
-/// The states of all failure domains, as their watchers wrote them.
-pub type FleetReport = Vec<sorrelturn_fleet::DomainStatus>;
