--- a/crates/sorrelturn-daemon/src/backend.rs
+++ b/crates/sorrelturn-daemon/src/backend.rs
@@ -1,6 +1,7 @@
-//! The connections to the own backend server: HTTP/1.1, pooled, never more than the bundle allows.
+//! The connections to the own backend server: HTTP/1.1, pooled. The bundle's `connections` is not
+//! enforced here yet; slots bound the work, and large answers hold connections beyond them.
 
-use crate::body::Body;
+use crate::{body::Body, node::lock};
 use hyper::{
     Request, Response,
     body::Incoming,
@@ -11,7 +12,7 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -45,7 +46,7 @@
 impl Lease {
     /// The exchange was whole: the connection can carry another one.
     pub(crate) fn give_back(self) {
-        let mut idle = self.backend.lock();
+        let mut idle = lock(&self.backend.idle);
         if idle.len() < MAX_IDLE {
             idle.push(self.sender);
         }
@@ -98,7 +99,7 @@
     }
 
     fn take_idle(&self) -> Option<SendRequest<Body>> {
-        let mut idle = self.lock();
+        let mut idle = lock(&self.idle);
         while let Some(sender) = idle.pop() {
             if !sender.is_closed() {
                 return Some(sender);
@@ -123,8 +124,4 @@
         ex.spawn(drive).detach();
         Ok(sender)
     }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<SendRequest<Body>>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
--- a/crates/sorrelturn-daemon/src/gossip.rs
+++ b/crates/sorrelturn-daemon/src/gossip.rs
@@ -2,6 +2,7 @@
 //! See `docs/design/spread.md` and `docs/design/membership.md`.
 
 use crate::{
+    control::ControlClient,
     control_client::{self as control, ControlError},
     fetch,
     node::{Node, lock},
@@ -11,6 +12,7 @@
 use sorrelturn_fleet::{Digest, PUSH_FAN_OUT, Source, push_targets};
 use sorrelturn_protocol::{MemberRecord, MemberState};
 use std::{collections::VecDeque, sync::Arc, time::Duration};
+use tarpc::{client::RpcError, context::Context};
 
 /// How often a daemon compares what it knows with a neighbour.
 const EXCHANGE_EVERY: Duration = Duration::from_secs(2);
@@ -50,17 +52,9 @@
 }
 
 fn push_news(node: &Arc<Node>, records: Vec<MemberRecord>) {
-    for target in targets(node) {
-        let (node, records) = (Arc::clone(node), records.clone());
-        let ex = Arc::clone(&node.ex);
-        let push = async move {
-            let _ = control::call(&node, &target, |client, cx| async move {
-                client.news(cx, records).await
-            })
-            .await;
-        };
-        ex.spawn(push).detach();
-    }
+    tell_neighbours(node, move |client, cx| async move {
+        client.news(cx, records).await
+    });
 }
 
 /// News goes to the neighbours and to those whose neighbour this daemon is, over connections that
@@ -87,17 +81,27 @@
 
 /// Tells some peers of a version that just came in force here.
 pub(crate) fn announce(node: &Arc<Node>, version: u64) {
+    let from = node.settings.instance.clone();
+    tell_neighbours(node, move |client, cx| async move {
+        client.announce(cx, from, version).await
+    });
+}
+
+/// Makes one control call to each of those who are told of news, and waits for none of them.
+fn tell_neighbours<T, F>(
+    node: &Arc<Node>,
+    make: impl FnOnce(ControlClient, Context) -> F + Clone + Send + 'static,
+) where
+    T: Send + 'static,
+    F: Future<Output = Result<T, RpcError>> + Send + 'static,
+{
     for target in targets(node) {
-        let node = Arc::clone(node);
+        let (node, make) = (Arc::clone(node), make.clone());
         let ex = Arc::clone(&node.ex);
-        let push = async move {
-            let from = node.settings.instance.clone();
-            let _ = control::call(&node, &target, |client, cx| async move {
-                client.announce(cx, from, version).await
-            })
-            .await;
+        let tell = async move {
+            let _ = control::call(&node, &target, make).await;
         };
-        ex.spawn(push).detach();
+        ex.spawn(tell).detach();
     }
 }
 
--- a/crates/sorrelturn-daemon/src/owner.rs
+++ b/crates/sorrelturn-daemon/src/owner.rs
@@ -35,6 +35,7 @@
 /// A larger one waits for its reader most of the time, so its slot is free after the head; only
 /// the connection is held. See `docs/design/streaming.md`.
 const ONE_PIECE_BYTES: u64 = 64 << 10;
+
 /// One call at its owner.
 pub(crate) struct Hop {
     pub(crate) node: Arc<Node>,
--- a/crates/sorrelturn-daemon/src/parents.rs
+++ b/crates/sorrelturn-daemon/src/parents.rs
@@ -1,5 +1,6 @@
 //! The requests that this VM's backend server works on, by which its nested calls are recognised.
 
+use crate::node::lock;
 use smol::channel::{self, Receiver, Sender};
 use sorrelturn_once::NestedTokens;
 use sorrelturn_policy::{AttemptPool, Now};
@@ -111,8 +112,6 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SpanId, Arc<Parent>>> {
-        self.by_span
-            .lock()
-            .unwrap_or_else(|poisoned| poisoned.into_inner())
+        lock(&self.by_span)
     }
 }
--- a/crates/sorrelturn-daemon/src/peers.rs
+++ b/crates/sorrelturn-daemon/src/peers.rs
@@ -1,7 +1,7 @@
 //! Connections to other daemons: one HTTP/2 connection each, shared by all calls.
 //! See `docs/design/between-daemons.md`.
 
-use crate::{body::Body, stream::FleetKeys};
+use crate::{body::Body, node::lock, stream::FleetKeys};
 use hyper::{
     Request, Response,
     body::Incoming,
@@ -12,7 +12,7 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -69,7 +69,7 @@
 
     /// Drops the connection for new calls; those on it go on.
     pub(crate) fn forget(&self) {
-        *self.lock() = None;
+        *lock(&self.sender) = None;
     }
 
     async fn sender(
@@ -89,7 +89,7 @@
             Err(io::ErrorKind::TimedOut.into())
         };
         let sender = self.connect(ex, keys).or(too_long).await?;
-        *self.lock() = Some(sender.clone());
+        *lock(&self.sender) = Some(sender.clone());
         Ok(sender)
     }
 
@@ -114,11 +114,7 @@
     }
 
     fn current(&self) -> Option<SendRequest<Body>> {
-        let sender = self.lock().clone()?;
+        let sender = lock(&self.sender).clone()?;
         (!sender.is_closed()).then_some(sender)
     }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, Option<SendRequest<Body>>> {
-        self.sender.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
--- a/crates/sorrelturn-daemon/src/room.rs
+++ b/crates/sorrelturn-daemon/src/room.rs
@@ -1,6 +1,6 @@
 //! The gate with the tasks that wait at it.
 
-use crate::{clock::Clock, timers::Timers};
+use crate::{clock::Clock, node::lock, timers::Timers};
 use smol::{
     channel::{self, Receiver, Sender},
     future::FutureExt,
@@ -145,9 +145,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner
-            .lock()
-            .unwrap_or_else(|poisoned| poisoned.into_inner())
+        lock(&self.inner)
     }
 }
 
--- a/crates/sorrelturn-daemon/src/timers.rs
+++ b/crates/sorrelturn-daemon/src/timers.rs
@@ -4,7 +4,7 @@
 //! Here a deadline is an entry in a map, and one task looks every few milliseconds whether the
 //! first is due; it sleeps while there is none.
 
-use crate::clock::Clock;
+use crate::{clock::Clock, node::lock};
 use hyper::rt::{Sleep, Timer as HyperTimer};
 use smol::{
     Timer,
@@ -14,7 +14,7 @@
 use std::{
     collections::BTreeMap,
     pin::Pin,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     task::{Context, Poll, Waker},
     time::{Duration, Instant},
 };
@@ -94,7 +94,7 @@
 
 impl Shared {
     fn lock(&self) -> MutexGuard<'_, Waiting> {
-        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.waiting)
     }
 
     fn take_due(&self, now: Now) -> Due {
