Pooled HTTP/1.1 between daemons; connections to backend servers are bounded; timers sleep

Ruled out: the decisions (each below 1 % of the samples). Change: one pool of HTTP/1.1 connections serves peers and backend servers; the bundle's 'connections' is its bound (before: checked, not enforced); coarse timers sleep until the first deadline; stalled bodies use them.

--- a/crates/sorrelturn-daemon/src/body.rs
+++ b/crates/sorrelturn-daemon/src/body.rs
@@ -1,11 +1,11 @@
 //! Bodies that stream with backpressure and tell how they ended. A body that breaks off ends with
 //! an error, so that the connection is cut and never looks as if it were whole.
 
+use crate::timers::{Deadline, Timers};
 use bytes::Bytes;
 use displaydoc::Display;
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
-use hyper::body::{Body as HttpBody, Frame, SizeHint};
-use smol::Timer;
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use std::{
     pin::Pin,
     task::{Context, Poll},
@@ -35,9 +35,27 @@
         .boxed()
 }
 
-/// Passes a body on and calls `on_end` once: with true after its last byte, with false if it
-/// broke off or its reader went away first.
-pub(crate) fn watched<B>(body: B, on_end: impl FnOnce(bool) + Send + Sync + 'static) -> Body
+/// Passes a body of our own on and calls `on_end` once: with true after its last byte, with false
+/// if it broke off or its reader went away first.
+pub(crate) fn watched(body: Body, on_end: impl FnOnce(bool) + Send + Sync + 'static) -> Body {
+    watch(body, None, on_end)
+}
+
+/// Passes a body from a connection on as [`watched`] does, and ends it with an error if its sender
+/// stalls.
+pub(crate) fn guarded(
+    timers: &Timers,
+    body: Incoming,
+    on_end: impl FnOnce(bool) + Send + Sync + 'static,
+) -> Body {
+    watch(body, Some(Stall::new(timers)), on_end)
+}
+
+fn watch<B>(
+    body: B,
+    stall: Option<Stall>,
+    on_end: impl FnOnce(bool) + Send + Sync + 'static,
+) -> Body
 where
     B: HttpBody<Data = Bytes> + Send + Sync + Unpin + 'static,
     BodyError: From<B::Error>,
@@ -48,7 +66,7 @@
     }
     let watched = Watched {
         body,
-        stall: Timer::after(STALL_TIME),
+        stall,
         on_end: Some(Box::new(on_end)),
     };
     watched.boxed()
@@ -86,9 +104,42 @@
     }
 }
 
+/// Notices a sender that stalls. A byte that arrives costs no timer: when the time is up, it starts
+/// again from the last byte.
+struct Stall {
+    timers: Timers,
+    moved: bool,
+    deadline: Deadline,
+}
+
+impl Stall {
+    fn new(timers: &Timers) -> Self {
+        Self {
+            timers: timers.clone(),
+            moved: false,
+            deadline: timers.after(STALL_TIME),
+        }
+    }
+
+    fn moved(&mut self) {
+        self.moved = true;
+    }
+
+    /// Whether nothing moved for the whole time; at most twice the time passes until it is noticed.
+    fn is_over(&mut self, cx: &mut Context<'_>) -> bool {
+        while Pin::new(&mut self.deadline).poll(cx).is_ready() {
+            if !std::mem::take(&mut self.moved) {
+                return true;
+            }
+            self.deadline = self.timers.after(STALL_TIME);
+        }
+        false
+    }
+}
+
 struct Watched<B> {
     body: B,
-    stall: Timer,
+    stall: Option<Stall>,
     on_end: Option<Box<dyn FnOnce(bool) + Send + Sync>>,
 }
 
@@ -115,7 +166,9 @@
         let this = &mut *self;
         match Pin::new(&mut this.body).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
-                this.stall.set_after(STALL_TIME);
+                if let Some(stall) = &mut this.stall {
+                    stall.moved();
+                }
                 if this.body.is_end_stream() {
                     this.end(true);
                 }
@@ -130,7 +183,8 @@
                 Poll::Ready(None)
             }
             Poll::Pending => {
-                if Pin::new(&mut this.stall).poll(cx).is_ready() {
+                let stall = this.stall.as_mut();
+                if stall.is_some_and(|stall| stall.is_over(cx)) {
                     this.end(false);
                     return Poll::Ready(Some(Err(BodyError::Stalled)));
                 }
--- a/crates/sorrelturn-daemon/src/entry.rs
+++ b/crates/sorrelturn-daemon/src/entry.rs
@@ -104,7 +104,7 @@
     let key = headers::text(req.headers(), IDEMPOTENCY_KEY).map(str::to_owned);
     shed_early(node, &root, token.is_some())?;
     let (mut parts, incoming) = req.into_parts();
-    let payload = Payload::read(incoming).await?;
+    let payload = Payload::read(&node.timers, incoming).await?;
     let deadline = node.now() + Duration::from_millis(root.kind.kind.deadline_ms.into());
     headers::strip_for_peer(&mut parts.headers);
     let mut call = Call {
@@ -245,7 +245,7 @@
 ) -> Result<(Root, Reply), Reply> {
     let (parts, incoming) = req.into_parts();
     let malformed = || Reply::not_run(Refusal::Malformed);
-    let Payload::Whole(body) = Payload::read(incoming).await? else {
+    let Payload::Whole(body) = Payload::read(&node.timers, incoming).await? else {
         return Err(malformed());
     };
     let wanted: TokenRequest = serde_json::from_slice(&body).map_err(|_| malformed())?;
--- a/crates/sorrelturn-daemon/src/forward.rs
+++ b/crates/sorrelturn-daemon/src/forward.rs
@@ -9,7 +9,7 @@
     node::{Node, lock},
     owner,
     payload::Payload,
-    peers::PeerError,
+    pool::{Lease, SendError},
     routes::Route,
     tokens,
 };
@@ -219,6 +219,7 @@
 
 /// Why an exchange with an instance has no answer.
 enum Failure {
+    Full,
     NotSent,
     Broke,
     TooLate,
@@ -229,13 +230,13 @@
     fn reply(&self, context: &CallContext) -> Reply {
         let unknown = context.token.is_some();
         match self {
-            Self::NotSent if unknown => {
+            Self::Full | Self::NotSent if unknown => {
                 Reply::refused(Refusal::OutcomeUnknown, Verdict::MayHaveRun)
             }
+            Self::Full => owner::unused(Reply::not_run(Refusal::Overload), context.attempts),
             Self::NotSent => {
-                let mut reply = Reply::not_run(Refusal::BackendUnreachable);
-                reply.context.attempts_left = context.attempts;
-                reply
+                let reply = Reply::not_run(Refusal::BackendUnreachable);
+                owner::unused(reply, context.attempts)
             }
             Self::Broke => Reply::refused(Refusal::PeerBroke, Verdict::MayHaveRun),
             Self::TooLate => Reply::refused(Refusal::Deadline, Verdict::MayHaveRun),
@@ -260,22 +261,30 @@
     headers::set(req.headers_mut(), CONTEXT, &call.context.encode());
     let send = async {
         match route.link.send(&node.ex, &node.keys, req).await {
-            Ok(res) => reply_of(res),
-            Err(PeerError::NotSent) => Err(Failure::NotSent),
-            Err(PeerError::Broke) => Err(Failure::Broke),
+            Ok((res, lease)) => reply_of(node, res, lease),
+            Err(SendError::Full) => Err(Failure::Full),
+            Err(SendError::NotSent) => Err(Failure::NotSent),
+            Err(SendError::Broke) => Err(Failure::Broke),
         }
     };
     send.or(too_late).await
 }
 
-fn reply_of(mut res: Response<Incoming>) -> Result<Reply, Failure> {
+fn reply_of(node: &Node, mut res: Response<Incoming>, lease: Lease) -> Result<Reply, Failure> {
     let context = res
         .headers_mut()
         .remove(ANSWER)
         .and_then(|value| AnswerContext::decode(value.as_bytes()).ok())
         .ok_or(Failure::Broke)?;
+    let res = res.map(|body| {
+        body::guarded(&node.timers, body, |whole| {
+            if whole {
+                lease.give_back();
+            }
+        })
+    });
     let answered = context.refusal.is_none();
-    let res = answered.then(|| Box::new(res.map(|body| body::watched(body, |_| {}))));
+    let res = answered.then(|| Box::new(res));
     Ok(Reply { context, res })
 }
 
@@ -286,6 +295,7 @@
         Ok(reply) => InstanceReport::Answered {
             load: reply.context.load,
         },
+        Err(Failure::Full) => InstanceReport::Cancelled,
         Err(_) => InstanceReport::Failed,
     }
 }
--- a/crates/sorrelturn-daemon/src/lib.rs
+++ b/crates/sorrelturn-daemon/src/lib.rs
@@ -25,6 +25,7 @@
 mod parents;
 mod payload;
 mod peers;
+mod pool;
 mod reports;
 mod room;
 mod routes;
--- a/crates/sorrelturn-daemon/src/nested.rs
+++ b/crates/sorrelturn-daemon/src/nested.rs
@@ -132,7 +132,7 @@
     let deadline = node.now() + Duration::from_millis(context.deadline_ms.into());
     let key = call_key(&req);
     let (mut parts, incoming) = req.into_parts();
-    let payload = match Payload::read(incoming).await {
+    let payload = match Payload::read(&node.timers, incoming).await {
         Ok(payload) => payload,
         Err(refused) => return refused,
     };
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -8,7 +8,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cadence::StatsdClient;
 use smol::Executor;
-use sorrelturn_bundle::{Bundle, SectionBytes, SignedManifest, TrustedKeys};
+use sorrelturn_bundle::{Bundle, SectionBytes, Service, SignedManifest, TrustedKeys};
 use sorrelturn_fleet::{DomainView, Membership, Spread};
 use sorrelturn_once::Ledger;
 use sorrelturn_platform::Platform;
@@ -37,7 +37,7 @@
     pub(crate) trusted: TrustedKeys,
     pub(crate) keys: FleetKeys,
     pub(crate) platform: Platform,
-    pub(crate) backend: Arc<Backend>,
+    pub(crate) backend: Backend,
     pub(crate) room: Arc<Room>,
     pub(crate) parents: Arc<Parents>,
     pub(crate) in_force: ArcSwapOption<InForce>,
@@ -143,8 +143,10 @@
         }
         let before = self.in_force.load();
         let now = self.now();
-        if let Some(gate) = self.gate_config(&bundle) {
+        if let Some(service) = bundle.service(&self.settings.service) {
+            let gate = gate_config(service);
             self.room.with_gate(|room, _| room.reconfigure(gate));
+            self.backend.reconfigure(service.connections);
         }
         let in_force = InForce::new(bundle, manifest, sections, before.as_deref(), now);
         self.in_force.store(Some(Arc::new(in_force)));
@@ -156,17 +158,6 @@
         true
     }
 
-    /// What the bundle says about the own backend server.
-    fn gate_config(&self, bundle: &Bundle) -> Option<GateConfig> {
-        let service = bundle.service(&self.settings.service)?;
-        Some(GateConfig {
-            slots: service.slots,
-            queue_len: service.queue_len(),
-            queue_wait: Duration::from_millis(service.queue_wait_ms.into()),
-            cold_start: Duration::from_millis(service.cold_start_ms.into()),
-        })
-    }
-
     /// Notes whether the backend server could be reached; one that is back starts cold.
     pub(crate) fn backend_reached(&self, reached: bool) {
         let was_lost = self.counts.backend_lost.swap(!reached, Ordering::Relaxed);
@@ -285,3 +276,13 @@
         Some(record)
     }
 }
+
+/// What the bundle says about the own backend server.
+fn gate_config(service: &Service) -> GateConfig {
+    GateConfig {
+        slots: service.slots,
+        queue_len: service.queue_len(),
+        queue_wait: Duration::from_millis(service.queue_wait_ms.into()),
+        cold_start: Duration::from_millis(service.cold_start_ms.into()),
+    }
+}
--- a/crates/sorrelturn-daemon/src/owner.rs
+++ b/crates/sorrelturn-daemon/src/owner.rs
@@ -2,13 +2,13 @@
 
 use crate::{
     answer::Reply,
-    backend::{BackendError, Lease},
     body::{self, Body},
     clock::unix_ns,
     export, headers,
     in_force::InForce,
     node::{Carried, Node, lock},
     parents::ParentGuard,
+    pool::{Lease, SendError},
     room::Slot,
     tokens,
 };
@@ -182,13 +182,18 @@
                 node.backend_reached(true);
                 self.answered(slot, guard, res, lease)
             }
-            Some(Err(BackendError::NotSent)) => {
+            Some(Err(SendError::Full)) => {
+                slot.release(Outcome::Cancelled);
+                let share = self.context.attempts;
+                unused(self.refused(Refusal::Overload), share)
+            }
+            Some(Err(SendError::NotSent)) => {
                 node.backend_reached(false);
                 slot.release(Outcome::Broke);
                 let share = self.context.attempts;
                 unused(self.refused(Refusal::BackendUnreachable), share)
             }
-            Some(Err(BackendError::Broke)) => {
+            Some(Err(SendError::Broke)) => {
                 slot.release(Outcome::Broke);
                 self.failed(&guard, Refusal::BackendBroke)
             }
@@ -241,6 +246,9 @@
             self.node.leave(LeavingCause::Backend);
         }
         if refused {
+            if res.body().is_end_stream() {
+                lease.give_back();
+            }
             slot.release(Outcome::Overloaded);
             let share = self.context.attempts;
             return unused(self.refused(Refusal::BackendRefused), share);
@@ -287,9 +295,10 @@
             slot.release(Outcome::Answered);
             None
         };
+        let timers = self.node.timers.clone();
         let hop = self;
         res.map(|incoming| {
-            body::watched(incoming, move |whole| {
+            body::guarded(&timers, incoming, move |whole| {
                 if whole {
                     lease.give_back();
                 }
--- a/crates/sorrelturn-daemon/src/payload.rs
+++ b/crates/sorrelturn-daemon/src/payload.rs
@@ -3,11 +3,12 @@
 use crate::{
     answer::Reply,
     body::{self, Body},
+    timers::Timers,
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body as _, Incoming};
-use smol::{Timer, future::FutureExt};
+use smol::future::FutureExt;
 use sorrelturn_protocol::Refusal;
 use std::time::Duration;
 
@@ -27,20 +28,20 @@
 
 impl Payload {
     /// Reads a small body as a whole and takes a larger one as a stream.
-    pub(crate) async fn read(incoming: Incoming) -> Result<Self, Reply> {
+    pub(crate) async fn read(timers: &Timers, incoming: Incoming) -> Result<Self, Reply> {
         if incoming.is_end_stream() {
             return Ok(Self::Whole(Bytes::new()));
         }
         let upper = incoming.size_hint().upper();
         if upper.is_none_or(|len| len > WHOLE_BODY_BYTES) {
-            return Ok(Self::Stream(Some(body::watched(incoming, |_| {}))));
+            return Ok(Self::Stream(Some(body::guarded(timers, incoming, |_| {}))));
         }
         let read = async {
             let body = Limited::new(incoming, WHOLE_BODY_BYTES as usize);
             body.collect().await.ok().map(|body| body.to_bytes())
         };
         let too_slow = async {
-            Timer::after(BODY_TIME).await;
+            timers.after(BODY_TIME).await;
             None
         };
         read.or(too_slow)
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/pool.rs
@@ -0,0 +1,185 @@
+//! Pooled HTTP/1.1 connections to one address, each carrying one exchange at a time.
+//! See `docs/design/between-daemons.md`.
+
+use crate::{body::Body, node::lock, stream::BoxStream};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    client::conn::http1::{Builder, SendRequest},
+};
+use smol::{Executor, Timer, future::FutureExt};
+use smol_hyper::rt::FuturesIo;
+use std::{
+    io,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+/// The most idle connections that are kept.
+const MAX_IDLE: usize = 256;
+/// An idle connection is not used again after this time: its other end may be about to close it,
+/// and a request that crosses the close may have run.
+const IDLE_TIME: Duration = Duration::from_secs(30);
+/// What one exchange may have on its way unread, in bytes; bounds the memory of a slow reader.
+const BUF_LIMIT_BYTES: usize = 128 << 10;
+
+/// Why a request has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SendError {
+    /// Not a byte of it was sent: as many connections are open as may be.
+    Full,
+    /// Not a byte of it was sent.
+    NotSent,
+    /// It was sent, or a part of it was.
+    Broke,
+}
+
+/// The connections to one address.
+pub(crate) struct Pool {
+    most: AtomicUsize,
+    open: Arc<AtomicUsize>,
+    idle: Mutex<Vec<Idle>>,
+}
+
+struct Idle {
+    sender: SendRequest<Body>,
+    since: Instant,
+}
+
+/// A connection that carries one exchange.
+///
+/// It goes back to the pool only after a whole exchange. Otherwise it is dropped, which closes it:
+/// that is how the other end learns that its work is of no more use.
+pub(crate) struct Lease {
+    pool: Arc<Pool>,
+    sender: SendRequest<Body>,
+}
+
+impl Lease {
+    /// The exchange was whole: the connection can carry another one.
+    pub(crate) fn give_back(self) {
+        let mut idle = lock(&self.pool.idle);
+        if idle.len() < MAX_IDLE {
+            idle.push(Idle {
+                sender: self.sender,
+                since: Instant::now(),
+            });
+        }
+    }
+}
+
+/// Counts a connection while it is open.
+struct Open(Arc<AtomicUsize>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Pool {
+    /// A pool of at most this many connections.
+    pub(crate) fn new(most: usize) -> Arc<Self> {
+        Arc::new(Self {
+            most: AtomicUsize::new(most),
+            open: Arc::default(),
+            idle: Mutex::default(),
+        })
+    }
+
+    /// Changes how many connections may be open; those that are open already stay.
+    pub(crate) fn set_most(&self, most: usize) {
+        self.most.store(most, Ordering::Relaxed);
+    }
+
+    /// Drops the idle connections; those that carry something go on.
+    pub(crate) fn forget_idle(&self) {
+        lock(&self.idle).clear();
+    }
+
+    /// Sends a request and waits for the head of its answer; `connect` opens a new connection, and
+    /// has `connect_time` for it.
+    ///
+    /// An idle connection that turns out to be closed has sent nothing; the request comes back
+    /// and goes over the next one.
+    pub(crate) async fn send<F>(
+        self: &Arc<Self>,
+        ex: &Executor<'static>,
+        mut req: Request<Body>,
+        connect_time: Duration,
+        connect: impl Fn() -> F,
+    ) -> Result<(Response<Incoming>, Lease), SendError>
+    where
+        F: Future<Output = io::Result<BoxStream>>,
+    {
+        loop {
+            let idle = self.take_idle();
+            let was_idle = idle.is_some();
+            let mut sender = match idle {
+                Some(sender) => sender,
+                None => self.open(ex, connect_time, connect()).await?,
+            };
+            if sender.ready().await.is_err() {
+                if was_idle {
+                    continue;
+                }
+                return Err(SendError::NotSent);
+            }
+            match sender.try_send_request(req).await {
+                Ok(res) => {
+                    let pool = Arc::clone(self);
+                    return Ok((res, Lease { pool, sender }));
+                }
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) if was_idle => req = unsent,
+                    Some(_) => return Err(SendError::NotSent),
+                    None => return Err(SendError::Broke),
+                },
+            }
+        }
+    }
+
+    /// The connection that was used last: those below it grow old and are dropped.
+    fn take_idle(&self) -> Option<SendRequest<Body>> {
+        let mut idle = lock(&self.idle);
+        while let Some(last) = idle.pop() {
+            if last.since.elapsed() >= IDLE_TIME {
+                idle.clear();
+            } else if !last.sender.is_closed() {
+                return Some(last.sender);
+            }
+        }
+        None
+    }
+
+    async fn open(
+        &self,
+        ex: &Executor<'static>,
+        connect_time: Duration,
+        connect: impl Future<Output = io::Result<BoxStream>>,
+    ) -> Result<SendRequest<Body>, SendError> {
+        let open = Open(Arc::clone(&self.open));
+        if self.open.fetch_add(1, Ordering::Relaxed) >= self.most.load(Ordering::Relaxed) {
+            return Err(SendError::Full);
+        }
+        let too_long = async {
+            Timer::after(connect_time).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        let stream = connect.or(too_long).await.map_err(|_| SendError::NotSent)?;
+        let (sender, conn) = Builder::new()
+            .max_buf_size(BUF_LIMIT_BYTES)
+            .handshake(FuturesIo::new(stream))
+            .await
+            .map_err(|_| SendError::NotSent)?;
+        let drive = async move {
+            let _ = conn.await;
+            drop(open);
+        };
+        ex.spawn(drive).detach();
+        Ok(sender)
+    }
+}
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -287,7 +287,7 @@
     let connect_time = Duration::from_millis(settings.backend.connect_ms);
     Ok(Node {
         platform: Platform::new(settings.platform.address, timeout),
-        backend: Arc::new(Backend::new(settings.backend.address, connect_time)),
+        backend: Backend::new(settings.backend.address, connect_time),
         room: Arc::new(Room::new(
             clock,
             timers.clone(),
--- a/crates/sorrelturn-daemon/src/serve.rs
+++ b/crates/sorrelturn-daemon/src/serve.rs
@@ -6,22 +6,19 @@
     entry, headers, nested,
     node::{Carried, Node},
     owner,
-    peers::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES},
     timers::Timers,
 };
 use hyper::{
-    Request, Response, StatusCode,
-    body::Incoming,
-    server::conn::{http1, http2},
-    service::service_fn,
+    Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
 };
 use smol::{
     Timer,
     channel::Receiver,
     future::FutureExt,
+    io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream},
 };
-use smol_hyper::rt::{FuturesIo, SmolExecutor};
+use smol_hyper::rt::FuturesIo;
 use sorrelturn_protocol::{CallContext, Refusal, headers::CONTEXT};
 use sorrelturn_telemetry::{Field, events};
 use std::{
@@ -36,8 +33,10 @@
 
 /// The longest time for the head of a request, so that slow senders hold no connection for long.
 const HEAD_TIME: Duration = Duration::from_secs(10);
-/// The largest head of a request, in bytes.
-const HEAD_LIMIT_BYTES: usize = 64 << 10;
+/// The longest time that a connection of a peer rests; longer than the peer would use it again.
+const PEER_IDLE_TIME: Duration = Duration::from_secs(60);
+/// The largest head of a request, in bytes, and what a reader may leave unread.
+const BUF_LIMIT_BYTES: usize = 64 << 10;
 /// The longest time for a peer to prove that it belongs to the fleet.
 const HANDSHAKE_TIME: Duration = Duration::from_secs(5);
 /// The most connections of one listener.
@@ -67,7 +66,8 @@
             Timer::after(ACCEPT_PAUSE).await;
             continue;
         };
-        if open.load(Ordering::Relaxed) >= MAX_CONNECTIONS {
+        let full = open.load(Ordering::Relaxed) >= MAX_CONNECTIONS;
+        if full || tcp.set_nodelay(true).is_err() {
             continue;
         }
         let counts = [Arc::clone(&open), Arc::clone(&node.counts.connections)];
@@ -106,7 +106,7 @@
             entry::serve(&node, ip, req).await
         }
     };
-    http1(timers, tcp, closing, answer).await;
+    let _ = http1(timers, tcp, HEAD_TIME, closing, answer).await;
 }
 
 /// A connection of the own backend server.
@@ -116,7 +116,7 @@
         let node = Arc::clone(&node);
         async move { nested::serve(&node, req).await }
     };
-    http1(timers, tcp, closing, answer).await;
+    let _ = http1(timers, tcp, HEAD_TIME, closing, answer).await;
 }
 
 /// A connection of an operator.
@@ -126,34 +126,38 @@
         let node = Arc::clone(&node);
         async move { crate::admin::serve(&node, req).await }
     };
-    http1(timers, tcp, closing, answer).await;
+    let _ = http1(timers, tcp, HEAD_TIME, closing, answer).await;
 }
 
+/// Serves a connection; `head_time` is the longest time for the head of each request, the wait for
+/// it included.
 async fn http1<F>(
     timers: Timers,
-    tcp: TcpStream,
+    stream: impl AsyncRead + AsyncWrite + Unpin,
+    head_time: Duration,
     closing: Closing,
     answer: impl Fn(Request<Incoming>) -> F,
-) where
+) -> hyper::Result<()>
+where
     F: Future<Output = Response<Body>>,
 {
-    if tcp.set_nodelay(true).is_err() {
-        return;
-    }
     let service = service_fn(|req| {
         let answered = answer(req);
         async { Ok::<_, Infallible>(answered.await) }
     });
     let conn = http1::Builder::new()
         .timer(timers)
-        .header_read_timeout(HEAD_TIME)
-        .max_buf_size(HEAD_LIMIT_BYTES)
-        .serve_connection(FuturesIo::new(tcp), service);
+        .header_read_timeout(head_time)
+        .max_buf_size(BUF_LIMIT_BYTES)
+        .serve_connection(FuturesIo::new(stream), service);
     let mut conn = pin!(conn);
     let finished = async { Some(conn.as_mut().await) };
-    if finished.or(closed(&closing)).await.is_none() {
-        conn.as_mut().graceful_shutdown();
-        let _ = conn.await;
+    match finished.or(closed(&closing)).await {
+        Some(result) => result,
+        None => {
+            conn.as_mut().graceful_shutdown();
+            conn.await
+        }
     }
 }
 
@@ -171,25 +175,12 @@
         }
     };
     let for_service = Arc::clone(&node);
-    let service = service_fn(move |req| {
+    let answer = move |req: Request<Incoming>| {
         let node = Arc::clone(&for_service);
-        async move { Ok::<_, Infallible>(peer_call(&node, req).await) }
-    });
-    let timers = node.timers.clone();
-    let conn = http2::Builder::new(SmolExecutor::new(Arc::clone(&node.ex)))
-        .timer(timers)
-        .initial_stream_window_size(STREAM_WINDOW_BYTES)
-        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-        .serve_connection(FuturesIo::new(stream), service);
-    let mut conn = pin!(conn);
-    let finished = async { Some(conn.as_mut().await) };
-    let result = match finished.or(closed(&closing)).await {
-        Some(result) => result,
-        None => {
-            conn.as_mut().graceful_shutdown();
-            conn.await
-        }
+        async move { peer_call(&node, req).await }
     };
+    let timers = node.timers.clone();
+    let result = http1(timers, stream, PEER_IDLE_TIME, closing, answer).await;
     if let Err(error) = result
         && error.is_parse()
     {
@@ -207,7 +198,7 @@
         return status(StatusCode::BAD_REQUEST);
     };
     headers::strip_internal(req.headers_mut());
-    let req = req.map(|body| body::watched(body, |_| {}));
+    let req = req.map(|body| body::guarded(&node.timers, body, |_| {}));
     owner::serve(node, context, req).await.into_peer_response()
 }
 
--- a/crates/sorrelturn-daemon/src/stream.rs
+++ b/crates/sorrelturn-daemon/src/stream.rs
@@ -82,7 +82,6 @@
 
     /// The server's side of a new connection; fails for a stranger.
     pub(crate) async fn accept(&self, tcp: TcpStream) -> io::Result<BoxStream> {
-        tcp.set_nodelay(true)?;
         let pair = self.current.load_full();
         let Some(pair) = pair.as_ref() else {
             return Ok(Box::new(tcp));
--- a/crates/sorrelturn-daemon/src/timers.rs
+++ b/crates/sorrelturn-daemon/src/timers.rs
@@ -1,14 +1,16 @@
 //! Coarse timers for deadlines. See `docs/design/threads.md` for the measurement.
 //!
 //! A timer of the runtime costs several system calls, and nearly every deadline is dropped unused.
-//! Here a deadline is an entry in a map, and one task looks every few milliseconds whether the
-//! first is due; it sleeps while there is none.
+//! Here a deadline is an entry in a map, and one task sleeps until the first one. Deadlines are
+//! mostly as long as one another, so a new one seldom comes before those that wait already, and
+//! the task is seldom woken for it.
 
 use crate::{clock::Clock, node::lock};
 use hyper::rt::{Sleep, Timer as HyperTimer};
 use smol::{
     Timer,
     channel::{self, Receiver, Sender},
+    future::FutureExt,
 };
 use sorrelturn_policy::Now;
 use std::{
@@ -38,7 +40,8 @@
 struct Waiting {
     wakers: BTreeMap<(Now, u64), Waker>,
     next_id: u64,
-    running: bool,
+    /// When [`Timers::run`] looks next; `None` while it sleeps until it is woken.
+    next_look: Option<Now>,
 }
 
 impl Timers {
@@ -58,16 +61,25 @@
 
     /// Wakes what is due, for ever.
     pub(crate) async fn run(self, woken: Receiver<()>) {
-        while woken.recv().await.is_ok() {
-            loop {
-                Timer::after(TICK).await;
-                let due = self.shared.take_due(self.clock.now());
-                for waker in due.wakers {
-                    waker.wake();
-                }
-                if due.was_last {
-                    break;
+        loop {
+            let now = self.clock.now();
+            let (due, next_look) = self.shared.look(now);
+            for waker in due {
+                waker.wake();
+            }
+            let earlier = async { woken.recv().await.is_ok() };
+            let goes_on = match next_look {
+                Some(at) => {
+                    let look = async {
+                        Timer::after(at.saturating_sub(now)).await;
+                        true
+                    };
+                    look.or(earlier).await
                 }
+                None => earlier.await,
+            };
+            if !goes_on {
+                return;
             }
         }
     }
@@ -87,25 +99,20 @@
     }
 }
 
-struct Due {
-    wakers: Vec<Waker>,
-    was_last: bool,
-}
-
 impl Shared {
     fn lock(&self) -> MutexGuard<'_, Waiting> {
         lock(&self.waiting)
     }
 
-    fn take_due(&self, now: Now) -> Due {
+    /// Takes what is due, and says when to look again.
+    fn look(&self, now: Now) -> (impl Iterator<Item = Waker> + use<>, Option<Now>) {
         let mut waiting = self.lock();
         let later = waiting.wakers.split_off(&(now, u64::MAX));
         let due = std::mem::replace(&mut waiting.wakers, later);
-        waiting.running = !waiting.wakers.is_empty();
-        Due {
-            wakers: due.into_values().collect(),
-            was_last: !waiting.running,
-        }
+        let first = waiting.wakers.first_key_value();
+        let next_look = first.map(|((at, _), _)| (*at).max(now + TICK));
+        waiting.next_look = next_look;
+        (due.into_values(), next_look)
     }
 }
 
@@ -143,8 +150,8 @@
         if known.is_none_or(|waker| !waker.will_wake(cx.waker())) {
             waiting.wakers.insert(key, cx.waker().clone());
         }
-        if !waiting.running {
-            waiting.running = true;
+        if waiting.next_look.is_none_or(|look| this.at + TICK < look) {
+            waiting.next_look = Some(this.at);
             let _ = this.timers.wake_up.try_send(());
         }
         Poll::Pending
