Bench: the best that the slots allow, importance first; pressures twice in a row

Found: a payment holds a portal's slot for 190 ms, a balance for 120 ms, and the portal is what fills; answering all payments leaves room for 27 % of the balances. Change: the bench works out the most good answers that the slots allow when importance goes first, and prints it beside what was measured; a fifth scenario plays all pressures twice, 3 s apart.

--- /dev/null
+++ b/crates/sorrelturn-bench/src/capacity.rs
@@ -0,0 +1,108 @@
+//! What a fleet can carry, worked out from the bundle's slots and the work of each kind.
+//!
+//! A slot is held while nested calls run, so a kind holds its service's slot for its own work and all
+//! the work below it. Queues, network and refusals cost nothing here: the figures are bounds.
+
+use crate::workload::MixPart;
+use sorrelturn_bundle::Bundle;
+use sorrelturn_protocol::Importance;
+use std::collections::BTreeMap;
+
+/// The share of a kind that is added in one step of [`Capacity::best`].
+const STEP: f64 = 0.01;
+
+/// The slots of a fleet and the work that its backend servers do.
+pub struct Capacity<'a> {
+    /// The bundle.
+    pub bundle: &'a Bundle,
+    /// The instances of each service.
+    pub instances: &'a BTreeMap<String, usize>,
+    /// The work of each kind, in milliseconds.
+    pub work_ms: &'a BTreeMap<String, f64>,
+    /// A service whose work takes so many times as long.
+    pub slow: (&'a str, f64),
+}
+
+/// Slots in use by service.
+type Busy = BTreeMap<String, f64>;
+
+impl Capacity<'_> {
+    /// Root requests a second of a mix that the slots can carry.
+    pub fn of_mix(&self, mix: &[MixPart]) -> f64 {
+        let mut busy = Busy::new();
+        for part in mix {
+            self.hold(&part.kind, part.share, &mut busy);
+        }
+        busy.iter()
+            .map(|(service, slots)| self.slots(service) / slots)
+            .fold(f64::INFINITY, f64::min)
+    }
+
+    /// The most good answers a second by importance when `rate` root requests a second are asked for
+    /// and importance goes first. Kinds of one importance get the same share until one of their
+    /// services is full.
+    pub fn best(&self, mix: &[MixPart], rate: f64) -> BTreeMap<Importance, f64> {
+        let mut busy = Busy::new();
+        let mut good = BTreeMap::new();
+        let mut importances: Vec<Importance> = mix.iter().map(|part| part.importance).collect();
+        importances.sort_unstable();
+        importances.dedup();
+        for importance in importances.into_iter().rev() {
+            let parts = mix.iter().filter(|part| part.importance == importance);
+            let parts: Vec<&MixPart> = parts.collect();
+            good.insert(importance, self.fill(&parts, rate, &mut busy));
+        }
+        good
+    }
+
+    fn fill(&self, parts: &[&MixPart], rate: f64, busy: &mut Busy) -> f64 {
+        let mut open: Vec<&MixPart> = parts.to_vec();
+        let mut good = 0.0;
+        for _ in 0..(1.0 / STEP).round() as u32 {
+            open.retain(|part| {
+                let more = part.share * rate * STEP;
+                let mut with = busy.clone();
+                self.hold(&part.kind, more, &mut with);
+                let fits = with
+                    .iter()
+                    .all(|(service, slots)| *slots <= self.slots(service));
+                if fits {
+                    *busy = with;
+                    good += more;
+                }
+                fits
+            });
+        }
+        good
+    }
+
+    fn slots(&self, service: &str) -> f64 {
+        let slots = self
+            .bundle
+            .service(service)
+            .map_or(0, |service| service.slots);
+        let instances = self.instances.get(service).copied().unwrap_or(0);
+        f64::from(slots) * instances as f64
+    }
+
+    /// Adds the slots that a kind keeps busy at `rate`; returns the seconds that one request holds.
+    fn hold(&self, kind: &str, rate: f64, busy: &mut Busy) -> f64 {
+        let Some(entry) = self.bundle.kind(kind) else {
+            return 0.0;
+        };
+        let work_ms = self.work_ms.get(kind).copied().unwrap_or(1.0);
+        let (slow_service, slow) = self.slow;
+        let slow = if entry.service == slow_service {
+            slow
+        } else {
+            1.0
+        };
+        let mut seconds = work_ms * slow / 1000.0;
+        for (child, count) in &entry.kind.calls {
+            let count = f64::from(*count);
+            seconds += count * self.hold(child, rate * count, busy);
+        }
+        *busy.entry(entry.service.clone()).or_default() += rate * seconds;
+        seconds
+    }
+}
--- a/crates/sorrelturn-bench/src/commands/demo.rs
+++ b/crates/sorrelturn-bench/src/commands/demo.rs
@@ -23,6 +23,7 @@
     surge: 2.0,
     slow: 3.0,
     tries: 3,
+    pressures: 1,
 };
 
 fn signature() -> Command {
--- a/crates/sorrelturn-bench/src/commands/overload.rs
+++ b/crates/sorrelturn-bench/src/commands/overload.rs
@@ -152,6 +152,7 @@
     let lengths = Lengths {
         before: Duration::from_secs(3),
         pressure: Duration::from_secs(5),
+        between: Duration::from_secs(3),
         after: Duration::from_secs(6),
     };
     run_on(THREADS, async |ex| {
@@ -161,13 +162,14 @@
 
 pub(super) fn heads() -> String {
     format!(
-        "{:<13} {:>8} {:>8} {:>8} {:>8} | {:>7} {:>7} {:>9} {:>7} {:>6} {:>6} {:>6} {:>6}",
+        "{:<13} {:>8} {:>8} {:>8} {:>8} | {:>7} {:>6} {:>7} {:>9} {:>7} {:>6} {:>6} {:>6} {:>6}",
         "system",
         "critical",
         "high",
         "normal",
         "before/s",
         "under/s",
+        "best/s",
         "recov s",
         "executed",
         "waste %",
@@ -186,13 +188,14 @@
             .map_or_else(|| "-".to_owned(), |sum| format!("{:.1}%", sum.percent()))
     };
     format!(
-        "{:<13} {:>8} {:>8} {:>8} {:>8.0} | {:>7.0} {:>7.2} {:>9} {:>7.1} {:>6.2} {:>6} {:>6} {:>6}",
+        "{:<13} {:>8} {:>8} {:>8} {:>8.0} | {:>7.0} {:>6.0} {:>7.2} {:>9} {:>7.1} {:>6.2} {:>6} {:>6} {:>6}",
         summary.system,
         percent("critical"),
         percent("high"),
         percent("normal"),
         summary.goodput_before,
         summary.goodput_under,
+        summary.best_under,
         summary.recovery_s,
         summary.executions,
         summary.wasted_percent,
--- a/crates/sorrelturn-bench/src/lib.rs
+++ b/crates/sorrelturn-bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod backend;
 mod baseline;
+mod capacity;
 mod client;
 mod commands;
 mod examples;
--- a/crates/sorrelturn-bench/src/scenario.rs
+++ b/crates/sorrelturn-bench/src/scenario.rs
@@ -11,7 +11,14 @@
     workload::Workload,
 };
 use smol::{Executor, net::TcpListener};
-use std::{collections::HashMap, net::Ipv4Addr, sync::Arc, time::Duration};
+use sorrelturn_protocol::Importance;
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::Ipv4Addr,
+    ops::Range,
+    sync::Arc,
+    time::Duration,
+};
 
 /// The share of the capacity that callers ask for in normal times.
 const NORMAL_SHARE: f64 = 0.7;
@@ -27,6 +34,8 @@
     pub slow: f64,
     /// How often a caller asks in all.
     pub tries: u32,
+    /// How often the pressure comes, with a short normal time between.
+    pub pressures: usize,
 }
 
 /// All scenarios.
@@ -36,24 +45,35 @@
         surge: 3.0,
         slow: 1.0,
         tries: 1,
+        pressures: 1,
     },
     Scenario {
         name: "deep service x5 slower",
         surge: 1.0,
         slow: 5.0,
         tries: 1,
+        pressures: 1,
     },
     Scenario {
         name: "hard retries, surge x1.5",
         surge: 1.5,
         slow: 1.0,
         tries: 5,
+        pressures: 1,
     },
     Scenario {
         name: "all together",
         surge: 3.0,
         slow: 5.0,
         tries: 5,
+        pressures: 1,
+    },
+    Scenario {
+        name: "all together, twice in a row",
+        surge: 3.0,
+        slow: 5.0,
+        tries: 5,
+        pressures: 2,
     },
 ];
 
@@ -77,17 +97,60 @@
     }
 }
 
-/// How long the three stretches last.
+/// How long the stretches last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Lengths {
     /// The normal time before.
     pub before: Duration,
-    /// The pressure.
+    /// Each pressure.
     pub pressure: Duration,
+    /// The normal time between two pressures.
+    pub between: Duration,
     /// The normal time after.
     pub after: Duration,
 }
 
+impl Lengths {
+    /// Normal times and pressures by turns, with a normal time first and last.
+    fn stretches(&self, normal: f64, scenario: &Scenario) -> Vec<Stretch> {
+        let last = 2 * scenario.pressures;
+        (0..=last)
+            .map(|at| Stretch {
+                rate: if is_pressure(at) {
+                    normal * scenario.surge
+                } else {
+                    normal
+                },
+                length: match at {
+                    0 => self.before,
+                    at if is_pressure(at) => self.pressure,
+                    at if at == last => self.after,
+                    _ => self.between,
+                },
+            })
+            .collect()
+    }
+}
+
+/// Whether a stretch is one of pressure.
+fn is_pressure(at: usize) -> bool {
+    at % 2 == 1
+}
+
+/// From when to when there is pressure, since the start of the load.
+fn pressures(stretches: &[Stretch]) -> Vec<Range<Duration>> {
+    let mut begin = Duration::ZERO;
+    let mut pressures = Vec::new();
+    for (at, stretch) in stretches.iter().enumerate() {
+        let end = begin + stretch.length;
+        if is_pressure(at) {
+            pressures.push(begin..end);
+        }
+        begin = end;
+    }
+    pressures
+}
+
 /// Runs one scenario against one system; `progress` hears of each stretch.
 pub async fn run_scenario(
     ex: Arc<Executor<'static>>,
@@ -99,20 +162,7 @@
 ) -> Summary {
     let running = start(&ex, workload, system).await;
     let normal = workload.capacity * NORMAL_SHARE;
-    let stretches = [
-        Stretch {
-            rate: normal,
-            length: lengths.before,
-        },
-        Stretch {
-            rate: normal * scenario.surge,
-            length: lengths.pressure,
-        },
-        Stretch {
-            rate: normal,
-            length: lengths.after,
-        },
-    ];
+    let stretches = lengths.stretches(normal, scenario);
     let load = Load {
         ex: Arc::clone(&ex),
         entries: running.entries.clone(),
@@ -129,21 +179,28 @@
     let deep = running.backends_of(workload.deep_service);
     let records = load
         .run(&stretches, |at| {
-            let slow = if at == 1 { scenario.slow } else { 1.0 };
+            let slow = if is_pressure(at) { scenario.slow } else { 1.0 };
             for backend in &deep {
                 backend.change_plan(|plan| plan.slow = slow);
             }
-            progress(["normal load", "pressure", "normal load again"][at]);
+            progress(if is_pressure(at) {
+                "pressure"
+            } else {
+                "normal load"
+            });
         })
         .await;
-    summarize(&running, workload, system, lengths, &records)
+    let pressures = pressures(&stretches);
+    let best = workload.best(normal * scenario.surge, scenario.slow);
+    summarize(&running, workload, system, &pressures, best, &records)
 }
 
 fn summarize(
     running: &Running,
     workload: &Workload,
     system: System,
-    lengths: Lengths,
+    pressures: &[Range<Duration>],
+    best: BTreeMap<Importance, f64>,
     records: &[crate::load::Record],
 ) -> Summary {
     let bundle = workload.fleet.indexed();
@@ -175,7 +232,8 @@
         records,
         &Context {
             system: system.name(),
-            pressure: (lengths.before, lengths.before + lengths.pressure),
+            pressures,
+            best,
             executions,
             ran: &ran,
             need: &need,
--- a/crates/sorrelturn-bench/src/summary.rs
+++ b/crates/sorrelturn-bench/src/summary.rs
@@ -5,6 +5,7 @@
 use sorrelturn_protocol::Importance;
 use std::{
     collections::{BTreeMap, HashMap},
+    ops::Range,
     time::Duration,
 };
 
@@ -42,7 +43,9 @@
     pub goodput_before: f64,
     /// As above, under pressure.
     pub goodput_under: f64,
-    /// Seconds from the end of the pressure until requests are well again.
+    /// The most good answers a second under pressure that the slots allow, importance first.
+    pub best_under: f64,
+    /// Seconds from the end of a pressure until requests are well again, the worst.
     pub recovery_s: f64,
     /// Executions at backend servers.
     pub executions: u64,
@@ -64,8 +67,10 @@
 pub struct Context<'a> {
     /// The name of the system.
     pub system: &'a str,
-    /// When the pressure began and ended.
-    pub pressure: (Duration, Duration),
+    /// From when to when there was pressure, since the start of the load.
+    pub pressures: &'a [Range<Duration>],
+    /// The most good answers a second under pressure that the slots allow, importance first.
+    pub best: BTreeMap<Importance, f64>,
     /// Executions at all backend servers.
     pub executions: u64,
     /// Executions by key and kind.
@@ -76,15 +81,31 @@
     pub once: &'a [String],
 }
 
+impl Context<'_> {
+    fn is_under_pressure(&self, record: &Record) -> bool {
+        self.pressures
+            .iter()
+            .any(|pressure| pressure.contains(&record.sent))
+    }
+}
+
 impl Summary {
     /// Sums a run up.
     pub fn of(records: &[Record], cx: &Context) -> Self {
-        let (begin, end) = cx.pressure;
-        let in_time = |from: Duration, to: Duration| {
-            records
-                .iter()
-                .filter(move |record| (from..to).contains(&record.sent))
+        let begin = cx
+            .pressures
+            .first()
+            .map_or(Duration::MAX, |first| first.start);
+        let before = || records.iter().filter(|record| record.sent < begin);
+        let under = || {
+            let is_under = |record: &&Record| cx.is_under_pressure(record);
+            records.iter().filter(is_under)
         };
+        let length = cx
+            .pressures
+            .iter()
+            .map(|range| range.end - range.start)
+            .sum();
         let useful: u64 = records
             .iter()
             .filter(|record| record.good)
@@ -93,20 +114,21 @@
         let wasted = cx.executions.saturating_sub(useful);
         let tries: u64 = records.iter().map(|record| u64::from(record.tries)).sum();
         let per_second = |good: usize, length: Duration| good as f64 / length.as_secs_f64();
-        let good_in = |from, to| in_time(from, to).filter(|record| record.good).count();
+        let good = |record: &&Record| record.good;
         Self {
             system: cx.system.to_owned(),
-            before: by_importance(in_time(Duration::ZERO, begin)),
-            under: by_importance(in_time(begin, end)),
-            goodput_before: per_second(good_in(Duration::ZERO, begin), begin),
-            goodput_under: per_second(good_in(begin, end), end - begin),
-            recovery_s: recovery(records, end).as_secs_f64(),
+            before: by_importance(before()),
+            under: by_importance(under()),
+            goodput_before: per_second(before().filter(good).count(), begin),
+            goodput_under: per_second(under().filter(good).count(), length),
+            best_under: cx.best.values().sum(),
+            recovery_s: worst_recovery(records, cx).as_secs_f64(),
             executions: cx.executions,
             wasted_percent: wasted as f64 * 100.0 / cx.executions.max(1) as f64,
             tries_per_request: tries as f64 / records.len().max(1) as f64,
             double_runs: double_runs(cx),
             wrong_answers: records.iter().filter(|record| record.wrong).count() as u64,
-            failures: failures(records, cx.pressure),
+            failures: failures(records, cx),
             false_not_run: false_not_run(records, cx),
         }
     }
@@ -124,10 +146,24 @@
         .collect()
 }
 
-/// The time from `end` to the end of the last window that was not well.
-fn recovery(records: &[Record], end: Duration) -> Duration {
+/// The longest recovery after a pressure.
+fn worst_recovery(records: &[Record], cx: &Context) -> Duration {
+    let recoveries = cx.pressures.iter().enumerate().map(|(at, pressure)| {
+        let next = cx.pressures.get(at + 1);
+        let until = next.map_or(Duration::MAX, |next| next.start);
+        recovery(records, pressure.end..until)
+    });
+    recoveries.max().unwrap_or(Duration::ZERO)
+}
+
+/// The time from the start of a normal time to the end of its last window that was not well.
+fn recovery(records: &[Record], normal: Range<Duration>) -> Duration {
+    let end = normal.start;
     let mut windows: BTreeMap<u32, Goodput> = BTreeMap::new();
-    for record in records.iter().filter(|record| record.sent >= end) {
+    for record in records
+        .iter()
+        .filter(|record| normal.contains(&record.sent))
+    {
         let window = (record.sent - end).as_nanos() / WINDOW.as_nanos();
         let sum = windows.entry(window as u32).or_default();
         sum.offered += 1;
@@ -140,15 +176,13 @@
     last_bad.map_or(Duration::ZERO, |window| WINDOW * (window + 1))
 }
 
-fn failures(records: &[Record], (begin, end): (Duration, Duration)) -> BTreeMap<String, u64> {
+fn failures(records: &[Record], cx: &Context) -> BTreeMap<String, u64> {
     let mut failures = BTreeMap::new();
     for record in records.iter().filter(|record| !record.good) {
-        let stretch = if record.sent < begin {
-            "before"
-        } else if record.sent < end {
+        let stretch = if cx.is_under_pressure(record) {
             "under"
         } else {
-            "after"
+            "normal"
         };
         let Record {
             kind,
--- a/crates/sorrelturn-bench/src/workload.rs
+++ b/crates/sorrelturn-bench/src/workload.rs
@@ -1,6 +1,6 @@
 //! The users' workloads scaled to one machine, and their capacity worked out from the bundle.
 
-use crate::{FleetPlan, examples::example_bundle, plan::concrete_path};
+use crate::{FleetPlan, capacity::Capacity, examples::example_bundle, plan::concrete_path};
 use sorrelturn_bundle::{Bundle, BundleSource, Execution};
 use sorrelturn_protocol::Importance;
 use std::collections::BTreeMap;
@@ -39,6 +39,8 @@
     pub capacity: f64,
     /// The deep service that is slowed in the scenarios.
     pub deep_service: &'static str,
+    indexed: Bundle,
+    counts: BTreeMap<String, usize>,
 }
 
 impl Workload {
@@ -96,15 +98,36 @@
             .iter()
             .filter_map(|(name, share)| part(&indexed, name, *share))
             .collect();
-        let counts: BTreeMap<&str, usize> = instances.iter().copied().collect();
-        let capacity = capacity(&indexed, &mix, &counts, &work_ms);
+        let counts = instances
+            .iter()
+            .map(|(service, count)| ((*service).to_owned(), *count))
+            .collect();
         let mut fleet = FleetPlan::of(bundle, instances, &domains, &[]);
         fleet.work_ms = work_ms;
-        Self {
+        let mut workload = Self {
             fleet,
             mix,
-            capacity,
+            capacity: 0.0,
             deep_service: deep,
+            indexed,
+            counts,
+        };
+        workload.capacity = workload.slots(1.0).of_mix(&workload.mix);
+        workload
+    }
+
+    /// The most good answers a second by importance, with importance first, when `rate` are asked for
+    /// while the deep service is so many times slower.
+    pub fn best(&self, rate: f64, slow: f64) -> BTreeMap<Importance, f64> {
+        self.slots(slow).best(&self.mix, rate)
+    }
+
+    fn slots(&self, slow: f64) -> Capacity<'_> {
+        Capacity {
+            bundle: &self.indexed,
+            instances: &self.counts,
+            work_ms: &self.fleet.work_ms,
+            slow: (self.deep_service, slow),
         }
     }
 
@@ -144,43 +167,3 @@
         share,
     })
 }
-
-/// A slot is held while nested calls run, so a kind holds its service's slot for its own work and
-/// all the work below it.
-fn capacity(
-    bundle: &Bundle,
-    mix: &[MixPart],
-    instances: &BTreeMap<&str, usize>,
-    work_ms: &BTreeMap<String, f64>,
-) -> f64 {
-    let mut busy: BTreeMap<String, f64> = BTreeMap::new();
-    for part in mix {
-        hold(bundle, &part.kind, part.share, work_ms, &mut busy);
-    }
-    busy.iter()
-        .filter_map(|(service, seconds)| {
-            let slots = f64::from(bundle.service(service)?.slots);
-            let instances = *instances.get(service.as_str())? as f64;
-            Some(slots * instances / seconds)
-        })
-        .fold(f64::INFINITY, f64::min)
-}
-
-fn hold(
-    bundle: &Bundle,
-    kind: &str,
-    times: f64,
-    work_ms: &BTreeMap<String, f64>,
-    busy: &mut BTreeMap<String, f64>,
-) -> f64 {
-    let Some(entry) = bundle.kind(kind) else {
-        return 0.0;
-    };
-    let mut seconds = work_ms.get(kind).copied().unwrap_or(1.0) / 1000.0;
-    for (child, count) in &entry.kind.calls {
-        let count = f64::from(*count);
-        seconds += count * hold(bundle, child, times * count, work_ms, busy);
-    }
-    *busy.entry(entry.service.clone()).or_default() += times * seconds;
-    seconds
-}
