--- a/crates/sorrelturn-daemon/src/join.rs
+++ b/crates/sorrelturn-daemon/src/join.rs
@@ -3,6 +3,7 @@
 use crate::{
     fetch, gossip,
     node::{Node, lock},
+    outcomes,
 };
 use smol::Timer;
 use sorrelturn_fleet::{Source, push_targets};
@@ -25,6 +26,10 @@
             .collect();
         for record in &records {
             node.outrank_earlier_run(record);
+            if record.instance == node.settings.instance && record.incarnation != node.incarnation {
+                let delete = outcomes::delete_earlier_run(Arc::clone(node), record.incarnation);
+                node.ex.spawn(delete).detach();
+            }
         }
         node.merge_members(records);
     }
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -2,12 +2,12 @@
 
 use crate::{
     backend::Backend, clock::Clock, control_client::ControlLinks, in_force::InForce,
-    parents::Parents, room::Room, routes::Routes, settings::Settings, stream::FleetKeys,
-    timers::Timers,
+    outcomes::SegmentVersions, parents::Parents, room::Room, routes::Routes, settings::Settings,
+    stream::FleetKeys, timers::Timers,
 };
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cadence::StatsdClient;
-use smol::Executor;
+use smol::{Executor, lock::Mutex as AsyncMutex};
 use sorrelturn_bundle::{Bundle, SectionBytes, Service, SignedManifest, TrustedKeys};
 use sorrelturn_fleet::{DomainView, Membership, Spread};
 use sorrelturn_once::Ledger;
@@ -43,6 +43,7 @@
     pub(crate) in_force: ArcSwapOption<InForce>,
     pub(crate) routes: ArcSwap<Routes>,
     pub(crate) ledger: Mutex<Ledger>,
+    pub(crate) segment_versions: AsyncMutex<SegmentVersions>,
     pub(crate) membership: Mutex<Membership>,
     pub(crate) spread: Mutex<Spread>,
     pub(crate) view: Mutex<DomainView>,
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -25,6 +25,7 @@
     Executor, Timer,
     channel::{self, Sender},
     future::FutureExt,
+    lock::Mutex as AsyncMutex,
     net::{TcpListener, TcpStream},
 };
 use sorrelturn_bundle::{KeyError, TrustedKeys};
@@ -295,6 +296,7 @@
         in_force: ArcSwapOption::empty(),
         routes: ArcSwap::from_pointee(Routes::default()),
         ledger: Mutex::new(Ledger::new(incarnation, ledger, seal_key)),
+        segment_versions: AsyncMutex::default(),
         membership: Mutex::new(Membership::default()),
         spread: Mutex::new(Spread::default()),
         view: Mutex::new(DomainView::default()),
--- a/crates/sorrelturn-daemon/src/settings.rs
+++ b/crates/sorrelturn-daemon/src/settings.rs
@@ -185,6 +185,9 @@
 /// The most threads that make sense beside a backend server.
 const MAX_THREADS: usize = 64;
 
+/// The most tokens that can be out: about 41 bytes each, and the store's values end at a megabyte.
+const MAX_TOKENS: usize = 20_000;
+
 impl Settings {
     /// Reads and checks a settings file; `file` is its name for errors.
     pub fn parse(file: &str, text: &str) -> Result<Self, Vec<Diagnostic>> {
@@ -269,6 +272,13 @@
                 "write a ttl_s and a capacity of 1 or more",
             );
         }
+        if self.once.capacity > MAX_TOKENS {
+            at(
+                &["once", "capacity"],
+                "the outcomes of a minute would not fit into one object of the platform's store",
+                &format!("write {MAX_TOKENS} or less"),
+            );
+        }
         findings
     }
 
--- a/crates/sorrelturn-daemon/src/tokens.rs
+++ b/crates/sorrelturn-daemon/src/tokens.rs
@@ -12,7 +12,10 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{HeaderMap, Method, Response, Uri};
-use sorrelturn_once::{Binding, BindingError, Fingerprint, OutcomeRecord};
+use serde::de::DeserializeOwned;
+use sorrelturn_once::{
+    Binding, BindingError, ClosingRecord, Fingerprint, OutcomeSegment, verdict_of_lost_owner,
+};
 use sorrelturn_platform::{Expected, Object, PlatformError, keys};
 use sorrelturn_protocol::{CallContext, ExecutionToken, Refusal, Verdict};
 use std::sync::Arc;
@@ -147,14 +150,10 @@
     owner::fingerprint(&call.context, &call.target.to_string())
 }
 
-/// What is known of a token whose owner can't be asked: the record that it left in the store.
+/// What is known of a token whose owner can't be asked: what it left in the store.
 pub(crate) async fn of_lost_owner(node: &Node, token: &ExecutionToken) -> Reply {
-    let record = node.platform.get(&keys::outcomes(token.owner)).await;
-    let record: Option<OutcomeRecord> = record
-        .ok()
-        .flatten()
-        .and_then(|object| serde_json::from_str(&object.value).ok());
-    let verdict = record.map_or(Verdict::MayHaveRun, |record| record.verdict(token).verdict);
+    let verdict = recorded_verdict(node, token).await;
+    let verdict = verdict.unwrap_or(Verdict::MayHaveRun);
     let refusal = match verdict {
         Verdict::NotRun => Refusal::Tombstone,
         _ => Refusal::OutcomeUnknown,
@@ -162,6 +161,27 @@
     Reply::refused(refusal, verdict).come_back(owner::come_back(node))
 }
 
+/// The order of the two reads matters: once the closing record is there, the segment is whole.
+async fn recorded_verdict(node: &Node, token: &ExecutionToken) -> Result<Verdict, PlatformError> {
+    let closing = node.platform.get(&keys::closing(token.owner)).await?;
+    let key = keys::outcomes(token.owner, OutcomeSegment::number_of(token));
+    let segment = node.platform.get(&key).await?;
+    let closing: Option<ClosingRecord> = parsed(closing.as_ref())?;
+    let segment: Option<OutcomeSegment> = parsed(segment.as_ref())?;
+    Ok(verdict_of_lost_owner(
+        token,
+        closing.as_ref(),
+        segment.as_ref(),
+    ))
+}
+
+fn parsed<T: DeserializeOwned>(object: Option<&Object>) -> Result<Option<T>, PlatformError> {
+    object
+        .map(|object| serde_json::from_str(&object.value))
+        .transpose()
+        .map_err(|_| PlatformError::Unreadable)
+}
+
 /// Sets the header by which a caller is told its token.
 pub(crate) fn tell(headers: &mut HeaderMap, token: &ExecutionToken) {
     headers::set(
--- a/crates/sorrelturn-daemon/tests/settings.rs
+++ b/crates/sorrelturn-daemon/tests/settings.rs
@@ -106,6 +106,11 @@
             r#""ttl_s": 0"#,
             "no token could ever be used",
         ),
+        (
+            r#""capacity": 20000"#,
+            r#""capacity": 20001"#,
+            "would not fit",
+        ),
         (
             r#""example": "2152"#,
             r#""example": "zz52"#,
--- a/crates/sorrelturn-once/src/ledger.rs
+++ b/crates/sorrelturn-once/src/ledger.rs
@@ -1,10 +1,10 @@
 //! The memory of one daemon process about the tokens that it issued.
 //! See `docs/design/at-most-once.md`.
 
-use crate::{OutcomeRecord, RecordedOutcome};
+use crate::{ClosingRecord, OutcomeSegment, RecordedOutcome};
 use sorrelturn_protocol::{ExecutionToken, Incarnation, Verdict};
 use std::{
-    collections::{BTreeSet, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     time::Duration,
 };
 
@@ -88,8 +88,9 @@
     issued: VecDeque<u64>,
     kept_bytes: usize,
     closed: bool,
-    record: OutcomeRecord,
-    unsaved: bool,
+    segments: BTreeMap<u64, OutcomeSegment>,
+    unsaved: BTreeSet<u64>,
+    complete_since_ms: u64,
 }
 
 impl Ledger {
@@ -104,8 +105,9 @@
             issued: VecDeque::new(),
             kept_bytes: 0,
             closed: false,
-            record: OutcomeRecord::new(owner),
-            unsaved: false,
+            segments: BTreeMap::new(),
+            unsaved: BTreeSet::new(),
+            complete_since_ms: 0,
         }
     }
 
@@ -165,7 +167,6 @@
         let recorded = RecordedOutcome {
             verdict: outcome.verdict,
             status: outcome.status,
-            issued_ms: token.issued_ms,
         };
         if self.kept_bytes + outcome.kept_bytes() > self.cfg.kept_bytes {
             outcome.body = None;
@@ -173,8 +174,12 @@
         if let Some(seen) = self.seen.get_mut(&token.nonce) {
             self.kept_bytes += outcome.kept_bytes();
             seen.entry = Entry::Ended(outcome);
-            self.record.add(token.nonce, recorded);
-            self.unsaved = true;
+            let number = OutcomeSegment::number_of(token);
+            self.segments
+                .entry(number)
+                .or_insert_with(|| OutcomeSegment::new(self.owner, number))
+                .add(token, recorded);
+            self.unsaved.insert(number);
         }
     }
 
@@ -183,21 +188,44 @@
         self.closed = true;
     }
 
-    /// The record to write to the store, if something is new since it was taken last.
-    ///
-    /// It is marked as closed once the ledger is, and no request is running any more.
-    pub fn take_unsaved(&mut self) -> Option<OutcomeRecord> {
-        let closing = self.closed && !self.record.closed && self.running() == 0;
-        if closing {
-            self.record.closed = true;
+    /// The segments to write to the store: those in which something is new since they were taken.
+    pub fn take_unsaved(&mut self) -> Vec<OutcomeSegment> {
+        std::mem::take(&mut self.unsaved)
+            .iter()
+            .filter_map(|number| self.segments.get(number).cloned())
+            .collect()
+    }
+
+    /// A segment could not be written: it will be taken again.
+    pub fn save_failed(&mut self, number: u64) {
+        self.unsaved.insert(number);
+    }
+
+    /// Forgets the segments none of whose tokens can be asked for any more, and returns their
+    /// numbers, to delete them in the store.
+    pub fn drop_expired_segments(&mut self, now: Duration) -> Vec<u64> {
+        let mut dropped = Vec::new();
+        while let Some(number) = self.segments.keys().next().copied() {
+            let end_ms = OutcomeSegment::end_ms(number);
+            if !self.is_expired(now, end_ms) {
+                break;
+            }
+            self.segments.remove(&number);
+            self.unsaved.remove(&number);
+            self.complete_since_ms = end_ms;
+            dropped.push(number);
         }
-        let news = std::mem::take(&mut self.unsaved) || closing;
-        news.then(|| self.record.clone())
+        dropped
     }
 
-    /// The last record could not be written: it will be taken again.
-    pub fn save_failed(&mut self) {
-        self.unsaved = true;
+    /// The record to write last: there is one once the ledger is closed, no request is running, and
+    /// every segment was taken. Whoever writes it must have written those before.
+    pub fn closing(&self) -> Option<ClosingRecord> {
+        let whole = self.closed && self.unsaved.is_empty() && self.running() == 0;
+        whole.then_some(ClosingRecord {
+            owner: self.owner,
+            complete_since_ms: self.complete_since_ms,
+        })
     }
 
     /// Requests that are running under a token.
--- a/crates/sorrelturn-once/src/lib.rs
+++ b/crates/sorrelturn-once/src/lib.rs
@@ -8,4 +8,4 @@
 pub use binding::{Binding, BindingError};
 pub use ledger::{Begin, Fingerprint, Ledger, LedgerConfig, Outcome};
 pub use nested::{CallKey, NestedTokens};
-pub use record::{OutcomeRecord, RecordedOutcome};
+pub use record::{ClosingRecord, OutcomeSegment, RecordedOutcome, SEGMENT, verdict_of_lost_owner};
--- a/crates/sorrelturn-once/src/record.rs
+++ b/crates/sorrelturn-once/src/record.rs
@@ -1,87 +1,97 @@
 //! What outlives a daemon process: the outcomes that it recorded in the platform's store.
+//! See `docs/design/at-most-once.md`.
 
 use serde::{Deserialize, Serialize};
 use sorrelturn_protocol::{ExecutionToken, Incarnation, Verdict};
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
-/// The most outcomes in one record, so that it stays far below the store's megabyte.
-pub(crate) const RECORD_CAPACITY: usize = 10_000;
+/// Tokens that were issued within so long have their outcomes in one object of the store. A longer
+/// time means fewer objects, a shorter one fewer bytes that are written again.
+pub const SEGMENT: Duration = Duration::from_secs(60);
+const SEGMENT_MS: u64 = SEGMENT.as_millis() as u64;
 
-/// One outcome without its body.
+/// One outcome without its body. The names are short because thousands lie in one object.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordedOutcome {
     /// Whether the request may have run.
+    #[serde(rename = "v")]
     pub verdict: Verdict,
     /// The HTTP status that its caller got.
+    #[serde(rename = "s")]
     pub status: u16,
-    /// When its token was issued, in milliseconds of the owner's clock.
-    pub issued_ms: u64,
 }
 
-/// The outcomes of one incarnation, as one object in the store.
+/// The outcomes of those tokens of one incarnation that were issued within one [`SEGMENT`], as one
+/// object in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OutcomeRecord {
+pub struct OutcomeSegment {
     /// The incarnation.
     pub owner: Incarnation,
-    /// Whether the owner has stopped for good, with everything written down.
-    pub closed: bool,
-    /// Tokens issued before this are not fully covered, because the record was full.
-    pub complete_since_ms: u64,
-    /// The outcomes by the token's nonce, in hexadecimal.
+    /// The number of the segment, counted from the start of the owner.
+    pub number: u64,
+    /// The outcomes by the random half of the token's nonce, in hexadecimal.
     pub outcomes: BTreeMap<String, RecordedOutcome>,
 }
 
-impl OutcomeRecord {
-    /// An empty record of a running incarnation.
-    pub fn new(owner: Incarnation) -> Self {
+impl OutcomeSegment {
+    /// An empty segment.
+    pub fn new(owner: Incarnation, number: u64) -> Self {
         Self {
             owner,
-            closed: false,
-            complete_since_ms: 0,
+            number,
             outcomes: BTreeMap::new(),
         }
     }
 
-    /// What became of a token of this incarnation, once the process itself can't be asked.
-    ///
-    /// Only a closed record makes an unlisted token [`Verdict::NotRun`]: the owner wrote it after
-    /// its last execution and refuses every token since. Without it, nobody knows.
-    pub fn verdict(&self, token: &ExecutionToken) -> RecordedOutcome {
-        if let Some(outcome) = self.outcomes.get(&key(token.nonce)) {
-            return *outcome;
-        }
-        let covered = self.closed && token.issued_ms >= self.complete_since_ms;
-        RecordedOutcome {
-            verdict: if covered {
-                Verdict::NotRun
-            } else {
-                Verdict::MayHaveRun
-            },
-            status: 0,
-            issued_ms: token.issued_ms,
-        }
+    /// The number of the segment that a token belongs to.
+    pub fn number_of(token: &ExecutionToken) -> u64 {
+        token.issued_ms / SEGMENT_MS
     }
 
-    pub(crate) fn add(&mut self, nonce: u128, outcome: RecordedOutcome) {
-        self.outcomes.insert(key(nonce), outcome);
-        while self.outcomes.len() > RECORD_CAPACITY {
-            self.drop_oldest();
-        }
+    /// When the first token of the segment behind this one could be issued, in milliseconds of the
+    /// owner's clock.
+    pub(crate) fn end_ms(number: u64) -> u64 {
+        (number + 1) * SEGMENT_MS
     }
 
-    fn drop_oldest(&mut self) {
-        let oldest = self
-            .outcomes
-            .iter()
-            .min_by_key(|(_, outcome)| outcome.issued_ms)
-            .map(|(key, outcome)| (key.clone(), outcome.issued_ms));
-        if let Some((key, issued_ms)) = oldest {
-            self.outcomes.remove(&key);
-            self.complete_since_ms = self.complete_since_ms.max(issued_ms + 1);
-        }
+    pub(crate) fn add(&mut self, token: &ExecutionToken, outcome: RecordedOutcome) {
+        self.outcomes.insert(key(token), outcome);
+    }
+}
+
+/// The owner's last word: it runs no token any more, and every outcome lies in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClosingRecord {
+    /// The incarnation.
+    pub owner: Incarnation,
+    /// The segments of tokens issued before this, in milliseconds of the owner's clock, are deleted.
+    pub complete_since_ms: u64,
+}
+
+/// What became of a token whose owner can't be asked.
+///
+/// `closing` must have been read before `segment`: then the segment is whole. Only a closing record
+/// makes an unlisted token [`Verdict::NotRun`]: the owner wrote it after its last execution and
+/// refuses every token since. Without it, nobody knows.
+pub fn verdict_of_lost_owner(
+    token: &ExecutionToken,
+    closing: Option<&ClosingRecord>,
+    segment: Option<&OutcomeSegment>,
+) -> Verdict {
+    let listed = segment.and_then(|segment| segment.outcomes.get(&key(token)));
+    if let Some(outcome) = listed {
+        return outcome.verdict;
+    }
+    let covered = closing.is_some_and(|closing| token.issued_ms >= closing.complete_since_ms);
+    if covered {
+        Verdict::NotRun
+    } else {
+        Verdict::MayHaveRun
     }
 }
 
-fn key(nonce: u128) -> String {
-    format!("{nonce:032x}")
+/// The other half of the nonce is the seal, which says nothing more.
+fn key(token: &ExecutionToken) -> String {
+    let random = (token.nonce >> 64) as u64;
+    format!("{random:016x}")
 }
--- a/crates/sorrelturn-platform/src/api.rs
+++ b/crates/sorrelturn-platform/src/api.rs
@@ -105,9 +105,19 @@
         format!("{MEMBERS}{instance}")
     }
 
-    /// The recorded outcomes of one incarnation.
-    pub fn outcomes(owner: Incarnation) -> String {
-        format!("sorrelturn/outcomes/{owner}")
+    /// Where all that one incarnation recorded of its tokens lies.
+    pub fn outcomes_prefix(owner: Incarnation) -> String {
+        format!("sorrelturn/outcomes/{owner}/")
+    }
+
+    /// The outcomes of one segment of an incarnation's tokens.
+    pub fn outcomes(owner: Incarnation, segment: u64) -> String {
+        format!("{}{segment}", outcomes_prefix(owner))
+    }
+
+    /// The last word of an incarnation.
+    pub fn closing(owner: Incarnation) -> String {
+        format!("{}closing", outcomes_prefix(owner))
     }
 
     /// The token that a caller's key is bound to; the key goes in as its hash.
--- a/crates/sorrelturn-platform/src/client.rs
+++ b/crates/sorrelturn-platform/src/client.rs
@@ -137,6 +137,16 @@
         }
     }
 
+    /// Deletes one object, whatever its version; one that isn't there is deleted too.
+    pub async fn delete(&self, key: &str) -> Result<(), PlatformError> {
+        let req = request(Method::DELETE, &format!("/v1/objects/{key}"));
+        let res = self.call(req, self.timeout).await.map_err(unavailable)?;
+        match res.status() {
+            StatusCode::NO_CONTENT => Ok(()),
+            status => Err(PlatformError::Unavailable(status.to_string())),
+        }
+    }
+
     /// Reads all objects whose keys start with `prefix`.
     pub async fn list(&self, prefix: &str) -> Result<Changes, PlatformError> {
         let req = request(Method::GET, &format!("/v1/list?prefix={prefix}"));
--- a/crates/sorrelturn-platform/src/stand_in.rs
+++ b/crates/sorrelturn-platform/src/stand_in.rs
@@ -61,6 +61,7 @@
         if let Some(key) = path.strip_prefix("/v1/objects/") {
             return match *req.method() {
                 Method::PUT => self.put(req, key).await,
+                Method::DELETE => Ok(self.delete(key).await),
                 _ => Ok(self.get(key).await),
             };
         }
@@ -85,6 +86,13 @@
             .map_or_else(|| status(StatusCode::NOT_FOUND), json)
     }
 
+    async fn delete(&self, key: &str) -> Answer {
+        let mut store = self.store.lock().await;
+        store.counters.writes += 1;
+        store.delete(key);
+        status(StatusCode::NO_CONTENT)
+    }
+
     async fn put(&self, req: Request<Incoming>, key: &str) -> Result<Answer, hyper::Error> {
         let expected = req
             .headers()
--- a/crates/sorrelturn-platform/src/store.rs
+++ b/crates/sorrelturn-platform/src/store.rs
@@ -41,6 +41,11 @@
         Ok(self.revision)
     }
 
+    /// Deletes an object; no watch tells of it.
+    pub(crate) fn delete(&mut self, key: &str) {
+        self.objects.remove(key);
+    }
+
     pub(crate) fn changes(&self, prefix: &str, since: u64) -> Changes {
         let objects = self
             .objects
