Idle reports are bounded for each failure domain; large files split

Every member reported each 20 s though it had nothing to report. Ruled out: fewer watchers (the second one is there for the first one's failure). Change: members share two idle reports a second; up to 40 members nothing changes, at 135 each reports every 67 s and silence shows after 200 s instead of 60. News is reported at once as before.

--- a/crates/sorrelturn-bench/src/lib.rs
+++ b/crates/sorrelturn-bench/src/lib.rs
@@ -9,6 +9,7 @@
 mod examples;
 mod exec;
 mod fleet;
+mod idle_fleet;
 mod load;
 mod plan;
 mod processes;
--- a/crates/sorrelturn-daemon/src/forward.rs
+++ b/crates/sorrelturn-daemon/src/forward.rs
@@ -2,25 +2,23 @@
 
 use crate::{
     answer::Reply,
-    body::{self, Body},
+    body::Body,
     clock::unix_ns,
-    export, fetch, headers,
+    exchange::{exchange, report},
+    export, fetch,
     in_force::{InForce, KindState},
     node::{Node, lock},
     owner,
     payload::Payload,
-    pool::{Lease, SendError},
     routes::Route,
     tokens,
 };
-use hyper::{HeaderMap, Method, Request, Response, Uri, body::Incoming};
-use smol::future::FutureExt;
+use hyper::{HeaderMap, Method, Request, Uri};
 use sorrelturn_bundle::KindEntry;
 use sorrelturn_fleet::Source;
 use sorrelturn_policy::{Attempt, InstanceReport, Now, Step, choose, first_share, next_step};
 use sorrelturn_protocol::{
     AnswerContext, CallContext, Incarnation, Refusal, RequestId, SpanId, Verdict,
-    headers::{ANSWER, CONTEXT},
 };
 use sorrelturn_telemetry::{Field, Span, SpanKind, events, metrics};
 use std::{sync::Arc, time::Duration};
@@ -217,97 +215,6 @@
     }
 }
 
-/// Why an exchange with an instance has no answer.
-enum Failure {
-    Full,
-    NotSent,
-    Broke,
-    TooLate,
-}
-
-impl Failure {
-    /// What follows for the call. Without the owner's word a token is never "not run".
-    fn reply(&self, context: &CallContext) -> Reply {
-        let unknown = context.token.is_some();
-        match self {
-            Self::Full | Self::NotSent if unknown => {
-                Reply::refused(Refusal::OutcomeUnknown, Verdict::MayHaveRun)
-            }
-            Self::Full => owner::unused(Reply::not_run(Refusal::Overload), context.attempts),
-            Self::NotSent => {
-                let reply = Reply::not_run(Refusal::BackendUnreachable);
-                owner::unused(reply, context.attempts)
-            }
-            Self::Broke => Reply::refused(Refusal::PeerBroke, Verdict::MayHaveRun),
-            Self::TooLate => Reply::refused(Refusal::Deadline, Verdict::MayHaveRun),
-        }
-    }
-}
-
-async fn exchange(
-    node: &Arc<Node>,
-    route: &Route,
-    call: &Call,
-    mut req: Request<Body>,
-) -> Result<Reply, Failure> {
-    let too_late = async {
-        node.timers.at(call.deadline).await;
-        Err(Failure::TooLate)
-    };
-    if route.record.incarnation == node.incarnation {
-        let serve = async { Ok(owner::serve(node, call.context.clone(), req).await) };
-        return serve.or(too_late).await;
-    }
-    headers::set(req.headers_mut(), CONTEXT, &call.context.encode());
-    let send = async {
-        match route.link.send(&node.ex, &node.keys, req).await {
-            Ok((res, lease)) => reply_of(node, res, lease),
-            Err(SendError::Full) => Err(Failure::Full),
-            Err(SendError::NotSent) => Err(Failure::NotSent),
-            Err(SendError::Broke) => Err(Failure::Broke),
-        }
-    };
-    send.or(too_late).await
-}
-
-fn reply_of(node: &Node, mut res: Response<Incoming>, lease: Lease) -> Result<Reply, Failure> {
-    let context = res
-        .headers_mut()
-        .remove(ANSWER)
-        .and_then(|value| AnswerContext::decode(value.as_bytes()).ok())
-        .ok_or(Failure::Broke)?;
-    let res = res.map(|body| {
-        body::guarded(&node.timers, body, |whole| {
-            if whole {
-                lease.give_back();
-            }
-        })
-    });
-    let answered = context.refusal.is_none();
-    let res = answered.then(|| Box::new(res));
-    Ok(Reply { context, res })
-}
-
-fn report(result: &Result<Reply, Failure>) -> InstanceReport {
-    match result {
-        Ok(reply) if reply.context.leaving => InstanceReport::Leaving,
-        Ok(reply) if is_instance_failure(reply) => InstanceReport::Failed,
-        Ok(reply) => InstanceReport::Answered {
-            load: reply.context.load,
-        },
-        Err(Failure::Full) => InstanceReport::Cancelled,
-        Err(_) => InstanceReport::Failed,
-    }
-}
-
-/// Failures that speak against the instance, and not against what it calls.
-fn is_instance_failure(reply: &Reply) -> bool {
-    matches!(
-        reply.context.refusal,
-        Some(Refusal::BackendUnreachable | Refusal::BackendBroke | Refusal::NoBundle)
-    )
-}
-
 /// Takes what an answer tells besides the answer.
 fn learn(node: &Arc<Node>, route: &Route, kind_state: &KindState, answer: &AnswerContext) {
     if answer.incarnation != route.record.incarnation {
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/hop.rs
@@ -0,0 +1,282 @@
+//! One call at its owner: the exchange with the backend server, and what follows from it.
+
+use crate::{
+    answer::Reply,
+    body::{self, Body},
+    clock::unix_ns,
+    export, gossip, headers,
+    in_force::InForce,
+    node::{Carried, Node, lock},
+    owner::unused,
+    parents::ParentGuard,
+    pool::{Lease, SendError},
+    room::Slot,
+};
+use hyper::{
+    Request, Response,
+    body::{Body as _, Incoming},
+    header::HOST,
+};
+use smol::future::FutureExt;
+use sorrelturn_bundle::KindEntry;
+use sorrelturn_policy::{LeavingCause, Now, Outcome};
+use sorrelturn_protocol::{
+    AnswerContext, CallContext, Refusal, SpanId, Verdict,
+    headers::{DEADLINE_MS, IMPORTANCE, PARENT, REQUEST_ID, TRACEPARENT},
+};
+use sorrelturn_telemetry::{Field, Span, SpanKind, TraceContext, events, metrics};
+use std::sync::{Arc, atomic::Ordering};
+
+/// An answer up to this size counts as one piece of work: its slot is held to the last byte.
+/// A larger one waits for its reader most of the time, so its slot is free after the head; only
+/// the connection is held. See `docs/design/streaming.md`.
+const ONE_PIECE_BYTES: u64 = 64 << 10;
+
+/// One call at its owner.
+pub(crate) struct Hop {
+    pub(crate) node: Arc<Node>,
+    pub(crate) in_force: Arc<InForce>,
+    pub(crate) kind: Arc<KindEntry>,
+    pub(crate) context: CallContext,
+    pub(crate) span: SpanId,
+    pub(crate) deadline: Now,
+    pub(crate) started_ns: u64,
+    pub(crate) _carried: Carried,
+}
+
+impl Hop {
+    /// A call that may be repeated.
+    pub(crate) async fn plain(self, req: Request<Body>) -> Reply {
+        let share = self.context.attempts;
+        if self.node.is_leaving() {
+            return unused(self.refused(Refusal::Leaving), share);
+        }
+        match self.enter().await {
+            Ok(slot) => self.forward(slot, req).await,
+            Err(refusal) => unused(self.refused(refusal), share),
+        }
+    }
+
+    pub(crate) async fn enter(&self) -> Result<Slot, Refusal> {
+        let priority = self.context.priority();
+        let holds_work = self.context.depth > 0;
+        self.node
+            .room
+            .enter(priority, holds_work, self.deadline)
+            .await
+    }
+
+    /// Sends the call to the backend server. From here on it may have run.
+    pub(crate) async fn forward(self, slot: Slot, req: Request<Body>) -> Reply {
+        let guard = ParentGuard::register(
+            &self.node.parents,
+            self.context.clone(),
+            self.span,
+            self.deadline,
+            self.kind.need,
+        );
+        let req = self.backend_request(req);
+        let node = Arc::clone(&self.node);
+        let exchange = async { Some(node.backend.send(&node.ex, req).await) };
+        let too_late = async {
+            node.timers.at(self.deadline).await;
+            None
+        };
+        match exchange.or(too_late).await {
+            Some(Ok((res, lease))) => {
+                node.backend_reached(true);
+                self.answered(slot, guard, res, lease)
+            }
+            Some(Err(SendError::Full)) => {
+                slot.release(Outcome::Cancelled);
+                let share = self.context.attempts;
+                unused(self.refused(Refusal::Overload), share)
+            }
+            Some(Err(SendError::NotSent)) => {
+                node.backend_reached(false);
+                slot.release(Outcome::Broke);
+                let share = self.context.attempts;
+                unused(self.refused(Refusal::BackendUnreachable), share)
+            }
+            Some(Err(SendError::Broke)) => {
+                slot.release(Outcome::Broke);
+                self.failed(&guard, Refusal::BackendBroke)
+            }
+            None => {
+                slot.release(Outcome::Overloaded);
+                self.failed(&guard, Refusal::Deadline)
+            }
+        }
+    }
+
+    fn backend_request(&self, mut req: Request<Body>) -> Request<Body> {
+        let left = self.deadline.saturating_sub(self.node.now()).as_millis();
+        let trace = TraceContext {
+            trace: self.context.trace,
+            parent: self.span,
+            sampled: self.node.spans.is_on(),
+        };
+        let service = self.in_force.bundle.service(&self.kind.service);
+        let deadline_header = service.and_then(|service| service.deadline_header.as_deref());
+        let headers = req.headers_mut();
+        headers::set(headers, HOST.as_str(), &self.kind.service);
+        headers::set(headers, REQUEST_ID, &self.context.request.to_string());
+        headers::set(headers, PARENT, &self.span.to_string());
+        headers::set(headers, IMPORTANCE, self.context.importance.name());
+        headers::set(headers, DEADLINE_MS, &left.to_string());
+        headers::set(headers, TRACEPARENT, &trace.to_string());
+        if let Some(Ok(name)) = deadline_header.map(str::parse::<hyper::header::HeaderName>) {
+            headers.insert(name, (left as u64).into());
+        }
+        req
+    }
+
+    /// The head of an answer is here.
+    fn answered(
+        self,
+        slot: Slot,
+        guard: ParentGuard,
+        mut res: Response<Incoming>,
+        lease: Lease,
+    ) -> Reply {
+        // Our own headers are ours to say: a backend server can't tell a caller a verdict.
+        headers::strip_internal(res.headers_mut());
+        let status = res.status().as_u16();
+        let service = self.in_force.bundle.service(&self.kind.service);
+        let refused = service.is_some_and(|service| service.refused_statuses.contains(&status));
+        let drains = service
+            .and_then(|service| service.drain_header.as_deref())
+            .is_some_and(|name| res.headers().contains_key(name));
+        if drains {
+            gossip::leave(&self.node, LeavingCause::Backend);
+        }
+        if refused {
+            if res.body().is_end_stream() {
+                lease.give_back();
+            }
+            slot.release(Outcome::Overloaded);
+            let share = self.context.attempts;
+            return unused(self.refused(Refusal::BackendRefused), share);
+        }
+        let failed = res.status().is_server_error();
+        let parent = guard.parent();
+        let context = AnswerContext {
+            verdict: Verdict::Ran,
+            attempts_left: lock(&parent.attempts).close(),
+            already_retried: failed && parent.failed_below.load(Ordering::Relaxed),
+            threshold: self.in_force.threshold_below(&self.kind, self.node.now()),
+            ..AnswerContext::default()
+        };
+        self.note(
+            &events::HOP_SERVED,
+            vec![
+                Field::new("kind", &self.kind.name),
+                Field::new("depth", self.context.depth),
+                Field::new("status", status),
+                Field::new("took_ms", (unix_ns() - self.started_ns) / 1_000_000),
+            ],
+        );
+        self.span(failed, status);
+        let res = Some(Box::new(self.stream(slot, guard, res, lease)));
+        Reply { context, res }
+    }
+
+    /// Passes the body on while it comes; slot, connection and registration end with it.
+    fn stream(
+        self,
+        slot: Slot,
+        guard: ParentGuard,
+        res: Response<Incoming>,
+        lease: Lease,
+    ) -> Response<Body> {
+        let one_piece = res
+            .body()
+            .size_hint()
+            .exact()
+            .is_some_and(|len| len <= ONE_PIECE_BYTES);
+        let slot = if one_piece {
+            Some(slot)
+        } else {
+            slot.release(Outcome::Answered);
+            None
+        };
+        let timers = self.node.timers.clone();
+        let hop = self;
+        res.map(|incoming| {
+            body::guarded(&timers, incoming, move |whole| {
+                if whole {
+                    lease.give_back();
+                }
+                if let Some(slot) = slot {
+                    slot.release(if whole {
+                        Outcome::Answered
+                    } else {
+                        Outcome::Cancelled
+                    });
+                }
+                drop((guard, hop));
+            })
+        })
+    }
+
+    /// The exchange with the backend server failed after it may have begun.
+    fn failed(&self, guard: &ParentGuard, refusal: Refusal) -> Reply {
+        let parent = guard.parent();
+        let mut reply = self.refused(refusal);
+        reply.context.verdict = Verdict::MayHaveRun;
+        reply.context.attempts_left = lock(&parent.attempts).close();
+        reply.context.already_retried = parent.failed_below.load(Ordering::Relaxed);
+        self.span(true, refusal.status());
+        reply
+    }
+
+    pub(crate) fn refused(&self, refusal: Refusal) -> Reply {
+        let (load, threshold) = self
+            .node
+            .room
+            .with_gate(|gate, now| (gate.load_percent(now), gate.threshold(now)));
+        self.note(
+            &events::REFUSED,
+            vec![
+                Field::new("kind", &self.kind.name),
+                Field::new("reason", refusal),
+                Field::new("importance", self.context.importance),
+                Field::new("priority", self.context.priority().0),
+                Field::new("threshold", threshold.0),
+                Field::new("load_percent", load),
+            ],
+        );
+        export::count(
+            &self.node,
+            &metrics::REFUSALS,
+            &[
+                ("importance", self.context.importance.name()),
+                ("reason", refusal.name()),
+            ],
+        );
+        Reply::not_run(refusal)
+    }
+
+    pub(crate) fn note(&self, kind: &sorrelturn_telemetry::EventKind, fields: Vec<Field>) {
+        self.node
+            .events
+            .note(kind, Some(self.context.request), fields);
+    }
+
+    fn span(&self, failed: bool, status: u16) {
+        if !self.node.spans.is_on() {
+            return;
+        }
+        self.node.spans.add(Span {
+            trace: self.context.trace,
+            id: self.span,
+            parent: Some(self.context.parent),
+            name: self.kind.name.clone(),
+            kind: SpanKind::Server,
+            start_ns: self.started_ns,
+            end_ns: unix_ns(),
+            failed,
+            attributes: vec![Field::new("http.response.status_code", status)],
+        });
+    }
+}
--- a/crates/sorrelturn-daemon/src/lib.rs
+++ b/crates/sorrelturn-daemon/src/lib.rs
@@ -8,14 +8,17 @@
 mod control;
 mod control_client;
 mod entry;
+mod exchange;
 mod explain;
 mod export;
 mod fetch;
 mod forward;
 mod gossip;
 mod headers;
+mod hop;
 mod in_force;
 mod join;
+mod listeners;
 mod metered;
 mod nested;
 mod node;
@@ -38,7 +41,8 @@
 mod tokens;
 mod watch;
 
-pub use run::{Addresses, Daemon, StartError};
+pub use listeners::Addresses;
+pub use run::{Daemon, StartError};
 pub use settings::{
     AdvertiseSettings, BackendSettings, FleetKeySettings, ListenSettings, MetricsSettings,
     OnceSettings, PlatformSettings, Settings, StopSettings, TraceSettings,
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/listeners.rs
@@ -0,0 +1,93 @@
+//! Where a daemon listens.
+
+use crate::{control, node::Node, run::StartError, serve, settings::Settings};
+use serde::{Deserialize, Serialize};
+use smol::{
+    future::FutureExt,
+    net::{TcpListener, TcpStream},
+};
+use std::{net::SocketAddr, sync::Arc};
+
+/// Where a daemon listens, with the ports that it got for port 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the own backend server's calls.
+    pub local: SocketAddr,
+    /// For calls of other daemons.
+    pub peers: SocketAddr,
+    /// For control messages of other daemons.
+    pub control: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+}
+
+/// The sockets of one daemon.
+pub(crate) struct Listeners {
+    callers: TcpListener,
+    local: TcpListener,
+    peers: TcpListener,
+    control: TcpListener,
+    admin: TcpListener,
+}
+
+impl Listeners {
+    /// Opens all of them.
+    pub(crate) async fn bind(settings: &Settings) -> Result<Self, StartError> {
+        let listen = &settings.listen;
+        Ok(Self {
+            callers: bind(listen.callers).await?,
+            local: bind(listen.local).await?,
+            peers: bind(listen.peers).await?,
+            control: bind(listen.control).await?,
+            admin: bind(listen.admin).await?,
+        })
+    }
+
+    /// Where they listen.
+    pub(crate) fn addresses(&self, settings: &Settings) -> Result<Addresses, StartError> {
+        let of = |listener: &TcpListener, addr| {
+            listener
+                .local_addr()
+                .map_err(|error| StartError::Listen { addr, error })
+        };
+        let listen = &settings.listen;
+        Ok(Addresses {
+            callers: of(&self.callers, listen.callers)?,
+            local: of(&self.local, listen.local)?,
+            peers: of(&self.peers, listen.peers)?,
+            control: of(&self.control, listen.control)?,
+            admin: of(&self.admin, listen.admin)?,
+        })
+    }
+
+    /// Accepts connections until `closing` ends.
+    pub(crate) fn serve(self, node: &Arc<Node>, closing: &serve::Closing) {
+        let spawn = |listener, serve: fn(Arc<Node>, TcpStream, serve::Closing) -> _| {
+            let task = serve::accept(Arc::clone(node), listener, closing.clone(), serve);
+            node.ex.spawn(task).detach();
+        };
+        spawn(self.callers, |node, tcp, closing| {
+            serve::caller(node, tcp, closing).boxed()
+        });
+        spawn(self.local, |node, tcp, closing| {
+            serve::local(node, tcp, closing).boxed()
+        });
+        spawn(self.peers, |node, tcp, closing| {
+            serve::peer(node, tcp, closing).boxed()
+        });
+        spawn(self.control, |node, tcp, closing| {
+            control::serve(node, tcp, closing).boxed()
+        });
+        spawn(self.admin, |node, tcp, closing| {
+            serve::admin(node, tcp, closing).boxed()
+        });
+    }
+}
+
+async fn bind(addr: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(addr)
+        .await
+        .map_err(|error| StartError::Listen { addr, error })
+}
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -120,6 +120,16 @@
         self.clock.now()
     }
 
+    /// How many members the own failure domain has.
+    pub(crate) fn domain_members(&self) -> usize {
+        let own = &self.settings.failure_domain;
+        let membership = lock(&self.membership);
+        let members = membership.present();
+        members
+            .filter(|record| record.failure_domain == *own)
+            .count()
+    }
+
     /// Whether this daemon refuses new calls.
     pub(crate) fn is_leaving(&self) -> bool {
         self.own_record.load().state != MemberState::Live
--- a/crates/sorrelturn-daemon/src/owner_once.rs
+++ b/crates/sorrelturn-daemon/src/owner_once.rs
@@ -4,8 +4,9 @@
     answer::Reply,
     body::{self, Body},
     headers,
+    hop::Hop,
     node::{Node, lock},
-    owner::{Hop, fingerprint, unused},
+    owner::{fingerprint, unused},
 };
 use bytes::Bytes;
 use http_body_util::BodyExt;
--- a/crates/sorrelturn-daemon/src/reports.rs
+++ b/crates/sorrelturn-daemon/src/reports.rs
@@ -5,22 +5,22 @@
     node::{Node, lock},
 };
 use smol::Timer;
-use sorrelturn_fleet::{Report, WATCHERS, ranked};
+use sorrelturn_fleet::{Report, WATCHERS, ranked, report_pause};
 use sorrelturn_protocol::MemberRecord;
 use std::{sync::Arc, time::Duration};
 
-/// A daemon that had nothing to report for this long reports to its watchers all the same.
-const REPORT_EVERY: Duration = Duration::from_secs(20);
+/// How often a daemon looks whether it should report.
+const LOOK_EVERY: Duration = Duration::from_secs(5);
 
 /// Reports to the watchers of the own failure domain when nothing was reported for a while.
 pub(crate) async fn run_reports(node: Arc<Node>) {
     loop {
         let jitter = 0.75 + fastrand::f64() / 2.0;
         let due = node.counts.reported.elapsed_since(node.now());
-        if due >= REPORT_EVERY {
+        if due >= report_pause(node.domain_members()) {
             report(&node).await;
         }
-        Timer::after((REPORT_EVERY / 4).mul_f64(jitter)).await;
+        Timer::after(LOOK_EVERY.mul_f64(jitter)).await;
     }
 }
 
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -3,16 +3,15 @@
 use crate::{
     backend::Backend,
     clock::{Clock, unix_ms},
-    control,
     control_client::ControlLinks,
     export, gossip, join,
+    listeners::{Addresses, Listeners},
     node::{Counts, Node, lock},
     outcomes,
     parents::Parents,
     reports,
     room::Room,
     routes::Routes,
-    serve,
     settings::Settings,
     stream::{FleetKeys, KeysError},
     timers::Timers,
@@ -20,13 +19,10 @@
 };
 use arc_swap::{ArcSwap, ArcSwapOption};
 use displaydoc::Display;
-use serde::{Deserialize, Serialize};
 use smol::{
     Executor, Timer,
     channel::{self, Sender},
-    future::FutureExt,
     lock::Mutex as AsyncMutex,
-    net::{TcpListener, TcpStream},
 };
 use sorrelturn_bundle::{KeyError, TrustedKeys};
 use sorrelturn_fleet::{DomainView, Membership, Spread};
@@ -83,21 +79,6 @@
 
 impl std::error::Error for StartError {}
 
-/// Where a daemon listens, with the ports that it got for port 0.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Addresses {
-    /// For callers.
-    pub callers: SocketAddr,
-    /// For the own backend server's calls.
-    pub local: SocketAddr,
-    /// For calls of other daemons.
-    pub peers: SocketAddr,
-    /// For control messages of other daemons.
-    pub control: SocketAddr,
-    /// For operators.
-    pub admin: SocketAddr,
-}
-
 /// A running daemon.
 pub struct Daemon {
     /// Where it listens.
@@ -106,14 +87,6 @@
     closing: Sender<()>,
 }
 
-struct Listeners {
-    callers: TcpListener,
-    local: TcpListener,
-    peers: TcpListener,
-    control: TcpListener,
-    admin: TcpListener,
-}
-
 impl Daemon {
     /// Starts a daemon on `ex`; whoever owns `ex` runs its threads.
     pub async fn start(settings: Settings, ex: Arc<Executor<'static>>) -> Result<Self, StartError> {
@@ -191,63 +164,6 @@
     }
 }
 
-impl Listeners {
-    async fn bind(settings: &Settings) -> Result<Self, StartError> {
-        let listen = &settings.listen;
-        Ok(Self {
-            callers: bind(listen.callers).await?,
-            local: bind(listen.local).await?,
-            peers: bind(listen.peers).await?,
-            control: bind(listen.control).await?,
-            admin: bind(listen.admin).await?,
-        })
-    }
-
-    fn addresses(&self, settings: &Settings) -> Result<Addresses, StartError> {
-        let of = |listener: &TcpListener, addr| {
-            listener
-                .local_addr()
-                .map_err(|error| StartError::Listen { addr, error })
-        };
-        let listen = &settings.listen;
-        Ok(Addresses {
-            callers: of(&self.callers, listen.callers)?,
-            local: of(&self.local, listen.local)?,
-            peers: of(&self.peers, listen.peers)?,
-            control: of(&self.control, listen.control)?,
-            admin: of(&self.admin, listen.admin)?,
-        })
-    }
-
-    fn serve(self, node: &Arc<Node>, closing: &serve::Closing) {
-        let spawn = |listener, serve: fn(Arc<Node>, TcpStream, serve::Closing) -> _| {
-            let task = serve::accept(Arc::clone(node), listener, closing.clone(), serve);
-            node.ex.spawn(task).detach();
-        };
-        spawn(self.callers, |node, tcp, closing| {
-            serve::caller(node, tcp, closing).boxed()
-        });
-        spawn(self.local, |node, tcp, closing| {
-            serve::local(node, tcp, closing).boxed()
-        });
-        spawn(self.peers, |node, tcp, closing| {
-            serve::peer(node, tcp, closing).boxed()
-        });
-        spawn(self.control, |node, tcp, closing| {
-            control::serve(node, tcp, closing).boxed()
-        });
-        spawn(self.admin, |node, tcp, closing| {
-            serve::admin(node, tcp, closing).boxed()
-        });
-    }
-}
-
-async fn bind(addr: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(addr)
-        .await
-        .map_err(|error| StartError::Listen { addr, error })
-}
-
 fn node(
     settings: Settings,
     ex: Arc<Executor<'static>>,
--- a/crates/sorrelturn-daemon/src/watch.rs
+++ b/crates/sorrelturn-daemon/src/watch.rs
@@ -7,7 +7,7 @@
 };
 use smol::{Timer, future::FutureExt};
 use sorrelturn_bundle::SignedManifest;
-use sorrelturn_fleet::{Source, VmAdvice, WATCHERS, advise, predecessors, ranked};
+use sorrelturn_fleet::{Source, VmAdvice, WATCHERS, advise, longest_silence, predecessors, ranked};
 use sorrelturn_platform::{Changes, Expected, PlatformError, VmState, keys};
 use sorrelturn_protocol::{MemberRecord, MemberState};
 use sorrelturn_telemetry::{Field, events};
@@ -27,8 +27,6 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// How often the status of the failure domain is written.
 const STATUS_EVERY: Duration = Duration::from_secs(5);
-/// A member that hasn't reported for this long counts as silent.
-const SILENCE: Duration = Duration::from_secs(60);
 
 /// Decides every second whether this daemon watches, and watches.
 pub(crate) async fn run(node: Arc<Node>) {
@@ -236,6 +234,7 @@
         Timer::after(STATUS_EVERY.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
         let domain = &node.settings.failure_domain;
         let instance = &node.settings.instance;
+        let silence = longest_silence(node.domain_members());
         let status = {
             let membership = lock(&node.membership);
             let mut view = lock(&node.view);
@@ -244,7 +243,7 @@
                     .get(instance)
                     .is_some_and(|record| record.state != MemberState::Gone)
             });
-            view.status(node.now(), SILENCE, domain, instance, unix_ms())
+            view.status(node.now(), silence, domain, instance, unix_ms())
         };
         let value = serde_json::to_string(&status).unwrap_or_default();
         let key = keys::status(domain);
--- a/crates/sorrelturn-fleet/src/lib.rs
+++ b/crates/sorrelturn-fleet/src/lib.rs
@@ -11,7 +11,7 @@
 pub use messages::{Digest, DigestReply, Report};
 pub use rank::{DEPUTIES, WATCHERS, predecessors, ranked};
 pub use spread::{Fetch, PUSH_FAN_OUT, Source, Spread, push_targets};
-pub use status::{DomainStatus, DomainView, MemberStatus};
+pub use status::{DomainStatus, DomainView, MemberStatus, longest_silence, report_pause};
 pub use vm_list::{VmAdvice, advise};
 
 /// A point in time: what has passed of the process's monotonic clock since its start.
--- a/crates/sorrelturn-fleet/src/status.rs
+++ b/crates/sorrelturn-fleet/src/status.rs
@@ -8,6 +8,25 @@
 /// The most members that are named one by one as behind.
 const MOST_NAMED: usize = 20;
 
+/// A daemon that had nothing to report for this long reports all the same.
+const LEAST_REPORT_PAUSE: Duration = Duration::from_secs(20);
+/// The reports in a second that a failure domain's watcher hears of those who have nothing to report,
+/// however many members there are: its bytes are bounded, and silence is noticed later.
+const MOST_REPORTS_PER_SECOND: f64 = 2.0;
+/// Without a report for so many pauses, a member counts as silent.
+const PAUSES_OF_SILENCE: u32 = 3;
+
+/// How long a daemon with nothing to report waits, in a failure domain of this size.
+pub fn report_pause(members: usize) -> Duration {
+    let share = Duration::from_secs_f64(members as f64 / MOST_REPORTS_PER_SECOND);
+    LEAST_REPORT_PAUSE.max(share)
+}
+
+/// How long a member of a failure domain of this size may be silent.
+pub fn longest_silence(members: usize) -> Duration {
+    report_pause(members) * PAUSES_OF_SILENCE
+}
+
 /// One member that is behind or silent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberStatus {
