--- a/crates/sorrelturn-bench/src/commands/mod.rs
+++ b/crates/sorrelturn-bench/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod backend;
 mod demo;
+mod exchanges;
 mod fleet;
 mod instructions;
 mod latency;
@@ -26,6 +27,7 @@
     latency::ENTRY,
     overload::ENTRY,
     fleet::ENTRY,
+    exchanges::ENTRY,
     instructions::ENTRY,
     backend::ENTRY,
 ];
--- a/crates/sorrelturn-bench/tests/own_whole_answers.rs
+++ b/crates/sorrelturn-bench/tests/own_whole_answers.rs
@@ -4,67 +4,26 @@
 
 use common::{chain, request};
 use smol::Timer;
-use sorrelturn_bench::{Expected, Fault, FleetPlan, LocalFleet, run_on};
+use sorrelturn_bench::{Exchanges, FleetPlan, LocalFleet, exchange_many, run_on};
 use std::time::Duration;
 
 fn fleet_plan() -> FleetPlan {
     FleetPlan::of(chain(2, 6), &[("s0", 2), ("s1", 2)], &["a", "b"], &[])
 }
 
-fn expected(echo: String) -> Expected {
-    Expected { echo }
-}
-
 #[test]
 fn under_concurrency_cuts_and_cancellations_no_answer_is_mixed_up_or_cut_as_whole() {
     run_on(4, async |ex| {
-        let fleet = LocalFleet::start(ex.clone(), fleet_plan()).await;
-        let mut tasks = Vec::new();
-        for number in 0..3_000u32 {
-            if number % 200 == 0 {
-                let faults = [
-                    Fault::None,
-                    Fault::None,
-                    Fault::BreaksInBody,
-                    Fault::None,
-                    Fault::BreaksBeforeHead,
-                ];
-                for (at, backend) in fleet.backends.iter().enumerate() {
-                    let fault = faults[(number as usize / 200 + 2 * at) % faults.len()];
-                    backend.change_plan(|plan| plan.fault = fault);
-                }
-            }
-            let caller = fleet.caller(number as usize % 4);
-            tasks.push(ex.spawn(async move {
-                let own = expected(format!("request {number}"));
-                let bytes = 10 + (number as usize * 37) % 200_000;
-                let req = request("GET", &format!("/k0/7?bytes={bytes}"));
-                // Every fifth caller goes away at once or a little later.
-                if number % 5 == 0 {
-                    let patience = Duration::from_millis(u64::from(number % 7));
-                    let _ = caller.send_within(req, Some(&own), patience).await;
-                    return None;
-                }
-                Some(caller.send(req, Some(&own)).await)
-            }));
-            if number % 50 == 0 {
-                Timer::after(Duration::from_millis(30)).await;
-            }
-        }
-        let (mut good, mut failed) = (0, 0);
-        for task in tasks {
-            match task.await {
-                Some(Ok(answer)) => {
-                    assert!(!answer.wrong, "{answer:?}");
-                    good += u32::from(answer.status == 200);
-                    failed += u32::from(answer.status != 200);
-                }
-                Some(Err(_)) => failed += 1,
-                None => {}
-            }
-        }
-        assert!(good > 300, "good {good}, failed {failed}");
-        assert!(failed > 300, "good {good}, failed {failed}");
+        let fleet = LocalFleet::start(ex, fleet_plan()).await;
+        let exchanges = Exchanges {
+            count: 3_000,
+            at_once: 128,
+            most_bytes: 200_000,
+        };
+        let counts = exchange_many(&fleet, exchanges).await;
+        assert_eq!(counts.wrong, 0, "{counts:?}");
+        assert!(counts.good > 300, "{counts:?}");
+        assert!(counts.failed > 300, "{counts:?}");
     });
 }
 
