--- a/crates/sorrelturn-bench/src/fleet.rs
+++ b/crates/sorrelturn-bench/src/fleet.rs
@@ -9,10 +9,11 @@
 use sorrelturn_bundle::{Bundle, BundleSource, OperatorKey, SignedManifest};
 use sorrelturn_command::{Publication, publish, read_head};
 use sorrelturn_daemon::{
-    AdvertiseSettings, BackendSettings, Daemon, FleetKeySettings, ListenSettings, MetricsSettings,
-    OnceSettings, PlatformSettings, Settings, StopSettings, TraceSettings,
+    AdvertiseSettings, BackendSettings, Daemon, Dialect, EventSettings, FleetKeySettings,
+    ListenSettings, MetricsSettings, OnceSettings, PlatformSettings, Settings, StopSettings,
+    TraceSettings,
 };
-use sorrelturn_platform::{Platform, StandIn, serve};
+use sorrelturn_platform::{OBJECTS_PATH, Platform, StandIn, serve};
 use std::{
     collections::BTreeMap,
     net::{Ipv4Addr, SocketAddr},
@@ -109,6 +110,9 @@
                 peers: free,
                 control: free,
                 admin: free,
+                routed: None,
+                announce: None,
+                ready: None,
             },
             advertise: AdvertiseSettings::default(),
             backend: BackendSettings {
@@ -118,7 +122,9 @@
             platform: PlatformSettings {
                 address: platform,
                 timeout_ms: 1_000,
+                objects_path: OBJECTS_PATH.to_owned(),
             },
+            routes: None,
             seeds: Vec::new(),
             operators: BTreeMap::from([(OPERATOR.to_owned(), key.public_hex())]),
             fleet_keys: self.fleet_keys.clone(),
@@ -127,6 +133,7 @@
             stop: StopSettings::default(),
             trace: self.trace,
             metrics: self.metrics,
+            events: EventSettings::default(),
         }
     }
 
@@ -178,7 +185,7 @@
             let addr = listener.local_addr().expect("a bound address");
             tasks.push(ex.spawn(serve_backend(Arc::clone(&ex), listener, backend.clone())));
             let settings = plan.settings(instance, platform, addr);
-            let daemon = Daemon::start(settings, Arc::clone(&ex))
+            let daemon = Daemon::start(settings, Dialect::own(), Arc::clone(&ex))
                 .await
                 .expect("the daemon starts on free ports");
             let mut work = plan_for(&plan.indexed(), &instance.service, &plan.work_ms);
--- a/crates/sorrelturn-bench/tests/not_run_means_not_run.rs
+++ b/crates/sorrelturn-bench/tests/not_run_means_not_run.rs
@@ -8,7 +8,7 @@
     net::TcpListener,
 };
 use sorrelturn_bench::{Client, Fault, FleetPlan, LocalFleet, publish_bundle, run_on};
-use sorrelturn_daemon::Daemon;
+use sorrelturn_daemon::{Daemon, Dialect};
 use sorrelturn_platform::{Platform, StandIn, serve};
 use std::{
     sync::{
@@ -52,6 +52,7 @@
         });
         let daemon = Daemon::start(
             plan.settings(&plan.instances[0], platform, backend),
+            Dialect::own(),
             ex.clone(),
         )
         .await
--- a/crates/sorrelturn-bundle/src/index.rs
+++ b/crates/sorrelturn-bundle/src/index.rs
@@ -1,6 +1,9 @@
 //! A bundle in force: indexed for the path of a request.
 
-use crate::{BundleSource, Caller, Execution, Kind, PathPattern, Service};
+use crate::{
+    BundleSource, Caller, Execution, Kind, Limits, PathPattern, RouteEntry, RouteTable, Service,
+    routes::{RouteIndex, service_of},
+};
 use sorrelturn_protocol::{CallerId, Importance};
 use std::{
     collections::{BTreeMap, HashMap},
@@ -19,10 +22,23 @@
     pub kind: Kind,
     /// The executions that it needs when nothing fails: itself and all that it calls.
     pub need: u32,
-    pattern: PathPattern,
+    /// Absent for the kinds of routes, which are told by host and path prefix.
+    pattern: Option<PathPattern>,
 }
 
 impl KindEntry {
+    /// The kind that a route's requests have at one service. It needs one execution: what a
+    /// backend server calls for it is a request of its own.
+    pub fn of_route(name: String, service: &str, kind: Kind) -> Self {
+        Self {
+            name,
+            service: service.to_owned(),
+            kind,
+            need: 1,
+            pattern: None,
+        }
+    }
+
     /// Whether it runs at most once.
     pub fn at_most_once(&self) -> bool {
         self.kind.execution == Execution::AtMostOnce
@@ -88,6 +104,9 @@
     kinds: HashMap<String, Arc<KindEntry>>,
     by_method: HashMap<String, Vec<Arc<KindEntry>>>,
     callers: Vec<Arc<CallerEntry>>,
+    routes: RouteIndex,
+    probe_paths: HashMap<String, String>,
+    limits: Limits,
 }
 
 impl Bundle {
@@ -106,7 +125,7 @@
                     service: service_name.clone(),
                     kind: kind.clone(),
                     need: needs.get(name.as_str()).copied().unwrap_or(1),
-                    pattern,
+                    pattern: Some(pattern),
                 });
                 kinds.insert(name.clone(), Arc::clone(&entry));
                 by_method
@@ -122,9 +141,62 @@
             kinds,
             by_method,
             callers,
+            ..Self::default()
+        }
+    }
+
+    /// Indexes a route table that passed [`RouteTable::check`].
+    pub fn of_routes(table: &RouteTable) -> Self {
+        let routes = RouteIndex::new(table);
+        let kinds = routes
+            .all()
+            .flat_map(|route| route.kinds())
+            .map(|kind| (kind.name.clone(), Arc::clone(kind)))
+            .collect();
+        let services = table
+            .services
+            .iter()
+            .map(|(name, service)| (name.clone(), service_of(service)))
+            .collect();
+        let probe_paths = table
+            .services
+            .iter()
+            .map(|(name, service)| (name.clone(), service.probe_path.clone()))
+            .collect();
+        Self {
+            version: table.version,
+            source: BundleSource {
+                services,
+                callers: BTreeMap::new(),
+            },
+            kinds,
+            routes,
+            probe_paths,
+            limits: table.limits,
+            ..Self::default()
         }
     }
 
+    /// The route of a request, by its host and its path without the query.
+    pub fn match_route(&self, host: &str, path: &str) -> Option<&Arc<RouteEntry>> {
+        self.routes.find(host, path)
+    }
+
+    /// The kinds of all routes.
+    pub fn route_kinds(&self) -> impl Iterator<Item = &Arc<KindEntry>> {
+        self.routes.all().flat_map(|route| route.kinds())
+    }
+
+    /// The path at which an instance of a service answers whether it is well.
+    pub fn probe_path(&self, service: &str) -> Option<&str> {
+        self.probe_paths.get(service).map(String::as_str)
+    }
+
+    /// What a caller may send.
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
     /// The bundle as operators wrote it.
     pub fn source(&self) -> &BundleSource {
         &self.source
@@ -137,10 +209,10 @@
 
     /// The kind of a request, by its method and its path without the query.
     pub fn match_kind(&self, method: &str, path: &str) -> Option<&Arc<KindEntry>> {
-        self.by_method
-            .get(method)?
-            .iter()
-            .find(|entry| entry.pattern.matches(path))
+        self.by_method.get(method)?.iter().find(|entry| {
+            let pattern = entry.pattern.as_ref();
+            pattern.is_some_and(|pattern| pattern.matches(path))
+        })
     }
 
     /// The service with this name.
--- a/crates/sorrelturn-bundle/src/lib.rs
+++ b/crates/sorrelturn-bundle/src/lib.rs
@@ -7,6 +7,7 @@
 mod model;
 mod parse;
 mod pattern;
+mod routes;
 mod sign;
 
 pub use check::check;
@@ -19,4 +20,5 @@
 pub use model::{BundleSource, Caller, Execution, Kind, Service};
 pub use parse::{ParseError, parse, parse_settings};
 pub use pattern::PathPattern;
+pub use routes::{Limits, Route, RouteEntry, RouteError, RouteTable, RoutedService, Share};
 pub use sign::{KeyError, OperatorKey, TrustedKeys};
--- /dev/null
+++ b/crates/sorrelturn-bundle/tests/routes.rs
@@ -0,0 +1,122 @@
+//! Route tables: which route a request takes, how shares are divided, and what is refused.
+
+use assert_matches::assert_matches;
+use sorrelturn_bundle::{
+    Bundle, Execution, Limits, Route, RouteError, RouteTable, RoutedService, Share,
+};
+use sorrelturn_protocol::Importance;
+
+fn route(host: &str, prefix: &str, shares: &[(&str, u32)]) -> Route {
+    Route {
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        execution: Execution::Repeatable,
+        importance: Importance::Normal,
+        deadline_ms: 1_000,
+        target_ms: 100,
+        attempts: 2,
+        shares: shares
+            .iter()
+            .map(|(service, weight)| Share {
+                service: (*service).to_owned(),
+                weight: *weight,
+            })
+            .collect(),
+    }
+}
+
+fn table(routes: Vec<(&str, Route)>) -> RouteTable {
+    let service = RoutedService {
+        connections: 10,
+        probe_path: "/health".to_owned(),
+    };
+    RouteTable {
+        version: 3,
+        routes: routes
+            .into_iter()
+            .map(|(name, route)| (name.to_owned(), route))
+            .collect(),
+        services: ["a", "b"]
+            .map(|name| (name.to_owned(), service.clone()))
+            .into(),
+        limits: Limits::default(),
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let bundle = Bundle::of_routes(&table(vec![
+        ("short", route("h.example", "/x/", &[("a", 1)])),
+        ("long", route("h.example", "/x/y/", &[("b", 1)])),
+        ("other", route("o.example", "/x/y/z/", &[("a", 1)])),
+    ]));
+    let name = |host, path| {
+        bundle
+            .match_route(host, path)
+            .map(|route| route.name.as_str())
+    };
+    assert_eq!(name("h.example", "/x/1"), Some("short"));
+    assert_eq!(name("h.example:80", "/x/y/z/1"), Some("long"));
+    assert_eq!(name("H.Example", "/x/"), Some("short"));
+    assert_eq!(name("h.example", "/xy"), None);
+    assert_eq!(name("p.example", "/x/1"), None);
+}
+
+#[test]
+fn shares_follow_their_weights_and_zero_gets_nothing() {
+    let routes = vec![("r", route("h", "/", &[("a", 90), ("b", 10)]))];
+    let bundle = Bundle::of_routes(&table(routes));
+    let route = bundle.match_route("h", "/1").expect("the route");
+    let of_a = (0..1_000)
+        .filter(|step| {
+            let kind = route.share_at(f64::from(*step) / 1_000.0);
+            kind.is_some_and(|kind| kind.service == "a")
+        })
+        .count();
+    assert_eq!(of_a, 900);
+    let routes = vec![("r", route_with_zero())];
+    let bundle = Bundle::of_routes(&table(routes));
+    let route = bundle.match_route("h", "/1").expect("the route");
+    assert!(route.kinds().all(|kind| kind.service == "b"));
+}
+
+fn route_with_zero() -> Route {
+    route("h", "/", &[("a", 0), ("b", 5)])
+}
+
+#[test]
+fn tables_that_break_their_rules_are_refused_with_the_reason() {
+    let check = |route| table(vec![("r", route)]).check();
+    assert_matches!(
+        check(route("h", "/x", &[("a", 1)])),
+        Err(RouteError::Prefix(_))
+    );
+    assert_matches!(
+        check(route("h", "/", &[("a", 0)])),
+        Err(RouteError::NoShare(_))
+    );
+    assert_matches!(
+        check(route("h", "/", &[("z", 1)])),
+        Err(RouteError::UnknownService(_, service)) if service == "z"
+    );
+    let mut none = route("h", "/", &[("a", 1)]);
+    none.attempts = 0;
+    assert_matches!(check(none), Err(RouteError::NoAttempts(_)));
+    let mut long = route("h", "/", &[("a", 1)]);
+    long.deadline_ms = 700_000;
+    assert_matches!(check(long), Err(RouteError::Deadline(_)));
+    let twice = table(vec![
+        ("one", route("h", "/", &[("a", 1)])),
+        ("two", route("h", "/", &[("b", 1)])),
+    ]);
+    assert_matches!(twice.check(), Err(RouteError::SamePlace(_, _)));
+    let unversioned = RouteTable {
+        version: 0,
+        ..table(Vec::new())
+    };
+    assert_matches!(unversioned.check(), Err(RouteError::NoVersion));
+    assert_matches!(
+        table(vec![("r", route("h", "/", &[("a", 1)]))]).check(),
+        Ok(())
+    );
+}
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/announce.rs
@@ -0,0 +1,146 @@
+//! The interface for the own backend server and for whoever asks whether this daemon is ready.
+//!
+//! A backend server tells once in a while which run it is and whether it takes work. That it leaves
+//! is acknowledged only once the next run of this daemon would know it, too.
+
+use crate::{
+    backend_state::{self, Routed, answered_by, heard, heard_slots, slots_of},
+    body::{self, Body},
+    node::{Node, lock},
+    serve::status,
+};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use serde::Deserialize;
+use smol::{Timer, future::FutureExt};
+use sorrelturn_platform::http::exchange;
+use sorrelturn_policy::{Heard, LeavingCause};
+use sorrelturn_protocol::{Announcement, BackendState};
+use std::{sync::Arc, time::Duration};
+
+/// The largest announcement, in bytes.
+const ANNOUNCEMENT_LIMIT_BYTES: usize = 4 << 10;
+/// An acknowledgement comes within this time, whatever the store does: backend servers wait for a
+/// second at most, and neighbours know by then.
+const ACKNOWLEDGE_TIME: Duration = Duration::from_millis(600);
+/// A probe that takes longer says nothing.
+const PROBE_TIME: Duration = Duration::from_secs(1);
+/// Between two looks whether the backend server was announced.
+const PROBE_PAUSE: Duration = Duration::from_millis(200);
+/// The most probes of one start: they are priced, and an announcement comes within seconds.
+const MOST_PROBES: u32 = 3;
+
+/// What a backend server sends; other fields are of no use here.
+#[derive(Deserialize)]
+struct Heartbeat {
+    state: BackendState,
+    sequence: u64,
+    #[serde(default)]
+    slots: u32,
+}
+
+/// Answers `POST /backend/ID/heartbeat` and `POST /backend/ID/deregister`.
+pub(crate) async fn serve(node: &Arc<Node>, req: Request<Incoming>) -> Response<Body> {
+    let Some(routed) = &node.routed else {
+        return status(StatusCode::NOT_FOUND);
+    };
+    let path = req.uri().path().to_owned();
+    let mut parts = path.trim_start_matches('/').split('/');
+    let place = (parts.next(), parts.next(), parts.next(), parts.next());
+    let (Some("backend"), Some(id), Some(call), None) = place else {
+        return status(StatusCode::NOT_FOUND);
+    };
+    if *req.method() != Method::POST {
+        return status(StatusCode::METHOD_NOT_ALLOWED);
+    }
+    let id = id.to_owned();
+    let news = match call {
+        "heartbeat" => match read(req).await {
+            Some(heartbeat) => {
+                heard_slots(node, routed, heartbeat.slots);
+                Announcement {
+                    id,
+                    state: heartbeat.state,
+                    sequence: heartbeat.sequence,
+                }
+            }
+            None => return status(StatusCode::BAD_REQUEST),
+        },
+        "deregister" => Announcement {
+            id,
+            state: BackendState::Gone,
+            sequence: u64::MAX,
+        },
+        _ => return status(StatusCode::NOT_FOUND),
+    };
+    let leaves = news.state != BackendState::Ready;
+    if heard(node, routed, news) != Heard::Late && leaves {
+        save_in_time(node, routed).await;
+    }
+    Response::new(body::full("{}"))
+}
+
+async fn read(req: Request<Incoming>) -> Option<Heartbeat> {
+    let body = Limited::new(req.into_body(), ANNOUNCEMENT_LIMIT_BYTES);
+    let bytes = body.collect().await.ok()?.to_bytes();
+    serde_json::from_slice(&bytes).ok()
+}
+
+async fn save_in_time(node: &Arc<Node>, routed: &Routed) {
+    let in_time = async {
+        Timer::after(ACKNOWLEDGE_TIME).await;
+        false
+    };
+    backend_state::save(node, routed).or(in_time).await;
+}
+
+/// Answers whether this daemon is ready for callers' requests.
+pub(crate) async fn ready(node: &Arc<Node>, _: Request<Incoming>) -> Response<Body> {
+    let stops = lock(&node.leaving).cause() == Some(LeavingCause::Signal);
+    let knows = node.in_force.load().is_some();
+    status(if knows && !stops {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    })
+}
+
+/// Asks the backend server once who it is, so that a daemon that starts anew beside it needn't wait
+/// for its next announcement.
+pub(crate) async fn find_backend(node: Arc<Node>) {
+    let Some(routed) = &node.routed else {
+        return;
+    };
+    let mut probes = 0;
+    while routed.current().is_none() && probes < MOST_PROBES {
+        Timer::after(PROBE_PAUSE).await;
+        let in_force = node.in_force.load_full();
+        let path = in_force
+            .as_ref()
+            .and_then(|in_force| in_force.bundle.probe_path(&node.settings.service));
+        let Some(path) = path else {
+            continue;
+        };
+        if routed.current().is_some() {
+            return;
+        }
+        probes += 1;
+        probe(&node, routed, path).await;
+    }
+}
+
+async fn probe(node: &Arc<Node>, routed: &Routed, path: &str) {
+    let Ok(req) = Request::get(path).body(Bytes::new()) else {
+        return;
+    };
+    let Ok(res) = exchange(node.settings.backend.address, req, PROBE_TIME).await else {
+        return;
+    };
+    if res.status().is_success() {
+        if let Some(slots) = slots_of(routed, res.headers()) {
+            heard_slots(node, routed, slots);
+        }
+        answered_by(node, routed, res.headers());
+    }
+}
--- a/crates/sorrelturn-daemon/src/backend.rs
+++ b/crates/sorrelturn-daemon/src/backend.rs
@@ -33,6 +33,11 @@
         self.pool.set_most(connections as usize);
     }
 
+    /// Drops the idle connections: they lead to a backend server that has ended.
+    pub(crate) fn forget_idle(&self) {
+        self.pool.forget_idle();
+    }
+
     /// Sends a request and waits for the head of its answer.
     pub(crate) async fn send(
         &self,
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/backend_state.rs
@@ -0,0 +1,206 @@
+//! What is known of the backend server beside this daemon, where backend servers announce
+//! themselves: which run it is, whether it takes work, and how many slots it has.
+
+use crate::{
+    dialect::Dialect,
+    gossip,
+    node::{Node, lock},
+};
+use hyper::{HeaderMap, StatusCode, header::HeaderValue};
+use sorrelturn_platform::{Expected, keys};
+use sorrelturn_policy::{GateConfig, Heard, LeavingCause, Presence};
+use sorrelturn_protocol::{Announcement, BackendState};
+use sorrelturn_telemetry::{Field, events};
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+/// The slots of a backend server that has announced none yet: few enough for any that is known.
+const SLOTS_BEFORE_ANNOUNCEMENT: u32 = 16;
+/// The longest wait for a slot. Much longer and the answer misses its target (250 ms at the
+/// shortest); much shorter and the arrivals of a few milliseconds can't be evened out.
+const QUEUE_WAIT: Duration = Duration::from_millis(100);
+
+/// The backend server beside this daemon, and the dialect that it speaks.
+pub(crate) struct Routed {
+    pub(crate) dialect: Dialect,
+    presence: Mutex<Presence>,
+    slots: AtomicU32,
+    /// Whether the platform's store has the newest state, for the next run of this daemon.
+    saved: AtomicBool,
+}
+
+/// What an answer of the backend server is.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Word {
+    /// The answer to this request.
+    Answered,
+    /// The backend server didn't run the request.
+    NotRun,
+    /// The answer to another request, or none at all.
+    NotOurs,
+}
+
+impl Routed {
+    pub(crate) fn new(dialect: Dialect) -> Self {
+        Self {
+            dialect,
+            presence: Mutex::default(),
+            slots: AtomicU32::new(SLOTS_BEFORE_ANNOUNCEMENT),
+            saved: AtomicBool::new(false),
+        }
+    }
+
+    /// The id of the backend server that takes work now, as a header's value.
+    pub(crate) fn serving(&self) -> Option<HeaderValue> {
+        let presence = lock(&self.presence);
+        HeaderValue::from_str(presence.serving()?).ok()
+    }
+
+    /// What is known of the backend server.
+    pub(crate) fn current(&self) -> Option<Announcement> {
+        lock(&self.presence).current().cloned()
+    }
+
+    /// What the gate before the backend server is to be.
+    pub(crate) fn gate_config(&self) -> GateConfig {
+        let slots = self.slots.load(Ordering::Relaxed).max(1);
+        GateConfig {
+            slots,
+            queue_len: slots,
+            queue_wait: QUEUE_WAIT,
+            cold_start: Duration::ZERO,
+        }
+    }
+
+    /// Decides what an answer is, by the id that it gives back.
+    pub(crate) fn judge(
+        &self,
+        asked: Option<&HeaderValue>,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Word {
+        let names = &self.dialect.headers;
+        let gives_back = headers.get(&names.request_id);
+        if gives_back.is_some() && gives_back != asked {
+            return Word::NotOurs;
+        }
+        let not_run = headers.contains_key(&names.not_run);
+        if not_run || status == StatusCode::MISDIRECTED_REQUEST {
+            return Word::NotRun;
+        }
+        if gives_back.is_none() {
+            return Word::NotOurs;
+        }
+        Word::Answered
+    }
+}
+
+/// Takes over the slots that the backend server announced.
+pub(crate) fn heard_slots(node: &Node, routed: &Routed, slots: u32) {
+    if slots > 0 && routed.slots.swap(slots, Ordering::Relaxed) != slots {
+        let cfg = routed.gate_config();
+        node.room.with_gate(|gate, _| gate.reconfigure(cfg));
+    }
+}
+
+/// Takes an announcement; returns what followed from it.
+pub(crate) fn heard(node: &Arc<Node>, routed: &Routed, news: Announcement) -> Heard {
+    let fields = vec![
+        Field::new("backend", &news.id),
+        Field::new("state", format!("{:?}", news.state).to_lowercase()),
+        Field::new("sequence", news.sequence),
+    ];
+    let heard = lock(&routed.presence).hear(news);
+    match heard {
+        Heard::NowReady => {
+            node.note(&events::BACKEND_READY, fields);
+            takes_work(node, routed);
+        }
+        Heard::NowLeaving => {
+            node.note(&events::BACKEND_LEAVING, fields);
+            takes_no_work(node, routed);
+        }
+        Heard::Known | Heard::Late => {}
+    }
+    heard
+}
+
+/// Another backend server answered than the one that was expected.
+pub(crate) fn answered_by(node: &Arc<Node>, routed: &Routed, headers: &HeaderMap) {
+    let id = headers.get(&routed.dialect.headers.backend_id);
+    let Some(id) = id.and_then(|id| id.to_str().ok()) else {
+        return;
+    };
+    if lock(&routed.presence).answered_as(id) {
+        let fields = vec![Field::new("backend", id), Field::new("state", "answered")];
+        node.note(&events::BACKEND_READY, fields);
+        takes_work(node, routed);
+    }
+}
+
+/// The slots that an answer tells, where it tells the load.
+pub(crate) fn slots_of(routed: &Routed, headers: &HeaderMap) -> Option<u32> {
+    let load = headers.get(&routed.dialect.headers.load)?.to_str().ok()?;
+    load.split(',').nth(2)?.trim().parse().ok()
+}
+
+fn takes_work(node: &Arc<Node>, routed: &Routed) {
+    routed.saved.store(false, Ordering::Relaxed);
+    node.set_own_backend(routed.current());
+    node.backend.forget_idle();
+    if node.stop_leaving(LeavingCause::Backend) || !node.is_leaving() {
+        gossip::spread_own_record(node);
+    }
+    let node = Arc::clone(node);
+    let ex = Arc::clone(&node.ex);
+    let save = async move {
+        if let Some(routed) = &node.routed {
+            save(&node, routed).await;
+        }
+    };
+    ex.spawn(save).detach();
+}
+
+fn takes_no_work(node: &Arc<Node>, routed: &Routed) {
+    routed.saved.store(false, Ordering::Relaxed);
+    node.set_own_backend(routed.current());
+    node.start_leaving(LeavingCause::Backend);
+    gossip::spread_own_record(node);
+}
+
+/// An earlier run of this daemon acknowledged that its backend server leaves.
+pub(crate) fn heard_of_earlier_run(node: &Arc<Node>, earlier: Option<&Announcement>) {
+    let leaving = earlier.filter(|backend| backend.state != BackendState::Ready);
+    if let (Some(routed), Some(backend)) = (&node.routed, leaving) {
+        heard(node, routed, backend.clone());
+    }
+}
+
+/// Writes the own record, so that the next run of this daemon knows what this one acknowledged.
+/// Returns whether the store has it.
+pub(crate) async fn save(node: &Arc<Node>, routed: &Routed) -> bool {
+    if routed.saved.load(Ordering::Relaxed) {
+        return true;
+    }
+    let record = node.own_record.load_full();
+    let value = serde_json::to_string(&*record).unwrap_or_default();
+    let key = keys::member(&record.instance);
+    let written = node.platform.put(&key, &value, Expected::Anything).await;
+    let unchanged = node.own_record.load().sequence == record.sequence;
+    match written {
+        Ok(_) => routed.saved.store(unchanged, Ordering::Relaxed),
+        Err(error) => node.note(
+            &events::RECORD_UNSAVED,
+            vec![
+                Field::new("sequence", record.sequence),
+                Field::new("error", error),
+            ],
+        ),
+    }
+    routed.saved.load(Ordering::Relaxed)
+}
--- a/crates/sorrelturn-daemon/src/control.rs
+++ b/crates/sorrelturn-daemon/src/control.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     explain, fetch, gossip,
+    in_force::Origin,
     metered::Metered,
     node::{Node, lock},
     serve::Closing,
@@ -45,6 +46,8 @@
         async fn announce(from: String, version: u64) -> u64;
         /// The manifest in force.
         async fn manifest() -> Option<SignedManifest>;
+        /// The route table in force, as operators wrote it.
+        async fn routes() -> Option<String>;
         /// Sections by content.
         async fn sections(hashes: Vec<ContentHash>) -> Vec<SectionBytes>;
         /// The list of VMs says that this instance leaves, or that it stays.
@@ -100,7 +103,18 @@
 
     async fn manifest(self, _: context::Context) -> Option<SignedManifest> {
         let in_force = self.node.in_force.load_full()?;
-        Some(in_force.manifest.clone())
+        match &in_force.origin {
+            Origin::Signed { manifest, .. } => Some(manifest.clone()),
+            Origin::Routes(_) => None,
+        }
+    }
+
+    async fn routes(self, _: context::Context) -> Option<String> {
+        let in_force = self.node.in_force.load_full()?;
+        match &in_force.origin {
+            Origin::Signed { .. } => None,
+            Origin::Routes(text) => Some(text.clone()),
+        }
     }
 
     async fn sections(self, _: context::Context, hashes: Vec<ContentHash>) -> Vec<SectionBytes> {
@@ -108,7 +122,7 @@
             return Vec::new();
         };
         in_force
-            .sections
+            .sections()
             .iter()
             .filter(|section| hashes.contains(&ContentHash::of(&section.bytes)))
             .cloned()
--- a/crates/sorrelturn-daemon/src/export.rs
+++ b/crates/sorrelturn-daemon/src/export.rs
@@ -1,10 +1,12 @@
 //! Metrics and spans on their way out.
 
-use crate::{node::Node, node::lock};
+use crate::{
+    metrics_page::{MetricsPage, PageSink},
+    node::{Node, lock},
+};
 use bytes::Bytes;
 use cadence::{
-    Counted, Gauged, MetricBuilder, NopMetricSink, QueuingMetricSink, StatsdClient, Timed,
-    UdpMetricSink,
+    Counted, Gauged, MetricBuilder, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink,
 };
 use hyper::{Request, header::CONTENT_TYPE};
 use smol::Timer;
@@ -30,21 +32,26 @@
 /// Metrics that wait to be sent; more are dropped, so that they never hold a request up.
 const METRIC_QUEUE: usize = 4_096;
 
-/// A client for metrics; without a receiver it does nothing.
-pub(crate) fn client(statsd: Option<SocketAddr>) -> io::Result<StatsdClient> {
-    let Some(addr) = statsd else {
-        return Ok(StatsdClient::from_sink(PREFIX, NopMetricSink));
-    };
+/// A client for metrics: they go to the page, and to a receiver of StatsD where there is one.
+pub(crate) fn client(
+    statsd: Option<SocketAddr>,
+    page: &Arc<MetricsPage>,
+) -> io::Result<StatsdClient> {
+    let statsd = statsd.map(queue).transpose()?;
+    let page = Arc::clone(page);
+    Ok(StatsdClient::from_sink(PREFIX, PageSink { page, statsd }))
+}
+
+fn queue(addr: SocketAddr) -> io::Result<QueuingMetricSink> {
     let socket = UdpSocket::bind("0.0.0.0:0")?;
     socket.set_nonblocking(true)?;
     let udp = UdpMetricSink::from(addr, socket).map_err(io::Error::other)?;
-    let queue = QueuingMetricSink::with_capacity(udp, METRIC_QUEUE);
-    Ok(StatsdClient::from_sink(PREFIX, queue))
+    Ok(QueuingMetricSink::with_capacity(udp, METRIC_QUEUE))
 }
 
 /// Counts one.
 pub(crate) fn count<'t>(node: &'t Node, metric: &'t Metric, tags: &[(&'t str, &'t str)]) {
-    if node.settings.metrics.is_some() {
+    if node.has_metrics() {
         let builder = node.metrics.count_with_tags(metric.name, 1);
         send(builder, tags);
     }
@@ -57,7 +64,7 @@
     took: Duration,
     tags: &[(&'t str, &'t str)],
 ) {
-    if node.settings.metrics.is_some() {
+    if node.has_metrics() {
         let builder = node.metrics.time_with_tags(metric.name, took);
         send(builder, tags);
     }
@@ -96,7 +103,7 @@
 }
 
 fn gauges(node: &Node) {
-    if node.settings.metrics.is_none() {
+    if !node.has_metrics() {
         return;
     }
     let (in_flight, waiting, limit) = node
--- a/crates/sorrelturn-daemon/src/fetch.rs
+++ b/crates/sorrelturn-daemon/src/fetch.rs
@@ -3,12 +3,14 @@
 use crate::{
     control_client::{self as control, ControlError},
     gossip,
-    in_force::InForce,
+    in_force::{InForce, Origin},
     node::{Node, lock},
     reports,
 };
 use displaydoc::Display;
-use sorrelturn_bundle::{ContentHash, Manifest, ManifestError, SectionBytes, SignedManifest, join};
+use sorrelturn_bundle::{
+    Bundle, ContentHash, Manifest, ManifestError, SectionBytes, SignedManifest, join,
+};
 use sorrelturn_fleet::{Fetch, Source};
 use sorrelturn_platform::{PlatformError, keys};
 use sorrelturn_protocol::MemberRecord;
@@ -30,6 +32,8 @@
     Unreadable,
     /// it is not taken: {0}
     Refused(ManifestError),
+    /// the route table is not taken: {0}
+    RoutesRefused(String),
 }
 
 /// Somebody has this version; if it is higher, it is fetched. Cheap enough for every answer.
@@ -56,7 +60,7 @@
     while let Some(fetch) = next {
         if let Err(error) = fetch_from(node, &fetch.source).await {
             let kind = match error {
-                FetchError::Refused(_) => &events::BUNDLE_REFUSED,
+                FetchError::Refused(_) | FetchError::RoutesRefused(_) => &events::BUNDLE_REFUSED,
                 _ => &events::BUNDLE_FETCH_FAILED,
             };
             node.note(
@@ -88,6 +92,13 @@
     node: &Arc<Node>,
     peer: Option<&MemberRecord>,
 ) -> Result<(), FetchError> {
+    if let Some(settings) = &node.settings.routes {
+        let text = match peer {
+            None => store_routes(node, &settings.object).await?,
+            Some(peer) => peer_routes(node, peer).await?,
+        };
+        return take_routes(node, text).map_err(FetchError::RoutesRefused);
+    }
     let signed = match peer {
         None => store_manifest(node).await?,
         Some(peer) => control::call(
@@ -146,17 +157,52 @@
             Some(SectionBytes { name, bytes })
         })
         .collect();
-    if node.put_in_force(bundle, signed, sections) {
+    let origin = Origin::Signed {
+        manifest: signed,
+        sections,
+    };
+    if node.put_in_force(bundle, origin) {
         gossip::announce(node, manifest.version);
         reports::report_soon(node);
     }
     Ok(())
 }
 
+/// Reads a route table and puts it in force if its version is higher.
+pub(crate) fn take_routes(node: &Arc<Node>, text: String) -> Result<(), String> {
+    let Some(routed) = &node.routed else {
+        return Err("no route table is expected here".to_owned());
+    };
+    let table = (routed.dialect.read_routes)(&text)?;
+    table.check().map_err(|error| error.to_string())?;
+    let version = table.version;
+    if node.put_in_force(Bundle::of_routes(&table), Origin::Routes(text)) {
+        gossip::announce(node, version);
+    }
+    Ok(())
+}
+
+async fn store_routes(node: &Node, object: &str) -> Result<String, FetchError> {
+    let found = node.platform.get(object).await;
+    let found = found.map_err(FetchError::Platform)?;
+    found.map(|object| object.value).ok_or(FetchError::Absent)
+}
+
+async fn peer_routes(node: &Arc<Node>, peer: &MemberRecord) -> Result<String, FetchError> {
+    let call = control::call(
+        node,
+        peer,
+        |client, cx| async move { client.routes(cx).await },
+    );
+    call.await
+        .map_err(FetchError::Peer)?
+        .ok_or(FetchError::Absent)
+}
+
 fn held(before: Option<&InForce>, manifest: &Manifest) -> BTreeMap<ContentHash, SectionBytes> {
     before
         .into_iter()
-        .flat_map(|in_force| &in_force.sections)
+        .flat_map(|in_force| in_force.sections())
         .map(|section| (ContentHash::of(&section.bytes), section.clone()))
         .filter(|(hash, _)| manifest.sections.values().any(|wanted| wanted == hash))
         .collect()
--- a/crates/sorrelturn-daemon/src/forward.rs
+++ b/crates/sorrelturn-daemon/src/forward.rs
@@ -257,9 +257,11 @@
         need: call.kind.need,
         time_left,
     });
-    let paid = step != Step::Retry || pays_retry(call, kind_state);
+    // A request that a backend server turned away has reached it, as a retry does.
+    let reached = reply.context.refusal == Some(Refusal::BackendRefused) && node.routed.is_some();
+    let paid = (step != Step::Retry && !reached) || pays_retry(call, kind_state);
     let kind = match step {
-        Step::Reroute => &events::REROUTED,
+        Step::Reroute if paid => &events::REROUTED,
         Step::Retry if paid => &events::RETRIED,
         _ => &events::NOT_RETRIED,
     };
@@ -276,7 +278,7 @@
         ],
     );
     match step {
-        Step::Reroute => progress.reroutes += 1,
+        Step::Reroute if paid => progress.reroutes += 1,
         Step::Retry if paid => export::count(node, &metrics::RETRIES, &[("kind", &call.kind.name)]),
         _ => return false,
     }
--- a/crates/sorrelturn-daemon/src/gossip.rs
+++ b/crates/sorrelturn-daemon/src/gossip.rs
@@ -2,6 +2,7 @@
 //! See `docs/design/spread.md` and `docs/design/membership.md`.
 
 use crate::{
+    backend_state,
     control::ControlClient,
     control_client::{self as control, ControlError},
     fetch,
@@ -28,6 +29,9 @@
 /// A record arrived from wherever; if it is news, it goes on.
 pub(crate) fn heard_member(node: &Arc<Node>, record: MemberRecord) {
     let own = record.instance == node.settings.instance;
+    if own && record.incarnation != node.incarnation {
+        backend_state::heard_of_earlier_run(node, record.backend.as_ref());
+    }
     if !node.merge_member(record.clone()) {
         return;
     }
--- a/crates/sorrelturn-daemon/src/hop.rs
+++ b/crates/sorrelturn-daemon/src/hop.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     answer::Reply,
+    backend_state::{self, Routed, Word},
     body::{self, Body},
     clock::unix_ns,
     export, gossip, headers,
@@ -15,7 +16,7 @@
 use hyper::{
     Request, Response,
     body::{Body as _, Incoming},
-    header::HOST,
+    header::{HOST, HeaderValue},
 };
 use smol::future::FutureExt;
 use sorrelturn_bundle::KindEntry;
@@ -42,6 +43,8 @@
     pub(crate) deadline: Now,
     pub(crate) started_ns: u64,
     pub(crate) _carried: Carried,
+    /// The id by which the sender named this attempt, where routes tell kinds.
+    pub(crate) asked: Option<HeaderValue>,
 }
 
 impl Hop {
@@ -75,7 +78,15 @@
             self.deadline,
             self.kind.need,
         );
-        let req = self.backend_request(req);
+        let req = match &self.node.routed {
+            None => Some(self.backend_request(req)),
+            Some(routed) => self.routed_request(routed, req),
+        };
+        let Some(req) = req else {
+            slot.release(Outcome::Cancelled);
+            let share = self.context.attempts;
+            return unused(self.refused(Refusal::Leaving), share);
+        };
         let node = Arc::clone(&self.node);
         let exchange = async { Some(node.backend.send(&node.ex, req).await) };
         let too_late = async {
@@ -109,6 +120,16 @@
         }
     }
 
+    /// The request for the backend server that takes work now; `None` if there is none.
+    fn routed_request(&self, routed: &Routed, mut req: Request<Body>) -> Option<Request<Body>> {
+        let names = &routed.dialect.headers;
+        let left = self.deadline.saturating_sub(self.node.now()).as_millis();
+        let headers = req.headers_mut();
+        headers.insert(names.expected_backend.clone(), routed.serving()?);
+        headers.insert(names.time_left_ms.clone(), (left as u64).into());
+        Some(req)
+    }
+
     fn backend_request(&self, mut req: Request<Body>) -> Request<Body> {
         let left = self.deadline.saturating_sub(self.node.now()).as_millis();
         let trace = TraceContext {
@@ -143,7 +164,19 @@
         headers::strip_internal(res.headers_mut());
         let status = res.status().as_u16();
         let service = self.in_force.bundle.service(&self.kind.service);
-        let refused = service.is_some_and(|service| service.refused_statuses.contains(&status));
+        let word = self.node.routed.as_ref().map(|routed| {
+            let word = routed.judge(self.asked.as_ref(), res.status(), res.headers());
+            if word == Word::NotRun {
+                backend_state::answered_by(&self.node, routed, res.headers());
+            }
+            word
+        });
+        if word == Some(Word::NotOurs) {
+            slot.release(Outcome::Broke);
+            return self.failed(&guard, Refusal::BackendBroke);
+        }
+        let by_status = service.is_some_and(|service| service.refused_statuses.contains(&status));
+        let refused = by_status || word == Some(Word::NotRun);
         let drains = service
             .and_then(|service| service.drain_header.as_deref())
             .is_some_and(|name| res.headers().contains_key(name));
--- a/crates/sorrelturn-daemon/src/in_force.rs
+++ b/crates/sorrelturn-daemon/src/in_force.rs
@@ -11,15 +11,44 @@
 
 /// The retries that each success of a kind pays for.
 const EDGE_RETRY_FRACTION: f64 = 0.1;
+/// The retries of a kind that are paid for in advance.
+const EDGE_RETRY_BURST: f64 = 10.0;
+
+/// What a bundle was read from.
+pub(crate) enum Origin {
+    /// Sections that an operator signed for.
+    Signed {
+        manifest: SignedManifest,
+        sections: Vec<SectionBytes>,
+    },
+    /// A route table, as operators wrote it into the platform's store.
+    Routes(String),
+}
+
+/// The retries that this daemon may make at one service.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RetryTerms {
+    /// For each success there.
+    pub(crate) fraction: f64,
+    /// Paid for in advance.
+    pub(crate) burst: f64,
+}
+
+impl Default for RetryTerms {
+    fn default() -> Self {
+        Self {
+            fraction: EDGE_RETRY_FRACTION,
+            burst: EDGE_RETRY_BURST,
+        }
+    }
+}
 
 /// A bundle in force with what is learnt under it.
 pub(crate) struct InForce {
     /// The bundle.
     pub(crate) bundle: Bundle,
-    /// The signed manifest, to pass on.
-    pub(crate) manifest: SignedManifest,
-    /// The sections, to pass on.
-    pub(crate) sections: Vec<SectionBytes>,
+    /// What it was read from, to pass on.
+    pub(crate) origin: Origin,
     kinds: HashMap<String, Arc<KindState>>,
     callers: HashMap<CallerId, CallerState>,
 }
@@ -34,21 +63,22 @@
 pub(crate) struct KindState {
     /// The threshold that answers announced.
     pub(crate) threshold: LearnedThreshold,
-    /// The retries that its successes pay for.
-    pub(crate) retries: Mutex<RetryBucket>,
+    /// The retries that successes pay for: the kind's own, or those of its service where routes
+    /// tell kinds.
+    pub(crate) retries: Arc<Mutex<RetryBucket>>,
 }
 
 impl InForce {
     /// Puts a bundle in the place of `before`; what was learnt stays.
     pub(crate) fn new(
         bundle: Bundle,
-        manifest: SignedManifest,
-        sections: Vec<SectionBytes>,
+        origin: Origin,
         before: Option<&Self>,
         now: Now,
+        terms: RetryTerms,
     ) -> Self {
         let source = bundle.source();
-        let kinds = source
+        let mut kinds: HashMap<String, Arc<KindState>> = source
             .services
             .values()
             .flat_map(|service| service.kinds.keys())
@@ -56,10 +86,11 @@
                 let known = before.and_then(|before| before.kinds.get(name));
                 (
                     name.clone(),
-                    known.map_or_else(KindState::fresh, Arc::clone),
+                    known.map_or_else(|| KindState::fresh(terms), Arc::clone),
                 )
             })
             .collect();
+        kinds.extend(route_kinds(&bundle, before, terms));
         let callers = source
             .callers
             .iter()
@@ -73,18 +104,25 @@
             .collect();
         Self {
             bundle,
-            manifest,
-            sections,
+            origin,
             kinds,
             callers,
         }
     }
 
+    /// The sections that it was put together from; none for a route table.
+    pub(crate) fn sections(&self) -> &[SectionBytes] {
+        match &self.origin {
+            Origin::Signed { sections, .. } => sections,
+            Origin::Routes(_) => &[],
+        }
+    }
+
     /// What is learnt about a kind of this bundle.
     pub(crate) fn kind_state(&self, kind: &KindEntry) -> Arc<KindState> {
         self.kinds
             .get(&kind.name)
-            .map_or_else(KindState::fresh, Arc::clone)
+            .map_or_else(|| KindState::fresh(RetryTerms::default()), Arc::clone)
     }
 
     /// The threshold over everything that a kind calls, as far as it is known here.
@@ -121,10 +159,45 @@
 }
 
 impl KindState {
-    fn fresh() -> Arc<Self> {
+    fn fresh(terms: RetryTerms) -> Arc<Self> {
+        let bucket = RetryBucket::with_burst(terms.fraction, terms.burst);
+        Self::with_retries(Arc::new(Mutex::new(bucket)))
+    }
+
+    fn with_retries(retries: Arc<Mutex<RetryBucket>>) -> Arc<Self> {
         Arc::new(Self {
             threshold: LearnedThreshold::default(),
-            retries: Mutex::new(RetryBucket::new(EDGE_RETRY_FRACTION)),
+            retries,
         })
     }
 }
+
+/// The kinds of routes share the retries of the service that they lead to.
+fn route_kinds(
+    bundle: &Bundle,
+    before: Option<&InForce>,
+    terms: RetryTerms,
+) -> HashMap<String, Arc<KindState>> {
+    let mut by_service: HashMap<&str, Arc<Mutex<RetryBucket>>> = HashMap::new();
+    let mut kinds = HashMap::new();
+    if let Some(before) = before {
+        for kind in before.bundle.route_kinds() {
+            let retries = Arc::clone(&before.kind_state(kind).retries);
+            by_service.insert(&kind.service, retries);
+        }
+    }
+    for kind in bundle.route_kinds() {
+        let fresh = || {
+            let bucket = RetryBucket::with_burst(terms.fraction, terms.burst);
+            Arc::new(Mutex::new(bucket))
+        };
+        let retries = by_service.entry(&kind.service).or_insert_with(fresh);
+        let known = before.and_then(|before| before.kinds.get(&kind.name));
+        let state = match known {
+            Some(known) if Arc::ptr_eq(&known.retries, retries) => Arc::clone(known),
+            _ => KindState::with_retries(Arc::clone(retries)),
+        };
+        kinds.insert(kind.name.clone(), state);
+    }
+    kinds
+}
--- a/crates/sorrelturn-daemon/src/join.rs
+++ b/crates/sorrelturn-daemon/src/join.rs
@@ -1,7 +1,7 @@
 //! Joining the fleet: becoming known, and finding members and a bundle.
 
 use crate::{
-    fetch, gossip,
+    backend_state, fetch, gossip,
     node::{Node, lock},
     outcomes,
 };
@@ -26,6 +26,9 @@
             .collect();
         for record in &records {
             node.outrank_earlier_run(record);
+            if record.instance == node.settings.instance {
+                backend_state::heard_of_earlier_run(node, record.backend.as_ref());
+            }
             if record.instance == node.settings.instance && record.incarnation != node.incarnation {
                 let delete = outcomes::delete_earlier_run(Arc::clone(node), record.incarnation);
                 node.ex.spawn(delete).detach();
@@ -33,7 +36,12 @@
         }
         node.merge_members(records);
     }
-    node.set_own_state(MemberState::Live);
+    let leaves = lock(&node.leaving).cause().is_some();
+    node.set_own_state(if leaves {
+        MemberState::Leaving
+    } else {
+        MemberState::Live
+    });
     let own = (**node.own_record.load()).clone();
     let value = serde_json::to_string(&own).unwrap_or_default();
     let key = keys::member(&own.instance);
--- a/crates/sorrelturn-daemon/src/listeners.rs
+++ b/crates/sorrelturn-daemon/src/listeners.rs
@@ -21,6 +21,15 @@
     pub control: SocketAddr,
     /// For operators.
     pub admin: SocketAddr,
+    /// For requests that are told by routes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub routed: Option<SocketAddr>,
+    /// For announcements of the own backend server.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub announce: Option<SocketAddr>,
+    /// For the question whether the daemon is ready.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ready: Option<SocketAddr>,
 }
 
 /// The sockets of one daemon.
@@ -30,6 +39,9 @@
     peers: TcpListener,
     control: TcpListener,
     admin: TcpListener,
+    routed: Option<TcpListener>,
+    announce: Option<TcpListener>,
+    ready: Option<TcpListener>,
 }
 
 impl Listeners {
@@ -42,6 +54,9 @@
             peers: bind(listen.peers).await?,
             control: bind(listen.control).await?,
             admin: bind(listen.admin).await?,
+            routed: bind_some(listen.routed).await?,
+            announce: bind_some(listen.announce).await?,
+            ready: bind_some(listen.ready).await?,
         })
     }
 
@@ -52,6 +67,10 @@
                 .local_addr()
                 .map_err(|error| StartError::Listen { addr, error })
         };
+        let of_some = |listener: &Option<TcpListener>, addr: Option<SocketAddr>| {
+            let both = listener.as_ref().zip(addr);
+            both.map(|(listener, addr)| of(listener, addr)).transpose()
+        };
         let listen = &settings.listen;
         Ok(Addresses {
             callers: of(&self.callers, listen.callers)?,
@@ -59,6 +78,9 @@
             peers: of(&self.peers, listen.peers)?,
             control: of(&self.control, listen.control)?,
             admin: of(&self.admin, listen.admin)?,
+            routed: of_some(&self.routed, listen.routed)?,
+            announce: of_some(&self.announce, listen.announce)?,
+            ready: of_some(&self.ready, listen.ready)?,
         })
     }
 
@@ -83,6 +105,28 @@
         spawn(self.admin, |node, tcp, closing| {
             serve::admin(node, tcp, closing).boxed()
         });
+        if let Some(routed) = self.routed {
+            spawn(routed, |node, tcp, closing| {
+                serve::routed(node, tcp, closing).boxed()
+            });
+        }
+        if let Some(announce) = self.announce {
+            spawn(announce, |node, tcp, closing| {
+                serve::announce(node, tcp, closing).boxed()
+            });
+        }
+        if let Some(ready) = self.ready {
+            spawn(ready, |node, tcp, closing| {
+                serve::ready(node, tcp, closing).boxed()
+            });
+        }
+    }
+}
+
+async fn bind_some(addr: Option<SocketAddr>) -> Result<Option<TcpListener>, StartError> {
+    match addr {
+        Some(addr) => bind(addr).await.map(Some),
+        None => Ok(None),
     }
 }
 
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -1,19 +1,29 @@
 //! What all tasks of a daemon share.
 
 use crate::{
-    backend::Backend, clock::Clock, control_client::ControlLinks, in_force::InForce,
-    outcomes::SegmentVersions, parents::Parents, room::Room, routes::Routes, settings::Settings,
-    stream::FleetKeys, timers::Timers,
+    backend::Backend,
+    backend_state::Routed,
+    clock::Clock,
+    control_client::ControlLinks,
+    in_force::{InForce, Origin, RetryTerms},
+    metrics_page::MetricsPage,
+    outcomes::SegmentVersions,
+    parents::Parents,
+    room::Room,
+    routes::Routes,
+    settings::Settings,
+    stream::FleetKeys,
+    timers::Timers,
 };
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cadence::StatsdClient;
 use smol::{Executor, lock::Mutex as AsyncMutex};
-use sorrelturn_bundle::{Bundle, SectionBytes, Service, SignedManifest, TrustedKeys};
+use sorrelturn_bundle::{Bundle, Service, TrustedKeys};
 use sorrelturn_fleet::{DomainView, Membership, Spread};
 use sorrelturn_once::Ledger;
 use sorrelturn_platform::Platform;
 use sorrelturn_policy::{GateConfig, Leaving, LeavingCause, Now};
-use sorrelturn_protocol::{Incarnation, MemberRecord, MemberState};
+use sorrelturn_protocol::{Announcement, Incarnation, MemberRecord, MemberState};
 use sorrelturn_telemetry::{EventRing, Field, SpanBuffer, events};
 use std::{
     collections::{HashMap, VecDeque},
@@ -27,6 +37,14 @@
 /// A run of a daemon is young for so long.
 const YOUNG_TIME: Duration = Duration::from_secs(30);
 
+/// The part of the allowed ratio of retries that is used: a repeat repeats its own calls as well,
+/// and the chains are up to four services deep, so 1.05^4 - 1 = 0.215 is what 0.05 comes to.
+const RETRY_RATIO_USED: f64 = 0.25;
+/// The part of the allowed slack that is used, for the same reason.
+const RETRY_SLACK_USED: f64 = 0.5;
+/// At the start few members are known; the slack is shared as if there were so many.
+const LEAST_SHARERS: usize = 12;
+
 /// Everything that the tasks of one daemon share.
 pub(crate) struct Node {
     pub(crate) ex: Arc<Executor<'static>>,
@@ -38,6 +56,8 @@
     pub(crate) keys: FleetKeys,
     pub(crate) platform: Platform,
     pub(crate) backend: Backend,
+    /// Present where kinds are told by routes and the backend server announces itself.
+    pub(crate) routed: Option<Routed>,
     pub(crate) room: Arc<Room>,
     pub(crate) parents: Arc<Parents>,
     pub(crate) in_force: ArcSwapOption<InForce>,
@@ -55,6 +75,7 @@
     pub(crate) events: EventRing,
     pub(crate) spans: SpanBuffer,
     pub(crate) metrics: StatsdClient,
+    pub(crate) metrics_page: Arc<MetricsPage>,
     pub(crate) counts: Counts,
 }
 
@@ -116,6 +137,11 @@
 }
 
 impl Node {
+    /// Whether anybody gets the metrics.
+    pub(crate) fn has_metrics(&self) -> bool {
+        self.settings.metrics.is_some() || self.routed.is_some()
+    }
+
     pub(crate) fn now(&self) -> Now {
         self.clock.now()
     }
@@ -141,12 +167,7 @@
     }
 
     /// Puts a bundle in force if its version is higher; returns whether it was.
-    pub(crate) fn put_in_force(
-        &self,
-        bundle: Bundle,
-        manifest: SignedManifest,
-        sections: Vec<SectionBytes>,
-    ) -> bool {
+    pub(crate) fn put_in_force(&self, bundle: Bundle, origin: Origin) -> bool {
         let version = bundle.version;
         let mut spread = lock(&self.spread);
         if !spread.put_in_force(version) {
@@ -155,11 +176,15 @@
         let before = self.in_force.load();
         let now = self.now();
         if let Some(service) = bundle.service(&self.settings.service) {
-            let gate = gate_config(service);
+            let gate = match &self.routed {
+                Some(routed) => routed.gate_config(),
+                None => gate_config(service),
+            };
             self.room.with_gate(|room, _| room.reconfigure(gate));
             self.backend.reconfigure(service.connections);
         }
-        let in_force = InForce::new(bundle, manifest, sections, before.as_deref(), now);
+        let retries = self.retry_terms();
+        let in_force = InForce::new(bundle, origin, before.as_deref(), now, retries);
         self.in_force.store(Some(Arc::new(in_force)));
         drop(spread);
         self.note(
@@ -169,6 +194,19 @@
         true
     }
 
+    /// This daemon's share of the retries that all daemons may make, so that they need no talk
+    /// about it.
+    fn retry_terms(&self) -> RetryTerms {
+        let Some(routes) = &self.settings.routes else {
+            return RetryTerms::default();
+        };
+        let members = lock(&self.membership).present().count();
+        RetryTerms {
+            fraction: routes.retry_ratio * RETRY_RATIO_USED,
+            burst: routes.retry_slack * RETRY_SLACK_USED / members.max(LEAST_SHARERS) as f64,
+        }
+    }
+
     /// Notes whether the backend server could be reached; one that is back starts cold.
     pub(crate) fn backend_reached(&self, reached: bool) {
         let was_lost = self.counts.backend_lost.swap(!reached, Ordering::Relaxed);
@@ -184,8 +222,8 @@
 
     /// Takes a record of a member; returns whether it was news.
     pub(crate) fn merge_member(&self, record: MemberRecord) -> bool {
-        if record.instance == self.settings.instance && record.incarnation != self.incarnation {
-            return self.outrank_earlier_run(&record);
+        if record.instance == self.settings.instance {
+            return self.hear_of_self(&record);
         }
         let kind = match record.state {
             MemberState::Live => &events::MEMBER_JOINED,
@@ -206,6 +244,20 @@
         true
     }
 
+    /// Somebody has a record of this instance. Returns whether the own record changed.
+    fn hear_of_self(&self, record: &MemberRecord) -> bool {
+        if record.incarnation != self.incarnation {
+            return self.outrank_earlier_run(record);
+        }
+        let own = self.own_record.load();
+        if !record.supersedes(&own) {
+            return false;
+        }
+        // Taken for gone while it couldn't be reached: what it says itself holds.
+        self.change_own_record(|own| own.sequence = record.sequence);
+        true
+    }
+
     /// An earlier run of this instance may look newer, if the clock was set back meanwhile. While
     /// this run is young, it puts its start behind the earlier one's; later it is the one that was
     /// replaced. Returns whether the own record changed.
@@ -254,8 +306,17 @@
 
     /// Changes the own record's state; peers hear of it from the gossip task.
     pub(crate) fn set_own_state(&self, state: MemberState) -> MemberRecord {
+        self.change_own_record(|record| record.state = state)
+    }
+
+    /// Changes what the own record says of the backend server.
+    pub(crate) fn set_own_backend(&self, backend: Option<Announcement>) -> MemberRecord {
+        self.change_own_record(|record| record.backend = backend)
+    }
+
+    fn change_own_record(&self, change: impl FnOnce(&mut MemberRecord)) -> MemberRecord {
         let mut record = (**self.own_record.load()).clone();
-        record.state = state;
+        change(&mut record);
         record.sequence += 1;
         self.own_record.store(Arc::new(record.clone()));
         let mut membership = lock(&self.membership);
--- a/crates/sorrelturn-daemon/src/owner.rs
+++ b/crates/sorrelturn-daemon/src/owner.rs
@@ -9,10 +9,11 @@
     tokens,
 };
 use hyper::Request;
+use sorrelturn_bundle::{Execution, Kind, KindEntry};
 use sorrelturn_once::{Begin, Fingerprint};
 use sorrelturn_policy::RetryAfter;
 use sorrelturn_protocol::{CallContext, Refusal, SpanId, Verdict};
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 /// Runs a call at this daemon's backend server, or refuses it.
 pub(crate) async fn serve(node: &Arc<Node>, context: CallContext, req: Request<Body>) -> Reply {
@@ -53,9 +54,14 @@
     let Some(in_force) = node.in_force.load_full() else {
         return unused(refuse_token(node, &context, Refusal::NoBundle), share);
     };
-    let Some(kind) = in_force.bundle.kind(&context.kind).cloned() else {
+    let known = in_force.bundle.kind(&context.kind).cloned();
+    let Some(kind) = known.or_else(|| kind_of_another_version(node, &context)) else {
         return unused(refuse_token(node, &context, Refusal::UnknownKind), share);
     };
+    let asked = node.routed.as_ref().and_then(|routed| {
+        let id = req.headers().get(&routed.dialect.headers.request_id);
+        id.cloned()
+    });
     let deadline = node.now() + Duration::from_millis(context.deadline_ms.into());
     let hop = Hop {
         span: SpanId::random(&mut fastrand::Rng::new()),
@@ -66,6 +72,7 @@
         context,
         deadline,
         started_ns: unix_ns(),
+        asked,
     };
     match hop.context.token {
         Some(token) => hop.once(token, req).await,
@@ -73,6 +80,28 @@
     }
 }
 
+/// A route that isn't in force here may be in force where the request began, which decides that;
+/// all that is needed of it comes with the call.
+fn kind_of_another_version(node: &Node, context: &CallContext) -> Option<Arc<KindEntry>> {
+    node.routed.as_ref()?;
+    let kind = Kind {
+        method: String::new(),
+        path: String::new(),
+        importance: context.importance,
+        execution: Execution::AtMostOnce,
+        deadline_ms: context.deadline_ms,
+        attempts: context.attempts,
+        exposed: true,
+        calls: BTreeMap::new(),
+    };
+    let name = context.kind.clone();
+    Some(Arc::new(KindEntry::of_route(
+        name,
+        &node.settings.service,
+        kind,
+    )))
+}
+
 /// Hands the whole share of a call that cost no execution back.
 pub(crate) fn unused(mut reply: Reply, share: u32) -> Reply {
     reply.context.attempts_left = share;
--- a/crates/sorrelturn-daemon/src/reports.rs
+++ b/crates/sorrelturn-daemon/src/reports.rs
@@ -25,6 +25,10 @@
 }
 
 pub(crate) fn report_soon(node: &Arc<Node>) {
+    if node.settings.routes.is_some() {
+        // Nobody reads the status of failure domains there, and each write is priced.
+        return;
+    }
     let node = Arc::clone(node);
     let ex = Arc::clone(&node.ex);
     ex.spawn(async move { report(&node).await }).detach();
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/routed.rs
@@ -0,0 +1,229 @@
+//! The entry for requests whose kind is told by host and path prefix: those of callers on this VM
+//! and those of the own backend server.
+
+use crate::{
+    answer::Reply,
+    backend_state::Routed,
+    body::{self, Body},
+    entry::target,
+    export,
+    forward::{self, Call},
+    headers,
+    in_force::InForce,
+    node::{Carried, Node},
+    owner,
+    payload::Payload,
+    serve::ambiguous,
+};
+use hyper::{
+    HeaderMap, Request, Response, StatusCode,
+    body::{Body as _, Incoming},
+    header::{HOST, HeaderName, HeaderValue, RETRY_AFTER},
+};
+use sorrelturn_bundle::KindEntry;
+use sorrelturn_policy::Now;
+use sorrelturn_protocol::{CallContext, CallerId, Refusal, RequestId, SpanId, Verdict};
+use sorrelturn_telemetry::{Field, events, metrics};
+use std::{sync::Arc, time::Duration};
+
+/// A request before it is forwarded.
+struct Asked {
+    in_force: Arc<InForce>,
+    kind: Arc<KindEntry>,
+    request: RequestId,
+    deadline: Now,
+}
+
+/// Answers one request.
+pub(crate) async fn serve(node: &Arc<Node>, req: Request<Incoming>) -> Response<Body> {
+    let Some(routed) = &node.routed else {
+        return crate::serve::status(StatusCode::NOT_FOUND);
+    };
+    let carried = Carried::new(node);
+    let arrived = node.now();
+    let id = req.headers().get(&routed.dialect.headers.request_id);
+    let id = id.cloned();
+    let request = request_id(id.as_ref());
+    let asked = ask(node, routed, &req, request, arrived);
+    let (importance, kind, reply) = match asked {
+        Ok(asked) => {
+            let (importance, kind) = (asked.kind.importance(), Arc::clone(&asked.kind));
+            let reply = carry(node, routed, asked, req).await;
+            (importance.name(), Some(kind), reply)
+        }
+        Err(reply) => ("none", None, reply),
+    };
+    note(node, request, kind.as_deref(), arrived, &reply);
+    let tags = [
+        ("importance", importance),
+        ("verdict", reply.context.verdict.name()),
+    ];
+    export::count(node, &metrics::REQUESTS, &tags);
+    export::time(node, &metrics::HOP_TIME, node.now() - arrived, &tags[..1]);
+    into_response(routed, id, reply, carried)
+}
+
+/// The id for events: what the caller sent where it is a number in hexadecimal, else its hash.
+fn request_id(id: Option<&HeaderValue>) -> RequestId {
+    let text = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+    text.parse().unwrap_or_else(|_| {
+        let hash = blake3::hash(text.as_bytes());
+        let mut number = [0; 16];
+        number.copy_from_slice(&hash.as_bytes()[..16]);
+        RequestId(u128::from_be_bytes(number))
+    })
+}
+
+/// Finds what the request asks for.
+fn ask(
+    node: &Node,
+    routed: &Routed,
+    req: &Request<Incoming>,
+    request: RequestId,
+    arrived: Now,
+) -> Result<Asked, Reply> {
+    let headers = req.headers();
+    if ambiguous(req) || !headers.contains_key(&routed.dialect.headers.request_id) {
+        return Err(Reply::not_run(Refusal::Malformed));
+    }
+    let come_back = || owner::come_back(node);
+    let in_force = node
+        .in_force
+        .load_full()
+        .ok_or_else(|| Reply::not_run(Refusal::NoBundle).come_back(come_back()))?;
+    let host = headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or(req.uri().host()).unwrap_or_default();
+    let route = in_force.bundle.match_route(host, req.uri().path());
+    let kind = route
+        .and_then(|route| route.share_at(fastrand::f64()))
+        .map(Arc::clone)
+        .ok_or_else(|| Reply::not_run(Refusal::UnknownKind))?;
+    let body_bytes = req.body().size_hint().lower();
+    if body_bytes > in_force.bundle.limits().body_bytes {
+        return Err(Reply::not_run(Refusal::TooLarge));
+    }
+    let wait_ms = headers::text(headers, routed.dialect.headers.time_left_ms.as_str())
+        .and_then(|text| text.trim().parse::<u64>().ok())
+        .unwrap_or(u64::MAX);
+    let wait_ms = wait_ms.min(kind.kind.deadline_ms.into());
+    Ok(Asked {
+        in_force,
+        kind,
+        request,
+        deadline: arrived + Duration::from_millis(wait_ms),
+    })
+}
+
+async fn carry(node: &Arc<Node>, routed: &Routed, asked: Asked, req: Request<Incoming>) -> Reply {
+    let (mut parts, incoming) = req.into_parts();
+    let payload = match Payload::read(&node.timers, incoming).await {
+        Ok(payload) => payload,
+        Err(refused) => return refused,
+    };
+    prepare_headers(node, routed, &mut parts.headers);
+    let context = CallContext {
+        request: asked.request,
+        trace: asked.request.0,
+        parent: SpanId::default(),
+        kind: asked.kind.name.clone(),
+        importance: asked.kind.importance(),
+        depth: 0,
+        deadline_ms: asked.kind.kind.deadline_ms,
+        attempts: asked.kind.kind.attempts,
+        token: None,
+        caller: CallerId::default(),
+    };
+    let mut call = Call {
+        in_force: asked.in_force,
+        kind: asked.kind,
+        context,
+        deadline: asked.deadline,
+        method: parts.method,
+        target: target(&parts.uri),
+        headers: parts.headers,
+        payload,
+    };
+    forward::call(node, &mut call).await
+}
+
+/// What a request keeps on its way, and where it began.
+fn prepare_headers(node: &Node, routed: &Routed, headers: &mut HeaderMap) {
+    headers::strip_hop_by_hop(headers);
+    headers::strip_internal(headers);
+    let names = &routed.dialect.headers;
+    if let Ok(service) = HeaderValue::from_str(&node.settings.service) {
+        headers.insert(names.caller_service.clone(), service);
+    }
+}
+
+/// One line for each request that began here.
+fn note(node: &Node, request: RequestId, kind: Option<&KindEntry>, arrived: Now, reply: &Reply) {
+    let refusal = reply.context.refusal.map_or("none", Refusal::name);
+    let answered = reply.res.as_ref().map(|res| res.status().as_u16());
+    let mut fields = vec![
+        Field::new("kind", kind.map_or("none", |kind| &kind.name)),
+        Field::new("service", kind.map_or("none", |kind| &kind.service)),
+        Field::new("status", answered.unwrap_or(0)),
+        Field::new("verdict", reply.context.verdict),
+        Field::new("refusal", refusal),
+        Field::new("took_ms", (node.now() - arrived).as_millis()),
+    ];
+    if reply.context.retry_after_ms > 0 {
+        fields.push(Field::new("retry_after_ms", reply.context.retry_after_ms));
+    }
+    node.events
+        .note(&events::REQUEST_DONE, Some(request), fields);
+}
+
+/// The answer to whoever asked. A refusal is a promise only if nothing ran.
+fn into_response(
+    routed: &Routed,
+    id: Option<HeaderValue>,
+    reply: Reply,
+    carried: Carried,
+) -> Response<Body> {
+    let context = reply.context;
+    let mut res = match reply.res {
+        Some(res) => {
+            let mut res = *res;
+            headers::strip_hop_by_hop(res.headers_mut());
+            res
+        }
+        None => {
+            let refusal = context.refusal.unwrap_or(Refusal::BackendBroke);
+            let mut res = Response::new(body::full(format!("{refusal}\n")));
+            *res.status_mut() = refusal_status(refusal, context.verdict);
+            if context.retry_after_ms > 0 {
+                insert_retry_after(res.headers_mut(), context.retry_after_ms);
+            }
+            insert_id(res.headers_mut(), &routed.dialect.headers.request_id, id);
+            res
+        }
+    };
+    res.headers_mut().remove(&routed.dialect.headers.load);
+    res.map(|body| body::watched(body, move |_| drop(carried)))
+}
+
+fn refusal_status(refusal: Refusal, verdict: Verdict) -> StatusCode {
+    match (refusal, verdict) {
+        (Refusal::Malformed, _) => StatusCode::BAD_REQUEST,
+        (Refusal::UnknownKind, _) => StatusCode::NOT_FOUND,
+        (Refusal::TooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
+        (_, Verdict::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
+        (Refusal::Deadline, _) => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    }
+}
+
+fn insert_retry_after(headers: &mut HeaderMap, after_ms: u32) {
+    let seconds = format!("{}.{:03}", after_ms / 1000, after_ms % 1000);
+    if let Ok(seconds) = HeaderValue::from_str(&seconds) {
+        headers.insert(RETRY_AFTER, seconds);
+    }
+}
+
+fn insert_id(headers: &mut HeaderMap, name: &HeaderName, id: Option<HeaderValue>) {
+    if let Some(id) = id {
+        headers.insert(name.clone(), id);
+    }
+}
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -1,11 +1,15 @@
 //! Starting and stopping a daemon.
 
 use crate::{
+    announce,
     backend::Backend,
+    backend_state::Routed,
     clock::{Clock, unix_ms},
     control_client::ControlLinks,
+    dialect::Dialect,
     export, gossip, join,
     listeners::{Addresses, Listeners},
+    metrics_page::MetricsPage,
     node::{Counts, Node, lock},
     outcomes,
     parents::Parents,
@@ -38,8 +42,6 @@
     time::{Duration, Instant},
 };
 
-/// Events that are kept for explanations; a few kilobytes each second at the usual rate.
-const EVENT_CAPACITY: usize = 16_384;
 /// What a daemon without a bundle knows about its backend server: it admits nothing then anyway.
 const GATE_BEFORE_BUNDLE: GateConfig = GateConfig {
     slots: 1,
@@ -49,8 +51,6 @@
 };
 /// How often the planned stop looks whether everything is carried.
 const STOP_STEP: Duration = Duration::from_millis(10);
-/// How long a leaving daemon still answers peers that haven't heard of it.
-const GRACE: Duration = Duration::from_millis(500);
 /// The longest time for connections to end once nothing is carried any more.
 const FLUSH_TIME: Duration = Duration::from_secs(2);
 /// How often the process looks whether it was paused, and what counts as a pause.
@@ -88,11 +88,19 @@
 }
 
 impl Daemon {
-    /// Starts a daemon on `ex`; whoever owns `ex` runs its threads.
-    pub async fn start(settings: Settings, ex: Arc<Executor<'static>>) -> Result<Self, StartError> {
+    /// Starts a daemon on `ex`; `dialect` holds where the settings name a route table; whoever owns `ex` runs its threads.
+    pub async fn start(
+        settings: Settings,
+        dialect: Dialect,
+        ex: Arc<Executor<'static>>,
+    ) -> Result<Self, StartError> {
         let listeners = Listeners::bind(&settings).await?;
         let addresses = listeners.addresses(&settings)?;
-        let node = Arc::new(node(settings, ex, &addresses)?);
+        let node = Arc::new(node(settings, dialect, ex, &addresses)?);
+        if node.routed.is_some() {
+            // Until the backend server was announced or answered, it takes no work.
+            node.start_leaving(LeavingCause::Backend);
+        }
         let (closing, closed) = channel::bounded(1);
         listeners.serve(&node, &closed);
         let daemon = Self {
@@ -120,14 +128,50 @@
         let spawn = |task: smol::future::Boxed<()>| node.ex.spawn(task).detach();
         spawn(Box::pin(join::find_bundle(Arc::clone(node))));
         spawn(Box::pin(gossip::run_exchanges(Arc::clone(node))));
-        spawn(Box::pin(reports::run_reports(Arc::clone(node))));
+        if node.routed.is_some() {
+            spawn(Box::pin(announce::find_backend(Arc::clone(node))));
+        } else {
+            spawn(Box::pin(reports::run_reports(Arc::clone(node))));
+            spawn(Box::pin(outcomes::run(Arc::clone(node))));
+        }
         spawn(Box::pin(watch::run(Arc::clone(node))));
-        spawn(Box::pin(outcomes::run(Arc::clone(node))));
         spawn(Box::pin(export::run(Arc::clone(node))));
         spawn(Box::pin(notice_pauses(Arc::clone(node))));
         gossip::spread_own_record(node);
     }
 
+    /// Tells peers and the store that this run is over.
+    async fn say_gone(&self) {
+        let node = &self.node;
+        let gone = node.set_own_state(MemberState::Gone);
+        gossip::spread_own_record(node);
+        let value = serde_json::to_string(&gone).unwrap_or_default();
+        let key = keys::member(&gone.instance);
+        if let Err(error) = node.platform.put(&key, &value, Expected::Anything).await {
+            node.note(
+                &events::RECORD_UNSAVED,
+                vec![Field::new("error", error), Field::new("state", "gone")],
+            );
+        }
+    }
+
+    /// The settings file may have changed. What the daemon listens on and whom it talks to is taken
+    /// over at the next start; a file that can't be used is reported now.
+    pub fn settings_changed(&self, read: Result<Settings, String>) {
+        let node = &self.node;
+        match read {
+            Ok(settings) => {
+                let changed = settings != node.settings;
+                let fields = vec![Field::new("changed", changed)];
+                node.note(&events::SETTINGS_RELOADED, fields);
+            }
+            Err(error) => node.note(
+                &events::SETTINGS_REFUSED,
+                vec![Field::new("error", error.replace('\n', " "))],
+            ),
+        }
+    }
+
     /// The planned stop: takes no new calls, carries what it has, closes its record, and returns.
     /// Returns whether nothing was cut off.
     pub async fn stop(self) -> bool {
@@ -135,17 +179,15 @@
         gossip::leave(node, LeavingCause::Signal);
         let most = Duration::from_secs(node.settings.stop.most_s);
         let carried = || node.counts.carried.load(Ordering::Relaxed);
-        Timer::after(GRACE).await;
+        Timer::after(Duration::from_millis(node.settings.stop.linger_ms)).await;
         while !lock(&node.leaving).may_exit(node.now(), carried(), most) {
             Timer::after(STOP_STEP).await;
         }
         let whole = carried() == 0;
-        outcomes::close(node).await;
-        let gone = node.set_own_state(MemberState::Gone);
-        gossip::spread_own_record(node);
-        let value = serde_json::to_string(&gone).unwrap_or_default();
-        let key = keys::member(&gone.instance);
-        let _ = node.platform.put(&key, &value, Expected::Anything).await;
+        if node.routed.is_none() {
+            outcomes::close(node).await;
+        }
+        self.say_gone().await;
         drop(self.closing);
         // What was carried may still lie in a socket's buffer; each connection ends when it is out.
         let until = node.now() + FLUSH_TIME;
@@ -166,6 +208,7 @@
 
 fn node(
     settings: Settings,
+    dialect: Dialect,
     ex: Arc<Executor<'static>>,
     addresses: &Addresses,
 ) -> Result<Node, StartError> {
@@ -179,8 +222,9 @@
     let seal_key = seal.try_into().unwrap_or_default();
     let trusted = TrustedKeys::from_hex(&settings.operators).map_err(StartError::OperatorKey)?;
     let keys = FleetKeys::load(settings.fleet_keys.clone()).map_err(StartError::FleetKeys)?;
-    let metrics = export::client(settings.metrics.map(|metrics| metrics.statsd))
-        .map_err(StartError::Metrics)?;
+    let metrics_page = Arc::new(MetricsPage::default());
+    let statsd = settings.metrics.map(|metrics| metrics.statsd);
+    let metrics = export::client(statsd, &metrics_page).map_err(StartError::Metrics)?;
     let record = MemberRecord {
         instance: settings.instance.clone(),
         service: settings.service.clone(),
@@ -191,6 +235,7 @@
         state: MemberState::Live,
         peer_addr: settings.advertise.peers.unwrap_or(addresses.peers),
         control_addr: settings.advertise.control.unwrap_or(addresses.control),
+        backend: None,
     };
     let ledger = LedgerConfig {
         ttl: Duration::from_secs(settings.once.ttl_s),
@@ -201,7 +246,9 @@
     let timeout = Duration::from_millis(settings.platform.timeout_ms);
     let connect_time = Duration::from_millis(settings.backend.connect_ms);
     Ok(Node {
-        platform: Platform::new(settings.platform.address, timeout),
+        platform: Platform::new(settings.platform.address, timeout)
+            .with_objects_path(&settings.platform.objects_path),
+        routed: settings.routes.as_ref().map(|_| Routed::new(dialect)),
         backend: Backend::new(settings.backend.address, connect_time),
         room: Arc::new(Room::new(
             clock,
@@ -221,9 +268,10 @@
         visitors: Mutex::default(),
         leaving: Mutex::new(Leaving::default()),
         own_record: ArcSwap::from_pointee(record),
-        events: EventRing::new(&settings.instance, EVENT_CAPACITY),
+        events: EventRing::new(&settings.instance, settings.events.kept),
         spans: SpanBuffer::new(spans),
         metrics,
+        metrics_page,
         counts: Counts::default(),
         ex,
         clock,
--- a/crates/sorrelturn-daemon/src/serve.rs
+++ b/crates/sorrelturn-daemon/src/serve.rs
@@ -35,6 +35,9 @@
 const HEAD_TIME: Duration = Duration::from_secs(10);
 /// The longest time that a connection of a peer rests; longer than the peer would use it again.
 const PEER_IDLE_TIME: Duration = Duration::from_secs(60);
+/// The longest time that a connection of a caller rests where routes tell kinds. The operators'
+/// limit changes while connections rest; this is longer than any that callers would use again.
+const ROUTED_IDLE_TIME: Duration = Duration::from_secs(120);
 /// The largest head of a request, in bytes, and what a reader may leave unread.
 const BUF_LIMIT_BYTES: usize = 64 << 10;
 /// The longest time for a peer to prove that it belongs to the fleet.
@@ -109,6 +112,36 @@
     let _ = http1(timers, tcp, HEAD_TIME, closing, answer).await;
 }
 
+/// A connection for requests that are told by routes.
+pub(crate) async fn routed(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
+    let timers = node.timers.clone();
+    let answer = move |req: Request<Incoming>| {
+        let node = Arc::clone(&node);
+        async move { crate::routed::serve(&node, req).await }
+    };
+    let _ = http1(timers, tcp, ROUTED_IDLE_TIME, closing, answer).await;
+}
+
+/// A connection of the own backend server that announces itself.
+pub(crate) async fn announce(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
+    let timers = node.timers.clone();
+    let answer = move |req: Request<Incoming>| {
+        let node = Arc::clone(&node);
+        async move { crate::announce::serve(&node, req).await }
+    };
+    let _ = http1(timers, tcp, PEER_IDLE_TIME, closing, answer).await;
+}
+
+/// A connection of whoever asks whether this daemon is ready.
+pub(crate) async fn ready(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
+    let timers = node.timers.clone();
+    let answer = move |req: Request<Incoming>| {
+        let node = Arc::clone(&node);
+        async move { crate::announce::ready(&node, req).await }
+    };
+    let _ = http1(timers, tcp, PEER_IDLE_TIME, closing, answer).await;
+}
+
 /// A connection of the own backend server.
 pub(crate) async fn local(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
     let timers = node.timers.clone();
@@ -203,7 +236,7 @@
 }
 
 /// Two ways to tell where a body ends are a way to smuggle a request behind another one.
-fn ambiguous(req: &Request<Incoming>) -> bool {
+pub(crate) fn ambiguous(req: &Request<Incoming>) -> bool {
     let headers = req.headers();
     let lengths = headers
         .get_all(hyper::header::CONTENT_LENGTH)
--- a/crates/sorrelturn-daemon/src/settings.rs
+++ b/crates/sorrelturn-daemon/src/settings.rs
@@ -3,6 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 use sorrelturn_bundle::{Diagnostic, SourceMap, TrustedKeys, parse_settings};
+use sorrelturn_platform::OBJECTS_PATH;
 use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf};
 
 /// The settings of one daemon.
@@ -24,10 +25,14 @@
     pub backend: BackendSettings,
     /// The platform's object API.
     pub platform: PlatformSettings,
+    /// The route table, where one takes the place of a signed bundle.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub routes: Option<RouteSettings>,
     /// Control addresses of daemons to ask when the platform is down at the start.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
     /// The public keys of the operators whose bundles are taken, in hexadecimal.
+    #[serde(default)]
     pub operators: BTreeMap<String, String>,
     /// The fleet's keys; without them daemons talk in the clear, for tests and the demo only.
     #[serde(default)]
@@ -47,6 +52,9 @@
     /// Metrics; none are sent where this is absent.
     #[serde(default)]
     pub metrics: Option<MetricsSettings>,
+    /// Events kept for explanations.
+    #[serde(default)]
+    pub events: EventSettings,
 }
 
 /// Addresses to listen on; port 0 takes a free one.
@@ -63,6 +71,16 @@
     pub control: SocketAddr,
     /// For operators.
     pub admin: SocketAddr,
+    /// For requests whose kind is told by host and path prefix, of callers on this VM and of the
+    /// own backend server; needs [`Settings::routes`].
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub routed: Option<SocketAddr>,
+    /// For what the own backend server says about itself; needs [`Settings::routes`].
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub announce: Option<SocketAddr>,
+    /// For the question whether this daemon is ready.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ready: Option<SocketAddr>,
 }
 
 /// Addresses that other daemons are told; those of `listen` where a field is absent.
@@ -89,7 +107,7 @@
 }
 
 /// The platform's object API.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlatformSettings {
     /// Where it listens.
@@ -97,6 +115,37 @@
     /// The longest time for one call, in milliseconds.
     #[serde(default = "default_platform_timeout_ms")]
     pub timeout_ms: u64,
+    /// The path under which objects lie.
+    #[serde(default = "default_objects_path")]
+    pub objects_path: String,
+}
+
+/// Where the route table lies that takes the place of a signed bundle, and the budget of retries.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RouteSettings {
+    /// The object that holds the route table, as in `config/main`.
+    pub object: String,
+    /// The retries that all daemons together may make at a service for each request to it.
+    #[serde(default = "default_retry_ratio")]
+    pub retry_ratio: f64,
+    /// The retries that all daemons together may make besides, in each window of the operator's.
+    #[serde(default = "default_retry_slack")]
+    pub retry_slack: f64,
+}
+
+/// The events that are kept for explanations.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct EventSettings {
+    /// The most that are kept; about 700 bytes each.
+    pub kept: usize,
+}
+
+impl Default for EventSettings {
+    fn default() -> Self {
+        Self { kept: 16_384 }
+    }
 }
 
 /// Files with the keys by which daemons recognise one another, in PEM form.
@@ -139,11 +188,17 @@
 pub struct StopSettings {
     /// The longest time to wait for what is in flight, in seconds.
     pub most_s: u64,
+    /// So long requests are still taken after the daemon stopped being ready, in milliseconds,
+    /// since whoever asks for readiness needs some time to notice.
+    pub linger_ms: u64,
 }
 
 impl Default for StopSettings {
     fn default() -> Self {
-        Self { most_s: 60 }
+        Self {
+            most_s: 60,
+            linger_ms: 500,
+        }
     }
 }
 
@@ -178,6 +233,18 @@
     1_000
 }
 
+fn default_objects_path() -> String {
+    OBJECTS_PATH.to_owned()
+}
+
+fn default_retry_ratio() -> f64 {
+    0.1
+}
+
+fn default_retry_slack() -> f64 {
+    10.0
+}
+
 fn default_span_buffer() -> usize {
     4_096
 }
@@ -247,7 +314,7 @@
             let help = format!("write a number from 1 to {MAX_THREADS}");
             at(&["threads"], &format!("threads is {}", self.threads), &help);
         }
-        if self.operators.is_empty() {
+        if self.operators.is_empty() && self.routes.is_none() {
             at(
                 &["operators"],
                 "no operator is trusted, so no bundle could ever come in force",
@@ -265,6 +332,23 @@
                 "write milliseconds, 1 or more",
             );
         }
+        if let Some(routes) = &self.routes
+            && !routes.object.contains('/')
+        {
+            at(
+                &["routes", "object"],
+                &format!("routes.object is {:?}", routes.object),
+                "write a kind, a slash and a name, as in config/main",
+            );
+        }
+        if (self.listen.routed.is_some() || self.listen.announce.is_some()) && self.routes.is_none()
+        {
+            at(
+                &["listen"],
+                "listen.routed and listen.announce need a route table",
+                "write where it lies, as in \"routes\": { \"object\": \"config/main\" }",
+            );
+        }
         if self.once.ttl_s == 0 || self.once.capacity == 0 {
             at(
                 &["once"],
@@ -292,6 +376,9 @@
             listen.admin,
         ]
         .into_iter()
+        .chain(listen.routed)
+        .chain(listen.announce)
+        .chain(listen.ready)
         .filter(|addr| addr.port() != 0)
         .collect();
         let count = fixed.len();
--- a/crates/sorrelturn-daemon/src/watch.rs
+++ b/crates/sorrelturn-daemon/src/watch.rs
@@ -79,12 +79,11 @@
 }
 
 async fn watch_all(node: &Arc<Node>) {
-    watch_head(node)
-        .or(read_head(node))
-        .or(watch_members(node))
-        .or(read_vm_list(node))
-        .or(write_status(node))
-        .await;
+    let follow = watch_head(node).or(read_head(node)).or(watch_members(node));
+    if node.settings.routes.is_some() {
+        return follow.await;
+    }
+    follow.or(read_vm_list(node)).or(write_status(node)).await;
 }
 
 /// Waits for changes under a prefix, for ever.
@@ -126,7 +125,8 @@
 }
 
 async fn watch_head(node: &Arc<Node>) {
-    follow(node, keys::BUNDLE_HEAD, |changes| {
+    let head = head_key(node).to_owned();
+    follow(node, &head, |changes| {
         for object in changes.objects {
             heard_head(node, &object.value);
         }
@@ -137,13 +137,25 @@
 async fn read_head(node: &Arc<Node>) {
     loop {
         Timer::after(READ_EVERY).await;
-        if let Ok(Some(object)) = node.platform.get(keys::BUNDLE_HEAD).await {
+        if let Ok(Some(object)) = node.platform.get(head_key(node)).await {
             heard_head(node, &object.value);
         }
     }
 }
 
+/// The object by which a new bundle is noticed.
+fn head_key(node: &Node) -> &str {
+    let routes = node.settings.routes.as_ref();
+    routes.map_or(keys::BUNDLE_HEAD, |routes| &routes.object)
+}
+
 fn heard_head(node: &Arc<Node>, value: &str) {
+    if node.settings.routes.is_some() {
+        if let Err(error) = fetch::take_routes(node, value.to_owned()) {
+            node.note(&events::BUNDLE_REFUSED, vec![Field::new("error", error)]);
+        }
+        return;
+    }
     let manifest = serde_json::from_str::<SignedManifest>(value)
         .ok()
         .and_then(|signed| signed.verify(&node.trusted).ok());
--- a/crates/sorrelturn-platform/src/api.rs
+++ b/crates/sorrelturn-platform/src/api.rs
@@ -1,25 +1,123 @@
 //! The object API's messages. `docs/design/platform.md` describes the calls.
 
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
-/// One object with its version.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// One object as the crate's users see it: a text under a key, at a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Object {
-    /// Where it lies.
+    /// Where it lies: its kind and its name, see [`keys::kind_and_name`].
     pub key: String,
-    /// Rises with each update of any object; 0 never occurs.
+    /// The store's revision at its last change; 0 never occurs.
     pub version: u64,
-    /// Its content, at most a megabyte.
+    /// Its content, at most a megabyte: a text, or JSON where another party wrote it as such.
     pub value: String,
 }
 
 /// What a list or a watch answers.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Changes {
     /// The store's revision, from which the next watch goes on.
     pub revision: u64,
-    /// The objects that changed.
+    /// The objects that changed and still exist.
     pub objects: Vec<Object>,
+    /// The keys of objects that were removed.
+    pub removed: Vec<String>,
+}
+
+/// What the store keeps about an object besides its content.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Metadata {
+    /// Unique within the kind.
+    pub name: String,
+    /// The revision of the last change. In a write it is a condition; absent, there is none.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub revision: u64,
+    /// Who still has to agree before a deleted object goes.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub finalizers: Vec<String>,
+    /// Whether it was deleted and waits for its finalizers.
+    #[serde(skip_serializing_if = "is_false")]
+    pub deleting: bool,
+}
+
+/// An object on the wire.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct WireObject {
+    /// Name, revision and what else the store keeps.
+    pub metadata: Metadata,
+    /// The content.
+    #[serde(default)]
+    pub value: Value,
+    /// What is observed of it; written apart from the content.
+    #[serde(default)]
+    pub status: Value,
+}
+
+/// One page of a list.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct WireList {
+    /// The objects, in the order of their names.
+    pub items: Vec<WireObject>,
+    /// Whether the list goes on after the last name.
+    #[serde(default)]
+    pub has_more: bool,
+    /// The store's revision when the page was read.
+    pub store_revision: u64,
+}
+
+/// One change of an object.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WireEvent {
+    /// Whether the object was removed by it.
+    pub removed: bool,
+    /// The object after the change; the last state of one that was removed.
+    pub object: WireObject,
+}
+
+/// The answer of a watch.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct WireEvents {
+    /// What changed, oldest first; empty where the wait is over.
+    pub events: Vec<WireEvent>,
+    /// From where the next watch goes on.
+    pub store_revision: u64,
+}
+
+fn is_zero(revision: &u64) -> bool {
+    *revision == 0
+}
+
+fn is_false(flag: &bool) -> bool {
+    !flag
+}
+
+impl WireObject {
+    /// An object that is to be written; `revision` 0 sets no condition.
+    pub(crate) fn of(name: &str, value: &str, revision: u64) -> Self {
+        Self {
+            metadata: Metadata {
+                name: name.to_owned(),
+                revision,
+                ..Metadata::default()
+            },
+            value: Value::String(value.to_owned()),
+            status: Value::Null,
+        }
+    }
+
+    /// The object as the crate's users see it; texts are unpacked, other JSON stays as it is.
+    pub(crate) fn into_object(self, prefix: &str) -> Object {
+        Object {
+            key: format!("{prefix}{}", self.metadata.name),
+            version: self.metadata.revision,
+            value: match self.value {
+                Value::String(text) => text,
+                other => other.to_string(),
+            },
+        }
+    }
 }
 
 /// Whether a VM is meant to be in use.
@@ -45,14 +143,23 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
-    /// Every call fails.
+    /// Every call fails with 503, which says that nothing was done.
     pub down: bool,
+    /// Every call is refused with 429, as when the rate is used up.
+    pub busy: bool,
+    /// Calls are read and never answered.
+    pub silent: bool,
     /// Every call takes this much longer, in milliseconds.
     pub slow_ms: u64,
     /// So many of the next writes take effect, and their answers are lost.
     pub lose_write_answers: u32,
+    /// Writes without an answer take effect this much later, in milliseconds, if their condition
+    /// still holds then.
+    pub late_write_ms: u64,
     /// Watches never report anything.
     pub silent_watches: bool,
+    /// The store has just forgotten its history: older watches get 410.
+    pub forget_history: bool,
 }
 
 /// How often each call came.
@@ -80,6 +187,23 @@
     /// The states of the failure domains.
     pub const STATUS: &str = "sorrelturn/status/";
 
+    /// The kind of keys that have no slash.
+    const PLAIN_KIND: &str = "sorrelturn";
+
+    /// The kind and the name that a key stands for: the name is what follows the last slash, and
+    /// the kind is what stands before it, with hyphens for slashes.
+    pub fn kind_and_name(key: &str) -> (String, &str) {
+        match key.rsplit_once('/') {
+            Some((kind, name)) => (kind.replace('/', "-"), name),
+            None => (PLAIN_KIND.to_owned(), key),
+        }
+    }
+
+    /// What stands before the names of a key's kind, the last slash included.
+    pub(crate) fn prefix(key: &str) -> &str {
+        key.rfind('/').map_or("", |slash| &key[..=slash])
+    }
+
     /// The state of one failure domain.
     pub fn status(failure_domain: &str) -> String {
         format!("{STATUS}{failure_domain}")
--- a/crates/sorrelturn-platform/src/client.rs
+++ b/crates/sorrelturn-platform/src/client.rs
@@ -2,11 +2,13 @@
 
 use crate::{
     Changes, Object, VmEntry,
+    api::{WireEvents, WireList, WireObject},
     http::{ExchangeError, exchange},
+    keys,
 };
 use bytes::Bytes;
 use displaydoc::Display;
-use hyper::{Method, Request, Response, StatusCode, header::IF_MATCH};
+use hyper::{Method, Request, Response, StatusCode, header::CONTENT_TYPE};
 use serde::de::DeserializeOwned;
 use std::{
     net::SocketAddr,
@@ -14,6 +16,9 @@
     time::Duration,
 };
 
+/// Where objects lie on a platform that doesn't say otherwise.
+pub const OBJECTS_PATH: &str = "/v1/objects";
+
 /// What a conditional update expects to find.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Expected {
@@ -34,6 +39,10 @@
     AnswerLost(String),
     /// somebody else changed the object first; it is at version {0} now
     Conflict(u64),
+    /// the object doesn't exist
+    Absent,
+    /// the platform no longer has the history that the watch asks for
+    HistoryGone,
     /// the platform refused the call with status {0}
     Refused(u16),
     /// the platform's answer can't be read
@@ -46,6 +55,7 @@
 #[derive(Debug)]
 pub struct Platform {
     addr: SocketAddr,
+    objects_path: String,
     timeout: Duration,
     calls: AtomicU64,
 }
@@ -55,11 +65,18 @@
     pub fn new(addr: SocketAddr, timeout: Duration) -> Self {
         Self {
             addr,
+            objects_path: OBJECTS_PATH.to_owned(),
             timeout,
             calls: AtomicU64::new(0),
         }
     }
 
+    /// Takes another path for objects, for platforms that have them elsewhere.
+    pub fn with_objects_path(mut self, path: &str) -> Self {
+        self.objects_path = path.trim_end_matches('/').to_owned();
+        self
+    }
+
     /// How many calls went out, for the budget in `docs/CAPACITY.md`.
     pub fn calls(&self) -> u64 {
         self.calls.load(Ordering::Relaxed)
@@ -67,11 +84,12 @@
 
     /// Reads one object.
     pub async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
-        let req = request(Method::GET, &format!("/v1/objects/{key}"));
+        let req = request(Method::GET, &self.object_path(key));
         let res = self.call(req, self.timeout).await.map_err(unavailable)?;
-        match res.status() {
-            StatusCode::NOT_FOUND => Ok(None),
-            _ => read(&res).map(Some),
+        match read::<WireObject>(&res) {
+            Ok(object) => Ok(Some(object.into_object(keys::prefix(key)))),
+            Err(PlatformError::Absent) => Ok(None),
+            Err(error) => Err(error),
         }
     }
 
@@ -85,16 +103,40 @@
         value: &str,
         expected: Expected,
     ) -> Result<u64, PlatformError> {
-        let mut req = request(Method::PUT, &format!("/v1/objects/{key}"));
-        *req.body_mut() = Bytes::copy_from_slice(value.as_bytes());
-        let condition = match expected {
-            Expected::Absent => Some(0),
-            Expected::Version(version) => Some(version),
-            Expected::Anything => None,
-        };
-        if let Some(version) = condition {
-            req.headers_mut().insert(IF_MATCH, version.into());
+        match expected {
+            Expected::Absent => self.create(key, value).await,
+            Expected::Version(version) => self.replace(key, value, version).await,
+            Expected::Anything => match self.replace(key, value, 0).await {
+                Err(PlatformError::Absent) => self.create(key, value).await,
+                result => result,
+            },
         }
+    }
+
+    async fn create(&self, key: &str, value: &str) -> Result<u64, PlatformError> {
+        let (_, name) = keys::kind_and_name(key);
+        let object = WireObject::of(name, value, 0);
+        self.write(Method::POST, &self.kind_path(key), &object)
+            .await
+    }
+
+    /// A version of 0 sets no condition.
+    async fn replace(&self, key: &str, value: &str, version: u64) -> Result<u64, PlatformError> {
+        let (_, name) = keys::kind_and_name(key);
+        let object = WireObject::of(name, value, version);
+        self.write(Method::PUT, &self.object_path(key), &object)
+            .await
+    }
+
+    async fn write(
+        &self,
+        method: Method,
+        path: &str,
+        object: &WireObject,
+    ) -> Result<u64, PlatformError> {
+        let mut req = request(method, path);
+        let body = serde_json::to_vec(object).map_err(|_| PlatformError::Unreadable)?;
+        *req.body_mut() = body.into();
         let res = self
             .call(req, self.timeout)
             .await
@@ -108,10 +150,11 @@
             ));
         }
         if res.status() == StatusCode::CONFLICT {
-            let current: u64 = serde_json::from_slice(res.body()).unwrap_or(0);
-            return Err(PlatformError::Conflict(current));
+            let current = serde_json::from_slice::<WireObject>(res.body())
+                .map_err(|_| PlatformError::Unreadable)?;
+            return Err(PlatformError::Conflict(current.metadata.revision));
         }
-        read(&res)
+        read::<WireObject>(&res).map(|object| object.metadata.revision)
     }
 
     /// Writes one object; where the answer is lost or the race is, reads it back.
@@ -139,18 +182,41 @@
 
     /// Deletes one object, whatever its version; one that isn't there is deleted too.
     pub async fn delete(&self, key: &str) -> Result<(), PlatformError> {
-        let req = request(Method::DELETE, &format!("/v1/objects/{key}"));
+        let req = request(Method::DELETE, &self.object_path(key));
         let res = self.call(req, self.timeout).await.map_err(unavailable)?;
         match res.status() {
-            StatusCode::NO_CONTENT => Ok(()),
+            StatusCode::NOT_FOUND => Ok(()),
+            status if status.is_success() => Ok(()),
             status => Err(PlatformError::Unavailable(status.to_string())),
         }
     }
 
-    /// Reads all objects whose keys start with `prefix`.
+    /// Reads all objects whose keys start with `prefix`, which ends with a slash; page by page
+    /// where there are many.
     pub async fn list(&self, prefix: &str) -> Result<Changes, PlatformError> {
-        let req = request(Method::GET, &format!("/v1/list?prefix={prefix}"));
-        read(&self.call(req, self.timeout).await.map_err(unavailable)?)
+        let mut all = Changes::default();
+        let mut after = String::new();
+        loop {
+            let mut path = self.kind_path(prefix);
+            if !after.is_empty() {
+                path = format!("{path}?after={after}");
+            }
+            let req = request(Method::GET, &path);
+            let res = self.call(req, self.timeout).await.map_err(unavailable)?;
+            let page: WireList = read(&res)?;
+            // A change between two pages is seen by the watch, which goes on from the first one.
+            if all.revision == 0 {
+                all.revision = page.store_revision;
+            }
+            let last = page.items.last().map(|item| item.metadata.name.clone());
+            let objects = page.items.into_iter();
+            all.objects
+                .extend(objects.map(|object| object.into_object(keys::prefix(prefix))));
+            match last {
+                Some(name) if page.has_more => after = name,
+                _ => return Ok(all),
+            }
+        }
     }
 
     /// Waits up to `wait` for changes under `prefix` after the revision `since`.
@@ -160,11 +226,25 @@
         since: u64,
         wait: Duration,
     ) -> Result<Changes, PlatformError> {
-        let wait_ms = wait.as_millis();
-        let path = format!("/v1/watch?prefix={prefix}&since={since}&wait_ms={wait_ms}");
+        let kind = self.kind_path(prefix);
+        let path = format!("{kind}?watch={since}&wait_ms={}", wait.as_millis());
         let timeout = wait + self.timeout;
         let req = request(Method::GET, &path);
-        read(&self.call(req, timeout).await.map_err(unavailable)?)
+        let res = self.call(req, timeout).await.map_err(unavailable)?;
+        let answer: WireEvents = read(&res)?;
+        let mut changes = Changes {
+            revision: answer.store_revision,
+            ..Changes::default()
+        };
+        for event in answer.events {
+            let object = event.object.into_object(keys::prefix(prefix));
+            if event.removed {
+                changes.removed.push(object.key);
+            } else {
+                changes.objects.push(object);
+            }
+        }
+        Ok(changes)
     }
 
     /// Reads the list of live and leaving VMs.
@@ -173,6 +253,16 @@
         read(&self.call(req, self.timeout).await.map_err(unavailable)?)
     }
 
+    fn kind_path(&self, key: &str) -> String {
+        let (kind, _) = keys::kind_and_name(key);
+        format!("{}/{kind}", self.objects_path)
+    }
+
+    fn object_path(&self, key: &str) -> String {
+        let (kind, name) = keys::kind_and_name(key);
+        format!("{}/{kind}/{name}", self.objects_path)
+    }
+
     async fn call(
         &self,
         req: Request<Bytes>,
@@ -187,6 +277,8 @@
     let mut req = Request::new(Bytes::new());
     *req.method_mut() = method;
     *req.uri_mut() = path.parse().expect("keys hold only characters of a URI");
+    let json = hyper::header::HeaderValue::from_static("application/json");
+    req.headers_mut().insert(CONTENT_TYPE, json);
     req
 }
 
@@ -195,13 +287,15 @@
 }
 
 fn read<T: DeserializeOwned>(res: &Response<Bytes>) -> Result<T, PlatformError> {
-    if !res.status().is_success() {
-        return Err(match res.status() {
-            StatusCode::SERVICE_UNAVAILABLE => {
-                PlatformError::Unavailable("it answers 503".to_owned())
-            }
-            status => PlatformError::Refused(status.as_u16()),
-        });
+    match res.status() {
+        status if status.is_success() => {
+            serde_json::from_slice(res.body()).map_err(|_| PlatformError::Unreadable)
+        }
+        StatusCode::NOT_FOUND => Err(PlatformError::Absent),
+        StatusCode::GONE => Err(PlatformError::HistoryGone),
+        status @ (StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) => {
+            Err(PlatformError::Unavailable(format!("it answers {status}")))
+        }
+        status => Err(PlatformError::Refused(status.as_u16())),
     }
-    serde_json::from_slice(res.body()).map_err(|_| PlatformError::Unreadable)
 }
--- a/crates/sorrelturn-platform/src/lib.rs
+++ b/crates/sorrelturn-platform/src/lib.rs
@@ -7,5 +7,5 @@
 mod store;
 
 pub use api::{Changes, Counters, Faults, Object, VmEntry, VmState, keys};
-pub use client::{Expected, Platform, PlatformError};
+pub use client::{Expected, OBJECTS_PATH, Platform, PlatformError};
 pub use stand_in::{StandIn, serve};
--- a/crates/sorrelturn-platform/src/stand_in.rs
+++ b/crates/sorrelturn-platform/src/stand_in.rs
@@ -2,16 +2,16 @@
 
 use crate::{
     Faults,
-    store::{Store, VALUE_LIMIT_BYTES},
+    api::{WireEvents, WireObject},
+    store::{Store, VALUE_LIMIT_BYTES, Written},
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
-    Method, Request, Response, StatusCode, body::Incoming, header::IF_MATCH, server::conn::http1,
-    service::service_fn,
+    Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
 };
 use serde::Serialize;
-use smol::{Executor, Timer, lock::Mutex, net::TcpListener};
+use smol::{Executor, Timer, future, lock::Mutex, net::TcpListener};
 use smol_hyper::rt::FuturesIo;
 use std::{
     sync::Arc,
@@ -20,6 +20,8 @@
 
 /// How often a waiting watch looks for changes; far below the seconds that a spread may take.
 const WATCH_STEP: Duration = Duration::from_millis(5);
+/// Room for an object's metadata beside its value, in bytes.
+const HEAD_ROOM_BYTES: usize = 4 << 10;
 
 /// The stand-in's state.
 #[derive(Clone, Default)]
@@ -55,20 +57,19 @@
         }
         let faults = self.store.lock().await.faults.clone();
         Timer::after(Duration::from_millis(faults.slow_ms)).await;
+        if faults.silent {
+            future::pending::<()>().await;
+        }
         if faults.down {
             return Ok(status(StatusCode::SERVICE_UNAVAILABLE));
         }
-        if let Some(key) = path.strip_prefix("/v1/objects/") {
-            return match *req.method() {
-                Method::PUT => self.put(req, key).await,
-                Method::DELETE => Ok(self.delete(key).await),
-                _ => Ok(self.get(key).await),
-            };
+        if faults.busy {
+            return Ok(status(StatusCode::TOO_MANY_REQUESTS));
+        }
+        if let Some(at) = path.strip_prefix("/v1/objects/") {
+            return self.objects(req, at).await;
         }
-        let query = Query(req.uri().query().unwrap_or(""));
         Ok(match path.as_str() {
-            "/v1/list" => self.list(&query).await,
-            "/v1/watch" => self.watch(&query).await,
             "/v1/vms" => {
                 let mut store = self.store.lock().await;
                 store.counters.reads += 1;
@@ -78,62 +79,85 @@
         })
     }
 
-    async fn get(&self, key: &str) -> Answer {
+    /// `at` is a kind, a kind and a name, or these and `status`.
+    async fn objects(&self, req: Request<Incoming>, at: &str) -> Result<Answer, hyper::Error> {
+        let (kind, rest) = at.split_once('/').unwrap_or((at, ""));
+        let (name, part) = rest.split_once('/').unwrap_or((rest, ""));
+        let query = req.uri().query().unwrap_or("").to_owned();
+        let query = Query(&query);
+        match (req.method().clone(), name.is_empty()) {
+            (Method::GET, true) if query.has("watch") => Ok(self.watch(kind, &query).await),
+            (Method::GET, true) => Ok(self.list(kind, &query).await),
+            (Method::GET, false) => Ok(self.get(kind, name).await),
+            (Method::POST, true) => {
+                self.write(req, kind, "", |store, kind, _, object| {
+                    store.create(kind, object)
+                })
+                .await
+            }
+            (Method::PUT, false) if part == "status" => {
+                self.write(req, kind, name, Store::replace_status).await
+            }
+            (Method::PUT, false) => self.write(req, kind, name, Store::replace).await,
+            (Method::DELETE, false) => Ok(self.delete(kind, name, &query).await),
+            _ => Ok(status(StatusCode::METHOD_NOT_ALLOWED)),
+        }
+    }
+
+    async fn get(&self, kind: &str, name: &str) -> Answer {
         let mut store = self.store.lock().await;
         store.counters.reads += 1;
         store
-            .get(key)
+            .get(kind, name)
             .map_or_else(|| status(StatusCode::NOT_FOUND), json)
     }
 
-    async fn delete(&self, key: &str) -> Answer {
+    async fn list(&self, kind: &str, query: &Query<'_>) -> Answer {
+        let mut store = self.store.lock().await;
+        store.counters.reads += 1;
+        json(&store.page(kind, query.text("after")))
+    }
+
+    async fn delete(&self, kind: &str, name: &str, query: &Query<'_>) -> Answer {
         let mut store = self.store.lock().await;
         store.counters.writes += 1;
-        store.delete(key);
-        status(StatusCode::NO_CONTENT)
+        let written = store.delete(kind, name, query.number("revision"));
+        answer_written(written)
     }
 
-    async fn put(&self, req: Request<Incoming>, key: &str) -> Result<Answer, hyper::Error> {
-        let expected = req
-            .headers()
-            .get(IF_MATCH)
-            .and_then(|value| value.to_str().ok()?.parse().ok());
-        let Ok(body) = Limited::new(req.into_body(), VALUE_LIMIT_BYTES)
+    async fn write(
+        &self,
+        req: Request<Incoming>,
+        kind: &str,
+        name: &str,
+        apply: fn(&mut Store, &str, &str, WireObject) -> Written,
+    ) -> Result<Answer, hyper::Error> {
+        let Ok(body) = Limited::new(req.into_body(), VALUE_LIMIT_BYTES + HEAD_ROOM_BYTES)
             .collect()
             .await
         else {
             return Ok(status(StatusCode::PAYLOAD_TOO_LARGE));
         };
-        let Ok(value) = String::from_utf8(body.to_bytes().to_vec()) else {
+        let Ok(object) = serde_json::from_slice::<WireObject>(&body.to_bytes()) else {
             return Ok(status(StatusCode::BAD_REQUEST));
         };
         let mut store = self.store.lock().await;
         store.counters.writes += 1;
-        let result = store.put(key, value, expected);
-        if store.faults.lose_write_answers > 0 {
-            store.faults.lose_write_answers -= 1;
-            // The client sees a gateway's time-out, which leaves the write's fate open.
-            return Ok(status(StatusCode::GATEWAY_TIMEOUT));
+        if store.faults.lose_write_answers == 0 {
+            return Ok(answer_written(apply(&mut store, kind, name, object)));
         }
-        Ok(match result {
-            Ok(version) => json(&version),
-            Err(current) => {
-                let mut res = json(&current);
-                *res.status_mut() = StatusCode::CONFLICT;
-                res
-            }
-        })
+        store.faults.lose_write_answers -= 1;
+        let late = Duration::from_millis(store.faults.late_write_ms);
+        drop(store);
+        Timer::after(late).await;
+        apply(&mut *self.store.lock().await, kind, name, object);
+        // The client sees a gateway's time-out, or gave up before: the write's fate stays open.
+        Ok(status(StatusCode::GATEWAY_TIMEOUT))
     }
 
-    async fn list(&self, query: &Query<'_>) -> Answer {
-        let mut store = self.store.lock().await;
-        store.counters.reads += 1;
-        json(&store.changes(query.text("prefix"), 0))
-    }
-
-    async fn watch(&self, query: &Query<'_>) -> Answer {
+    async fn watch(&self, kind: &str, query: &Query<'_>) -> Answer {
         let until = Instant::now() + Duration::from_millis(query.number("wait_ms"));
-        let since = query.number("since");
+        let since = query.number("watch");
         {
             let mut store = self.store.lock().await;
             store.counters.watches += 1;
@@ -141,15 +165,22 @@
         }
         loop {
             let mut store = self.store.lock().await;
-            let mut changes = store.changes(query.text("prefix"), since);
-            if store.faults.silent_watches {
-                changes.objects.clear();
-                changes.revision = since;
-            }
+            let events = store.events(kind, since);
+            let deaf = store.faults.silent_watches;
             let over = Instant::now() >= until || store.faults.down;
-            if over || !changes.objects.is_empty() {
+            let answer = match events {
+                None => Some(status(StatusCode::GONE)),
+                Some(_) if deaf && !over => None,
+                Some(_) if deaf => Some(json(&WireEvents {
+                    events: Vec::new(),
+                    store_revision: since,
+                })),
+                Some(changes) if over || !changes.events.is_empty() => Some(json(&changes)),
+                Some(_) => None,
+            };
+            if let Some(answer) = answer {
                 store.counters.watches_waiting -= 1;
-                return json(&changes);
+                return answer;
             }
             drop(store);
             Timer::after(WATCH_STEP).await;
@@ -164,6 +195,9 @@
             (&Method::GET, "/stand-in/counters") => json(&store.counters),
             (&Method::PUT, "/stand-in/faults") => match serde_json::from_slice::<Faults>(&body) {
                 Ok(faults) => {
+                    if faults.forget_history {
+                        store.forget_history();
+                    }
                     store.faults = faults;
                     status(StatusCode::NO_CONTENT)
                 }
@@ -181,6 +215,18 @@
     }
 }
 
+fn answer_written(written: Written) -> Answer {
+    match written {
+        Written::Done(object) => json(&object),
+        Written::Absent => status(StatusCode::NOT_FOUND),
+        Written::Conflict(object) => {
+            let mut res = json(&object);
+            *res.status_mut() = StatusCode::CONFLICT;
+            res
+        }
+    }
+}
+
 fn status(code: StatusCode) -> Answer {
     let mut res = Response::new(Full::default());
     *res.status_mut() = code;
@@ -201,6 +247,10 @@
             .unwrap_or("")
     }
 
+    fn has(&self, name: &str) -> bool {
+        !self.text(name).is_empty()
+    }
+
     fn number(&self, name: &str) -> u64 {
         self.text(name).parse().unwrap_or(0)
     }
--- a/crates/sorrelturn-platform/src/store.rs
+++ b/crates/sorrelturn-platform/src/store.rs
@@ -1,62 +1,173 @@
 //! The stand-in's objects, without any I/O.
 
-use crate::{Changes, Counters, Faults, Object, VmEntry};
-use std::collections::BTreeMap;
+use crate::{
+    Counters, Faults, VmEntry,
+    api::{WireEvent, WireEvents, WireList, WireObject},
+};
+use std::collections::{BTreeMap, VecDeque};
 
 /// The largest value, in bytes.
-pub(crate) const VALUE_LIMIT_BYTES: usize = 1_000_000;
+pub(crate) const VALUE_LIMIT_BYTES: usize = 1_048_576;
+/// The most objects on one page of a list, as on the users' platform.
+const PAGE: usize = 500;
+/// Changes that watches can still be told of.
+const HISTORY: usize = 10_000;
+
+/// What became of a write.
+pub(crate) enum Written {
+    /// It took effect; the object as it is now.
+    Done(WireObject),
+    /// Its condition doesn't hold; the object as it is.
+    Conflict(WireObject),
+    /// There is no such object.
+    Absent,
+}
 
 #[derive(Default)]
 pub(crate) struct Store {
-    pub(crate) revision: u64,
     pub(crate) faults: Faults,
     pub(crate) counters: Counters,
     pub(crate) vms: Vec<VmEntry>,
-    objects: BTreeMap<String, Object>,
+    revision: u64,
+    /// Watches from before this revision get 410.
+    forgotten: u64,
+    kinds: BTreeMap<String, BTreeMap<String, WireObject>>,
+    history: VecDeque<(u64, String, WireEvent)>,
 }
 
 impl Store {
-    pub(crate) fn get(&self, key: &str) -> Option<&Object> {
-        self.objects.get(key)
+    pub(crate) fn get(&self, kind: &str, name: &str) -> Option<&WireObject> {
+        self.kinds.get(kind)?.get(name)
+    }
+
+    /// Creates an object, if none has its name.
+    pub(crate) fn create(&mut self, kind: &str, object: WireObject) -> Written {
+        match self.get(kind, &object.metadata.name) {
+            Some(existing) => Written::Conflict(existing.clone()),
+            None => self.change(kind, object),
+        }
+    }
+
+    /// Replaces an object's content if its condition holds.
+    pub(crate) fn replace(&mut self, kind: &str, name: &str, new: WireObject) -> Written {
+        let condition = new.metadata.revision;
+        self.update(kind, name, condition, |object| {
+            object.value = new.value;
+            object.metadata.finalizers = new.metadata.finalizers;
+        })
+    }
+
+    /// Replaces an object's status if its condition holds.
+    pub(crate) fn replace_status(&mut self, kind: &str, name: &str, new: WireObject) -> Written {
+        let condition = new.metadata.revision;
+        self.update(kind, name, condition, |object| object.status = new.status)
+    }
+
+    /// Removes an object, or marks it while it has finalizers.
+    pub(crate) fn delete(&mut self, kind: &str, name: &str, condition: u64) -> Written {
+        let Some(object) = self.get(kind, name).cloned() else {
+            return Written::Absent;
+        };
+        if condition != 0 && condition != object.metadata.revision {
+            return Written::Conflict(object);
+        }
+        if object.metadata.finalizers.is_empty() {
+            return self.remove(kind, object);
+        }
+        self.update(kind, name, 0, |object| object.metadata.deleting = true)
     }
 
-    /// Updates an object if it is at the version that the writer expects; else says where it is.
-    pub(crate) fn put(
+    fn update(
         &mut self,
-        key: &str,
-        value: String,
-        expected: Option<u64>,
-    ) -> Result<u64, u64> {
-        let current = self.objects.get(key).map_or(0, |object| object.version);
-        if expected.is_some_and(|expected| expected != current) {
-            return Err(current);
+        kind: &str,
+        name: &str,
+        condition: u64,
+        apply: impl FnOnce(&mut WireObject),
+    ) -> Written {
+        let Some(before) = self.get(kind, name).cloned() else {
+            return Written::Absent;
+        };
+        if condition != 0 && condition != before.metadata.revision {
+            return Written::Conflict(before);
+        }
+        let mut after = before.clone();
+        apply(&mut after);
+        if after == before {
+            return Written::Done(before);
         }
+        if after.metadata.deleting && after.metadata.finalizers.is_empty() {
+            return self.remove(kind, after);
+        }
+        self.change(kind, after)
+    }
+
+    fn change(&mut self, kind: &str, mut object: WireObject) -> Written {
         self.revision += 1;
-        let object = Object {
-            key: key.to_owned(),
-            version: self.revision,
-            value,
-        };
-        self.objects.insert(key.to_owned(), object);
-        Ok(self.revision)
+        object.metadata.revision = self.revision;
+        self.kinds
+            .entry(kind.to_owned())
+            .or_default()
+            .insert(object.metadata.name.clone(), object.clone());
+        self.note(kind, false, object.clone());
+        Written::Done(object)
     }
 
-    /// Deletes an object; no watch tells of it.
-    pub(crate) fn delete(&mut self, key: &str) {
-        self.objects.remove(key);
+    fn remove(&mut self, kind: &str, object: WireObject) -> Written {
+        self.revision += 1;
+        if let Some(objects) = self.kinds.get_mut(kind) {
+            objects.remove(&object.metadata.name);
+        }
+        self.note(kind, true, object.clone());
+        Written::Done(object)
     }
 
-    pub(crate) fn changes(&self, prefix: &str, since: u64) -> Changes {
-        let objects = self
-            .objects
-            .range(prefix.to_owned()..)
-            .take_while(|(key, _)| key.starts_with(prefix))
-            .filter(|(_, object)| object.version > since)
-            .map(|(_, object)| object.clone())
-            .collect();
-        Changes {
-            revision: self.revision,
-            objects,
+    fn note(&mut self, kind: &str, removed: bool, object: WireObject) {
+        let event = WireEvent { removed, object };
+        self.history
+            .push_back((self.revision, kind.to_owned(), event));
+        while self.history.len() > HISTORY {
+            if let Some((revision, _, _)) = self.history.pop_front() {
+                self.forgotten = revision;
+            }
+        }
+    }
+
+    /// Forgets what watches could still be told of.
+    pub(crate) fn forget_history(&mut self) {
+        self.history.clear();
+        self.forgotten = self.revision;
+    }
+
+    /// One page of the objects of a kind, after a name.
+    pub(crate) fn page(&self, kind: &str, after: &str) -> WireList {
+        let names = self.kinds.get(kind);
+        let mut rest = names
+            .into_iter()
+            .flat_map(|objects| objects.range(after.to_owned()..))
+            .filter(|(name, _)| name.as_str() > after)
+            .map(|(_, object)| object.clone());
+        let items: Vec<WireObject> = rest.by_ref().take(PAGE).collect();
+        WireList {
+            has_more: rest.next().is_some(),
+            items,
+            store_revision: self.revision,
         }
     }
+
+    /// The changes of a kind since a revision; `None` where the history doesn't go back so far.
+    pub(crate) fn events(&self, kind: &str, since: u64) -> Option<WireEvents> {
+        if since < self.forgotten {
+            return None;
+        }
+        let events = self
+            .history
+            .iter()
+            .filter(|(revision, of, _)| *revision > since && of == kind)
+            .map(|(_, _, event)| event.clone())
+            .collect();
+        Some(WireEvents {
+            events,
+            store_revision: self.revision,
+        })
+    }
 }
--- a/crates/sorrelturn-platform/tests/faults_and_conditions.rs
+++ b/crates/sorrelturn-platform/tests/faults_and_conditions.rs
@@ -111,3 +111,64 @@
         assert_eq!(news.objects[0].key, "d/2");
     });
 }
+
+#[test]
+fn a_watch_tells_of_removed_objects_and_of_history_that_is_gone() {
+    with_stand_in(|addr, platform| async move {
+        let version = platform
+            .put("e/1", "x", Expected::Absent)
+            .await
+            .expect("put");
+        platform.delete("e/1").await.expect("delete");
+        let news = platform.watch("e/", version, TIMEOUT).await.expect("watch");
+        assert_eq!(news.removed, ["e/1"]);
+        let forget = Faults {
+            forget_history: true,
+            ..Faults::default()
+        };
+        play(addr, forget).await;
+        assert_matches!(
+            platform.watch("e/", version, TIMEOUT).await,
+            Err(PlatformError::HistoryGone)
+        );
+    });
+}
+
+#[test]
+fn a_list_of_many_pages_is_read_whole() {
+    with_stand_in(|_, platform| async move {
+        for number in 0..1_100 {
+            let key = format!("f/{number:04}");
+            platform
+                .put(&key, "x", Expected::Absent)
+                .await
+                .expect("put");
+        }
+        let all = platform.list("f/").await.expect("list");
+        assert_eq!(all.objects.len(), 1_100);
+        assert_eq!(all.objects[1_099].key, "f/1099");
+    });
+}
+
+#[test]
+fn a_late_write_takes_effect_only_if_its_condition_still_holds() {
+    with_stand_in(|addr, platform| async move {
+        let first = platform.put("g", "a", Expected::Absent).await.expect("put");
+        let late = Faults {
+            lose_write_answers: 1,
+            late_write_ms: 50,
+            ..Faults::default()
+        };
+        play(addr, late).await;
+        let lost = platform.put("g", "late", Expected::Version(first));
+        let other = async {
+            smol::Timer::after(Duration::from_millis(10)).await;
+            platform.put("g", "b", Expected::Version(first)).await
+        };
+        let (lost, other) = smol::future::zip(lost, other).await;
+        assert_matches!(lost, Err(PlatformError::AnswerLost(_)));
+        assert_matches!(other, Ok(_));
+        let found = platform.get("g").await.expect("get").expect("object");
+        assert_eq!(found.value, "b");
+    });
+}
--- a/crates/sorrelturn-protocol/src/lib.rs
+++ b/crates/sorrelturn-protocol/src/lib.rs
@@ -1,5 +1,6 @@
 #![doc = include_str!("../README.md")]
 
+mod backend;
 mod context;
 pub mod headers;
 mod ids;
@@ -9,6 +10,7 @@
 mod token;
 mod verdict;
 
+pub use backend::{Announcement, BackendState};
 pub use context::{AnswerContext, CallContext, HeaderError};
 pub use ids::{CallerId, Incarnation, RequestId, SpanId};
 pub use importance::{Importance, Priority};
--- a/crates/sorrelturn-protocol/src/member.rs
+++ b/crates/sorrelturn-protocol/src/member.rs
@@ -1,6 +1,6 @@
 //! What the fleet knows of one daemon.
 
-use crate::Incarnation;
+use crate::{Announcement, Incarnation};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -37,6 +37,10 @@
     pub peer_addr: SocketAddr,
     /// Where peers send control messages.
     pub control_addr: SocketAddr,
+    /// The backend server beside it, where backend servers announce themselves: what the daemon
+    /// acknowledged, for its next run to know.
+    #[serde(default)]
+    pub backend: Option<Announcement>,
 }
 
 impl MemberRecord {
--- a/crates/sorrelturn-protocol/src/refusal.rs
+++ b/crates/sorrelturn-protocol/src/refusal.rs
@@ -44,8 +44,10 @@
     BackendBroke,
     /// the exchange with the owner daemon broke off
     PeerBroke,
-    /// the request is malformed or too large
+    /// the request is malformed
     Malformed,
+    /// the request's body is larger than the operators allow
+    TooLarge,
     /// the backend server refused before it ran the request
     BackendRefused,
 }
@@ -55,6 +57,7 @@
     pub fn status(self) -> u16 {
         match self {
             Self::Malformed => 400,
+            Self::TooLarge => 413,
             Self::UnknownCaller => 401,
             Self::NotAllowed => 403,
             Self::UnknownKind => 404,
@@ -91,6 +94,7 @@
             Self::BackendBroke => "backend-broke",
             Self::PeerBroke => "peer-broke",
             Self::Malformed => "malformed",
+            Self::TooLarge => "too-large",
             Self::BackendRefused => "backend-refused",
         }
     }
--- a/crates/sorrelturn-telemetry/src/events.rs
+++ b/crates/sorrelturn-telemetry/src/events.rs
@@ -28,8 +28,12 @@
     LEAVING = 4 "leaving" Info "The daemon takes no new calls from now on.";
     STAYING = 5 "staying" Info "The reason for leaving was taken back; the daemon takes calls again.";
 
+    SETTINGS_RELOADED = 6 "settings-reloaded" Info "The settings file was read again.";
+    SETTINGS_REFUSED = 7 "settings-refused" Error "The changed settings file can't be used; the daemon goes on with the settings it has.";
+
     HOP_SERVED = 100 "hop-served" Debug "The backend server answered this hop.";
     HOP_FORWARDED = 101 "hop-forwarded" Debug "The call was forwarded to the owner daemon.";
+    REQUEST_DONE = 102 "request-done" Debug "A request that began on this VM has its answer.";
     REFUSED = 110 "refused" Debug "The request was refused here.";
     REROUTED = 111 "rerouted" Debug "Another instance was asked, because the first one had not run the request.";
     RETRIED = 112 "retried" Debug "The request was tried again, because a second run harms nobody.";
@@ -42,6 +46,9 @@
     LIMIT_CHANGED = 202 "limit-changed" Debug "The concurrency limit of the backend server changed.";
     EJECTED = 203 "ejected" Warn "An instance failed repeatedly and gets no calls for a while.";
 
+    BACKEND_READY = 204 "backend-ready" Info "The backend server takes work.";
+    BACKEND_LEAVING = 205 "backend-leaving" Info "The backend server announced that it leaves, and is handed no more work.";
+
     BUNDLE_IN_FORCE = 300 "bundle-in-force" Info "A higher bundle version is in force here.";
     BUNDLE_REFUSED = 301 "bundle-refused" Error "A bundle was not taken.";
     BUNDLE_FETCH_FAILED = 302 "bundle-fetch-failed" Warn "A higher bundle is known but could not be fetched.";
@@ -58,6 +65,8 @@
     PLATFORM_BACK = 501 "platform-back" Info "The platform answers again.";
     OUTCOMES_UNSAVED = 502 "outcomes-unsaved" Warn "The outcomes of tokens could not be written to the platform.";
 
+    RECORD_UNSAVED = 503 "record-unsaved" Warn "The own member record could not be written to the platform.";
+
     BAD_PEER = 600 "bad-peer" Warn "Somebody on the peer or control port sent what no daemon sends.";
     BAD_REQUEST = 601 "bad-request" Debug "A request was malformed or too large.";
     KEYS_ROTATED = 602 "keys-rotated" Info "The fleet's keys were read anew.";
