--- a/crates/sorrelturn-bench/src/decisions.rs
+++ b/crates/sorrelturn-bench/src/decisions.rs
@@ -63,6 +63,7 @@
         queue_len: 20,
         queue_wait: Duration::from_millis(100),
         cold_start: Duration::ZERO,
+        call_wait: None,
     };
     Gate::new(cfg, Duration::ZERO)
 }
--- a/crates/sorrelturn-daemon/src/backend_state.rs
+++ b/crates/sorrelturn-daemon/src/backend_state.rs
@@ -8,7 +8,7 @@
 };
 use hyper::{HeaderMap, StatusCode, header::HeaderValue};
 use sorrelturn_platform::{Expected, keys};
-use sorrelturn_policy::{GateConfig, Heard, LeavingCause, Presence};
+use sorrelturn_policy::{CallGraph, GateConfig, Heard, LeavingCause, Origins, Presence};
 use sorrelturn_protocol::{Announcement, BackendState};
 use sorrelturn_telemetry::{Field, events};
 use std::{
@@ -25,11 +25,19 @@
 /// shortest); much shorter and the arrivals of a few milliseconds can't be evened out.
 const QUEUE_WAIT: Duration = Duration::from_millis(100);
 
+/// The longest wait of a call of another backend server: refusing it wastes the work above it, and
+/// the shortest deadline of one is 700 ms.
+const CALL_WAIT: Duration = Duration::from_millis(250);
+
 /// The backend server beside this daemon, and the dialect that it speaks.
 pub(crate) struct Routed {
     pub(crate) dialect: Dialect,
     presence: Mutex<Presence>,
     slots: AtomicU32,
+    /// What the kinds that the backend server works on call.
+    pub(crate) graph: Mutex<CallGraph>,
+    /// Where the requests for the backend server come from.
+    pub(crate) origins: Mutex<Origins>,
     /// Whether the platform's store has the newest state, for the next run of this daemon.
     saved: AtomicBool,
 }
@@ -51,6 +59,8 @@
             dialect,
             presence: Mutex::default(),
             slots: AtomicU32::new(SLOTS_BEFORE_ANNOUNCEMENT),
+            graph: Mutex::default(),
+            origins: Mutex::default(),
             saved: AtomicBool::new(false),
         }
     }
@@ -74,6 +84,7 @@
             queue_len: slots,
             queue_wait: QUEUE_WAIT,
             cold_start: Duration::ZERO,
+            call_wait: Some(CALL_WAIT),
         }
     }
 
--- a/crates/sorrelturn-daemon/src/entry.rs
+++ b/crates/sorrelturn-daemon/src/entry.rs
@@ -189,6 +189,7 @@
         trace: trace.map_or(request.0, |trace| trace.trace),
         parent: trace.map_or(SpanId::default(), |trace| trace.parent),
         kind: kind.name.clone(),
+        service: kind.service.clone(),
         importance: kind.importance(),
         depth: 0,
         deadline_ms: kind.kind.deadline_ms,
--- a/crates/sorrelturn-daemon/src/exchange.rs
+++ b/crates/sorrelturn-daemon/src/exchange.rs
@@ -95,6 +95,9 @@
 pub(crate) fn report(result: &Result<Reply, Failure>) -> InstanceReport {
     match result {
         Ok(reply) if reply.context.leaving => InstanceReport::Leaving,
+        Ok(reply) if reply.context.refusal == Some(Refusal::OtherService) => {
+            InstanceReport::Leaving
+        }
         Ok(reply) if is_instance_failure(reply) => InstanceReport::Failed,
         Ok(reply) => InstanceReport::Answered {
             load: reply.context.load,
--- a/crates/sorrelturn-daemon/src/forward.rs
+++ b/crates/sorrelturn-daemon/src/forward.rs
@@ -21,7 +21,10 @@
     AnswerContext, CallContext, Incarnation, Refusal, RequestId, SpanId, Verdict,
 };
 use sorrelturn_telemetry::{Field, Span, SpanKind, events, metrics};
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 /// Without this much time left, another try could not bring an answer.
 const LEAST_TIME_FOR_ANOTHER_TRY: Duration = Duration::from_millis(5);
@@ -221,6 +224,7 @@
         return;
     }
     kind_state.threshold.observe(node.now(), answer.threshold);
+    kind_state.is_call.store(answer.is_call, Ordering::Relaxed);
     if answer.refusal.is_none() {
         lock(&kind_state.retries).succeeded();
     }
--- a/crates/sorrelturn-daemon/src/hop.rs
+++ b/crates/sorrelturn-daemon/src/hop.rs
@@ -22,7 +22,7 @@
 use sorrelturn_bundle::KindEntry;
 use sorrelturn_policy::{LeavingCause, Now, Outcome};
 use sorrelturn_protocol::{
-    AnswerContext, CallContext, Refusal, SpanId, Verdict,
+    AnswerContext, CallContext, Priority, Refusal, SpanId, Verdict,
     headers::{DEADLINE_MS, IMPORTANCE, PARENT, REQUEST_ID, TRACEPARENT},
 };
 use sorrelturn_telemetry::{Field, Span, SpanKind, TraceContext, events, metrics};
@@ -197,7 +197,7 @@
             verdict: Verdict::Ran,
             attempts_left: lock(&parent.attempts).close(),
             already_retried: failed && parent.failed_below.load(Ordering::Relaxed),
-            threshold: self.in_force.threshold_below(&self.kind, self.node.now()),
+            threshold: self.threshold_below(),
             ..AnswerContext::default()
         };
         self.note(
@@ -214,6 +214,18 @@
         Reply { context, res }
     }
 
+    /// The threshold over everything that this kind calls, as far as it is known here.
+    fn threshold_below(&self) -> Priority {
+        let now = self.node.now();
+        let Some(routed) = &self.node.routed else {
+            return self.in_force.threshold_below(&self.kind, now);
+        };
+        let mut graph = lock(&routed.graph);
+        graph.ended(&self.kind.name);
+        self.in_force
+            .threshold_of(graph.calls(&self.kind.name), now)
+    }
+
     /// Passes the body on while it comes; slot, connection and registration end with it.
     fn stream(
         self,
--- a/crates/sorrelturn-daemon/src/in_force.rs
+++ b/crates/sorrelturn-daemon/src/in_force.rs
@@ -6,7 +6,7 @@
 use sorrelturn_protocol::{CallerId, Priority};
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, atomic::AtomicBool},
 };
 
 /// The retries that each success of a kind pays for.
@@ -66,6 +66,8 @@
     /// The retries that successes pay for: the kind's own, or those of its service where routes
     /// tell kinds.
     pub(crate) retries: Arc<Mutex<RetryBucket>>,
+    /// Whether requests of this kind are calls of backend servers, as those who answer them learnt.
+    pub(crate) is_call: AtomicBool,
 }
 
 impl InForce {
@@ -127,10 +129,17 @@
 
     /// The threshold over everything that a kind calls, as far as it is known here.
     pub(crate) fn threshold_below(&self, kind: &KindEntry, now: Now) -> Priority {
-        kind.kind
-            .calls
-            .keys()
-            .filter_map(|child| self.kinds.get(child))
+        self.threshold_of(kind.kind.calls.keys().map(String::as_str), now)
+    }
+
+    /// The highest threshold of some kinds.
+    pub(crate) fn threshold_of<'a>(
+        &self,
+        kinds: impl Iterator<Item = &'a str>,
+        now: Now,
+    ) -> Priority {
+        kinds
+            .filter_map(|kind| self.kinds.get(kind))
             .map(|state| state.threshold.current(now))
             .max()
             .unwrap_or_default()
@@ -168,6 +177,7 @@
         Arc::new(Self {
             threshold: LearnedThreshold::default(),
             retries,
+            is_call: AtomicBool::new(false),
         })
     }
 }
--- a/crates/sorrelturn-daemon/src/nested.rs
+++ b/crates/sorrelturn-daemon/src/nested.rs
@@ -111,6 +111,7 @@
         trace: parent.map_or(request.0, |parent| parent.context.trace),
         parent: parent.map_or(SpanId::default(), |parent| parent.span),
         kind: kind.name.clone(),
+        service: kind.service.clone(),
         importance: parent.map_or(kind.importance(), |parent| parent.context.importance),
         depth: parent.map_or(0, |parent| parent.context.depth.saturating_add(1)),
         deadline_ms: left.as_millis() as u32,
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -180,7 +180,12 @@
                 Some(routed) => routed.gate_config(),
                 None => gate_config(service),
             };
-            self.room.with_gate(|room, _| room.reconfigure(gate));
+            self.room.with_gate(|room, _| {
+                room.reconfigure(gate);
+                for kind in bundle.route_kinds() {
+                    room.saw_rank(kind.importance());
+                }
+            });
             self.backend.reconfigure(service.connections);
         }
         let retries = self.retry_terms();
@@ -356,5 +361,6 @@
         queue_len: service.queue_len(),
         queue_wait: Duration::from_millis(service.queue_wait_ms.into()),
         cold_start: Duration::from_millis(service.cold_start_ms.into()),
+        call_wait: None,
     }
 }
--- a/crates/sorrelturn-daemon/src/owner.rs
+++ b/crates/sorrelturn-daemon/src/owner.rs
@@ -2,8 +2,10 @@
 
 use crate::{
     answer::Reply,
+    backend_state::Routed,
     body::Body,
     clock::unix_ns,
+    headers,
     hop::Hop,
     node::{Carried, Node, lock},
     tokens,
@@ -17,12 +19,16 @@
 
 /// Runs a call at this daemon's backend server, or refuses it.
 pub(crate) async fn serve(node: &Arc<Node>, context: CallContext, req: Request<Body>) -> Reply {
+    let kind = context.kind.clone();
     let mut reply = if req.uri().path() == tokens::ISSUE_PATH {
         unused(tokens::issue(node), context.attempts)
     } else {
         admit(node, context, req).await
     };
     let answer = &mut reply.context;
+    if let Some(routed) = &node.routed {
+        answer.is_call = is_call(node, routed, &kind);
+    }
     answer.bundle_version = node
         .in_force
         .load()
@@ -51,6 +57,9 @@
 
 async fn admit(node: &Arc<Node>, context: CallContext, req: Request<Body>) -> Reply {
     let share = context.attempts;
+    if context.service != node.settings.service {
+        return unused(refuse_token(node, &context, Refusal::OtherService), share);
+    }
     let Some(in_force) = node.in_force.load_full() else {
         return unused(refuse_token(node, &context, Refusal::NoBundle), share);
     };
@@ -58,10 +67,15 @@
     let Some(kind) = known.or_else(|| kind_of_another_version(node, &context)) else {
         return unused(refuse_token(node, &context, Refusal::UnknownKind), share);
     };
-    let asked = node.routed.as_ref().and_then(|routed| {
-        let id = req.headers().get(&routed.dialect.headers.request_id);
-        id.cloned()
-    });
+    let mut context = context;
+    let mut asked = None;
+    if let Some(routed) = &node.routed {
+        let names = &routed.dialect.headers;
+        asked = req.headers().get(&names.request_id).cloned();
+        let from = headers::text(req.headers(), names.caller_service.as_str());
+        lock(&routed.origins).saw(&context.kind, from.unwrap_or_default());
+        context.depth = u8::from(is_call(node, routed, &context.kind));
+    }
     let deadline = node.now() + Duration::from_millis(context.deadline_ms.into());
     let hop = Hop {
         span: SpanId::random(&mut fastrand::Rng::new()),
@@ -80,6 +94,12 @@
     }
 }
 
+/// Whether requests of a kind are calls of backend servers.
+fn is_call(node: &Node, routed: &Routed, kind: &str) -> bool {
+    let services = node.routes.load().services();
+    lock(&routed.origins).are_calls(kind, services)
+}
+
 /// A route that isn't in force here may be in force where the request began, which decides that;
 /// all that is needed of it comes with the call.
 fn kind_of_another_version(node: &Node, context: &CallContext) -> Option<Arc<KindEntry>> {
--- a/crates/sorrelturn-daemon/src/parents.rs
+++ b/crates/sorrelturn-daemon/src/parents.rs
@@ -3,7 +3,7 @@
 use crate::node::lock;
 use smol::channel::{self, Receiver, Sender};
 use sorrelturn_once::NestedTokens;
-use sorrelturn_policy::{AttemptPool, Now};
+use sorrelturn_policy::{AttemptPool, Candidate, Now};
 use sorrelturn_protocol::{CallContext, SpanId};
 use std::{
     collections::HashMap,
@@ -11,8 +11,12 @@
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
+    time::Duration,
 };
 
+/// Deadlines travel in whole milliseconds, so the same one may seem this much apart.
+const END_TOLERANCE: Duration = Duration::from_millis(4);
+
 /// One request at the backend server.
 pub(crate) struct Parent {
     /// The call that brought it.
@@ -111,6 +115,30 @@
         of_trace.next().is_none().then(|| Arc::clone(only))
     }
 
+    /// The requests that may have made a call that ends at `end`, in groups.
+    pub(crate) fn may_call_until(&self, end: Now) -> Vec<Candidate> {
+        let mut groups: Vec<Candidate> = Vec::new();
+        for parent in self.lock().values() {
+            if parent.deadline + END_TOLERANCE < end {
+                continue;
+            }
+            let same_end = parent.deadline <= end + END_TOLERANCE;
+            let kind = &parent.context.kind;
+            let known = groups
+                .iter_mut()
+                .find(|group| group.same_end == same_end && group.kind == *kind);
+            match known {
+                Some(group) => group.count += 1,
+                None => groups.push(Candidate {
+                    kind: kind.clone(),
+                    same_end,
+                    count: 1,
+                }),
+            }
+        }
+        groups
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SpanId, Arc<Parent>>> {
         lock(&self.by_span)
     }
--- a/crates/sorrelturn-daemon/src/room.rs
+++ b/crates/sorrelturn-daemon/src/room.rs
@@ -118,7 +118,7 @@
         if let Some(tx) = pushed_out.and_then(|id| inner.waiters.remove(&id)) {
             let _ = tx.try_send(Err(Refusal::Overload));
         }
-        let longest = inner.gate.queue_wait(priority.importance());
+        let longest = inner.gate.queue_wait(&arrival);
         (arrival, decision, (rx, longest))
     }
 
--- a/crates/sorrelturn-daemon/src/routed.rs
+++ b/crates/sorrelturn-daemon/src/routed.rs
@@ -10,7 +10,7 @@
     forward::{self, Call},
     headers,
     in_force::InForce,
-    node::{Carried, Node},
+    node::{Carried, Node, lock},
     owner,
     payload::Payload,
     serve::ambiguous,
@@ -22,9 +22,12 @@
 };
 use sorrelturn_bundle::KindEntry;
 use sorrelturn_policy::Now;
-use sorrelturn_protocol::{CallContext, CallerId, Refusal, RequestId, SpanId, Verdict};
+use sorrelturn_protocol::{CallContext, CallerId, Priority, Refusal, RequestId, SpanId, Verdict};
 use sorrelturn_telemetry::{Field, events, metrics};
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 /// A request before it is forwarded.
 struct Asked {
@@ -106,12 +109,41 @@
         .and_then(|text| text.trim().parse::<u64>().ok())
         .unwrap_or(u64::MAX);
     let wait_ms = wait_ms.min(kind.kind.deadline_ms.into());
-    Ok(Asked {
+    let asked = Asked {
         in_force,
         kind,
         request,
         deadline: arrived + Duration::from_millis(wait_ms),
-    })
+    };
+    admit(node, routed, &asked)?;
+    Ok(asked)
+}
+
+/// Refuses here what would be refused deeper after work was done for it. A call of the own backend
+/// server holds such work already and is let through.
+fn admit(node: &Node, routed: &Routed, asked: &Asked) -> Result<(), Reply> {
+    let state = asked.in_force.kind_state(&asked.kind);
+    if state.is_call.load(Ordering::Relaxed) {
+        let groups = node.parents.may_call_until(asked.deadline);
+        lock(&routed.graph).called(&asked.kind.name, &groups);
+        return Ok(());
+    }
+    let threshold = state.threshold.current(node.now());
+    let priority = Priority::new(asked.kind.importance(), asked.request.keep_bucket());
+    if priority >= threshold {
+        return Ok(());
+    }
+    node.events.note(
+        &events::REFUSED,
+        Some(asked.request),
+        vec![
+            Field::new("kind", &asked.kind.name),
+            Field::new("reason", Refusal::Overload),
+            Field::new("priority", priority.0),
+            Field::new("threshold", threshold.0),
+        ],
+    );
+    Err(Reply::not_run(Refusal::Overload).come_back(owner::come_back(node)))
 }
 
 async fn carry(node: &Arc<Node>, routed: &Routed, asked: Asked, req: Request<Incoming>) -> Reply {
@@ -126,6 +158,7 @@
         trace: asked.request.0,
         parent: SpanId::default(),
         kind: asked.kind.name.clone(),
+        service: asked.kind.service.clone(),
         importance: asked.kind.importance(),
         depth: 0,
         deadline_ms: asked.kind.kind.deadline_ms,
--- a/crates/sorrelturn-daemon/src/routes.rs
+++ b/crates/sorrelturn-daemon/src/routes.rs
@@ -24,6 +24,11 @@
 }
 
 impl Routes {
+    /// How many services have instances that take calls.
+    pub(crate) fn services(&self) -> usize {
+        self.by_service.len()
+    }
+
     /// The instances of a service that take calls.
     pub(crate) fn of_service(&self, service: &str) -> &[Arc<Route>] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -48,6 +48,7 @@
     queue_len: 1,
     queue_wait: Duration::from_millis(100),
     cold_start: Duration::ZERO,
+    call_wait: None,
 };
 /// How often the planned stop looks whether everything is carried.
 const STOP_STEP: Duration = Duration::from_millis(10);
--- /dev/null
+++ b/crates/sorrelturn-policy/src/call_graph.rs
@@ -0,0 +1,116 @@
+//! Which kinds of requests call which, learnt beside the backend server that makes the calls.
+//! See `docs/design/entry-admission.md`.
+//!
+//! A call names no parent. What is known are the requests that the backend server works on when it
+//! makes the call, and that a call ends no later than its parent. Each call is credited to those
+//! that could have made it, in proportion to how many calls their kinds are known to make; over
+//! many calls the credit goes where the calls come from.
+
+use std::collections::HashMap;
+
+/// A kind counts as a caller if it makes so many calls a request, or more.
+const LEAST_RATE: f64 = 0.2;
+/// And so many, as a part of what the kind with the most makes: the rest is credit gone astray.
+const LEAST_SHARE: f64 = 0.3;
+/// How much likelier a request is the parent if it ends at the same time as the call.
+const SAME_END_WEIGHT: f64 = 30.0;
+/// What is assumed of a pair of kinds before anything was seen, in calls a request, and how many
+/// requests that assumption weighs.
+const PRIOR_RATE: f64 = 0.5;
+const PRIOR_REQUESTS: f64 = 5.0;
+/// When so many requests of a kind have ended, older ones begin to count less.
+const MEMORY_REQUESTS: f64 = 500.0;
+
+/// What one kind calls.
+#[derive(Clone, Debug, Default)]
+struct Caller {
+    ended: f64,
+    credit: HashMap<String, f64>,
+}
+
+/// Requests of one kind that may have made a call.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// Their kind.
+    pub kind: String,
+    /// Whether their time ends when the call's does.
+    pub same_end: bool,
+    /// How many they are.
+    pub count: u32,
+}
+
+/// The calls that kinds make, as learnt at one backend server.
+#[derive(Clone, Debug, Default)]
+pub struct CallGraph {
+    callers: HashMap<String, Caller>,
+}
+
+impl CallGraph {
+    /// The backend server made a call while it worked on `candidates`.
+    pub fn called(&mut self, child: &str, candidates: &[Candidate]) {
+        let weights: Vec<f64> = candidates
+            .iter()
+            .map(|candidate| self.weight(candidate, child))
+            .collect();
+        let total: f64 = weights.iter().sum();
+        if total <= 0.0 {
+            return;
+        }
+        for (candidate, weight) in candidates.iter().zip(weights) {
+            let caller = self.callers.entry(candidate.kind.clone()).or_default();
+            *caller.credit.entry(child.to_owned()).or_default() += weight / total;
+        }
+    }
+
+    fn weight(&self, candidate: &Candidate, child: &str) -> f64 {
+        let likelier = if candidate.same_end {
+            SAME_END_WEIGHT
+        } else {
+            1.0
+        };
+        self.rate(&candidate.kind, child) * f64::from(candidate.count) * likelier
+    }
+
+    /// The backend server has finished a request.
+    pub fn ended(&mut self, kind: &str) {
+        let caller = self.callers.entry(kind.to_owned()).or_default();
+        caller.ended += 1.0;
+        if caller.ended > MEMORY_REQUESTS {
+            caller.ended /= 2.0;
+            for credit in caller.credit.values_mut() {
+                *credit /= 2.0;
+            }
+        }
+    }
+
+    /// The calls of a kind that one request of another kind makes.
+    pub fn rate(&self, parent: &str, child: &str) -> f64 {
+        let caller = self.callers.get(parent);
+        let ended = caller.map_or(0.0, |caller| caller.ended);
+        let credit = caller
+            .and_then(|caller| caller.credit.get(child))
+            .copied()
+            .unwrap_or(0.0);
+        (credit + PRIOR_RATE * PRIOR_REQUESTS) / (ended + PRIOR_REQUESTS)
+    }
+
+    /// The kinds that requests of a kind call.
+    pub fn calls<'a>(&'a self, parent: &'a str) -> impl Iterator<Item = &'a str> {
+        let caller = self.callers.get(parent);
+        caller
+            .into_iter()
+            .flat_map(|caller| caller.credit.keys())
+            .map(String::as_str)
+            .filter(move |child| {
+                let rate = self.rate(parent, child);
+                rate >= LEAST_RATE && rate >= LEAST_SHARE * self.highest_rate(child)
+            })
+    }
+
+    fn highest_rate(&self, child: &str) -> f64 {
+        self.callers
+            .keys()
+            .map(|parent| self.rate(parent, child))
+            .fold(0.0, f64::max)
+    }
+}
--- a/crates/sorrelturn-policy/src/gate.rs
+++ b/crates/sorrelturn-policy/src/gate.rs
@@ -1,7 +1,7 @@
 //! Admission to one backend server: a limit and a short queue in the order of shedding.
 //! See `docs/design/admission.md`.
 
-use crate::{AdaptiveLimit, Now, Outcome, Pressure};
+use crate::{AdaptiveLimit, LoadLevel, Now, Outcome, Pressure};
 use sorrelturn_protocol::{Importance, Priority, Refusal};
 use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
@@ -10,6 +10,9 @@
 /// Critical requests find so many times more room in the queue.
 const CRITICAL_ROOM: usize = 2;
 
+/// Calls find so many times more room in the queue where they have a wait of their own.
+const CALL_ROOM: usize = 4;
+
 /// With this share of the limit in use, a gate counts as busy.
 const BUSY_SHARE: f64 = 0.9;
 
@@ -24,6 +27,9 @@
     pub queue_wait: Duration,
     /// The time over which a fresh backend server is brought to full load.
     pub cold_start: Duration,
+    /// Where the priority of a call isn't its root request's: the longest wait of calls, for which
+    /// the roots are refused where they begin, and the level by which that is told.
+    pub call_wait: Option<Duration>,
 }
 
 /// A request at the gate.
@@ -87,6 +93,7 @@
     cfg: GateConfig,
     limit: AdaptiveLimit,
     pressure: Pressure,
+    level: LoadLevel,
     in_flight: u32,
     queue: BTreeMap<QueueKey, Now>,
 }
@@ -98,6 +105,7 @@
             cfg,
             limit: AdaptiveLimit::new(cfg.slots, cfg.cold_start, now),
             pressure: Pressure::new(now),
+            level: LoadLevel::new(now),
             in_flight: 0,
             queue: BTreeMap::new(),
         }
@@ -114,6 +122,15 @@
     /// Decides on an arrival; the second value is a waiting request that it pushes out.
     pub fn arrive(&mut self, now: Now, arrival: &Arrival) -> (Decision, Option<u64>) {
         self.pressure.arrived(now, arrival.priority);
+        self.pass(now);
+        let (decision, pushed_out) = self.decide(now, arrival);
+        if pushed_out.is_some() || matches!(decision, Decision::Refuse(_)) {
+            self.level.refused(self.limit.service_time());
+        }
+        (decision, pushed_out)
+    }
+
+    fn decide(&mut self, now: Now, arrival: &Arrival) -> (Decision, Option<u64>) {
         if self.has_room(now) && self.queue.is_empty() {
             self.admit(now, Duration::ZERO);
             return (Decision::Admit, None);
@@ -123,7 +140,7 @@
             return (Decision::Refuse(Refusal::Deadline), None);
         }
         let key = QueueKey::from(arrival);
-        if self.queue.len() < self.room_for(arrival.priority.importance()) {
+        if self.queue.len() < self.room_for(arrival) {
             self.queue.insert(key, now);
             return (Decision::Wait, None);
         }
@@ -144,6 +161,7 @@
 
     /// An admitted request is over.
     pub fn finish(&mut self, now: Now, outcome: Outcome, took: Duration) -> Released {
+        self.pass(now);
         self.limit.observe(now, outcome, took, self.in_flight);
         self.in_flight = self.in_flight.saturating_sub(1);
         self.release(now)
@@ -165,9 +183,12 @@
         self.limit.restarted(now);
     }
 
-    /// The longest wait of a request of this importance.
-    pub fn queue_wait(&self, importance: Importance) -> Duration {
-        match importance {
+    /// The longest wait of an arrival.
+    pub fn queue_wait(&self, arrival: &Arrival) -> Duration {
+        if let (true, Some(wait)) = (arrival.holds_work, self.cfg.call_wait) {
+            return wait;
+        }
+        match arrival.priority.importance() {
             Importance::Critical => self.cfg.queue_wait * CRITICAL_WAITS,
             _ => self.cfg.queue_wait,
         }
@@ -196,18 +217,39 @@
 
     /// Requests below this priority are being shed.
     pub fn threshold(&mut self, now: Now) -> Priority {
-        self.pressure.threshold(now)
+        if self.cfg.call_wait.is_none() {
+            return self.pressure.threshold(now);
+        }
+        self.pass(now);
+        self.level.threshold()
+    }
+
+    /// Requests of this rank exist, for the level.
+    pub fn saw_rank(&mut self, importance: Importance) {
+        self.level.saw(importance);
+    }
+
+    fn pass(&mut self, now: Now) {
+        let requests = self.in_flight as usize + self.queue.len();
+        let limit = self.limit(now);
+        self.level.passed(now, requests, limit);
     }
 
     /// How long the pressure has lasted; `None` while there is none.
     pub fn pressure_lasting(&self, now: Now) -> Option<Duration> {
-        self.pressure.lasting(now)
+        match self.cfg.call_wait {
+            None => self.pressure.lasting(now),
+            Some(_) => self.level.lasting(now),
+        }
     }
 
-    /// How many may wait before one of this importance finds no room.
-    fn room_for(&self, importance: Importance) -> usize {
+    /// How many may wait before an arrival finds no room.
+    fn room_for(&self, arrival: &Arrival) -> usize {
         let all = self.cfg.queue_len as usize;
-        match importance {
+        if arrival.holds_work && self.cfg.call_wait.is_some() {
+            return all * CALL_ROOM;
+        }
+        match arrival.priority.importance() {
             Importance::Critical => all * CRITICAL_ROOM,
             _ => all,
         }
--- a/crates/sorrelturn-policy/src/lib.rs
+++ b/crates/sorrelturn-policy/src/lib.rs
@@ -2,10 +2,13 @@
 
 mod attempts;
 mod bucket;
+mod call_graph;
 mod gate;
 mod learned;
 mod leaving;
 mod limit;
+mod load_level;
+mod origins;
 mod presence;
 mod pressure;
 mod retry;
@@ -14,10 +17,13 @@
 
 pub use attempts::{AttemptPool, first_share};
 pub use bucket::{RateBucket, RetryBucket};
+pub use call_graph::{CallGraph, Candidate};
 pub use gate::{Arrival, Decision, Gate, GateConfig, Released};
 pub use learned::LearnedThreshold;
 pub use leaving::{Leaving, LeavingCause};
 pub use limit::{AdaptiveLimit, Outcome};
+pub use load_level::LoadLevel;
+pub use origins::Origins;
 pub use presence::{Heard, Presence};
 pub use pressure::Pressure;
 pub use retry::{Attempt, Step, next_step};
--- /dev/null
+++ b/crates/sorrelturn-policy/src/origins.rs
@@ -0,0 +1,55 @@
+//! Whether requests of a kind begin with callers or are calls of backend servers, learnt at the
+//! service that answers them. See `docs/design/entry-admission.md`.
+//!
+//! Callers send requests on every VM; a backend server makes its calls on its own. So requests
+//! that come from the VMs of few services only are calls.
+
+use std::collections::HashMap;
+
+/// Before so many requests of a kind, nothing is concluded.
+const LEAST_REQUESTS: u32 = 40;
+/// A service from whose VMs fewer come, in percent, doesn't count: a few requests go astray.
+const LEAST_PERCENT: u32 = 3;
+/// When so many have come, older ones begin to count less.
+const MEMORY_REQUESTS: u32 = 2_000;
+
+/// Where the requests of each kind come from.
+#[derive(Clone, Debug, Default)]
+pub struct Origins {
+    by_kind: HashMap<String, HashMap<String, u32>>,
+}
+
+impl Origins {
+    /// A request of a kind came from a VM of a service.
+    pub fn saw(&mut self, kind: &str, from_service: &str) {
+        let origins = match self.by_kind.get_mut(kind) {
+            Some(origins) => origins,
+            None => self.by_kind.entry(kind.to_owned()).or_default(),
+        };
+        match origins.get_mut(from_service) {
+            Some(count) => *count += 1,
+            None => {
+                origins.insert(from_service.to_owned(), 1);
+            }
+        }
+        if origins.values().sum::<u32>() > MEMORY_REQUESTS {
+            origins.values_mut().for_each(|count| *count /= 2);
+        }
+    }
+
+    /// Whether requests of a kind are calls of backend servers, in a fleet of so many services.
+    pub fn are_calls(&self, kind: &str, services: usize) -> bool {
+        let Some(origins) = self.by_kind.get(kind) else {
+            return false;
+        };
+        let all: u32 = origins.values().sum();
+        if all < LEAST_REQUESTS {
+            return false;
+        }
+        let count = origins
+            .values()
+            .filter(|count| **count * 100 >= all * LEAST_PERCENT)
+            .count();
+        count * 2 <= services
+    }
+}
--- a/crates/sorrelturn-policy/tests/admission.rs
+++ b/crates/sorrelturn-policy/tests/admission.rs
@@ -15,6 +15,7 @@
         queue_len,
         queue_wait: ms(100),
         cold_start: Duration::ZERO,
+        call_wait: None,
     };
     Gate::new(cfg, ms(0))
 }
--- a/crates/sorrelturn-policy/tests/allocations.rs
+++ b/crates/sorrelturn-policy/tests/allocations.rs
@@ -36,6 +36,7 @@
         queue_len: 20,
         queue_wait: Duration::from_millis(100),
         cold_start: Duration::ZERO,
+        call_wait: None,
     };
     let mut gate = Gate::new(cfg, Duration::ZERO);
     let idle = blocks_per_round(|round| {
--- a/crates/sorrelturn-protocol/src/context.rs
+++ b/crates/sorrelturn-protocol/src/context.rs
@@ -19,6 +19,8 @@
     pub parent: SpanId,
     /// The kind of request, by its name in the bundle.
     pub kind: String,
+    /// The service that is to answer it: an address may have passed to another one.
+    pub service: String,
     /// The importance of the root request.
     pub importance: Importance,
     /// How many backend servers stand above this call; 0 for the root request.
@@ -63,6 +65,8 @@
     pub incarnation: Incarnation,
     /// Whether the owner is leaving.
     pub leaving: bool,
+    /// Whether requests of this kind are calls of backend servers, as the owner learnt.
+    pub is_call: bool,
 }
 
 /// Why a context header can't be read.
--- a/crates/sorrelturn-protocol/src/refusal.rs
+++ b/crates/sorrelturn-protocol/src/refusal.rs
@@ -12,6 +12,8 @@
     Deadline,
     /// the instance is leaving
     Leaving,
+    /// the daemon that was asked belongs to another service
+    OtherService,
     /// no bundle is in force here yet
     NoBundle,
     /// no instance of the service can be reached
@@ -77,6 +79,7 @@
             Self::Overload => "overload",
             Self::Deadline => "deadline",
             Self::Leaving => "leaving",
+            Self::OtherService => "other-service",
             Self::NoBundle => "no-bundle",
             Self::NoInstance => "no-instance",
             Self::AttemptsSpent => "attempts-spent",
@@ -106,6 +109,7 @@
             Self::Overload
                 | Self::Leaving
                 | Self::NoBundle
+                | Self::OtherService
                 | Self::BackendUnreachable
                 | Self::BackendRefused
         )
--- a/crates/sorrelturn-protocol/tests/headers_round_trip.rs
+++ b/crates/sorrelturn-protocol/tests/headers_round_trip.rs
@@ -9,6 +9,7 @@
         trace: request ^ 1,
         parent: SpanId(7),
         kind,
+        service: "certification".to_owned(),
         importance: Importance::High,
         depth: 3,
         deadline_ms: 250,
