Entry admission by level: what would die four hops down is refused where it begins

Change: each gate integrates how much of its slots it is asked for into a level; the level comes back with answers, through kinds that are learnt to call it; the entry refuses root requests, lowest rank first, returning ones before first tries. Calls are told from roots by where they come from.

Ruled out: the histogram of priorities (calls have no root's priority); occupancy as the measure (queues of 40 wound the level up; gates drifted apart: 300 to 985).

--- a/crates/sorrelturn-bench/src/decisions.rs
+++ b/crates/sorrelturn-bench/src/decisions.rs
@@ -79,6 +79,7 @@
         priority: Priority::new(importance, (round * 37) as u8),
         holds_work: round.is_multiple_of(3),
         deadline: now + Duration::from_secs(1),
+        level: 0,
     }
 }
 
--- a/crates/sorrelturn-daemon/src/entry.rs
+++ b/crates/sorrelturn-daemon/src/entry.rs
@@ -196,6 +196,7 @@
         attempts: kind.kind.attempts,
         token: None,
         caller: caller.id,
+        level: 0,
     };
     Ok(Root {
         kind: Arc::clone(kind),
--- a/crates/sorrelturn-daemon/src/export.rs
+++ b/crates/sorrelturn-daemon/src/export.rs
@@ -11,6 +11,7 @@
 use hyper::{Request, header::CONTENT_TYPE};
 use smol::Timer;
 use sorrelturn_platform::http::exchange;
+use sorrelturn_protocol::Priority;
 use sorrelturn_telemetry::{
     Field, events,
     metrics::{self, Metric},
@@ -87,6 +88,7 @@
     loop {
         Timer::after(SEND_EVERY).await;
         note_limit(&node, &mut last_limit);
+        note_load(&node);
         gauges(&node);
         spans(&node).await;
     }
@@ -102,6 +104,22 @@
     }
 }
 
+fn note_load(node: &Node) {
+    let (in_flight, waiting, limit, threshold) = node.room.with_gate(|gate, now| {
+        let threshold = gate.threshold(now);
+        (gate.in_flight(), gate.waiting(), gate.limit(now), threshold)
+    });
+    if threshold > Priority::LOWEST {
+        let fields = vec![
+            Field::new("in_flight", in_flight),
+            Field::new("waiting", waiting),
+            Field::new("limit", limit),
+            Field::new("threshold", threshold.0),
+        ];
+        node.note(&events::UNDER_LOAD, fields);
+    }
+}
+
 fn gauges(node: &Node) {
     if !node.has_metrics() {
         return;
--- a/crates/sorrelturn-daemon/src/forward.rs
+++ b/crates/sorrelturn-daemon/src/forward.rs
@@ -21,10 +21,7 @@
     AnswerContext, CallContext, Incarnation, Refusal, RequestId, SpanId, Verdict,
 };
 use sorrelturn_telemetry::{Field, Span, SpanKind, events, metrics};
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 /// Without this much time left, another try could not bring an answer.
 const LEAST_TIME_FOR_ANOTHER_TRY: Duration = Duration::from_millis(5);
@@ -113,7 +110,7 @@
         Ok(reply) => reply,
         Err(failure) => failure.reply(&call.context),
     };
-    learn(node, &route, kind_state, &reply.context);
+    learn(node, call, &route, kind_state, &reply.context);
     if call.context.depth == 0 && is_good(&reply) {
         call.in_force.caller_succeeded(call.context.caller);
     }
@@ -219,12 +216,18 @@
 }
 
 /// Takes what an answer tells besides the answer.
-fn learn(node: &Arc<Node>, route: &Route, kind_state: &KindState, answer: &AnswerContext) {
+fn learn(
+    node: &Arc<Node>,
+    call: &Call,
+    route: &Route,
+    kind_state: &KindState,
+    answer: &AnswerContext,
+) {
     if answer.incarnation != route.record.incarnation {
         return;
     }
     kind_state.threshold.observe(node.now(), answer.threshold);
-    kind_state.is_call.store(answer.is_call, Ordering::Relaxed);
+    call.in_force.heard_of_kind(kind_state, answer.is_call);
     if answer.refusal.is_none() {
         lock(&kind_state.retries).succeeded();
     }
--- a/crates/sorrelturn-daemon/src/hop.rs
+++ b/crates/sorrelturn-daemon/src/hop.rs
@@ -65,7 +65,7 @@
         let holds_work = self.context.depth > 0;
         self.node
             .room
-            .enter(priority, holds_work, self.deadline)
+            .enter(priority, holds_work, self.deadline, self.context.level)
             .await
     }
 
@@ -284,7 +284,7 @@
             &events::REFUSED,
             vec![
                 Field::new("kind", &self.kind.name),
-                Field::new("reason", refusal),
+                Field::new("reason", refusal.name()),
                 Field::new("importance", self.context.importance),
                 Field::new("priority", self.context.priority().0),
                 Field::new("threshold", threshold.0),
--- a/crates/sorrelturn-daemon/src/in_force.rs
+++ b/crates/sorrelturn-daemon/src/in_force.rs
@@ -2,11 +2,14 @@
 
 use crate::node::lock;
 use sorrelturn_bundle::{Bundle, CallerEntry, KindEntry, SectionBytes, SignedManifest};
-use sorrelturn_policy::{LearnedThreshold, Now, RateBucket, RetryBucket};
-use sorrelturn_protocol::{CallerId, Priority};
+use sorrelturn_policy::{FirstTries, LearnedThreshold, Now, RateBucket, RetryBucket};
+use sorrelturn_protocol::{CallerId, Importance, Priority};
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, atomic::AtomicBool},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU8, Ordering},
+    },
 };
 
 /// The retries that each success of a kind pays for.
@@ -51,6 +54,8 @@
     pub(crate) origin: Origin,
     kinds: HashMap<String, Arc<KindState>>,
     callers: HashMap<CallerId, CallerState>,
+    /// One bit for each importance that root requests have, as far as they were answered.
+    root_importances: AtomicU8,
 }
 
 /// What one caller may still ask for at this entry.
@@ -68,6 +73,10 @@
     pub(crate) retries: Arc<Mutex<RetryBucket>>,
     /// Whether requests of this kind are calls of backend servers, as those who answer them learnt.
     pub(crate) is_call: AtomicBool,
+    /// Whether anybody answered a request of this kind.
+    was_answered: AtomicBool,
+    /// How much time callers begin with.
+    pub(crate) first_tries: Mutex<FirstTries>,
 }
 
 impl InForce {
@@ -104,14 +113,45 @@
                 Some((bundle.caller_id(name)?, state))
             })
             .collect();
-        Self {
+        let in_force = Self {
             bundle,
             origin,
             kinds,
             callers,
+            root_importances: AtomicU8::new(0),
+        };
+        in_force.count_root_importances();
+        in_force
+    }
+
+    /// Learns from an answer whether requests of a kind are calls.
+    pub(crate) fn heard_of_kind(&self, state: &KindState, is_call: bool) {
+        let before = state.is_call.swap(is_call, Ordering::Relaxed);
+        let known = state.was_answered.swap(true, Ordering::Relaxed);
+        if before != is_call || !known {
+            self.count_root_importances();
         }
     }
 
+    fn count_root_importances(&self) {
+        let bits = self
+            .bundle
+            .route_kinds()
+            .filter(|kind| {
+                let state = self.kinds.get(&kind.name);
+                state.is_some_and(|state| state.is_root())
+            })
+            .fold(0, |bits, kind| bits | 1 << kind.importance().rank());
+        self.root_importances.store(bits, Ordering::Relaxed);
+    }
+
+    /// How many lower importances root requests have.
+    pub(crate) fn rank_of_root(&self, importance: Importance) -> usize {
+        let lower = (1u8 << importance.rank()) - 1;
+        let bits = self.root_importances.load(Ordering::Relaxed);
+        (bits & lower).count_ones() as usize
+    }
+
     /// The sections that it was put together from; none for a route table.
     pub(crate) fn sections(&self) -> &[SectionBytes] {
         match &self.origin {
@@ -173,11 +213,17 @@
         Self::with_retries(Arc::new(Mutex::new(bucket)))
     }
 
+    fn is_root(&self) -> bool {
+        self.was_answered.load(Ordering::Relaxed) && !self.is_call.load(Ordering::Relaxed)
+    }
+
     fn with_retries(retries: Arc<Mutex<RetryBucket>>) -> Arc<Self> {
         Arc::new(Self {
             threshold: LearnedThreshold::default(),
             retries,
             is_call: AtomicBool::new(false),
+            was_answered: AtomicBool::new(false),
+            first_tries: Mutex::default(),
         })
     }
 }
--- a/crates/sorrelturn-daemon/src/nested.rs
+++ b/crates/sorrelturn-daemon/src/nested.rs
@@ -118,6 +118,7 @@
         attempts,
         token: None,
         caller: parent.map_or(CallerId::default(), |parent| parent.context.caller),
+        level: 0,
     }
 }
 
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -180,12 +180,7 @@
                 Some(routed) => routed.gate_config(),
                 None => gate_config(service),
             };
-            self.room.with_gate(|room, _| {
-                room.reconfigure(gate);
-                for kind in bundle.route_kinds() {
-                    room.saw_rank(kind.importance());
-                }
-            });
+            self.room.with_gate(|room, _| room.reconfigure(gate));
             self.backend.reconfigure(service.connections);
         }
         let retries = self.retry_terms();
--- a/crates/sorrelturn-daemon/src/room.rs
+++ b/crates/sorrelturn-daemon/src/room.rs
@@ -69,9 +69,10 @@
         priority: Priority,
         holds_work: bool,
         deadline: Now,
+        level: u16,
     ) -> Result<Slot, Refusal> {
         let now = self.clock.now();
-        let (arrival, decision, wait) = self.arrive(now, priority, holds_work, deadline);
+        let (arrival, decision, wait) = self.arrive(now, priority, holds_work, deadline, level);
         match decision {
             Decision::Admit => Ok(self.slot()),
             Decision::Refuse(refusal) => Err(refusal),
@@ -101,6 +102,7 @@
         priority: Priority,
         holds_work: bool,
         deadline: Now,
+        level: u16,
     ) -> (Arrival, Decision, (Receiver<Word>, Duration)) {
         let mut inner = self.lock();
         inner.next_id += 1;
@@ -109,6 +111,7 @@
             priority,
             holds_work,
             deadline,
+            level,
         };
         let (decision, pushed_out) = inner.gate.arrive(now, &arrival);
         let (tx, rx) = channel::bounded(1);
--- a/crates/sorrelturn-daemon/src/routed.rs
+++ b/crates/sorrelturn-daemon/src/routed.rs
@@ -9,7 +9,7 @@
     export,
     forward::{self, Call},
     headers,
-    in_force::InForce,
+    in_force::{InForce, KindState},
     node::{Carried, Node, lock},
     owner,
     payload::Payload,
@@ -21,19 +21,26 @@
     header::{HOST, HeaderName, HeaderValue, RETRY_AFTER},
 };
 use sorrelturn_bundle::KindEntry;
-use sorrelturn_policy::Now;
-use sorrelturn_protocol::{CallContext, CallerId, Priority, Refusal, RequestId, SpanId, Verdict};
+use sorrelturn_policy::{Now, refuses};
+use sorrelturn_protocol::{CallContext, CallerId, Refusal, RequestId, SpanId, Verdict};
 use sorrelturn_telemetry::{Field, events, metrics};
 use std::{
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
+/// Requests that were tried before are shed as if they were in the lowest part of their rank.
+const TRIED_BEFORE_DIVISOR: u8 = 8;
+
 /// A request before it is forwarded.
 struct Asked {
     in_force: Arc<InForce>,
     kind: Arc<KindEntry>,
     request: RequestId,
+    /// The level of load that was learnt from all who answer requests of this kind.
+    level: u16,
+    /// What the caller says that it will still wait.
+    left_ms: Option<u32>,
     deadline: Now,
 }
 
@@ -105,32 +112,41 @@
     if body_bytes > in_force.bundle.limits().body_bytes {
         return Err(Reply::not_run(Refusal::TooLarge));
     }
-    let wait_ms = headers::text(headers, routed.dialect.headers.time_left_ms.as_str())
-        .and_then(|text| text.trim().parse::<u64>().ok())
-        .unwrap_or(u64::MAX);
-    let wait_ms = wait_ms.min(kind.kind.deadline_ms.into());
+    let left_ms = headers::text(headers, routed.dialect.headers.time_left_ms.as_str())
+        .and_then(|text| text.trim().parse::<u32>().ok());
+    let wait_ms = left_ms.unwrap_or(u32::MAX).min(kind.kind.deadline_ms);
+    let state = in_force.kind_state(&kind);
     let asked = Asked {
+        level: state.threshold.current(node.now()).0,
         in_force,
         kind,
         request,
-        deadline: arrived + Duration::from_millis(wait_ms),
+        left_ms,
+        deadline: arrived + Duration::from_millis(wait_ms.into()),
     };
-    admit(node, routed, &asked)?;
+    admit(node, routed, &asked, &state)?;
     Ok(asked)
 }
 
 /// Refuses here what would be refused deeper after work was done for it. A call of the own backend
 /// server holds such work already and is let through.
-fn admit(node: &Node, routed: &Routed, asked: &Asked) -> Result<(), Reply> {
-    let state = asked.in_force.kind_state(&asked.kind);
+fn admit(node: &Node, routed: &Routed, asked: &Asked, state: &KindState) -> Result<(), Reply> {
     if state.is_call.load(Ordering::Relaxed) {
         let groups = node.parents.may_call_until(asked.deadline);
         lock(&routed.graph).called(&asked.kind.name, &groups);
         return Ok(());
     }
-    let threshold = state.threshold.current(node.now());
-    let priority = Priority::new(asked.kind.importance(), asked.request.keep_bucket());
-    if priority >= threshold {
+    let was_tried = asked
+        .left_ms
+        .is_some_and(|left_ms| lock(&state.first_tries).saw(left_ms));
+    let mut bucket = asked.request.keep_bucket();
+    if was_tried {
+        // Who is refused anyway is refused at the second try rather than one more at the first:
+        // as many are served, and more of them at once.
+        bucket /= TRIED_BEFORE_DIVISOR;
+    }
+    let rank = asked.in_force.rank_of_root(asked.kind.importance());
+    if !refuses(asked.level, rank, bucket) {
         return Ok(());
     }
     node.events.note(
@@ -138,9 +154,11 @@
         Some(asked.request),
         vec![
             Field::new("kind", &asked.kind.name),
-            Field::new("reason", Refusal::Overload),
-            Field::new("priority", priority.0),
-            Field::new("threshold", threshold.0),
+            Field::new("reason", Refusal::Overload.name()),
+            Field::new("level", asked.level),
+            Field::new("rank", rank),
+            Field::new("bucket", bucket),
+            Field::new("was_tried", was_tried),
         ],
     );
     Err(Reply::not_run(Refusal::Overload).come_back(owner::come_back(node)))
@@ -165,6 +183,7 @@
         attempts: asked.kind.kind.attempts,
         token: None,
         caller: CallerId::default(),
+        level: asked.level,
     };
     let mut call = Call {
         in_force: asked.in_force,
--- /dev/null
+++ b/crates/sorrelturn-policy/src/first_tries.rs
@@ -0,0 +1,38 @@
+//! Whether a request is a caller's first try. See `docs/design/entry-admission.md`.
+//!
+//! A caller tells how long it will wait. Where the callers of a kind mostly begin with the same
+//! time, one that has less has spent some of it: it was refused or has failed before.
+
+/// Times that differ by less are the same one: it took that long to send the request.
+const SAME_TIME_MS: u32 = 10;
+/// So many of the last requests are remembered.
+const KEPT: u32 = 32;
+/// Nothing is concluded unless so many of them had the longest time.
+const LEAST_FULL: u32 = KEPT / 3;
+
+/// The times that callers of one kind begin with.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FirstTries {
+    full_ms: u32,
+    /// One bit for each of the last requests: whether it had the full time.
+    last: u32,
+}
+
+impl FirstTries {
+    /// A request came with this much time left; returns whether it was tried before.
+    pub fn saw(&mut self, left_ms: u32) -> bool {
+        if left_ms > self.full_ms {
+            if left_ms > self.full_ms + SAME_TIME_MS {
+                self.last = 0;
+            }
+            self.full_ms = left_ms;
+        }
+        let has_full = left_ms + SAME_TIME_MS > self.full_ms;
+        self.last = self.last << 1 | u32::from(has_full);
+        if self.last == 0 {
+            // Nobody has so much time any more.
+            self.full_ms = left_ms;
+        }
+        !has_full && self.last.count_ones() >= LEAST_FULL
+    }
+}
--- a/crates/sorrelturn-policy/src/gate.rs
+++ b/crates/sorrelturn-policy/src/gate.rs
@@ -43,6 +43,8 @@
     pub holds_work: bool,
     /// When its answer is of no more use.
     pub deadline: Now,
+    /// The level of load that its sender has learnt, where pressure is told by level.
+    pub level: u16,
 }
 
 /// What becomes of an arrival.
@@ -122,15 +124,8 @@
     /// Decides on an arrival; the second value is a waiting request that it pushes out.
     pub fn arrive(&mut self, now: Now, arrival: &Arrival) -> (Decision, Option<u64>) {
         self.pressure.arrived(now, arrival.priority);
+        self.level.arrived(arrival.level);
         self.pass(now);
-        let (decision, pushed_out) = self.decide(now, arrival);
-        if pushed_out.is_some() || matches!(decision, Decision::Refuse(_)) {
-            self.level.refused(self.limit.service_time());
-        }
-        (decision, pushed_out)
-    }
-
-    fn decide(&mut self, now: Now, arrival: &Arrival) -> (Decision, Option<u64>) {
         if self.has_room(now) && self.queue.is_empty() {
             self.admit(now, Duration::ZERO);
             return (Decision::Admit, None);
@@ -162,7 +157,15 @@
     /// An admitted request is over.
     pub fn finish(&mut self, now: Now, outcome: Outcome, took: Duration) -> Released {
         self.pass(now);
-        self.limit.observe(now, outcome, took, self.in_flight);
+        if outcome == Outcome::Answered {
+            self.level.finished(took);
+        }
+        // Where slots are announced, a backend server that refuses is not full but unwell.
+        let counted = match outcome {
+            Outcome::Overloaded if self.cfg.call_wait.is_some() => Outcome::Cancelled,
+            outcome => outcome,
+        };
+        self.limit.observe(now, counted, took, self.in_flight);
         self.in_flight = self.in_flight.saturating_sub(1);
         self.release(now)
     }
@@ -215,24 +218,18 @@
         (load / u64::from(self.limit(now))).min(u64::from(u16::MAX)) as u16
     }
 
-    /// Requests below this priority are being shed.
+    /// Requests below this priority are being shed; where pressure is told by level, that.
     pub fn threshold(&mut self, now: Now) -> Priority {
         if self.cfg.call_wait.is_none() {
             return self.pressure.threshold(now);
         }
         self.pass(now);
-        self.level.threshold()
-    }
-
-    /// Requests of this rank exist, for the level.
-    pub fn saw_rank(&mut self, importance: Importance) {
-        self.level.saw(importance);
+        Priority(self.level.level())
     }
 
     fn pass(&mut self, now: Now) {
-        let requests = self.in_flight as usize + self.queue.len();
         let limit = self.limit(now);
-        self.level.passed(now, requests, limit);
+        self.level.passed(now, self.queue.len(), limit);
     }
 
     /// How long the pressure has lasted; `None` while there is none.
--- a/crates/sorrelturn-policy/src/load_level.rs
+++ b/crates/sorrelturn-policy/src/load_level.rs
@@ -1,37 +1,43 @@
-//! How much of the work for one backend server has to be refused where it begins.
+//! How much of the work for one service has to be refused where it begins.
 //! See `docs/design/entry-admission.md`.
 
 use crate::Now;
-use sorrelturn_protocol::{Importance, Priority};
+use sorrelturn_protocol::Importance;
 use std::time::Duration;
 
 /// How often the level is set anew. Shorter windows hold too few requests of a small backend
 /// server, longer ones add to the delay of the loop.
 const WINDOW: Duration = Duration::from_millis(50);
-/// The share of the slots that may be in use or waited for: above it, waits begin to grow and some
-/// backend servers slow down (their knee is at 0.95).
-const TARGET: f64 = 0.9;
+/// The part of its slots that a backend server may be asked for: above it, waits begin to grow and
+/// some backend servers slow down (their knee is at 0.95).
+const TARGET: f64 = 0.92;
 /// What a window's distance from the target adds to the level. The loop's delay is the way of a
 /// request from its entry to the deepest service, about 300 ms or six windows; with a gain of 0.15
 /// and half of the load in the lowest rank the loop is well damped (0.15 x 0.5 x 6 = 0.45 < 1.57).
 const GAIN: f64 = 0.15;
-/// A window this far from the target counts no more than this: a backlog drains within a second.
+/// Requests that wait are asked for again as if they were to be worked off in this time.
+const DRAIN_TIME: Duration = Duration::from_millis(300);
+/// A window this far from the target counts no more than this.
 const MOST_DISTANCE: f64 = 1.0;
+/// The mean time of a request is smoothed over about so many.
+const SMOOTHED_OVER: f64 = 50.0;
+/// How much of the way to the level that senders have learnt from all instances a window goes, so
+/// that the instances of a service don't drift apart.
+const CONSENSUS: f64 = 0.2;
+/// The level's unit on the wire: so many steps refuse all that may be refused of one rank.
+pub const LEVEL_STEPS: u16 = 256;
 /// The largest share of a rank that is refused: no kind may be starved.
 const MOST_REFUSED: f64 = 0.85;
-/// The ranks that requests of route tables have, lowest first.
-const RANKS: [Importance; 4] = Importance::ALL;
 
 /// An integral controller: the level rises while the slots are asked for too much and falls while
-/// they aren't. A level from 0 to 1 refuses so much of the lowest rank that is in use, from 1 to 2
-/// all that may be refused of it and so much of the next, and so on.
+/// they aren't. Up to 1 it refuses so much of the lowest rank of root requests, from 1 to 2 all that
+/// may be refused of it and so much of the next, and so on; see [`refuses`].
 #[derive(Clone, Debug)]
 pub struct LoadLevel {
     window_start: Now,
-    last: Now,
-    /// Slots asked for, times seconds, in this window.
-    asked: f64,
-    in_use: [bool; RANKS.len()],
+    arrived: f64,
+    heard: f64,
+    mean_time_s: f64,
     level: f64,
     since: Option<Now>,
 }
@@ -41,77 +47,70 @@
     pub fn new(now: Now) -> Self {
         Self {
             window_start: now,
-            last: now,
-            asked: 0.0,
-            in_use: [false; RANKS.len()],
+            arrived: 0.0,
+            heard: 0.0,
+            mean_time_s: 0.0,
             level: 0.0,
             since: None,
         }
     }
 
-    /// Notes the time since the last call, with so many requests at the backend server or waiting.
-    pub fn passed(&mut self, now: Now, requests: usize, slots: u32) {
-        self.asked += now.saturating_sub(self.last).as_secs_f64() * requests as f64;
-        self.last = now;
-        if now >= self.window_start + WINDOW {
-            self.end_window(now, slots);
-        }
-    }
-
-    /// Notes a request that was refused, and how long it would have held a slot.
-    pub fn refused(&mut self, service_time: Duration) {
-        self.asked += service_time.as_secs_f64();
+    /// A request arrived whose sender has learnt this level.
+    pub fn arrived(&mut self, level: u16) {
+        self.arrived += 1.0;
+        self.heard += f64::from(level) / f64::from(LEVEL_STEPS);
     }
 
-    /// Requests of this rank exist. Ranks that don't are skipped by the level.
-    pub fn saw(&mut self, importance: Importance) {
-        self.in_use[usize::from(importance.rank())] = true;
-    }
-
-    /// Requests below this priority are to be refused where they begin.
-    pub fn threshold(&self) -> Priority {
-        if self.level <= 0.0 {
-            return Priority::LOWEST;
-        }
-        let mut left = self.level;
-        let mut last = Priority::LOWEST;
-        for importance in self.ranks() {
-            let share = left.min(1.0) * MOST_REFUSED;
-            last = Priority::new(importance, (share * 256.0).min(255.0) as u8);
-            left -= 1.0;
-            if left <= 0.0 {
-                break;
-            }
+    /// The backend server took so long for a request.
+    pub fn finished(&mut self, took: Duration) {
+        let took = took.as_secs_f64();
+        if self.mean_time_s == 0.0 {
+            self.mean_time_s = took;
         }
-        last
+        self.mean_time_s += (took - self.mean_time_s) / SMOOTHED_OVER;
     }
 
-    /// How long the pressure has lasted; `None` while there is none.
-    pub fn lasting(&self, now: Now) -> Option<Duration> {
-        self.since.map(|since| now.saturating_sub(since))
-    }
-
-    fn ranks(&self) -> impl Iterator<Item = Importance> {
-        let used = self.in_use;
-        RANKS
-            .into_iter()
-            .filter(move |importance| used[usize::from(importance.rank())])
-    }
-
-    fn end_window(&mut self, now: Now, slots: u32) {
-        let length = now.saturating_sub(self.window_start).as_secs_f64();
-        let share = self.asked / (length * f64::from(slots.max(1)));
-        let distance = (share - TARGET).clamp(-MOST_DISTANCE, MOST_DISTANCE);
+    /// Time has passed; so many requests wait for one of the slots.
+    pub fn passed(&mut self, now: Now, waiting: usize, slots: u32) {
+        let length = now.saturating_sub(self.window_start);
+        if length < WINDOW {
+            return;
+        }
+        let slot_s = f64::from(slots.max(1));
+        let asked = self.arrived * self.mean_time_s / (length.as_secs_f64() * slot_s);
+        let backlog = waiting as f64 * self.mean_time_s / (DRAIN_TIME.as_secs_f64() * slot_s);
+        let distance = (asked + backlog - TARGET).clamp(-MOST_DISTANCE, MOST_DISTANCE);
         // After a quiet time one window stands for many.
-        let windows = (length / WINDOW.as_secs_f64()).min(20.0);
-        let most = self.ranks().count() as f64;
-        self.level = (self.level + GAIN * distance * windows).clamp(0.0, most);
+        let windows = (length.as_secs_f64() / WINDOW.as_secs_f64()).min(20.0);
+        let mut level = self.level + GAIN * distance * windows;
+        if self.arrived > 0.0 {
+            level += CONSENSUS * (self.heard / self.arrived - self.level);
+        }
+        self.level = level.clamp(0.0, Importance::ALL.len() as f64);
         if self.level <= 0.0 {
             self.since = None;
         } else {
             self.since.get_or_insert(now);
         }
-        self.asked = 0.0;
+        self.arrived = 0.0;
+        self.heard = 0.0;
         self.window_start = now;
     }
+
+    /// The level in steps.
+    pub fn level(&self) -> u16 {
+        (self.level * f64::from(LEVEL_STEPS)) as u16
+    }
+
+    /// How long the pressure has lasted; `None` while there is none.
+    pub fn lasting(&self, now: Now) -> Option<Duration> {
+        self.since.map(|since| now.saturating_sub(since))
+    }
+}
+
+/// Whether a level refuses a root request that is in the given bucket (0 to 255, lowest first) of
+/// a rank (0 for the lowest that root requests have).
+pub fn refuses(level: u16, rank: usize, bucket: u8) -> bool {
+    let share = f64::from(level) / f64::from(LEVEL_STEPS) - rank as f64;
+    f64::from(bucket) < share.clamp(0.0, 1.0) * MOST_REFUSED * 256.0
 }
--- a/crates/sorrelturn-policy/tests/admission.rs
+++ b/crates/sorrelturn-policy/tests/admission.rs
@@ -26,6 +26,7 @@
         priority: Priority::new(importance, bucket),
         holds_work: false,
         deadline: ms(10_000),
+        level: 0,
     }
 }
 
@@ -74,6 +75,7 @@
     gate.arrive(ms(50), &arrival(3, Importance::Normal, 9));
     let late = Arrival {
         deadline: ms(60),
+        level: 0,
         ..arrival(4, Importance::Normal, 0)
     };
     assert_eq!(
@@ -88,6 +90,7 @@
     gate.arrive(ms(0), &arrival(1, Importance::Normal, 0));
     let short = Arrival {
         deadline: ms(20),
+        level: 0,
         ..arrival(2, Importance::Normal, 0)
     };
     assert_eq!(gate.arrive(ms(0), &short).0, Decision::Wait);
--- a/crates/sorrelturn-policy/tests/allocations.rs
+++ b/crates/sorrelturn-policy/tests/allocations.rs
@@ -46,6 +46,7 @@
             priority: Priority::new(Importance::Normal, round as u8),
             holds_work: false,
             deadline: now + Duration::from_secs(1),
+            level: 0,
         };
         assert_eq!(gate.arrive(now, &arrival), (Decision::Admit, None));
         gate.finish(now, Outcome::Answered, Duration::from_millis(1));
--- a/crates/sorrelturn-protocol/src/context.rs
+++ b/crates/sorrelturn-protocol/src/context.rs
@@ -33,6 +33,8 @@
     pub token: Option<ExecutionToken>,
     /// Who asked for the root request.
     pub caller: CallerId,
+    /// The level of load of this kind that the sender has learnt from all instances.
+    pub level: u16,
 }
 
 impl CallContext {
--- a/crates/sorrelturn-protocol/tests/headers_round_trip.rs
+++ b/crates/sorrelturn-protocol/tests/headers_round_trip.rs
@@ -20,6 +20,7 @@
             nonce,
         }),
         caller: CallerId(5),
+        level: 0,
     }
 }
 
--- a/crates/sorrelturn-telemetry/src/events.rs
+++ b/crates/sorrelturn-telemetry/src/events.rs
@@ -49,6 +49,8 @@
     BACKEND_READY = 204 "backend-ready" Info "The backend server takes work.";
     BACKEND_LEAVING = 205 "backend-leaving" Info "The backend server announced that it leaves, and is handed no more work.";
 
+    UNDER_LOAD = 206 "under-load" Debug "The slots of the backend server are asked for too much; noted once a second.";
+
     BUNDLE_IN_FORCE = 300 "bundle-in-force" Info "A higher bundle version is in force here.";
     BUNDLE_REFUSED = 301 "bundle-refused" Error "A bundle was not taken.";
     BUNDLE_FETCH_FAILED = 302 "bundle-fetch-failed" Warn "A higher bundle is known but could not be fetched.";
