--- a/crates/sorrelturn-daemon/src/backend.rs
+++ b/crates/sorrelturn-daemon/src/backend.rs
@@ -33,6 +33,17 @@
         self.pool.set_most(connections as usize);
     }
 
+    /// Takes over how long the backend server says that it lets connections rest, as in
+    /// `timeout=10, max=100`.
+    pub(crate) fn heard_keep_alive(&self, keep_alive: &str) {
+        let timeout = keep_alive
+            .split(',')
+            .find_map(|part| part.trim().strip_prefix("timeout="));
+        if let Some(seconds) = timeout.and_then(|text| text.trim().parse().ok()) {
+            self.pool.closes_after(Duration::from_secs(seconds));
+        }
+    }
+
     /// Drops the idle connections: they lead to a backend server that has ended.
     pub(crate) fn forget_idle(&self) {
         self.pool.forget_idle();
--- a/crates/sorrelturn-daemon/src/backend_state.rs
+++ b/crates/sorrelturn-daemon/src/backend_state.rs
@@ -4,7 +4,7 @@
 use crate::{
     dialect::Dialect,
     gossip,
-    node::{Node, lock},
+    node::{LastTime, Node, lock},
 };
 use hyper::{HeaderMap, StatusCode, header::HeaderValue};
 use sorrelturn_platform::{Expected, keys};
@@ -36,6 +36,8 @@
     slots: AtomicU32,
     /// What the kinds that the backend server works on call.
     pub(crate) graph: Mutex<CallGraph>,
+    /// When a call that the backend server made failed last.
+    pub(crate) call_failed: LastTime,
     /// Where the requests for the backend server come from.
     pub(crate) origins: Mutex<Origins>,
     /// Whether the platform's store has the newest state, for the next run of this daemon.
@@ -60,6 +62,7 @@
             presence: Mutex::default(),
             slots: AtomicU32::new(SLOTS_BEFORE_ANNOUNCEMENT),
             graph: Mutex::default(),
+            call_failed: LastTime::default(),
             origins: Mutex::default(),
             saved: AtomicBool::new(false),
         }
--- a/crates/sorrelturn-daemon/src/exchange.rs
+++ b/crates/sorrelturn-daemon/src/exchange.rs
@@ -10,7 +10,7 @@
     pool::{Lease, SendError},
     routes::Route,
 };
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response, StatusCode, body::Incoming};
 use smol::future::FutureExt;
 use sorrelturn_policy::InstanceReport;
 use sorrelturn_protocol::{
@@ -99,14 +99,25 @@
             InstanceReport::Leaving
         }
         Ok(reply) if is_instance_failure(reply) => InstanceReport::Failed,
+        Ok(reply) if has_erred(reply) => InstanceReport::Erred,
         Ok(reply) => InstanceReport::Answered {
             load: reply.context.load,
         },
         Err(Failure::Full) => InstanceReport::Cancelled,
+        Err(Failure::NotSent) => InstanceReport::Unreachable,
         Err(_) => InstanceReport::Failed,
     }
 }
 
+/// The backend server turned the call away though its daemon had a slot for it, or answered with a
+/// failure that doesn't come from what it calls.
+fn has_erred(reply: &Reply) -> bool {
+    let status = reply.res.as_ref().map(|res| res.status());
+    let failed = status.is_some_and(|status| status == StatusCode::INTERNAL_SERVER_ERROR);
+    let own = failed && !reply.context.already_retried;
+    own || reply.context.refusal == Some(Refusal::BackendRefused)
+}
+
 /// Failures that speak against the instance, and not against what it calls.
 fn is_instance_failure(reply: &Reply) -> bool {
     matches!(
--- a/crates/sorrelturn-daemon/src/hop.rs
+++ b/crates/sorrelturn-daemon/src/hop.rs
@@ -9,7 +9,7 @@
     in_force::InForce,
     node::{Carried, Node, lock},
     owner::unused,
-    parents::ParentGuard,
+    parents::{Parent, ParentGuard},
     pool::{Lease, SendError},
     room::Slot,
 };
@@ -42,6 +42,7 @@
     pub(crate) span: SpanId,
     pub(crate) deadline: Now,
     pub(crate) started_ns: u64,
+    pub(crate) started: Now,
     pub(crate) _carried: Carried,
     /// The id by which the sender named this attempt, where routes tell kinds.
     pub(crate) asked: Option<HeaderValue>,
@@ -160,6 +161,9 @@
         mut res: Response<Incoming>,
         lease: Lease,
     ) -> Reply {
+        if let Some(keep_alive) = headers::text(res.headers(), "keep-alive") {
+            self.node.backend.heard_keep_alive(keep_alive);
+        }
         // Our own headers are ours to say: a backend server can't tell a caller a verdict.
         headers::strip_internal(res.headers_mut());
         let status = res.status().as_u16();
@@ -196,7 +200,7 @@
         let context = AnswerContext {
             verdict: Verdict::Ran,
             attempts_left: lock(&parent.attempts).close(),
-            already_retried: failed && parent.failed_below.load(Ordering::Relaxed),
+            already_retried: failed && self.a_call_failed(parent),
             threshold: self.threshold_below(),
             ..AnswerContext::default()
         };
@@ -214,6 +218,15 @@
         Reply { context, res }
     }
 
+    /// Whether a call below failed, so that this failure was retried there already. Where calls name
+    /// no parent, any that failed meanwhile counts.
+    fn a_call_failed(&self, parent: &Parent) -> bool {
+        match &self.node.routed {
+            None => parent.failed_below.load(Ordering::Relaxed),
+            Some(routed) => routed.call_failed.is_after(self.started),
+        }
+    }
+
     /// The threshold over everything that this kind calls, as far as it is known here.
     fn threshold_below(&self) -> Priority {
         let now = self.node.now();
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -37,9 +37,10 @@
 /// A run of a daemon is young for so long.
 const YOUNG_TIME: Duration = Duration::from_secs(30);
 
-/// The part of the allowed ratio of retries that is used: a repeat repeats its own calls as well,
-/// and the chains are up to four services deep, so 1.05^4 - 1 = 0.215 is what 0.05 comes to.
-const RETRY_RATIO_USED: f64 = 0.25;
+/// The part of the allowed ratio of retries that is used. A failure that comes from a call below is
+/// retried there and not above, so levels don't multiply; the rest is for repeats that repeat their
+/// calls.
+const RETRY_RATIO_USED: f64 = 0.6;
 /// The part of the allowed slack that is used, for the same reason.
 const RETRY_SLACK_USED: f64 = 0.5;
 /// At the start few members are known; the slack is shared as if there were so many.
@@ -105,6 +106,11 @@
         *lock(&self.0) = Some(now);
     }
 
+    /// Whether it was set at `since` or later.
+    pub(crate) fn is_after(&self, since: Now) -> bool {
+        lock(&self.0).is_some_and(|last| last >= since)
+    }
+
     pub(crate) fn elapsed_since(&self, now: Now) -> Duration {
         lock(&self.0).map_or(Duration::MAX, |last| now.saturating_sub(last))
     }
--- a/crates/sorrelturn-daemon/src/owner.rs
+++ b/crates/sorrelturn-daemon/src/owner.rs
@@ -86,6 +86,7 @@
         context,
         deadline,
         started_ns: unix_ns(),
+        started: node.now(),
         asked,
     };
     match hop.context.token {
--- a/crates/sorrelturn-daemon/src/pool.rs
+++ b/crates/sorrelturn-daemon/src/pool.rs
@@ -13,7 +13,7 @@
     io,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -23,6 +23,8 @@
 /// An idle connection is not used again after this time: its other end may be about to close it,
 /// and a request that crosses the close may have run.
 const IDLE_TIME: Duration = Duration::from_secs(30);
+/// The part of the other end's own idle time for which a connection is used again, in percent.
+const IDLE_PART_PERCENT: u64 = 60;
 /// What one exchange may have on its way unread, in bytes; bounds the memory of a slow reader.
 const BUF_LIMIT_BYTES: usize = 128 << 10;
 
@@ -40,22 +42,30 @@
 /// The connections to one address.
 pub(crate) struct Pool {
     most: AtomicUsize,
+    idle_ms: AtomicU64,
     open: Arc<AtomicUsize>,
     idle: Mutex<Vec<Idle>>,
 }
 
 struct Idle {
-    sender: SendRequest<Body>,
+    conn: Conn,
     since: Instant,
 }
 
+/// An open connection. It counts as open as long as somebody could send over it, and not until its
+/// task has ended: else connections that were dropped would take the place of new ones.
+struct Conn {
+    sender: SendRequest<Body>,
+    _open: Open,
+}
+
 /// A connection that carries one exchange.
 ///
 /// It goes back to the pool only after a whole exchange. Otherwise it is dropped, which closes it:
 /// that is how the other end learns that its work is of no more use.
 pub(crate) struct Lease {
     pool: Arc<Pool>,
-    sender: SendRequest<Body>,
+    conn: Conn,
 }
 
 impl Lease {
@@ -64,7 +74,7 @@
         let mut idle = lock(&self.pool.idle);
         if idle.len() < MAX_IDLE {
             idle.push(Idle {
-                sender: self.sender,
+                conn: self.conn,
                 since: Instant::now(),
             });
         }
@@ -85,6 +95,7 @@
     pub(crate) fn new(most: usize) -> Arc<Self> {
         Arc::new(Self {
             most: AtomicUsize::new(most),
+            idle_ms: AtomicU64::new(IDLE_TIME.as_millis() as u64),
             open: Arc::default(),
             idle: Mutex::default(),
         })
@@ -95,6 +106,18 @@
         self.most.store(most, Ordering::Relaxed);
     }
 
+    /// The other end says that it closes connections that rest for so long. They are used again
+    /// for a part of it only, since a request that crosses the close may have run.
+    pub(crate) fn closes_after(&self, rest: Duration) {
+        let used_ms = rest.as_millis() as u64 * IDLE_PART_PERCENT / 100;
+        let most_ms = IDLE_TIME.as_millis() as u64;
+        self.idle_ms.store(used_ms.min(most_ms), Ordering::Relaxed);
+    }
+
+    fn idle_time(&self) -> Duration {
+        Duration::from_millis(self.idle_ms.load(Ordering::Relaxed))
+    }
+
     /// Drops the idle connections; those that carry something go on.
     pub(crate) fn forget_idle(&self) {
         lock(&self.idle).clear();
@@ -118,20 +141,20 @@
         loop {
             let idle = self.take_idle();
             let was_idle = idle.is_some();
-            let mut sender = match idle {
-                Some(sender) => sender,
+            let mut conn = match idle {
+                Some(conn) => conn,
                 None => self.open(ex, connect_time, connect()).await?,
             };
-            if sender.ready().await.is_err() {
+            if conn.sender.ready().await.is_err() {
                 if was_idle {
                     continue;
                 }
                 return Err(SendError::NotSent);
             }
-            match sender.try_send_request(req).await {
+            match conn.sender.try_send_request(req).await {
                 Ok(res) => {
                     let pool = Arc::clone(self);
-                    return Ok((res, Lease { pool, sender }));
+                    return Ok((res, Lease { pool, conn }));
                 }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if was_idle => req = unsent,
@@ -143,13 +166,13 @@
     }
 
     /// The connection that was used last: those below it grow old and are dropped.
-    fn take_idle(&self) -> Option<SendRequest<Body>> {
+    fn take_idle(&self) -> Option<Conn> {
         let mut idle = lock(&self.idle);
         while let Some(last) = idle.pop() {
-            if last.since.elapsed() >= IDLE_TIME {
+            if last.since.elapsed() >= self.idle_time() {
                 idle.clear();
-            } else if !last.sender.is_closed() {
-                return Some(last.sender);
+            } else if !last.conn.sender.is_closed() {
+                return Some(last.conn);
             }
         }
         None
@@ -160,7 +183,7 @@
         ex: &Executor<'static>,
         connect_time: Duration,
         connect: impl Future<Output = io::Result<BoxStream>>,
-    ) -> Result<SendRequest<Body>, SendError> {
+    ) -> Result<Conn, SendError> {
         let open = Open(Arc::clone(&self.open));
         if self.open.fetch_add(1, Ordering::Relaxed) >= self.most.load(Ordering::Relaxed) {
             return Err(SendError::Full);
@@ -176,10 +199,13 @@
             .await
             .map_err(|_| SendError::NotSent)?;
         let drive = async move {
+            // How it ended is told to whoever waits for an answer over it.
             let _ = conn.await;
-            drop(open);
         };
         ex.spawn(drive).detach();
-        Ok(sender)
+        Ok(Conn {
+            sender,
+            _open: open,
+        })
     }
 }
--- a/crates/sorrelturn-daemon/src/routed.rs
+++ b/crates/sorrelturn-daemon/src/routed.rs
@@ -195,7 +195,21 @@
         headers: parts.headers,
         payload,
     };
-    forward::call(node, &mut call).await
+    let is_call = call
+        .in_force
+        .kind_state(&call.kind)
+        .is_call
+        .load(Ordering::Relaxed);
+    let reply = forward::call(node, &mut call).await;
+    if is_call && has_failed(&reply) {
+        routed.call_failed.set(node.now());
+    }
+    reply
+}
+
+fn has_failed(reply: &Reply) -> bool {
+    let res = reply.res.as_ref();
+    res.is_none_or(|res| res.status().is_server_error())
 }
 
 /// What a request keeps on its way, and where it began.
--- a/crates/sorrelturn-daemon/src/watch.rs
+++ b/crates/sorrelturn-daemon/src/watch.rs
@@ -9,6 +9,7 @@
 use sorrelturn_bundle::SignedManifest;
 use sorrelturn_fleet::{Source, VmAdvice, WATCHERS, advise, longest_silence, predecessors, ranked};
 use sorrelturn_platform::{Changes, Expected, PlatformError, VmState, keys};
+use sorrelturn_policy::Now;
 use sorrelturn_protocol::{MemberRecord, MemberState};
 use sorrelturn_telemetry::{Field, events};
 use std::{
@@ -25,6 +26,11 @@
 const READ_EVERY: Duration = Duration::from_secs(2);
 /// The pause after a failed call to the platform.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// How often a member is asked whether it is there.
+const SWEEP_EVERY: Duration = Duration::from_secs(1);
+/// A member that was silent for so long has gone: cuts and pauses of VMs last a few seconds, and until
+/// then it costs its peers a try now and then.
+const SILENCE_OF_THE_GONE: Duration = Duration::from_secs(15);
 /// How often the status of the failure domain is written.
 const STATUS_EVERY: Duration = Duration::from_secs(5);
 
@@ -81,7 +87,7 @@
 async fn watch_all(node: &Arc<Node>) {
     let follow = watch_head(node).or(read_head(node)).or(watch_members(node));
     if node.settings.routes.is_some() {
-        return follow.await;
+        return follow.or(sweep(node)).await;
     }
     follow.or(read_vm_list(node)).or(write_status(node)).await;
 }
@@ -209,6 +215,46 @@
     }
 }
 
+/// Takes members out that answer nobody, where no list tells which VMs there are. One member of the
+/// own failure domain is asked each time, so the cost doesn't grow with the fleet.
+async fn sweep(node: &Arc<Node>) {
+    let mut silent_since: BTreeMap<String, Now> = BTreeMap::new();
+    let mut last = String::new();
+    loop {
+        Timer::after(SWEEP_EVERY).await;
+        let Some(record) = next_member(node, &last) else {
+            continue;
+        };
+        last.clone_from(&record.instance);
+        if answers(node, &record).await {
+            silent_since.remove(&record.instance);
+            continue;
+        }
+        let since = *silent_since
+            .entry(record.instance.clone())
+            .or_insert_with(|| node.now());
+        if node.now() >= since + SILENCE_OF_THE_GONE {
+            silent_since.remove(&record.instance);
+            let fields = vec![Field::new("member", &record.instance)];
+            node.note(&events::MEMBER_SWEPT, fields);
+            declare_gone(node, record).await;
+        }
+    }
+}
+
+/// The present member of the own failure domain after `last`, itself left out.
+fn next_member(node: &Node, last: &str) -> Option<MemberRecord> {
+    let membership = lock(&node.membership);
+    let of_domain = || {
+        membership
+            .present()
+            .filter(|record| record.failure_domain == node.settings.failure_domain)
+            .filter(|record| record.instance != node.settings.instance)
+    };
+    let next = of_domain().find(|record| record.instance.as_str() > last);
+    next.or_else(|| of_domain().next()).cloned()
+}
+
 async fn act_on(node: &Arc<Node>, advice: &VmAdvice) {
     for (instances, leaving) in [(&advice.leaving, true), (&advice.staying, false)] {
         for instance in instances {
--- a/crates/sorrelturn-policy/src/routing.rs
+++ b/crates/sorrelturn-policy/src/routing.rs
@@ -20,6 +20,16 @@
 const LOAD_HALF_LIFE_MS: u64 = 200;
 /// What a call in flight from here adds to an instance's load, in percent.
 const OWN_CALL_WEIGHT: u64 = 4;
+/// What an instance that fails every call would have added, in percent: at a failure in three it is
+/// avoided like one that is loaded to the full.
+const ERROR_WEIGHT: u64 = 300;
+/// Each call's outcome counts for one part in so many.
+const ERRORS_SMOOTHED_OVER: u32 = 16;
+/// The scale of the share of errors.
+const ERROR_SCALE: u32 = 1_000;
+/// Without calls, the share of errors loses half of its weight in this time, so that an instance that
+/// was avoided is tried again.
+const ERROR_HALF_LIFE_MS: u64 = 1_000;
 /// What another failure domain adds, in percent: near instances are used until they are loaded.
 const OTHER_DOMAIN_WEIGHT: u64 = 40;
 
@@ -36,6 +46,8 @@
     load: AtomicU32,
     load_at_ms: AtomicU64,
     failures: AtomicU32,
+    errors: AtomicU32,
+    errors_at_ms: AtomicU64,
     ejected_until_ms: AtomicU64,
     leaving: AtomicU32,
 }
@@ -48,9 +60,13 @@
         /// Calls in flight and waiting there, in percent of its limit.
         load: u16,
     },
+    /// Its backend server turned the call away though it had a slot, or failed by itself.
+    Erred,
+    /// Nothing could be sent to it.
+    Unreachable,
     /// It said that it is leaving.
     Leaving,
-    /// It couldn't be reached, broke off or let the deadline pass.
+    /// It broke off or let the deadline pass.
     Failed,
     /// The call was given up here; says nothing.
     Cancelled,
@@ -69,6 +85,8 @@
             load: AtomicU32::new(0),
             load_at_ms: AtomicU64::new(0),
             failures: AtomicU32::new(0),
+            errors: AtomicU32::new(0),
+            errors_at_ms: AtomicU64::new(0),
             ejected_until_ms: AtomicU64::new(0),
             leaving: AtomicU32::new(0),
         }
@@ -82,6 +100,7 @@
     /// A call to it is over; returns whether the instance is ejected by it.
     pub fn finished(&self, now: Now, report: InstanceReport) -> bool {
         self.in_flight.fetch_sub(1, Relaxed);
+        self.count_error(now, report);
         match report {
             InstanceReport::Answered { load } => {
                 self.load.store(u32::from(load), Relaxed);
@@ -94,6 +113,16 @@
                 self.leaving.store(1, Relaxed);
                 false
             }
+            InstanceReport::Erred => {
+                self.failures.store(0, Relaxed);
+                false
+            }
+            InstanceReport::Unreachable => {
+                // Nothing was sent, so nothing is lost by waiting; a silent VM holds each try up.
+                let missing = FAILURES_TO_EJECT.saturating_sub(1);
+                self.failures.fetch_max(missing, Relaxed);
+                self.failed(now)
+            }
             InstanceReport::Failed => self.failed(now),
             InstanceReport::Cancelled => false,
         }
@@ -114,6 +143,31 @@
         (now.as_millis() as u64) < self.ejected_until_ms.load(Relaxed)
     }
 
+    fn count_error(&self, now: Now, report: InstanceReport) {
+        let wanted = match report {
+            InstanceReport::Answered { .. } => 0,
+            // What broke off is a matter of ejection.
+            InstanceReport::Erred => ERROR_SCALE,
+            _ => return,
+        };
+        let before = self.errors_now(now);
+        let step = wanted.abs_diff(before) / ERRORS_SMOOTHED_OVER;
+        let after = if wanted > before {
+            before + step
+        } else {
+            before - step
+        };
+        self.errors.store(after, Relaxed);
+        self.errors_at_ms.store(now.as_millis() as u64, Relaxed);
+    }
+
+    /// The share of calls that failed, by [`ERROR_SCALE`].
+    fn errors_now(&self, now: Now) -> u32 {
+        let age = (now.as_millis() as u64).saturating_sub(self.errors_at_ms.load(Relaxed));
+        let halvings = (age / ERROR_HALF_LIFE_MS).min(31) as u32;
+        self.errors.load(Relaxed) >> halvings
+    }
+
     fn failed(&self, now: Now) -> bool {
         let failures = self.failures.fetch_add(1, Relaxed) + 1;
         if failures < FAILURES_TO_EJECT || self.is_ejected(now) {
@@ -134,7 +188,8 @@
         let reported = u64::from(self.load.load(Relaxed)) >> halvings;
         let own = u64::from(self.in_flight.load(Relaxed)) * OWN_CALL_WEIGHT;
         let far = if self.near { 0 } else { OTHER_DOMAIN_WEIGHT };
-        reported + own + far
+        let errors = u64::from(self.errors_now(now)) * ERROR_WEIGHT / u64::from(ERROR_SCALE);
+        reported + own + far + errors
     }
 
     /// The share of its calls that a cold instance is given, in percent.
@@ -147,7 +202,7 @@
     }
 }
 
-/// Chooses an instance: the better of two drawn at random, among those that are fit.
+/// Chooses an instance: the better of a few drawn at random, among those that are fit.
 ///
 /// `instances` gives each instance; `tried` are those that this call must not ask again. Returns
 /// the position in `instances`, or `None` if no instance is left. It allocates nothing: it runs
@@ -175,27 +230,58 @@
     }
 }
 
+/// Draws two of the own failure domain, where there are any, and one of the others, which takes over
+/// when the near ones are loaded. Without a near one among the drawn, calls would cross failure
+/// domains by chance.
 fn pick<'a>(
-    mut candidates: impl Iterator<Item = (usize, &'a Instance)> + Clone,
+    candidates: impl Iterator<Item = (usize, &'a Instance)> + Clone,
     count: usize,
     now: Now,
     rng: &mut fastrand::Rng,
 ) -> Option<usize> {
-    if count < 2 {
-        return candidates.next().map(|(position, _)| position);
-    }
-    let first = rng.usize(..count);
-    let second = (first + rng.usize(1..count)) % count;
-    let left = candidates.clone().nth(first)?;
-    let right = candidates.nth(second)?;
-    let (mut better, other) = if left.1.score(now) <= right.1.score(now) {
-        (left, right)
-    } else {
-        (right, left)
+    let is_near = |(_, instance): &(usize, &Instance)| instance.near;
+    let near = candidates.clone().filter(is_near);
+    let far = candidates.filter(|candidate| !is_near(candidate));
+    let near_count = near.clone().count();
+    let far_count = count - near_count;
+    let from_far = match near_count {
+        0 => 2,
+        _ => 1,
     };
+    let near = draw(near, near_count, 2, rng);
+    let far = draw(far, far_count, from_far, rng);
+    let mut drawn = near.into_iter().chain(far).flatten();
+    let mut better = drawn.next()?;
+    let mut other = None;
+    for next in drawn {
+        let loser = if next.1.score(now) < better.1.score(now) {
+            std::mem::replace(&mut better, next)
+        } else {
+            next
+        };
+        other = other.or(Some(loser));
+    }
     let given_cold = rng.u64(..100) < better.1.warmth(now);
-    if !given_cold && other.1.warmth(now) > better.1.warmth(now) {
-        better = other;
+    match other {
+        Some(other) if !given_cold && other.1.warmth(now) > better.1.warmth(now) => Some(other.0),
+        _ => Some(better.0),
+    }
+}
+
+/// Draws up to two of the candidates at random, without allocation.
+fn draw<'a>(
+    mut candidates: impl Iterator<Item = (usize, &'a Instance)> + Clone,
+    count: usize,
+    wanted: usize,
+    rng: &mut fastrand::Rng,
+) -> [Option<(usize, &'a Instance)>; 2] {
+    match count.min(wanted) {
+        0 => [None, None],
+        1 => [candidates.nth(rng.usize(..count)), None],
+        _ => {
+            let first = rng.usize(..count);
+            let second = (first + rng.usize(1..count)) % count;
+            [candidates.clone().nth(first), candidates.nth(second)]
+        }
     }
-    Some(better.0)
 }
--- a/crates/sorrelturn-policy/tests/routing.rs
+++ b/crates/sorrelturn-policy/tests/routing.rs
@@ -107,3 +107,36 @@
         "{cold} {warmer} {warm}"
     );
 }
+
+#[test]
+fn calls_stay_in_the_own_failure_domain_while_it_has_room() {
+    let instances: Vec<Instance> = (0..6)
+        .map(|number| Instance::new(Incarnation(number), number < 2, ms(0), ms(0)))
+        .collect();
+    let shares = shares(&instances, ms(0));
+    let far: usize = shares[2..].iter().sum();
+    assert_eq!(far, 0, "{shares:?}");
+}
+
+#[test]
+fn an_instance_whose_backend_server_turns_calls_away_is_avoided_and_tried_again() {
+    let instances = service(3);
+    for _ in 0..40 {
+        report(&instances[0], ms(0), InstanceReport::Erred);
+        for healthy in &instances[1..] {
+            report(healthy, ms(0), InstanceReport::Answered { load: 60 });
+        }
+    }
+    let during = shares(&instances, ms(0));
+    assert!(during[0] * 5 < during[1], "{during:?}");
+    let after = shares(&instances, ms(10_000));
+    assert!(after[0] * 2 > after[1], "{after:?}");
+}
+
+#[test]
+fn an_instance_that_nothing_can_be_sent_to_is_ejected_at_once() {
+    let instances = service(3);
+    report(&instances[0], ms(0), InstanceReport::Unreachable);
+    assert!(instances[0].is_ejected(ms(1)));
+    assert!(!instances[0].is_ejected(ms(1_000)));
+}
