--- a/crates/sorrelturn-daemon/src/announce.rs
+++ b/crates/sorrelturn-daemon/src/backend/announce.rs
@@ -4,10 +4,10 @@
 //! is acknowledged only once the next run of this daemon would know it, too.
 
 use crate::{
-    backend_state::{self, Routed, answered_by, heard, heard_slots, slots_of},
-    body::{self, Body},
+    backend::state::{self, Routed, answered_by, heard, heard_slots, slots_of},
+    net::serve::status,
     node::{Node, lock},
-    serve::status,
+    request::body::{self, Body},
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -92,7 +92,7 @@
         Timer::after(ACKNOWLEDGE_TIME).await;
         false
     };
-    backend_state::save(node, routed).or(in_time).await;
+    state::save(node, routed).or(in_time).await;
 }
 
 /// Answers whether this daemon is ready for callers' requests.
--- a/crates/sorrelturn-daemon/src/backend.rs
+++ b/crates/sorrelturn-daemon/src/backend/link.rs
@@ -1,9 +1,9 @@
 //! The connections to the own backend server, no more than the bundle says it takes.
 
 use crate::{
-    body::Body,
-    pool::{Lease, Pool, SendError},
-    stream::BoxStream,
+    net::pool::{Lease, Pool, SendError},
+    net::stream::BoxStream,
+    request::body::Body,
 };
 use hyper::{Request, Response, body::Incoming};
 use smol::{Executor, net::TcpStream};
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/backend/mod.rs
@@ -0,0 +1,5 @@
+//! The backend server beside the daemon: connections, and what it says about itself.
+
+pub(crate) mod announce;
+pub(crate) mod link;
+pub(crate) mod state;
--- a/crates/sorrelturn-daemon/src/backend_state.rs
+++ b/crates/sorrelturn-daemon/src/backend/state.rs
@@ -2,9 +2,9 @@
 //! themselves: which run it is, whether it takes work, and how many slots it has.
 
 use crate::{
-    dialect::Dialect,
-    gossip,
+    fleet::gossip,
     node::{LastTime, Node, lock},
+    request::dialect::Dialect,
 };
 use hyper::{HeaderMap, StatusCode, header::HeaderValue};
 use sorrelturn_platform::{Expected, keys};
--- a/crates/sorrelturn-daemon/src/fetch.rs
+++ b/crates/sorrelturn-daemon/src/config/fetch.rs
@@ -1,11 +1,11 @@
 //! Fetching a higher bundle from the store or from a peer. See `docs/design/spread.md`.
 
 use crate::{
-    control_client::{self as control, ControlError},
-    gossip,
-    in_force::{InForce, Origin},
+    config::in_force::{InForce, Origin},
+    fleet::control_client::{self as control, ControlError},
+    fleet::gossip,
+    fleet::reports,
     node::{Node, lock},
-    reports,
 };
 use displaydoc::Display;
 use sorrelturn_bundle::{
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/config/mod.rs
@@ -0,0 +1,5 @@
+//! What operators decide: settings of a process, and the bundle in force.
+
+pub(crate) mod fetch;
+pub(crate) mod in_force;
+pub(crate) mod settings;
--- a/crates/sorrelturn-daemon/src/control.rs
+++ b/crates/sorrelturn-daemon/src/fleet/control.rs
@@ -1,12 +1,14 @@
 //! Control messages between daemons, by `tarpc`. See `docs/design/between-daemons.md`.
 
 use crate::{
-    explain, fetch, gossip,
-    in_force::Origin,
-    metered::Metered,
+    config::fetch,
+    config::in_force::Origin,
+    fleet::gossip,
+    fleet::metered::Metered,
+    net::serve::Closing,
+    net::stream::BoxStream,
     node::{Node, lock},
-    serve::Closing,
-    stream::BoxStream,
+    operators::explain,
 };
 use async_compat::Compat;
 use serde::{Deserialize, Serialize};
--- a/crates/sorrelturn-daemon/src/control_client.rs
+++ b/crates/sorrelturn-daemon/src/fleet/control_client.rs
@@ -1,7 +1,7 @@
 //! Control calls to other daemons, over connections that are kept while they are used.
 
 use crate::{
-    control::{ControlClient, transport},
+    fleet::control::{ControlClient, transport},
     node::{Node, lock},
 };
 use async_compat::Compat;
--- a/crates/sorrelturn-daemon/src/gossip.rs
+++ b/crates/sorrelturn-daemon/src/fleet/gossip.rs
@@ -2,12 +2,12 @@
 //! See `docs/design/spread.md` and `docs/design/membership.md`.
 
 use crate::{
-    backend_state,
-    control::ControlClient,
-    control_client::{self as control, ControlError},
-    fetch,
+    backend::state,
+    config::fetch,
+    fleet::control::ControlClient,
+    fleet::control_client::{self as control, ControlError},
+    fleet::reports,
     node::{Node, lock},
-    reports,
 };
 use smol::Timer;
 use sorrelturn_fleet::{Digest, PUSH_FAN_OUT, Source, push_targets};
@@ -30,7 +30,7 @@
 pub(crate) fn heard_member(node: &Arc<Node>, record: MemberRecord) {
     let own = record.instance == node.settings.instance;
     if own && record.incarnation != node.incarnation {
-        backend_state::heard_of_earlier_run(node, record.backend.as_ref());
+        state::heard_of_earlier_run(node, record.backend.as_ref());
     }
     if !node.merge_member(record.clone()) {
         return;
--- a/crates/sorrelturn-daemon/src/join.rs
+++ b/crates/sorrelturn-daemon/src/fleet/join.rs
@@ -1,9 +1,11 @@
 //! Joining the fleet: becoming known, and finding members and a bundle.
 
 use crate::{
-    backend_state, fetch, gossip,
+    backend::state,
+    config::fetch,
+    fleet::gossip,
     node::{Node, lock},
-    outcomes,
+    store::outcomes,
 };
 use smol::Timer;
 use sorrelturn_fleet::{Source, push_targets};
@@ -27,7 +29,7 @@
         for record in &records {
             node.outrank_earlier_run(record);
             if record.instance == node.settings.instance {
-                backend_state::heard_of_earlier_run(node, record.backend.as_ref());
+                state::heard_of_earlier_run(node, record.backend.as_ref());
             }
             if record.instance == node.settings.instance && record.incarnation != node.incarnation {
                 let delete = outcomes::delete_earlier_run(Arc::clone(node), record.incarnation);
--- a/crates/sorrelturn-daemon/src/metered.rs
+++ b/crates/sorrelturn-daemon/src/fleet/metered.rs
@@ -1,6 +1,6 @@
 //! Control connections with a counter of their bytes, for the budget of 3 KB a second.
 
-use crate::{node::Node, stream::BoxStream};
+use crate::{net::stream::BoxStream, node::Node};
 use smol::io::{AsyncRead, AsyncWrite};
 use std::{
     io::Result,
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/fleet/mod.rs
@@ -0,0 +1,11 @@
+//! Which daemons there are, and what they tell one another.
+
+pub(crate) mod control;
+pub(crate) mod control_client;
+pub(crate) mod gossip;
+pub(crate) mod join;
+pub(crate) mod metered;
+pub(crate) mod peers;
+pub(crate) mod reports;
+pub(crate) mod routes;
+pub(crate) mod watch;
--- a/crates/sorrelturn-daemon/src/peers.rs
+++ b/crates/sorrelturn-daemon/src/fleet/peers.rs
@@ -1,9 +1,9 @@
 //! Connections to other daemons, for calls. See `docs/design/between-daemons.md`.
 
 use crate::{
-    body::Body,
-    pool::{Lease, Pool, SendError},
-    stream::FleetKeys,
+    net::pool::{Lease, Pool, SendError},
+    net::stream::FleetKeys,
+    request::body::Body,
 };
 use hyper::{Request, Response, body::Incoming};
 use smol::{Executor, net::TcpStream};
--- a/crates/sorrelturn-daemon/src/reports.rs
+++ b/crates/sorrelturn-daemon/src/fleet/reports.rs
@@ -1,7 +1,7 @@
 //! Reports to the watchers of the own failure domain, from which they write its status.
 
 use crate::{
-    control_client as control,
+    fleet::control_client as control,
     node::{Node, lock},
 };
 use smol::Timer;
--- a/crates/sorrelturn-daemon/src/routes.rs
+++ b/crates/sorrelturn-daemon/src/fleet/routes.rs
@@ -1,6 +1,6 @@
 //! The instances that calls can go to, as one snapshot that requests read without a lock.
 
-use crate::peers::PeerLink;
+use crate::fleet::peers::PeerLink;
 use sorrelturn_fleet::Membership;
 use sorrelturn_policy::{Instance, Now};
 use sorrelturn_protocol::{Incarnation, MemberRecord, MemberState};
--- a/crates/sorrelturn-daemon/src/watch.rs
+++ b/crates/sorrelturn-daemon/src/fleet/watch.rs
@@ -2,7 +2,9 @@
 
 use crate::{
     clock::unix_ms,
-    control_client as control, fetch, gossip,
+    config::fetch,
+    fleet::control_client as control,
+    fleet::gossip,
     node::{Node, lock},
 };
 use smol::{Timer, future::FutureExt};
--- a/crates/sorrelturn-daemon/src/listeners.rs
+++ b/crates/sorrelturn-daemon/src/net/listeners.rs
@@ -1,6 +1,6 @@
 //! Where a daemon listens.
 
-use crate::{control, node::Node, run::StartError, serve, settings::Settings};
+use crate::{config::settings::Settings, fleet::control, net::serve, node::Node, run::StartError};
 use serde::{Deserialize, Serialize};
 use smol::{
     future::FutureExt,
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/net/mod.rs
@@ -0,0 +1,7 @@
+//! Listeners, connections and timers, without knowledge of what is carried.
+
+pub(crate) mod listeners;
+pub(crate) mod pool;
+pub(crate) mod serve;
+pub(crate) mod stream;
+pub(crate) mod timers;
--- a/crates/sorrelturn-daemon/src/pool.rs
+++ b/crates/sorrelturn-daemon/src/net/pool.rs
@@ -1,7 +1,7 @@
 //! Pooled HTTP/1.1 connections to one address, each carrying one exchange at a time.
 //! See `docs/design/between-daemons.md`.
 
-use crate::{body::Body, node::lock, stream::BoxStream};
+use crate::{net::stream::BoxStream, node::lock, request::body::Body};
 use hyper::{
     Request, Response,
     body::Incoming,
--- a/crates/sorrelturn-daemon/src/serve.rs
+++ b/crates/sorrelturn-daemon/src/net/serve.rs
@@ -1,12 +1,14 @@
 //! The listeners and their connections.
 
 use crate::{
-    answer::Reply,
-    body::{self, Body},
-    entry, headers, nested,
+    net::timers::Timers,
     node::{Carried, Node},
-    owner,
-    timers::Timers,
+    request::answer::Reply,
+    request::body::{self, Body},
+    request::entry,
+    request::headers,
+    request::nested,
+    request::owner,
 };
 use hyper::{
     Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
@@ -117,7 +119,7 @@
     let timers = node.timers.clone();
     let answer = move |req: Request<Incoming>| {
         let node = Arc::clone(&node);
-        async move { crate::routed::serve(&node, req).await }
+        async move { crate::request::routed::serve(&node, req).await }
     };
     let _ = http1(timers, tcp, ROUTED_IDLE_TIME, closing, answer).await;
 }
@@ -127,7 +129,7 @@
     let timers = node.timers.clone();
     let answer = move |req: Request<Incoming>| {
         let node = Arc::clone(&node);
-        async move { crate::announce::serve(&node, req).await }
+        async move { crate::backend::announce::serve(&node, req).await }
     };
     let _ = http1(timers, tcp, PEER_IDLE_TIME, closing, answer).await;
 }
@@ -137,7 +139,7 @@
     let timers = node.timers.clone();
     let answer = move |req: Request<Incoming>| {
         let node = Arc::clone(&node);
-        async move { crate::announce::ready(&node, req).await }
+        async move { crate::backend::announce::ready(&node, req).await }
     };
     let _ = http1(timers, tcp, PEER_IDLE_TIME, closing, answer).await;
 }
@@ -157,7 +159,7 @@
     let timers = node.timers.clone();
     let answer = move |req: Request<Incoming>| {
         let node = Arc::clone(&node);
-        async move { crate::admin::serve(&node, req).await }
+        async move { crate::operators::admin::serve(&node, req).await }
     };
     let _ = http1(timers, tcp, HEAD_TIME, closing, answer).await;
 }
--- a/crates/sorrelturn-daemon/src/stream.rs
+++ b/crates/sorrelturn-daemon/src/net/stream.rs
@@ -1,6 +1,6 @@
 //! Connections between daemons: TCP, and TLS with the fleet's keys on both sides.
 
-use crate::settings::FleetKeySettings;
+use crate::config::settings::FleetKeySettings;
 use arc_swap::ArcSwap;
 use displaydoc::Display;
 use futures_rustls::{
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -1,19 +1,19 @@
 //! What all tasks of a daemon share.
 
 use crate::{
-    backend::Backend,
-    backend_state::Routed,
+    backend::link::Backend,
+    backend::state::Routed,
     clock::Clock,
-    control_client::ControlLinks,
-    in_force::{InForce, Origin, RetryTerms},
-    metrics_page::MetricsPage,
-    outcomes::SegmentVersions,
-    parents::Parents,
-    room::Room,
-    routes::Routes,
-    settings::Settings,
-    stream::FleetKeys,
-    timers::Timers,
+    config::in_force::{InForce, Origin, RetryTerms},
+    config::settings::Settings,
+    fleet::control_client::ControlLinks,
+    fleet::routes::Routes,
+    net::stream::FleetKeys,
+    net::timers::Timers,
+    operators::metrics_page::MetricsPage,
+    request::parents::Parents,
+    request::room::Room,
+    store::outcomes::SegmentVersions,
 };
 use arc_swap::{ArcSwap, ArcSwapOption};
 use cadence::StatsdClient;
@@ -331,7 +331,7 @@
         record
     }
 
-    /// Starts leaving; returns whether this is news, which [`crate::gossip::leave`] spreads.
+    /// Starts leaving; returns whether this is news, which [`crate::fleet::gossip::leave`] spreads.
     pub(crate) fn start_leaving(&self, cause: LeavingCause) -> bool {
         if !lock(&self.leaving).leave(self.now(), cause) {
             return false;
--- a/crates/sorrelturn-daemon/src/admin.rs
+++ b/crates/sorrelturn-daemon/src/operators/admin.rs
@@ -1,11 +1,13 @@
 //! The operators' side of a daemon: plain HTTP with JSON.
 
 use crate::{
-    body::{self, Body},
-    explain, fetch, gossip,
+    config::fetch,
+    fleet::gossip,
+    net::serve::status,
     node::{Node, lock},
-    serve::status,
-    status::StatusReport,
+    operators::explain,
+    operators::status::StatusReport,
+    request::body::{self, Body},
 };
 use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE};
@@ -114,6 +116,6 @@
 
 fn json(value: &impl Serialize) -> Response<Body> {
     let mut res = Response::new(body::full(serde_json::to_vec(value).unwrap_or_default()));
-    crate::headers::set(res.headers_mut(), CONTENT_TYPE.as_str(), "application/json");
+    crate::request::headers::set(res.headers_mut(), CONTENT_TYPE.as_str(), "application/json");
     res
 }
--- a/crates/sorrelturn-daemon/src/explain.rs
+++ b/crates/sorrelturn-daemon/src/operators/explain.rs
@@ -1,7 +1,7 @@
 //! What happened to a request, gathered over its hops.
 
 use crate::{
-    control_client as control,
+    fleet::control_client as control,
     node::{Node, lock},
 };
 use sorrelturn_protocol::RequestId;
--- a/crates/sorrelturn-daemon/src/export.rs
+++ b/crates/sorrelturn-daemon/src/operators/export.rs
@@ -1,8 +1,8 @@
 //! Metrics and spans on their way out.
 
 use crate::{
-    metrics_page::{MetricsPage, PageSink},
     node::{Node, lock},
+    operators::metrics_page::{MetricsPage, PageSink},
 };
 use bytes::Bytes;
 use cadence::{
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/operators/mod.rs
@@ -0,0 +1,8 @@
+//! What operators see: status, events, metrics, the log.
+
+pub(crate) mod admin;
+pub(crate) mod explain;
+pub(crate) mod export;
+pub(crate) mod log_sink;
+pub(crate) mod metrics_page;
+pub(crate) mod status;
--- a/crates/sorrelturn-daemon/src/process.rs
+++ b/crates/sorrelturn-daemon/src/process.rs
@@ -1,6 +1,6 @@
 //! The daemon as a process: reads its settings, runs, and stops on SIGTERM or SIGINT.
 
-use crate::{Daemon, Dialect, Settings, log_sink};
+use crate::{Daemon, Dialect, Settings, operators::log_sink};
 use async_signal::{Signal, Signals};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use smol::{Executor, channel, stream::StreamExt};
--- a/crates/sorrelturn-daemon/src/answer.rs
+++ b/crates/sorrelturn-daemon/src/request/answer.rs
@@ -1,9 +1,9 @@
 //! What comes back from a call, and how it is told to peers and to callers.
 
 use crate::{
-    body::{self, Body},
-    headers,
     node::Carried,
+    request::body::{self, Body},
+    request::headers,
 };
 use hyper::{
     Response, StatusCode,
--- a/crates/sorrelturn-daemon/src/body.rs
+++ b/crates/sorrelturn-daemon/src/request/body.rs
@@ -1,7 +1,7 @@
 //! Bodies that stream with backpressure and tell how they ended. A body that breaks off ends with
 //! an error, so that the connection is cut and never looks as if it were whole.
 
-use crate::timers::{Deadline, Timers};
+use crate::net::timers::{Deadline, Timers};
 use bytes::Bytes;
 use displaydoc::Display;
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
--- a/crates/sorrelturn-daemon/src/entry.rs
+++ b/crates/sorrelturn-daemon/src/request/entry.rs
@@ -1,16 +1,16 @@
 //! The entry: a caller's request becomes a root request.
 
 use crate::{
-    answer::Reply,
-    body::{self, Body},
-    export,
-    forward::{self, Call},
-    headers,
-    in_force::InForce,
+    config::in_force::InForce,
     node::{Carried, Node},
-    owner,
-    payload::Payload,
-    tokens,
+    operators::export,
+    request::answer::Reply,
+    request::body::{self, Body},
+    request::forward::{self, Call},
+    request::headers,
+    request::owner,
+    request::payload::Payload,
+    request::tokens,
 };
 use bytes::Bytes;
 use hyper::{
--- a/crates/sorrelturn-daemon/src/exchange.rs
+++ b/crates/sorrelturn-daemon/src/request/exchange.rs
@@ -1,14 +1,14 @@
 //! One exchange with one instance, and what its failure means.
 
 use crate::{
-    answer::Reply,
-    body::{self, Body},
-    forward::Call,
-    headers,
+    fleet::routes::Route,
+    net::pool::{Lease, SendError},
     node::Node,
-    owner,
-    pool::{Lease, SendError},
-    routes::Route,
+    request::answer::Reply,
+    request::body::{self, Body},
+    request::forward::Call,
+    request::headers,
+    request::owner,
 };
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use smol::future::FutureExt;
--- a/crates/sorrelturn-daemon/src/forward.rs
+++ b/crates/sorrelturn-daemon/src/request/forward.rs
@@ -1,17 +1,18 @@
 //! The forwarder's side of a call: which instance, and what follows from its answer.
 
 use crate::{
-    answer::Reply,
-    body::Body,
     clock::unix_ns,
-    exchange::{exchange, report},
-    export, fetch,
-    in_force::{InForce, KindState},
+    config::fetch,
+    config::in_force::{InForce, KindState},
+    fleet::routes::Route,
     node::{Node, lock},
-    owner,
-    payload::Payload,
-    routes::Route,
-    tokens,
+    operators::export,
+    request::answer::Reply,
+    request::body::Body,
+    request::exchange::{exchange, report},
+    request::owner,
+    request::payload::Payload,
+    request::tokens,
 };
 use hyper::{HeaderMap, Method, Request, Uri};
 use sorrelturn_bundle::KindEntry;
--- a/crates/sorrelturn-daemon/src/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -1,17 +1,19 @@
 //! One call at its owner: the exchange with the backend server, and what follows from it.
 
 use crate::{
-    answer::Reply,
-    backend_state::{self, Routed, Word},
-    body::{self, Body},
+    backend::state::{self, Routed, Word},
     clock::unix_ns,
-    export, gossip, headers,
-    in_force::InForce,
+    config::in_force::InForce,
+    fleet::gossip,
+    net::pool::{Lease, SendError},
     node::{Carried, Node, lock},
-    owner::unused,
-    parents::{Parent, ParentGuard},
-    pool::{Lease, SendError},
-    room::Slot,
+    operators::export,
+    request::answer::Reply,
+    request::body::{self, Body},
+    request::headers,
+    request::owner::unused,
+    request::parents::{Parent, ParentGuard},
+    request::room::Slot,
 };
 use hyper::{
     Request, Response,
@@ -171,7 +173,7 @@
         let word = self.node.routed.as_ref().map(|routed| {
             let word = routed.judge(self.asked.as_ref(), res.status(), res.headers());
             if word == Word::NotRun {
-                backend_state::answered_by(&self.node, routed, res.headers());
+                state::answered_by(&self.node, routed, res.headers());
             }
             word
         });
--- a/crates/sorrelturn-daemon/src/nested.rs
+++ b/crates/sorrelturn-daemon/src/request/nested.rs
@@ -1,17 +1,17 @@
 //! Calls that the own backend server makes while it works on a request.
 
 use crate::{
-    answer::Reply,
-    body::Body,
-    entry,
-    forward::{self, Call},
-    headers,
-    in_force::InForce,
+    config::in_force::InForce,
     node::{Carried, Node, lock},
-    owner,
-    parents::Parent,
-    payload::Payload,
-    tokens,
+    request::answer::Reply,
+    request::body::Body,
+    request::entry,
+    request::forward::{self, Call},
+    request::headers,
+    request::owner,
+    request::parents::Parent,
+    request::payload::Payload,
+    request::tokens,
 };
 use hyper::{Request, Response, body::Incoming};
 use smol::future::FutureExt;
--- a/crates/sorrelturn-daemon/src/owner.rs
+++ b/crates/sorrelturn-daemon/src/request/owner.rs
@@ -1,14 +1,14 @@
 //! The owner's side of a call: what is refused before anything else, and which way the rest goes.
 
 use crate::{
-    answer::Reply,
-    backend_state::Routed,
-    body::Body,
+    backend::state::Routed,
     clock::unix_ns,
-    headers,
-    hop::Hop,
     node::{Carried, Node, lock},
-    tokens,
+    request::answer::Reply,
+    request::body::Body,
+    request::headers,
+    request::hop::Hop,
+    request::tokens,
 };
 use hyper::Request;
 use sorrelturn_bundle::{Execution, Kind, KindEntry};
--- a/crates/sorrelturn-daemon/src/owner_once.rs
+++ b/crates/sorrelturn-daemon/src/request/owner_once.rs
@@ -1,12 +1,12 @@
 //! The owner's side of a call that runs at most once. See `docs/design/at-most-once.md`.
 
 use crate::{
-    answer::Reply,
-    body::{self, Body},
-    headers,
-    hop::Hop,
     node::{Node, lock},
-    owner::{fingerprint, unused},
+    request::answer::Reply,
+    request::body::{self, Body},
+    request::headers,
+    request::hop::Hop,
+    request::owner::{fingerprint, unused},
 };
 use bytes::Bytes;
 use http_body_util::BodyExt;
--- a/crates/sorrelturn-daemon/src/payload.rs
+++ b/crates/sorrelturn-daemon/src/request/payload.rs
@@ -1,9 +1,9 @@
 //! The bodies of requests, read first where they are small.
 
 use crate::{
-    answer::Reply,
-    body::{self, Body},
-    timers::Timers,
+    net::timers::Timers,
+    request::answer::Reply,
+    request::body::{self, Body},
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
--- a/crates/sorrelturn-daemon/src/room.rs
+++ b/crates/sorrelturn-daemon/src/request/room.rs
@@ -1,6 +1,6 @@
 //! The gate with the tasks that wait at it.
 
-use crate::{clock::Clock, node::lock, timers::Timers};
+use crate::{clock::Clock, net::timers::Timers, node::lock};
 use smol::{
     channel::{self, Receiver, Sender},
     future::FutureExt,
--- a/crates/sorrelturn-daemon/src/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -2,18 +2,18 @@
 //! and those of the own backend server.
 
 use crate::{
-    answer::Reply,
-    backend_state::Routed,
-    body::{self, Body},
-    entry::target,
-    export,
-    forward::{self, Call},
-    headers,
-    in_force::{InForce, KindState},
+    backend::state::Routed,
+    config::in_force::{InForce, KindState},
+    net::serve::ambiguous,
     node::{Carried, Node, lock},
-    owner,
-    payload::Payload,
-    serve::ambiguous,
+    operators::export,
+    request::answer::Reply,
+    request::body::{self, Body},
+    request::entry::target,
+    request::forward::{self, Call},
+    request::headers,
+    request::owner,
+    request::payload::Payload,
 };
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
@@ -47,7 +47,7 @@
 /// Answers one request.
 pub(crate) async fn serve(node: &Arc<Node>, req: Request<Incoming>) -> Response<Body> {
     let Some(routed) = &node.routed else {
-        return crate::serve::status(StatusCode::NOT_FOUND);
+        return crate::net::serve::status(StatusCode::NOT_FOUND);
     };
     let carried = Carried::new(node);
     let arrived = node.now();
--- a/crates/sorrelturn-daemon/src/tokens.rs
+++ b/crates/sorrelturn-daemon/src/request/tokens.rs
@@ -1,13 +1,13 @@
 //! Getting tokens for at-most-once calls, and what became of those whose owner is gone.
 
 use crate::{
-    answer::Reply,
-    body,
-    forward::{self, Call},
-    headers,
     node::{Node, lock},
-    owner,
-    payload::Payload,
+    request::answer::Reply,
+    request::body,
+    request::forward::{self, Call},
+    request::headers,
+    request::owner,
+    request::payload::Payload,
 };
 use bytes::Bytes;
 use http_body_util::BodyExt;
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/store/mod.rs
@@ -0,0 +1,3 @@
+//! What outlives a process in the platform's store.
+
+pub(crate) mod outcomes;
