No collapse where one daemon is all that is left of a service

Change: a call without an answer raises the learnt level; a daemon that runs late raises its own; fewer calls wait at a gate with many slots (descriptors 3,907 of 3,900).

Ruled out: dispatch (its gates never told a level); the call graph.

--- a/crates/sorrelturn-daemon/src/request/forward.rs
+++ b/crates/sorrelturn-daemon/src/request/forward.rs
@@ -9,7 +9,7 @@
     operators::export,
     request::answer::Reply,
     request::body::Body,
-    request::exchange::{exchange, report},
+    request::exchange::{Failure, exchange, report},
     request::owner,
     request::payload::Payload,
     request::tokens,
@@ -98,8 +98,11 @@
     let route = pick(node, call, progress)?;
     let req = request(node, call, progress)?;
     let share = call.context.attempts;
-    let on_its_way = OnItsWay::start(node, &route, call.context.request);
+    let on_its_way = OnItsWay::start(node, &route, call, kind_state);
     let result = exchange(node, &route, call, req).await;
+    if matches!(result, Err(Failure::TooLate)) {
+        kind_state.threshold.no_answer(node.now());
+    }
     if on_its_way.finish(report(&result)) {
         route.link.forget();
         node.note(
@@ -145,17 +148,23 @@
 struct OnItsWay<'a> {
     node: &'a Node,
     route: &'a Route,
+    kind_state: &'a KindState,
     request: RequestId,
+    /// When half of the call's time is over.
+    half_time: Now,
     over: bool,
 }
 
 impl<'a> OnItsWay<'a> {
-    fn start(node: &'a Node, route: &'a Route, request: RequestId) -> Self {
+    fn start(node: &'a Node, route: &'a Route, call: &Call, kind_state: &'a KindState) -> Self {
         route.stats.started();
+        let now = node.now();
         Self {
             node,
             route,
-            request,
+            kind_state,
+            request: call.context.request,
+            half_time: now + call.deadline.saturating_sub(now) / 2,
             over: false,
         }
     }
@@ -172,9 +181,12 @@
         if self.over {
             return;
         }
-        self.route
-            .stats
-            .finished(self.node.now(), InstanceReport::Cancelled);
+        let now = self.node.now();
+        self.route.stats.finished(now, InstanceReport::Cancelled);
+        if now >= self.half_time {
+            // Whoever asked has waited for long: its own time is over.
+            self.kind_state.threshold.no_answer(now);
+        }
         self.node.events.note(
             &events::CANCELLED,
             Some(self.request),
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -56,8 +56,8 @@
 const STOP_STEP: Duration = Duration::from_millis(10);
 /// The longest time for connections to end once nothing is carried any more.
 const FLUSH_TIME: Duration = Duration::from_secs(2);
-/// How often the process looks whether it was paused, and what counts as a pause.
-const PAUSE_CHECK: Duration = Duration::from_millis(200);
+/// How often the process looks whether it runs late or was paused, and what counts as a pause.
+const LAG_CHECK: Duration = Duration::from_millis(50);
 const PAUSE: Duration = Duration::from_secs(2);
 
 /// Why a daemon doesn't start.
@@ -139,7 +139,7 @@
         }
         spawn(Box::pin(watch::run(Arc::clone(node))));
         spawn(Box::pin(export::run(Arc::clone(node))));
-        spawn(Box::pin(notice_pauses(Arc::clone(node))));
+        spawn(Box::pin(notice_lags(Arc::clone(node))));
         gossip::spread_own_record(node);
     }
 
@@ -286,13 +286,14 @@
     })
 }
 
-/// A process that was paused has connections and thresholds of another time.
-async fn notice_pauses(node: Arc<Node>) {
+/// A process that runs late is asked for too much; one that was paused has connections and thresholds of another time.
+async fn notice_lags(node: Arc<Node>) {
     let mut last = Instant::now();
     loop {
-        Timer::after(PAUSE_CHECK).await;
-        let paused = last.elapsed().saturating_sub(PAUSE_CHECK);
+        Timer::after(LAG_CHECK).await;
+        let paused = last.elapsed().saturating_sub(LAG_CHECK);
         last = Instant::now();
+        node.room.with_gate(|gate, _| gate.lags(paused));
         if paused >= PAUSE {
             let fields = vec![Field::new("paused_ms", paused.as_millis())];
             node.note(&events::PAUSE_NOTICED, fields);
--- a/crates/sorrelturn-policy/src/gate.rs
+++ b/crates/sorrelturn-policy/src/gate.rs
@@ -13,6 +13,9 @@
 /// Calls find so many times more room in the queue where they have a wait of their own.
 const CALL_ROOM: usize = 4;
 
+/// And so many more places at the most: each holds two connections and their memory.
+const MOST_CALL_ROOM: usize = 100;
+
 /// With this share of the limit in use, a gate counts as busy.
 const BUSY_SHARE: f64 = 0.9;
 
@@ -181,6 +184,11 @@
         waited
     }
 
+    /// The daemon runs so late.
+    pub fn lags(&mut self, lag: Duration) {
+        self.level.lags(lag);
+    }
+
     /// The backend server was away and is back.
     pub fn backend_restarted(&mut self, now: Now) {
         self.limit.restarted(now);
@@ -244,7 +252,7 @@
     fn room_for(&self, arrival: &Arrival) -> usize {
         let all = self.cfg.queue_len as usize;
         if arrival.holds_work && self.cfg.call_wait.is_some() {
-            return all * CALL_ROOM;
+            return (all * CALL_ROOM).min(all + MOST_CALL_ROOM);
         }
         match arrival.priority.importance() {
             Importance::Critical => all * CRITICAL_ROOM,
--- a/crates/sorrelturn-policy/src/learned.rs
+++ b/crates/sorrelturn-policy/src/learned.rs
@@ -11,6 +11,9 @@
 const HOLD_TIME: Duration = Duration::from_millis(300);
 /// Then it falls by one step in this time, so that recovery is found by probes.
 const DECAY_TIME: Duration = Duration::from_millis(50);
+/// What one call without an answer adds before it is taken halfway: eight in a row refuse about half
+/// of a rank.
+const NO_ANSWER_STEP: u16 = 32;
 /// The first step; each further one without news is twice as large.
 const DECAY_STEP: u64 = 16;
 
@@ -38,6 +41,12 @@
         self.word.store(word, Ordering::Relaxed);
     }
 
+    /// A call had no answer in time: whoever should have told the threshold is too busy for it.
+    pub fn no_answer(&self, now: Now) {
+        let raised = self.current(now).0.saturating_add(NO_ANSWER_STEP);
+        self.observe(now, Priority(raised.min(Priority::HIGHEST.0)));
+    }
+
     /// The threshold now.
     pub fn current(&self, now: Now) -> Priority {
         let word = self.word.load(Ordering::Relaxed);
--- a/crates/sorrelturn-policy/src/load_level.rs
+++ b/crates/sorrelturn-policy/src/load_level.rs
@@ -21,6 +21,13 @@
 const MOST_DISTANCE: f64 = 1.0;
 /// The mean time of a request is smoothed over about so many.
 const SMOOTHED_OVER: f64 = 50.0;
+/// A daemon that runs less late than this has processor time left; where it is given out in pieces of
+/// a tenth of a second, some wait is usual.
+const LAG_BORNE: Duration = Duration::from_millis(30);
+/// So much more counts like twice the work that the slots can do.
+const LAG_SCALE: Duration = Duration::from_millis(100);
+/// The most that running late counts for.
+const LAG_MOST: f64 = 0.5;
 /// How much of the way to the level that senders have learnt from all instances a window goes, so
 /// that the instances of a service don't drift apart.
 const CONSENSUS: f64 = 0.2;
@@ -38,6 +45,7 @@
     arrived: f64,
     heard: f64,
     mean_time_s: f64,
+    lag: Duration,
     level: f64,
     since: Option<Now>,
 }
@@ -50,6 +58,7 @@
             arrived: 0.0,
             heard: 0.0,
             mean_time_s: 0.0,
+            lag: Duration::ZERO,
             level: 0.0,
             since: None,
         }
@@ -70,6 +79,11 @@
         self.mean_time_s += (took - self.mean_time_s) / SMOOTHED_OVER;
     }
 
+    /// The daemon itself runs so late: its processor is asked for too much.
+    pub fn lags(&mut self, lag: Duration) {
+        self.lag = lag;
+    }
+
     /// Time has passed; so many requests wait for one of the slots.
     pub fn passed(&mut self, now: Now, waiting: usize, slots: u32) {
         let length = now.saturating_sub(self.window_start);
@@ -79,7 +93,12 @@
         let slot_s = f64::from(slots.max(1));
         let asked = self.arrived * self.mean_time_s / (length.as_secs_f64() * slot_s);
         let backlog = waiting as f64 * self.mean_time_s / (DRAIN_TIME.as_secs_f64() * slot_s);
-        let distance = (asked + backlog - TARGET).clamp(-MOST_DISTANCE, MOST_DISTANCE);
+        let late = self.lag.saturating_sub(LAG_BORNE).as_secs_f64() / LAG_SCALE.as_secs_f64();
+        let mut distance = asked + backlog - TARGET;
+        if late > 0.0 {
+            distance = distance.max(late.min(LAG_MOST));
+        }
+        let distance = distance.clamp(-MOST_DISTANCE, MOST_DISTANCE);
         // After a quiet time one window stands for many.
         let windows = (length.as_secs_f64() / WINDOW.as_secs_f64()).min(20.0);
         let mut level = self.level + GAIN * distance * windows;
--- a/crates/sorrelturn-policy/tests/entry_admission.rs
+++ b/crates/sorrelturn-policy/tests/entry_admission.rs
@@ -1,8 +1,9 @@
 //! What the entry's admission learns: the level of load, who calls whom, and what are calls.
 
 use sorrelturn_policy::{
-    CallGraph, Candidate, FirstTries, LEVEL_STEPS, LoadLevel, Origins, refuses,
+    CallGraph, Candidate, FirstTries, LEVEL_STEPS, LearnedThreshold, LoadLevel, Origins, refuses,
 };
+use sorrelturn_protocol::Priority;
 use std::time::Duration;
 
 const SLOTS: u32 = 20;
@@ -163,3 +164,30 @@
     assert!(!tries.saw(1_000));
     assert!(tries.saw(700));
 }
+
+#[test]
+fn a_daemon_that_runs_late_asks_for_less_though_slots_are_free() {
+    let mut level = LoadLevel::new(Duration::ZERO);
+    for step in 1..=100 {
+        level.arrived(0);
+        level.finished(WORK);
+        level.lags(Duration::from_millis(90));
+        level.passed(STEP * step, 0, SLOTS);
+    }
+    assert!(level.level() > LEVEL_STEPS / 4, "{}", level.level());
+}
+
+#[test]
+fn calls_without_an_answer_raise_the_threshold_and_answers_lower_it() {
+    let learned = LearnedThreshold::default();
+    let now = Duration::from_secs(1);
+    for _ in 0..8 {
+        learned.no_answer(now);
+    }
+    let raised = learned.current(now);
+    assert!(raised.0 > LEVEL_STEPS / 4, "{raised:?}");
+    for _ in 0..20 {
+        learned.observe(now, Priority::LOWEST);
+    }
+    assert_eq!(learned.current(now), Priority::LOWEST);
+}
