--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -69,6 +69,8 @@
 
 /// The body of each answer.
 pub const BODY: &str = "the whole answer of the backend server";
+/// How long it says that connections may rest, in seconds.
+pub const IDLE_S: u64 = 1;
 /// The header that marks an answer of a backend server.
 pub const SIGNATURE: &str = "x-signature";
 
@@ -167,7 +169,8 @@
     ) -> io::Result<bool> {
         let name = &self.names.request_id;
         let asked = req.headers.get(name.as_str()).cloned().unwrap_or_default();
-        let back = format!("{name}: {asked}\r\n{SIGNATURE}: {asked}\r\n");
+        let back =
+            format!("{name}: {asked}\r\n{SIGNATURE}: {asked}\r\nkeep-alive: timeout={IDLE_S}\r\n");
         let whole = head(200, "OK", &back, Some(BODY.len())) + BODY;
         let (bytes, goes_on) = match script {
             Script::Answers => (whole, true),
--- a/crates/sorrelturn-daemon/src/fleet/watch.rs
+++ b/crates/sorrelturn-daemon/src/fleet/watch.rs
@@ -26,6 +26,11 @@
 const WATCH_TIME: Duration = Duration::from_secs(10);
 /// How often a watcher reads the head besides, because a watch may have stopped silently.
 const READ_EVERY: Duration = Duration::from_secs(2);
+/// The same where calls are priced: a watch that was cut ends with an error, and of the six or more
+/// watchers of a fleet one is enough.
+const PRICED_READ_EVERY: Duration = Duration::from_secs(5);
+/// How long a watch waits where calls are priced: the longest that the users' platform allows.
+const PRICED_WATCH_TIME: Duration = Duration::from_secs(30);
 /// The pause after a failed call to the platform.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// How often a member is asked whether it is there.
@@ -98,10 +103,14 @@
 async fn follow(node: &Arc<Node>, prefix: &str, changed: impl Fn(Changes)) {
     let mut since = None;
     let mut lost = false;
+    let wait = match node.settings.routes {
+        Some(_) => PRICED_WATCH_TIME,
+        None => WATCH_TIME,
+    };
     loop {
         let result = match since {
             None => node.platform.list(prefix).await,
-            Some(since) => node.platform.watch(prefix, since, WATCH_TIME).await,
+            Some(since) => node.platform.watch(prefix, since, wait).await,
         };
         note_platform(node, &mut lost, result.as_ref().err());
         match result {
@@ -143,8 +152,12 @@
 }
 
 async fn read_head(node: &Arc<Node>) {
+    let pause = match node.settings.routes {
+        Some(_) => PRICED_READ_EVERY,
+        None => READ_EVERY,
+    };
     loop {
-        Timer::after(READ_EVERY).await;
+        Timer::after(pause.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
         if let Ok(Some(object)) = node.platform.get(head_key(node)).await {
             heard_head(node, &object.value);
         }
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -24,7 +24,7 @@
 use sorrelturn_platform::Platform;
 use sorrelturn_policy::{GateConfig, Leaving, LeavingCause, Now};
 use sorrelturn_protocol::{Announcement, Incarnation, MemberRecord, MemberState};
-use sorrelturn_telemetry::{EventRing, Field, SpanBuffer, events};
+use sorrelturn_telemetry::{EventKind, EventRing, Field, SpanBuffer, events};
 use std::{
     collections::{HashMap, VecDeque},
     sync::{
@@ -168,7 +168,7 @@
     }
 
     /// Notes an event that concerns no single request.
-    pub(crate) fn note(&self, kind: &sorrelturn_telemetry::EventKind, fields: Vec<Field>) {
+    pub(crate) fn note(&self, kind: &'static EventKind, fields: Vec<Field>) {
         self.events.note(kind, None, fields);
     }
 
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -27,7 +27,7 @@
     AnswerContext, CallContext, Priority, Refusal, SpanId, Verdict,
     headers::{DEADLINE_MS, IMPORTANCE, PARENT, REQUEST_ID, TRACEPARENT},
 };
-use sorrelturn_telemetry::{Field, Span, SpanKind, TraceContext, events, metrics};
+use sorrelturn_telemetry::{EventKind, Field, Span, SpanKind, TraceContext, events, metrics};
 use std::sync::{Arc, atomic::Ordering};
 
 /// An answer up to this size counts as one piece of work: its slot is held to the last byte.
@@ -317,7 +317,7 @@
         Reply::not_run(refusal)
     }
 
-    pub(crate) fn note(&self, kind: &sorrelturn_telemetry::EventKind, fields: Vec<Field>) {
+    pub(crate) fn note(&self, kind: &'static EventKind, fields: Vec<Field>) {
         self.node
             .events
             .note(kind, Some(self.context.request), fields);
--- a/crates/sorrelturn-daemon/src/request/room.rs
+++ b/crates/sorrelturn-daemon/src/request/room.rs
@@ -15,6 +15,14 @@
 
 type Word = Result<(), Refusal>;
 
+/// What becomes of an arrival; only one that waits needs to hear a word.
+enum Arrived {
+    Admitted,
+    Refused(Refusal),
+    /// It waits for a word, and no longer than this.
+    Waits(Receiver<Word>, Duration),
+}
+
 /// The gate before the backend server, shared by all requests.
 pub(crate) struct Room {
     clock: Clock,
@@ -72,12 +80,11 @@
         level: u16,
     ) -> Result<Slot, Refusal> {
         let now = self.clock.now();
-        let (arrival, decision, wait) = self.arrive(now, priority, holds_work, deadline, level);
+        let (arrival, decision) = self.arrive(now, priority, holds_work, deadline, level);
         match decision {
-            Decision::Admit => Ok(self.slot()),
-            Decision::Refuse(refusal) => Err(refusal),
-            Decision::Wait => {
-                let (rx, longest) = wait;
+            Arrived::Admitted => Ok(self.slot()),
+            Arrived::Refused(refusal) => Err(refusal),
+            Arrived::Waits(rx, longest) => {
                 let until = deadline.min(now + longest);
                 let waiting = Waiting {
                     room: self,
@@ -103,7 +110,7 @@
         holds_work: bool,
         deadline: Now,
         level: u16,
-    ) -> (Arrival, Decision, (Receiver<Word>, Duration)) {
+    ) -> (Arrival, Arrived) {
         let mut inner = self.lock();
         inner.next_id += 1;
         let arrival = Arrival {
@@ -114,15 +121,19 @@
             level,
         };
         let (decision, pushed_out) = inner.gate.arrive(now, &arrival);
-        let (tx, rx) = channel::bounded(1);
-        if decision == Decision::Wait {
-            inner.waiters.insert(arrival.id, tx);
-        }
         if let Some(tx) = pushed_out.and_then(|id| inner.waiters.remove(&id)) {
             let _ = tx.try_send(Err(Refusal::Overload));
         }
-        let longest = inner.gate.queue_wait(&arrival);
-        (arrival, decision, (rx, longest))
+        let arrived = match decision {
+            Decision::Admit => Arrived::Admitted,
+            Decision::Refuse(refusal) => Arrived::Refused(refusal),
+            Decision::Wait => {
+                let (tx, rx) = channel::bounded(1);
+                inner.waiters.insert(arrival.id, tx);
+                Arrived::Waits(rx, inner.gate.queue_wait(&arrival))
+            }
+        };
+        (arrival, arrived)
     }
 
     fn slot(self: &Arc<Self>) -> Slot {
--- a/crates/sorrelturn-policy/src/call_graph.rs
+++ b/crates/sorrelturn-policy/src/call_graph.rs
@@ -57,8 +57,13 @@
             return;
         }
         for (candidate, weight) in candidates.iter().zip(weights) {
-            let caller = self.callers.entry(candidate.kind.clone()).or_default();
-            *caller.credit.entry(child.to_owned()).or_default() += weight / total;
+            let caller = caller(&mut self.callers, &candidate.kind);
+            match caller.credit.get_mut(child) {
+                Some(credit) => *credit += weight / total,
+                None => {
+                    caller.credit.insert(child.to_owned(), weight / total);
+                }
+            }
         }
     }
 
@@ -73,7 +78,7 @@
 
     /// The backend server has finished a request.
     pub fn ended(&mut self, kind: &str) {
-        let caller = self.callers.entry(kind.to_owned()).or_default();
+        let caller = caller(&mut self.callers, kind);
         caller.ended += 1.0;
         if caller.ended > MEMORY_REQUESTS {
             caller.ended /= 2.0;
@@ -114,3 +119,11 @@
             .fold(0.0, f64::max)
     }
 }
+
+/// What a kind calls; its name is copied once only.
+fn caller<'a>(callers: &'a mut HashMap<String, Caller>, kind: &str) -> &'a mut Caller {
+    if !callers.contains_key(kind) {
+        callers.insert(kind.to_owned(), Caller::default());
+    }
+    callers.get_mut(kind).expect("it was just inserted")
+}
--- a/crates/sorrelturn-telemetry/src/event.rs
+++ b/crates/sorrelturn-telemetry/src/event.rs
@@ -3,7 +3,7 @@
 use log::Level;
 use serde::{Deserialize, Serialize};
 use sorrelturn_protocol::RequestId;
-use std::fmt;
+use std::{borrow::Cow, fmt};
 
 /// One kind of event; all stand in [`crate::events`] and in `docs/EVENTS.md`.
 #[derive(Debug, PartialEq, Eq)]
@@ -21,17 +21,17 @@
 /// One input of a decision.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Field {
-    /// Its name.
-    pub name: String,
+    /// Its name; nearly all are literals, which cost no allocation on a request's way.
+    pub name: Cow<'static, str>,
     /// Its value, with its unit where it has one.
     pub value: String,
 }
 
 impl Field {
     /// A field from anything that can be shown.
-    pub fn new(name: &str, value: impl fmt::Display) -> Self {
+    pub fn new(name: &'static str, value: impl fmt::Display) -> Self {
         Self {
-            name: name.to_owned(),
+            name: Cow::Borrowed(name),
             value: value.to_string(),
         }
     }
@@ -81,7 +81,10 @@
         let mut fields: Vec<Field> = Vec::new();
         for word in words {
             match (word.split_once('='), fields.last_mut()) {
-                (Some((name, value)), _) => fields.push(Field::new(name, value)),
+                (Some((name, value)), _) => fields.push(Field {
+                    name: Cow::Owned(name.to_owned()),
+                    value: value.to_owned(),
+                }),
                 (None, Some(last)) => last.value = format!("{} {word}", last.value),
                 (None, None) => return None,
             }
--- a/crates/sorrelturn-telemetry/src/ring.rs
+++ b/crates/sorrelturn-telemetry/src/ring.rs
@@ -4,6 +4,7 @@
 use sorrelturn_protocol::RequestId;
 use std::{
     collections::VecDeque,
+    fmt,
     sync::Mutex,
     time::{SystemTime, UNIX_EPOCH},
 };
@@ -13,7 +14,29 @@
 pub struct EventRing {
     instance: String,
     capacity: usize,
-    kept: Mutex<VecDeque<EventRecord>>,
+    kept: Mutex<VecDeque<Noted>>,
+}
+
+/// An event as it is kept; what its kind says is added when somebody asks.
+#[derive(Debug)]
+struct Noted {
+    at_ms: u64,
+    kind: &'static EventKind,
+    request: Option<RequestId>,
+    fields: Vec<Field>,
+}
+
+impl fmt::Display for Noted {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "S{:03} {}", self.kind.number, self.kind.name)?;
+        if let Some(request) = &self.request {
+            write!(f, " request={request}")?;
+        }
+        for field in &self.fields {
+            write!(f, " {}={}", field.name, field.value)?;
+        }
+        Ok(())
+    }
 }
 
 impl EventRing {
@@ -27,32 +50,28 @@
     }
 
     /// Notes an event.
-    pub fn note(&self, kind: &EventKind, request: Option<RequestId>, fields: Vec<Field>) {
-        let record = EventRecord {
+    pub fn note(&self, kind: &'static EventKind, request: Option<RequestId>, fields: Vec<Field>) {
+        let noted = Noted {
             at_ms: unix_ms(),
-            instance: self.instance.clone(),
-            number: kind.number,
-            name: kind.name.to_owned(),
-            text: kind.text.to_owned(),
-            request: request.map(|id| id.to_string()),
+            kind,
+            request,
             fields,
         };
-        let (at_ms, instance) = (record.at_ms, &record.instance);
-        log::log!(target: "sorrelturn", kind.level, "{at_ms} {instance} {record}");
+        let (at_ms, instance) = (noted.at_ms, &self.instance);
+        log::log!(target: "sorrelturn", kind.level, "{at_ms} {instance} {noted}");
         let mut kept = self.lock();
         if kept.len() == self.capacity {
             kept.pop_front();
         }
-        kept.push_back(record);
+        kept.push_back(noted);
     }
 
     /// The kept events of one request, oldest first.
     pub fn of_request(&self, request: RequestId) -> Vec<EventRecord> {
-        let id = request.to_string();
         self.lock()
             .iter()
-            .filter(|record| record.request.as_deref() == Some(&id))
-            .cloned()
+            .filter(|noted| noted.request == Some(request))
+            .map(|noted| self.record(noted))
             .collect()
     }
 
@@ -60,12 +79,24 @@
     pub fn of_fleet(&self) -> Vec<EventRecord> {
         self.lock()
             .iter()
-            .filter(|record| record.request.is_none())
-            .cloned()
+            .filter(|noted| noted.request.is_none())
+            .map(|noted| self.record(noted))
             .collect()
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, VecDeque<EventRecord>> {
+    fn record(&self, noted: &Noted) -> EventRecord {
+        EventRecord {
+            at_ms: noted.at_ms,
+            instance: self.instance.clone(),
+            number: noted.kind.number,
+            name: noted.kind.name.to_owned(),
+            text: noted.kind.text.to_owned(),
+            request: noted.request.map(|id| id.to_string()),
+            fields: noted.fields.clone(),
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, VecDeque<Noted>> {
         self.kept
             .lock()
             .unwrap_or_else(|poisoned| poisoned.into_inner())
