--- a/crates/sorrelturn-daemon/src/config/in_force.rs
+++ b/crates/sorrelturn-daemon/src/config/in_force.rs
@@ -68,6 +68,8 @@
 pub(crate) struct KindState {
     /// The threshold that answers announced.
     pub(crate) threshold: LearnedThreshold,
+    /// The level of the own gates of those who answer, without what lies below them.
+    pub(crate) gate_level: LearnedThreshold,
     /// The retries that successes pay for: the kind's own, or those of its service where routes
     /// tell kinds.
     pub(crate) retries: Arc<Mutex<RetryBucket>>,
@@ -145,11 +147,12 @@
         self.root_importances.store(bits, Ordering::Relaxed);
     }
 
-    /// How many lower importances root requests have.
-    pub(crate) fn rank_of_root(&self, importance: Importance) -> usize {
+    /// How many lower importances root requests have, and how many they have in all.
+    pub(crate) fn rank_of_root(&self, importance: Importance) -> (usize, usize) {
         let lower = (1u8 << importance.rank()) - 1;
         let bits = self.root_importances.load(Ordering::Relaxed);
-        (bits & lower).count_ones() as usize
+        let rank = (bits & lower).count_ones();
+        (rank as usize, bits.count_ones() as usize)
     }
 
     /// The sections that it was put together from; none for a route table.
@@ -220,6 +223,7 @@
     fn with_retries(retries: Arc<Mutex<RetryBucket>>) -> Arc<Self> {
         Arc::new(Self {
             threshold: LearnedThreshold::default(),
+            gate_level: LearnedThreshold::default(),
             retries,
             is_call: AtomicBool::new(false),
             was_answered: AtomicBool::new(false),
--- a/crates/sorrelturn-daemon/src/request/forward.rs
+++ b/crates/sorrelturn-daemon/src/request/forward.rs
@@ -19,7 +19,7 @@
 use sorrelturn_fleet::Source;
 use sorrelturn_policy::{Attempt, InstanceReport, Now, Step, choose, first_share, next_step};
 use sorrelturn_protocol::{
-    AnswerContext, CallContext, Incarnation, Refusal, RequestId, SpanId, Verdict,
+    AnswerContext, CallContext, Incarnation, Priority, Refusal, RequestId, SpanId, Verdict,
 };
 use sorrelturn_telemetry::{Field, Span, SpanKind, events, metrics};
 use std::{sync::Arc, time::Duration};
@@ -240,6 +240,8 @@
         return;
     }
     kind_state.threshold.observe(node.now(), answer.threshold);
+    let gate_level = Priority(answer.gate_level);
+    kind_state.gate_level.observe(node.now(), gate_level);
     call.in_force.heard_of_kind(kind_state, answer.is_call);
     if answer.refusal.is_none() {
         lock(&kind_state.retries).succeeded();
--- a/crates/sorrelturn-daemon/src/request/owner.rs
+++ b/crates/sorrelturn-daemon/src/request/owner.rs
@@ -38,7 +38,9 @@
     answer.leaving = node.is_leaving();
     node.room.with_gate(|gate, now| {
         answer.load = gate.load_percent(now);
-        answer.threshold = answer.threshold.max(gate.threshold(now));
+        let threshold = gate.threshold(now);
+        answer.gate_level = threshold.0;
+        answer.threshold = answer.threshold.max(threshold);
     });
     if let Some(refusal) = answer.refusal
         && answer.retry_after_ms == 0
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -37,8 +37,11 @@
     in_force: Arc<InForce>,
     kind: Arc<KindEntry>,
     request: RequestId,
-    /// The level of load that was learnt from all who answer requests of this kind.
+    /// The level of load that was learnt from all who answer requests of this kind, with all that
+    /// they call.
     level: u16,
+    /// The level of their own gates.
+    gate_level: u16,
     /// What the caller says that it will still wait.
     left_ms: Option<u32>,
     deadline: Now,
@@ -118,6 +121,7 @@
     let state = in_force.kind_state(&kind);
     let asked = Asked {
         level: state.threshold.current(node.now()).0,
+        gate_level: state.gate_level.current(node.now()).0,
         in_force,
         kind,
         request,
@@ -145,8 +149,8 @@
         // as many are served, and more of them at once.
         bucket /= TRIED_BEFORE_DIVISOR;
     }
-    let rank = asked.in_force.rank_of_root(asked.kind.importance());
-    if !refuses(asked.level, rank, bucket) {
+    let (rank, ranks) = asked.in_force.rank_of_root(asked.kind.importance());
+    if !refuses(asked.level, rank, ranks, bucket) {
         return Ok(());
     }
     node.events.note(
@@ -183,7 +187,7 @@
         attempts: asked.kind.kind.attempts,
         token: None,
         caller: CallerId::default(),
-        level: asked.level,
+        level: asked.gate_level,
     };
     let mut call = Call {
         in_force: asked.in_force,
--- a/crates/sorrelturn-policy/src/load_level.rs
+++ b/crates/sorrelturn-policy/src/load_level.rs
@@ -2,7 +2,6 @@
 //! See `docs/design/entry-admission.md`.
 
 use crate::Now;
-use sorrelturn_protocol::Importance;
 use std::time::Duration;
 
 /// How often the level is set anew. Shorter windows hold too few requests of a small backend
@@ -33,8 +32,13 @@
 const CONSENSUS: f64 = 0.2;
 /// The level's unit on the wire: so many steps refuse all that may be refused of one rank.
 pub const LEVEL_STEPS: u16 = 256;
-/// The largest share of a rank that is refused: no kind may be starved.
+/// The largest share of a rank that is refused for the sake of others: no kind may be starved.
 const MOST_REFUSED: f64 = 0.85;
+/// What may be refused besides once all ranks have given that up.
+const MORE_REFUSED_OF_ALL: f64 = 0.11;
+/// The highest level: the two ranks that the users' route tables have, and one for all alike. Higher,
+/// it would only take longer to come down.
+const MOST_LEVEL: f64 = 3.0;
 
 /// An integral controller: the level rises while the slots are asked for too much and falls while
 /// they aren't. Up to 1 it refuses so much of the lowest rank of root requests, from 1 to 2 all that
@@ -105,7 +109,7 @@
         if self.arrived > 0.0 {
             level += CONSENSUS * (self.heard / self.arrived - self.level);
         }
-        self.level = level.clamp(0.0, Importance::ALL.len() as f64);
+        self.level = level.clamp(0.0, MOST_LEVEL);
         if self.level <= 0.0 {
             self.since = None;
         } else {
@@ -128,8 +132,11 @@
 }
 
 /// Whether a level refuses a root request that is in the given bucket (0 to 255, lowest first) of
-/// a rank (0 for the lowest that root requests have).
-pub fn refuses(level: u16, rank: usize, bucket: u8) -> bool {
-    let share = f64::from(level) / f64::from(LEVEL_STEPS) - rank as f64;
-    f64::from(bucket) < share.clamp(0.0, 1.0) * MOST_REFUSED * 256.0
+/// a rank: 0 for the lowest of the `ranks` that root requests have. Beyond the highest rank more is
+/// refused of all alike, so that a service that has lost nearly all of its instances isn't buried.
+pub fn refuses(level: u16, rank: usize, ranks: usize, bucket: u8) -> bool {
+    let level = f64::from(level) / f64::from(LEVEL_STEPS);
+    let of_rank = (level - rank as f64).clamp(0.0, 1.0) * MOST_REFUSED;
+    let of_all = (level - ranks as f64).clamp(0.0, 1.0) * MORE_REFUSED_OF_ALL;
+    f64::from(bucket) < (of_rank + of_all) * 256.0
 }
--- a/crates/sorrelturn-protocol/src/context.rs
+++ b/crates/sorrelturn-protocol/src/context.rs
@@ -33,7 +33,7 @@
     pub token: Option<ExecutionToken>,
     /// Who asked for the root request.
     pub caller: CallerId,
-    /// The level of load of this kind that the sender has learnt from all instances.
+    /// The level of the gates of this service that the sender has learnt from all instances.
     pub level: u16,
 }
 
@@ -67,6 +67,8 @@
     pub incarnation: Incarnation,
     /// Whether the owner is leaving.
     pub leaving: bool,
+    /// The level of the owner's own gate, without what lies below.
+    pub gate_level: u16,
     /// Whether requests of this kind are calls of backend servers, as the owner learnt.
     pub is_call: bool,
 }
