--- a/crates/sorrelturn-daemon/src/config/in_force.rs
+++ b/crates/sorrelturn-daemon/src/config/in_force.rs
@@ -213,17 +213,18 @@
 impl KindState {
     fn fresh(terms: RetryTerms) -> Arc<Self> {
         let bucket = RetryBucket::with_burst(terms.fraction, terms.burst);
-        Self::with_retries(Arc::new(Mutex::new(bucket)))
+        let retries = Arc::new(Mutex::new(bucket));
+        Self::new(LearnedThreshold::default(), retries)
     }
 
     fn is_root(&self) -> bool {
         self.was_answered.load(Ordering::Relaxed) && !self.is_call.load(Ordering::Relaxed)
     }
 
-    fn with_retries(retries: Arc<Mutex<RetryBucket>>) -> Arc<Self> {
+    fn new(threshold: LearnedThreshold, retries: Arc<Mutex<RetryBucket>>) -> Arc<Self> {
         Arc::new(Self {
-            threshold: LearnedThreshold::default(),
-            gate_level: LearnedThreshold::default(),
+            threshold,
+            gate_level: LearnedThreshold::of_level(),
             retries,
             is_call: AtomicBool::new(false),
             was_answered: AtomicBool::new(false),
@@ -255,7 +256,7 @@
         let known = before.and_then(|before| before.kinds.get(&kind.name));
         let state = match known {
             Some(known) if Arc::ptr_eq(&known.retries, retries) => Arc::clone(known),
-            _ => KindState::with_retries(Arc::clone(retries)),
+            _ => KindState::new(LearnedThreshold::of_level(), Arc::clone(retries)),
         };
         kinds.insert(kind.name.clone(), state);
     }
--- a/crates/sorrelturn-policy/src/learned.rs
+++ b/crates/sorrelturn-policy/src/learned.rs
@@ -25,14 +25,27 @@
 pub struct LearnedThreshold {
     /// The time in milliseconds above, the threshold in the lowest 16 bits.
     word: AtomicU64,
+    /// Whether it falls evenly and is taken over whole after a silence.
+    is_level: bool,
 }
 
 impl LearnedThreshold {
+    /// Learns a level of load. Where most requests are refused, answers are few and far between, and a
+    /// level that fell as fast as a threshold would let a burst in after each of them.
+    pub fn of_level() -> Self {
+        Self {
+            word: AtomicU64::new(0),
+            is_level: true,
+        }
+    }
+
     /// Takes the threshold of an answer, halfway: the instances of a service differ, and their
     /// mean is what the next request will meet.
     pub fn observe(&self, now: Now, announced: Priority) {
         let sum = u32::from(self.current(now).0) + u32::from(announced.0);
-        let next = if announced == Priority::LOWEST {
+        let next = if self.is_level && self.silent_ms(now) >= HOLD_TIME.as_millis() as u64 {
+            u32::from(announced.0)
+        } else if announced == Priority::LOWEST {
             sum / 2
         } else {
             sum.div_ceil(2)
@@ -49,15 +62,25 @@
 
     /// The threshold now.
     pub fn current(&self, now: Now) -> Priority {
-        let word = self.word.load(Ordering::Relaxed);
-        let learnt = word & 0xFFFF;
+        let learnt = self.word.load(Ordering::Relaxed) & 0xFFFF;
         if learnt == 0 {
             return Priority::LOWEST;
         }
-        let silent_ms = (now.as_millis() as u64).saturating_sub(word >> 16);
-        let falling_ms = silent_ms.saturating_sub(HOLD_TIME.as_millis() as u64);
-        let steps = (falling_ms / DECAY_TIME.as_millis() as u64).min(16) as u32;
-        let fallen = DECAY_STEP * ((1 << steps) - 1);
+        let falling_ms = self
+            .silent_ms(now)
+            .saturating_sub(HOLD_TIME.as_millis() as u64);
+        let steps = falling_ms / DECAY_TIME.as_millis() as u64;
+        let fallen = if self.is_level {
+            DECAY_STEP * steps
+        } else {
+            DECAY_STEP * ((1 << steps.min(16)) - 1)
+        };
         Priority(learnt.saturating_sub(fallen) as u16)
     }
+
+    /// How long nothing was learnt.
+    fn silent_ms(&self, now: Now) -> u64 {
+        let learnt_at_ms = self.word.load(Ordering::Relaxed) >> 16;
+        (now.as_millis() as u64).saturating_sub(learnt_at_ms)
+    }
 }
--- a/crates/sorrelturn-policy/tests/entry_admission.rs
+++ b/crates/sorrelturn-policy/tests/entry_admission.rs
@@ -199,3 +199,16 @@
     }
     assert_eq!(learned.current(now), Priority::LOWEST);
 }
+
+#[test]
+fn a_learnt_level_outlasts_the_pauses_between_few_answers_and_then_falls() {
+    let learned = LearnedThreshold::of_level();
+    let at = |ms| Duration::from_millis(ms);
+    learned.observe(at(1_000), Priority(600));
+    learned.observe(at(1_010), Priority(600));
+    assert!(learned.current(at(1_600)).0 > 300);
+    assert_eq!(learned.current(at(4_000)), Priority::LOWEST);
+    // After a silence one answer says all.
+    learned.observe(at(1_500), Priority(20));
+    assert_eq!(learned.current(at(1_500)), Priority(20));
+}
