--- a/crates/sorrelturn-bench/src/routed_fleet.rs
+++ b/crates/sorrelturn-bench/src/routed_fleet.rs
@@ -16,6 +16,8 @@
 const WAIT: Duration = Duration::from_secs(60);
 /// Enough for every retry of a test: the budget has tests of its own.
 const RETRY_SLACK: u32 = 1_000;
+/// How long a daemon that stops goes on serving, where a test doesn't say.
+const LINGER: Duration = Duration::from_millis(50);
 /// Where the route table lies.
 const TABLE: &str = "config/main";
 
@@ -40,6 +42,8 @@
     pub platform: SocketAddr,
     /// The dialect of all daemons.
     pub dialect: Dialect,
+    /// How long a daemon that stops goes on serving.
+    pub linger: Duration,
     /// The instances.
     pub instances: Vec<RoutedInstance>,
 }
@@ -47,6 +51,16 @@
 impl RoutedFleet {
     /// Starts the stand-in and one instance for each of the services; nothing is in force yet.
     pub async fn start(ex: Arc<Executor<'static>>, dialect: Dialect, services: &[&str]) -> Self {
+        Self::start_lingering(ex, dialect, services, LINGER).await
+    }
+
+    /// As [`RoutedFleet::start`], with daemons that go on serving for a while when they stop.
+    pub async fn start_lingering(
+        ex: Arc<Executor<'static>>,
+        dialect: Dialect,
+        services: &[&str],
+        linger: Duration,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let platform = listener.local_addr().expect("an address");
         ex.spawn(serve(Arc::clone(&ex), listener, StandIn::default()))
@@ -55,6 +69,7 @@
             ex,
             platform,
             dialect,
+            linger,
             instances: Vec::new(),
         };
         for (number, service) in services.iter().enumerate() {
@@ -95,9 +110,10 @@
                 "backend": {{ "address": "{backend}" }},
                 "platform": {{ "address": "{}" }},
                 "routes": {{ "object": "{TABLE}", "retry_slack": {RETRY_SLACK} }},
-                "stop": {{ "linger_ms": 50 }}
+                "stop": {{ "linger_ms": {} }}
             }}"#,
-            self.platform
+            self.platform,
+            self.linger.as_millis()
         );
         Settings::parse("test", &text).expect("the settings are right")
     }
@@ -124,6 +140,12 @@
         }
     }
 
+    /// Tells the daemon of one instance to stop.
+    pub fn stop(&mut self, at: usize) {
+        let daemon = self.instances[at].daemon.take().expect("it runs");
+        self.ex.spawn(daemon.stop()).detach();
+    }
+
     /// Has one backend server announce a state; returns the status of the answer.
     pub async fn announce(&mut self, at: usize, state: &str) -> u16 {
         let instance = &mut self.instances[at];
--- a/crates/sorrelturn-daemon/src/backend/announce.rs
+++ b/crates/sorrelturn-daemon/src/backend/announce.rs
@@ -6,7 +6,7 @@
 use crate::{
     backend::state::{self, Routed, answered_by, heard, heard_slots, slots_of},
     net::serve::status,
-    node::{Node, lock},
+    node::Node,
     request::body::{self, Body},
 };
 use bytes::Bytes;
@@ -15,9 +15,12 @@
 use serde::Deserialize;
 use smol::{Timer, future::FutureExt};
 use sorrelturn_platform::http::exchange;
-use sorrelturn_policy::{Heard, LeavingCause};
+use sorrelturn_policy::Heard;
 use sorrelturn_protocol::{Announcement, BackendState};
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 /// The largest announcement, in bytes.
 const ANNOUNCEMENT_LIMIT_BYTES: usize = 4 << 10;
@@ -97,7 +100,7 @@
 
 /// Answers whether this daemon is ready for callers' requests.
 pub(crate) async fn ready(node: &Arc<Node>, _: Request<Incoming>) -> Response<Body> {
-    let stops = lock(&node.leaving).cause() == Some(LeavingCause::Signal);
+    let stops = node.counts.stopping.load(Ordering::Relaxed);
     let knows = node.in_force.load().is_some();
     status(if knows && !stops {
         StatusCode::OK
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -89,6 +89,8 @@
     pub(crate) connections: Arc<AtomicUsize>,
     /// Whether the backend server could not be reached last.
     pub(crate) backend_lost: AtomicBool,
+    /// Whether the process was told to stop.
+    pub(crate) stopping: AtomicBool,
     /// When this daemon reported to its watchers last.
     pub(crate) reported: LastTime,
     /// Whether this daemon watches the platform.
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -52,6 +52,9 @@
     cold_start: Duration::ZERO,
     call_wait: None,
 };
+/// So long before it may exit a daemon that stops takes no more calls of others, which hear of it in
+/// a few milliseconds; most calls end within this time.
+const LEAVES_BEFORE: Duration = Duration::from_millis(700);
 /// How often the planned stop looks whether everything is carried.
 const STOP_STEP: Duration = Duration::from_millis(10);
 /// The longest time for connections to end once nothing is carried any more.
@@ -179,10 +182,14 @@
     /// Returns whether nothing was cut off.
     pub async fn stop(self) -> bool {
         let node = &self.node;
+        node.counts.stopping.store(true, Ordering::Relaxed);
+        let linger = Duration::from_millis(node.settings.stop.linger_ms);
+        // Its backend server goes on meanwhile: other daemons use it as long as they can.
+        Timer::after(linger.saturating_sub(LEAVES_BEFORE)).await;
         gossip::leave(node, LeavingCause::Signal);
         let most = Duration::from_secs(node.settings.stop.most_s);
         let carried = || node.counts.carried.load(Ordering::Relaxed);
-        Timer::after(Duration::from_millis(node.settings.stop.linger_ms)).await;
+        Timer::after(linger.min(LEAVES_BEFORE)).await;
         while !lock(&node.leaving).may_exit(node.now(), carried(), most) {
             Timer::after(STOP_STEP).await;
         }
