--- a/crates/sorrelturn-daemon/src/net/serve.rs
+++ b/crates/sorrelturn-daemon/src/net/serve.rs
@@ -1,6 +1,7 @@
 //! The listeners and their connections.
 
 use crate::{
+    backend::announce,
     net::timers::Timers,
     node::{Carried, Node},
     request::answer::Reply,
@@ -116,52 +117,46 @@
 
 /// A connection for requests that are told by routes.
 pub(crate) async fn routed(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
-    let timers = node.timers.clone();
-    let answer = move |req: Request<Incoming>| {
-        let node = Arc::clone(&node);
-        async move { crate::request::routed::serve(&node, req).await }
-    };
-    let _ = http1(timers, tcp, ROUTED_IDLE_TIME, closing, answer).await;
+    let serve = async |node: &Arc<Node>, req| crate::request::routed::serve(node, req).await;
+    plain(node, tcp, ROUTED_IDLE_TIME, closing, serve).await;
 }
 
 /// A connection of the own backend server that announces itself.
 pub(crate) async fn announce(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
-    let timers = node.timers.clone();
-    let answer = move |req: Request<Incoming>| {
-        let node = Arc::clone(&node);
-        async move { crate::backend::announce::serve(&node, req).await }
-    };
-    let _ = http1(timers, tcp, PEER_IDLE_TIME, closing, answer).await;
+    let serve = async |node: &Arc<Node>, req| announce::serve(node, req).await;
+    plain(node, tcp, PEER_IDLE_TIME, closing, serve).await;
 }
 
 /// A connection of whoever asks whether this daemon is ready.
 pub(crate) async fn ready(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
-    let timers = node.timers.clone();
-    let answer = move |req: Request<Incoming>| {
-        let node = Arc::clone(&node);
-        async move { crate::backend::announce::ready(&node, req).await }
-    };
-    let _ = http1(timers, tcp, PEER_IDLE_TIME, closing, answer).await;
+    let serve = async |node: &Arc<Node>, req| announce::ready(node, req).await;
+    plain(node, tcp, PEER_IDLE_TIME, closing, serve).await;
 }
 
 /// A connection of the own backend server.
 pub(crate) async fn local(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
-    let timers = node.timers.clone();
-    let answer = move |req: Request<Incoming>| {
-        let node = Arc::clone(&node);
-        async move { nested::serve(&node, req).await }
-    };
-    let _ = http1(timers, tcp, HEAD_TIME, closing, answer).await;
+    let serve = async |node: &Arc<Node>, req| nested::serve(node, req).await;
+    plain(node, tcp, HEAD_TIME, closing, serve).await;
 }
 
 /// A connection of an operator.
 pub(crate) async fn admin(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
+    let serve = async |node: &Arc<Node>, req| crate::operators::admin::serve(node, req).await;
+    plain(node, tcp, HEAD_TIME, closing, serve).await;
+}
+
+/// A connection without anything between TCP and the requests on it. How it ends is of no interest:
+/// whoever asked sees it.
+async fn plain(
+    node: Arc<Node>,
+    tcp: TcpStream,
+    head_time: Duration,
+    closing: Closing,
+    serve: impl AsyncFn(&Arc<Node>, Request<Incoming>) -> Response<Body>,
+) {
     let timers = node.timers.clone();
-    let answer = move |req: Request<Incoming>| {
-        let node = Arc::clone(&node);
-        async move { crate::operators::admin::serve(&node, req).await }
-    };
-    let _ = http1(timers, tcp, HEAD_TIME, closing, answer).await;
+    let answer = async |req| serve(&node, req).await;
+    let _ = http1(timers, tcp, head_time, closing, answer).await;
 }
 
 /// Serves a connection; `head_time` is the longest time for the head of each request, the wait for
