--- a/crates/sorrelturn-policy/src/gate.rs
+++ b/crates/sorrelturn-policy/src/gate.rs
@@ -127,8 +127,10 @@
     /// Decides on an arrival; the second value is a waiting request that it pushes out.
     pub fn arrive(&mut self, now: Now, arrival: &Arrival) -> (Decision, Option<u64>) {
         self.pressure.arrived(now, arrival.priority);
-        self.level.arrived(arrival.level);
-        self.pass(now);
+        if self.cfg.call_wait.is_some() {
+            self.level.arrived(arrival.level);
+            self.pass(now);
+        }
         if self.has_room(now) && self.queue.is_empty() {
             self.admit(now, Duration::ZERO);
             return (Decision::Admit, None);
@@ -159,20 +161,27 @@
 
     /// An admitted request is over.
     pub fn finish(&mut self, now: Now, outcome: Outcome, took: Duration) -> Released {
-        self.pass(now);
-        if outcome == Outcome::Answered {
-            self.level.finished(took);
-        }
-        // Where slots are announced, a backend server that refuses is not full but unwell.
-        let counted = match outcome {
-            Outcome::Overloaded if self.cfg.call_wait.is_some() => Outcome::Cancelled,
-            outcome => outcome,
+        let counted = match self.cfg.call_wait {
+            None => outcome,
+            Some(_) => self.finish_by_level(now, outcome, took),
         };
         self.limit.observe(now, counted, took, self.in_flight);
         self.in_flight = self.in_flight.saturating_sub(1);
         self.release(now)
     }
 
+    /// Tells the level of a request that is over; returns what the limit may learn from it.
+    fn finish_by_level(&mut self, now: Now, outcome: Outcome, took: Duration) -> Outcome {
+        self.pass(now);
+        match outcome {
+            Outcome::Answered => self.level.finished(took),
+            // Where slots are announced, a backend server that refuses is not full but unwell.
+            Outcome::Overloaded => return Outcome::Cancelled,
+            _ => {}
+        }
+        outcome
+    }
+
     /// Takes a waiting request out: its wait is over, or its caller went away.
     ///
     /// Returns whether it was still waiting. A wait that is over is a sign of overload.
--- a/crates/sorrelturn-policy/src/routing.rs
+++ b/crates/sorrelturn-policy/src/routing.rs
@@ -214,74 +214,115 @@
     rng: &mut fastrand::Rng,
 ) -> Option<usize> {
     let all = instances.len();
-    let open = instances
-        .enumerate()
-        .filter(|(_, instance)| !tried.contains(&instance.incarnation))
-        .filter(|(_, instance)| !instance.is_leaving());
-    let fit = open
-        .clone()
-        .filter(|(_, instance)| !instance.is_ejected(now));
-    let count = fit.clone().count();
-    if count * 100 < all * LEAST_LEFT_PERCENT {
-        let count = open.clone().count();
-        pick(open, count, now, rng)
-    } else {
-        pick(fit, count, now, rng)
+    let is_open =
+        |instance: &Instance| !instance.is_leaving() && !tried.contains(&instance.incarnation);
+    let (mut open, mut fit) = (Places::default(), Places::default());
+    for instance in instances.clone().filter(|instance| is_open(instance)) {
+        open.count(instance);
+        if !instance.is_ejected(now) {
+            fit.count(instance);
+        }
     }
+    let only_fit = fit.all() * 100 >= all * LEAST_LEFT_PERCENT;
+    let places = if only_fit { fit } else { open };
+    let candidates = instances
+        .enumerate()
+        .filter(|(_, instance)| is_open(instance))
+        .filter(|(_, instance)| !only_fit || !instance.is_ejected(now));
+    best(places.draw(rng), candidates, now, rng)
 }
 
-/// Draws two of the own failure domain, where there are any, and one of the others, which takes over
-/// when the near ones are loaded. Without a near one among the drawn, calls would cross failure
-/// domains by chance.
-fn pick<'a>(
-    candidates: impl Iterator<Item = (usize, &'a Instance)> + Clone,
-    count: usize,
-    now: Now,
-    rng: &mut fastrand::Rng,
-) -> Option<usize> {
-    let is_near = |(_, instance): &(usize, &Instance)| instance.near;
-    let near = candidates.clone().filter(is_near);
-    let far = candidates.filter(|candidate| !is_near(candidate));
-    let near_count = near.clone().count();
-    let far_count = count - near_count;
-    let from_far = match near_count {
-        0 => 2,
-        _ => 1,
-    };
-    let near = draw(near, near_count, 2, rng);
-    let far = draw(far, far_count, from_far, rng);
-    let mut drawn = near.into_iter().chain(far).flatten();
-    let mut better = drawn.next()?;
-    let mut other = None;
-    for next in drawn {
-        let loser = if next.1.score(now) < better.1.score(now) {
-            std::mem::replace(&mut better, next)
+/// How many candidates there are in the own failure domain and in the others.
+#[derive(Clone, Copy, Default)]
+struct Places {
+    near: usize,
+    far: usize,
+}
+
+/// Which candidates were drawn, by their places among the near and among the far ones.
+struct Drawn {
+    near: [usize; 2],
+    far: [usize; 2],
+}
+
+/// The place of no candidate.
+const NOT_DRAWN: usize = usize::MAX;
+
+impl Places {
+    fn count(&mut self, instance: &Instance) {
+        if instance.near {
+            self.near += 1;
         } else {
-            next
-        };
-        other = other.or(Some(loser));
+            self.far += 1;
+        }
     }
-    let given_cold = rng.u64(..100) < better.1.warmth(now);
-    match other {
-        Some(other) if !given_cold && other.1.warmth(now) > better.1.warmth(now) => Some(other.0),
-        _ => Some(better.0),
+
+    fn all(self) -> usize {
+        self.near + self.far
+    }
+
+    /// Draws two of the own failure domain, where there are any, and one of the others, which takes
+    /// over when the near ones are loaded. Without a near one among the drawn, calls would cross
+    /// failure domains by chance.
+    fn draw(self, rng: &mut fastrand::Rng) -> Drawn {
+        let from_far = if self.near == 0 { 2 } else { 1 };
+        Drawn {
+            near: draw(self.near, 2, rng),
+            far: draw(self.far, from_far, rng),
+        }
     }
 }
 
-/// Draws up to two of the candidates at random, without allocation.
-fn draw<'a>(
-    mut candidates: impl Iterator<Item = (usize, &'a Instance)> + Clone,
-    count: usize,
-    wanted: usize,
-    rng: &mut fastrand::Rng,
-) -> [Option<(usize, &'a Instance)>; 2] {
+/// Draws up to two places out of `count`.
+fn draw(count: usize, wanted: usize, rng: &mut fastrand::Rng) -> [usize; 2] {
     match count.min(wanted) {
-        0 => [None, None],
-        1 => [candidates.nth(rng.usize(..count)), None],
+        0 => [NOT_DRAWN; 2],
+        1 => [rng.usize(..count), NOT_DRAWN],
         _ => {
             let first = rng.usize(..count);
-            let second = (first + rng.usize(1..count)) % count;
-            [candidates.clone().nth(first), candidates.nth(second)]
+            [first, (first + rng.usize(1..count)) % count]
+        }
+    }
+}
+
+/// The best of the candidates that were drawn; a cold one gets its small share only.
+fn best<'a>(
+    drawn: Drawn,
+    candidates: impl Iterator<Item = (usize, &'a Instance)>,
+    now: Now,
+    rng: &mut fastrand::Rng,
+) -> Option<usize> {
+    let (mut near, mut far) = (0, 0);
+    let mut better: Option<(usize, &Instance, u64)> = None;
+    let mut other: Option<(usize, &Instance)> = None;
+    for (position, instance) in candidates {
+        let (place, wanted) = if instance.near {
+            (&mut near, &drawn.near)
+        } else {
+            (&mut far, &drawn.far)
+        };
+        let is_drawn = wanted.contains(place);
+        *place += 1;
+        if !is_drawn {
+            continue;
+        }
+        let score = instance.score(now);
+        match better {
+            // Of two alike, which comes first in the list must not count.
+            Some((at, known, least)) if least < score || (least == score && rng.bool()) => {
+                better = Some((at, known, least));
+                other = other.or(Some((position, instance)));
+            }
+            before => {
+                other = before.map(|(at, known, _)| (at, known)).or(other);
+                better = Some((position, instance, score));
+            }
         }
     }
+    let (position, instance, _) = better?;
+    let given_cold = rng.u64(..100) < instance.warmth(now);
+    match other {
+        Some((at, other)) if !given_cold && other.warmth(now) > instance.warmth(now) => Some(at),
+        _ => Some(position),
+    }
 }
