--- a/crates/sorrelturn-policy/src/routing.rs
+++ b/crates/sorrelturn-policy/src/routing.rs
@@ -100,9 +100,11 @@
     /// A call to it is over; returns whether the instance is ejected by it.
     pub fn finished(&self, now: Now, report: InstanceReport) -> bool {
         self.in_flight.fetch_sub(1, Relaxed);
-        self.count_error(now, report);
         match report {
             InstanceReport::Answered { load } => {
+                if self.errors.load(Relaxed) != 0 {
+                    self.count_error(now, 0);
+                }
                 self.load.store(u32::from(load), Relaxed);
                 self.load_at_ms.store(now.as_millis() as u64, Relaxed);
                 self.failures.store(0, Relaxed);
@@ -114,6 +116,8 @@
                 false
             }
             InstanceReport::Erred => {
+                // What broke off is a matter of ejection instead.
+                self.count_error(now, ERROR_SCALE);
                 self.failures.store(0, Relaxed);
                 false
             }
@@ -140,17 +144,17 @@
 
     /// Whether it is ejected now.
     pub fn is_ejected(&self, now: Now) -> bool {
-        (now.as_millis() as u64) < self.ejected_until_ms.load(Relaxed)
+        self.is_ejected_at(now.as_millis() as u64)
     }
 
-    fn count_error(&self, now: Now, report: InstanceReport) {
-        let wanted = match report {
-            InstanceReport::Answered { .. } => 0,
-            // What broke off is a matter of ejection.
-            InstanceReport::Erred => ERROR_SCALE,
-            _ => return,
-        };
-        let before = self.errors_now(now);
+    fn is_ejected_at(&self, now_ms: u64) -> bool {
+        now_ms < self.ejected_until_ms.load(Relaxed)
+    }
+
+    /// Takes one call's outcome: 0 for an answer, [`ERROR_SCALE`] for an error.
+    fn count_error(&self, now: Now, wanted: u32) {
+        let now_ms = now.as_millis() as u64;
+        let before = self.errors_at(now_ms);
         let step = wanted.abs_diff(before) / ERRORS_SMOOTHED_OVER;
         let after = if wanted > before {
             before + step
@@ -158,14 +162,18 @@
             before - step
         };
         self.errors.store(after, Relaxed);
-        self.errors_at_ms.store(now.as_millis() as u64, Relaxed);
+        self.errors_at_ms.store(now_ms, Relaxed);
     }
 
     /// The share of calls that failed, by [`ERROR_SCALE`].
-    fn errors_now(&self, now: Now) -> u32 {
-        let age = (now.as_millis() as u64).saturating_sub(self.errors_at_ms.load(Relaxed));
+    fn errors_at(&self, now_ms: u64) -> u32 {
+        let errors = self.errors.load(Relaxed);
+        if errors == 0 {
+            return 0;
+        }
+        let age = now_ms.saturating_sub(self.errors_at_ms.load(Relaxed));
         let halvings = (age / ERROR_HALF_LIFE_MS).min(31) as u32;
-        self.errors.load(Relaxed) >> halvings
+        errors >> halvings
     }
 
     fn failed(&self, now: Now) -> bool {
@@ -181,20 +189,19 @@
     }
 
     /// The load that a call to it would meet, in percent; old reports count less.
-    fn score(&self, now: Now) -> u64 {
-        let now_ms = now.as_millis() as u64;
+    fn score(&self, now_ms: u64) -> u64 {
         let age = now_ms.saturating_sub(self.load_at_ms.load(Relaxed));
         let halvings = (age / LOAD_HALF_LIFE_MS).min(16) as u32;
         let reported = u64::from(self.load.load(Relaxed)) >> halvings;
         let own = u64::from(self.in_flight.load(Relaxed)) * OWN_CALL_WEIGHT;
         let far = if self.near { 0 } else { OTHER_DOMAIN_WEIGHT };
-        let errors = u64::from(self.errors_now(now)) * ERROR_WEIGHT / u64::from(ERROR_SCALE);
+        let errors = u64::from(self.errors_at(now_ms)) * ERROR_WEIGHT / u64::from(ERROR_SCALE);
         reported + own + far + errors
     }
 
     /// The share of its calls that a cold instance is given, in percent.
-    fn warmth(&self, now: Now) -> u64 {
-        let left = self.warm_at_ms.saturating_sub(now.as_millis() as u64);
+    fn warmth(&self, now_ms: u64) -> u64 {
+        let left = self.warm_at_ms.saturating_sub(now_ms);
         if left == 0 || self.warm_time_ms == 0 {
             return 100;
         }
@@ -214,22 +221,24 @@
     rng: &mut fastrand::Rng,
 ) -> Option<usize> {
     let all = instances.len();
-    let is_open =
-        |instance: &Instance| !instance.is_leaving() && !tried.contains(&instance.incarnation);
-    let (mut open, mut fit) = (Places::default(), Places::default());
-    for instance in instances.clone().filter(|instance| is_open(instance)) {
-        open.count(instance);
-        if !instance.is_ejected(now) {
-            fit.count(instance);
-        }
+    let now_ms = now.as_millis() as u64;
+    let is_open = |instance: &Instance| {
+        !instance.is_leaving() && (tried.is_empty() || !tried.contains(&instance.incarnation))
+    };
+    let is_fit_at =
+        |instance: &Instance, at_ms: u64| is_open(instance) && !instance.is_ejected_at(at_ms);
+    let fit = instances.clone();
+    let mut places = Places::of(fit.filter(|instance| is_fit_at(instance, now_ms)));
+    let mut at_ms = now_ms;
+    if places.all() * 100 < all * LEAST_LEFT_PERCENT {
+        // Every ejection is over by then.
+        at_ms = u64::MAX;
+        places = Places::of(instances.clone().filter(|instance| is_open(instance)));
     }
-    let only_fit = fit.all() * 100 >= all * LEAST_LEFT_PERCENT;
-    let places = if only_fit { fit } else { open };
     let candidates = instances
         .enumerate()
-        .filter(|(_, instance)| is_open(instance))
-        .filter(|(_, instance)| !only_fit || !instance.is_ejected(now));
-    best(places.draw(rng), candidates, now, rng)
+        .filter(|(_, instance)| is_fit_at(instance, at_ms));
+    best(places.draw(rng), candidates, now_ms, rng)
 }
 
 /// How many candidates there are in the own failure domain and in the others.
@@ -243,17 +252,26 @@
 struct Drawn {
     near: [usize; 2],
     far: [usize; 2],
+    /// How many they are.
+    count: usize,
 }
 
+/// How many choices of 256 are between two near candidates. The rest are between a near and a far one,
+/// so that load that the near ones can't take leaves the failure domain.
+const NEAR_PAIR_OF_256: u8 = 32;
 /// The place of no candidate.
 const NOT_DRAWN: usize = usize::MAX;
 
 impl Places {
-    fn count(&mut self, instance: &Instance) {
-        if instance.near {
-            self.near += 1;
-        } else {
-            self.far += 1;
+    fn of<'a>(candidates: impl Iterator<Item = &'a Instance>) -> Self {
+        let (mut near, mut all) = (0, 0);
+        for instance in candidates {
+            near += usize::from(instance.near);
+            all += 1;
+        }
+        Self {
+            near,
+            far: all - near,
         }
     }
 
@@ -261,14 +279,20 @@
         self.near + self.far
     }
 
-    /// Draws two of the own failure domain, where there are any, and one of the others, which takes
-    /// over when the near ones are loaded. Without a near one among the drawn, calls would cross
+    /// Draws two: a near one, where there is any, with a far one mostly, or another near one. A far one
+    /// takes over when the near one is loaded; without a near one among the drawn, calls would cross
     /// failure domains by chance.
     fn draw(self, rng: &mut fastrand::Rng) -> Drawn {
-        let from_far = if self.near == 0 { 2 } else { 1 };
+        let from_near = match self.near {
+            0 => 0,
+            near if self.far == 0 || (near > 1 && rng.u8(..) < NEAR_PAIR_OF_256) => 2,
+            _ => 1,
+        };
+        let from_far = 2 - from_near;
         Drawn {
-            near: draw(self.near, 2, rng),
+            near: draw(self.near, from_near, rng),
             far: draw(self.far, from_far, rng),
+            count: self.near.min(from_near) + self.far.min(from_far),
         }
     }
 }
@@ -280,7 +304,8 @@
         1 => [rng.usize(..count), NOT_DRAWN],
         _ => {
             let first = rng.usize(..count);
-            [first, (first + rng.usize(1..count)) % count]
+            let second = rng.usize(..count - 1);
+            [first, second + usize::from(second >= first)]
         }
     }
 }
@@ -289,10 +314,11 @@
 fn best<'a>(
     drawn: Drawn,
     candidates: impl Iterator<Item = (usize, &'a Instance)>,
-    now: Now,
+    now_ms: u64,
     rng: &mut fastrand::Rng,
 ) -> Option<usize> {
     let (mut near, mut far) = (0, 0);
+    let mut left = drawn.count;
     let mut better: Option<(usize, &Instance, u64)> = None;
     let mut other: Option<(usize, &Instance)> = None;
     for (position, instance) in candidates {
@@ -302,14 +328,16 @@
             (&mut far, &drawn.far)
         };
         let is_drawn = wanted.contains(place);
+        let is_first_drawn = wanted[0] == *place;
         *place += 1;
         if !is_drawn {
             continue;
         }
-        let score = instance.score(now);
+        left -= 1;
+        let score = instance.score(now_ms);
         match better {
-            // Of two alike, which comes first in the list must not count.
-            Some((at, known, least)) if least < score || (least == score && rng.bool()) => {
+            // Of two alike, the one that was drawn first: its place in the list must not count.
+            Some((at, known, least)) if least < score || (least == score && !is_first_drawn) => {
                 better = Some((at, known, least));
                 other = other.or(Some((position, instance)));
             }
@@ -318,11 +346,15 @@
                 better = Some((position, instance, score));
             }
         }
+        if left == 0 {
+            break;
+        }
     }
     let (position, instance, _) = better?;
-    let given_cold = rng.u64(..100) < instance.warmth(now);
+    let warmth = instance.warmth(now_ms);
+    let given_cold = warmth == 100 || rng.u64(..100) < warmth;
     match other {
-        Some((at, other)) if !given_cold && other.warmth(now) > instance.warmth(now) => Some(at),
+        Some((at, other)) if !given_cold && other.warmth(now_ms) > warmth => Some(at),
         _ => Some(position),
     }
 }
