--- a/crates/sorrelturn-daemon/src/config/in_force.rs
+++ b/crates/sorrelturn-daemon/src/config/in_force.rs
@@ -37,6 +37,14 @@
     pub(crate) burst: f64,
 }
 
+impl RetryTerms {
+    /// A bucket on these terms.
+    fn bucket(self) -> Arc<Mutex<RetryBucket>> {
+        let bucket = RetryBucket::with_burst(self.fraction, self.burst);
+        Arc::new(Mutex::new(bucket))
+    }
+}
+
 impl Default for RetryTerms {
     fn default() -> Self {
         Self {
@@ -212,9 +220,7 @@
 
 impl KindState {
     fn fresh(terms: RetryTerms) -> Arc<Self> {
-        let bucket = RetryBucket::with_burst(terms.fraction, terms.burst);
-        let retries = Arc::new(Mutex::new(bucket));
-        Self::new(LearnedThreshold::default(), retries)
+        Self::new(LearnedThreshold::default(), terms.bucket())
     }
 
     fn is_root(&self) -> bool {
@@ -248,11 +254,9 @@
         }
     }
     for kind in bundle.route_kinds() {
-        let fresh = || {
-            let bucket = RetryBucket::with_burst(terms.fraction, terms.burst);
-            Arc::new(Mutex::new(bucket))
-        };
-        let retries = by_service.entry(&kind.service).or_insert_with(fresh);
+        let retries = by_service
+            .entry(&kind.service)
+            .or_insert_with(|| terms.bucket());
         let known = before.and_then(|before| before.kinds.get(&kind.name));
         let state = match known {
             Some(known) if Arc::ptr_eq(&known.retries, retries) => Arc::clone(known),
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -42,6 +42,8 @@
     level: u16,
     /// The level of their own gates.
     gate_level: u16,
+    /// Whether it is a call of the own backend server.
+    is_call: bool,
     /// What the caller says that it will still wait.
     left_ms: Option<u32>,
     deadline: Now,
@@ -125,6 +127,7 @@
         in_force,
         kind,
         request,
+        is_call: state.is_call.load(Ordering::Relaxed),
         left_ms,
         deadline: arrived + Duration::from_millis(wait_ms.into()),
     };
@@ -135,7 +138,7 @@
 /// Refuses here what would be refused deeper after work was done for it. A call of the own backend
 /// server holds such work already and is let through.
 fn admit(node: &Node, routed: &Routed, asked: &Asked, state: &KindState) -> Result<(), Reply> {
-    if state.is_call.load(Ordering::Relaxed) {
+    if asked.is_call {
         let groups = node.parents.may_call_until(asked.deadline);
         lock(&routed.graph).called(&asked.kind.name, &groups);
         return Ok(());
@@ -199,13 +202,8 @@
         headers: parts.headers,
         payload,
     };
-    let is_call = call
-        .in_force
-        .kind_state(&call.kind)
-        .is_call
-        .load(Ordering::Relaxed);
     let reply = forward::call(node, &mut call).await;
-    if is_call && has_failed(&reply) {
+    if asked.is_call && has_failed(&reply) {
         routed.call_failed.set(node.now());
     }
     reply
