--- a/crates/sorrelturn-daemon/src/backend/link.rs
+++ b/crates/sorrelturn-daemon/src/backend/link.rs
@@ -1,8 +1,7 @@
 //! The connections to the own backend server, no more than the bundle says it takes.
 
 use crate::{
-    net::pool::{Lease, Pool, SendError},
-    net::stream::BoxStream,
+    net::pool::{Lease, Opened, Pool, SendError},
     request::body::Body,
 };
 use hyper::{Request, Response, body::Incoming};
@@ -58,7 +57,10 @@
         let connect = || async {
             let tcp = TcpStream::connect(self.addr).await?;
             tcp.set_nodelay(true)?;
-            Ok::<BoxStream, _>(Box::new(tcp))
+            Ok(Opened {
+                stream: Box::new(tcp.clone()),
+                socket: tcp,
+            })
         };
         self.pool.send(ex, req, self.connect_time, connect).await
     }
--- a/crates/sorrelturn-daemon/src/fleet/peers.rs
+++ b/crates/sorrelturn-daemon/src/fleet/peers.rs
@@ -1,7 +1,7 @@
 //! Connections to other daemons, for calls. See `docs/design/between-daemons.md`.
 
 use crate::{
-    net::pool::{Lease, Pool, SendError},
+    net::pool::{BUF_LIMIT_BYTES, Lease, Opened, Pool, SendError},
     net::stream::FleetKeys,
     request::body::Body,
 };
@@ -13,6 +13,9 @@
 /// The longest time for a new connection. Peers are about 1 ms apart; an opening packet that was
 /// lost is sent again after a second, and by then another instance has long answered.
 const CONNECT_TIME: Duration = Duration::from_millis(250);
+/// A message of at most so many bytes is taken by its reader's daemon whatever the reader does.
+/// Behind a longer one, a slow reader leaves no window, and its kernel then looks like a silent one.
+const READ_AT_ONCE_BYTES: u64 = BUF_LIMIT_BYTES as u64;
 /// A peer that doesn't acknowledge what was sent for so long is silent. Two losses of one packet in a
 /// row, 200 and 400 ms, still pass.
 const SILENT_TIME: Duration = Duration::from_millis(700);
@@ -26,38 +29,84 @@
 /// The connections to one daemon, opened when they are needed.
 pub(crate) struct PeerLink {
     addr: SocketAddr,
-    pool: Arc<Pool>,
+    /// Their kernels end them when the peer is silent.
+    watched: Arc<Pool>,
+    /// For long requests, which the peer may read slowly.
+    unwatched: Arc<Pool>,
+}
+
+/// A connection that carries one call to a peer.
+pub(crate) struct PeerLease {
+    lease: Lease,
+    /// The answer is long: the connection is watched again when it is through.
+    watch_again: bool,
+}
+
+impl PeerLease {
+    /// The exchange was whole: the connection can carry another one.
+    pub(crate) fn give_back(self) {
+        if self.watch_again && notice_silence(self.lease.socket()).is_err() {
+            return;
+        }
+        self.lease.give_back();
+    }
 }
 
 impl PeerLink {
     pub(crate) fn new(addr: SocketAddr) -> Self {
         Self {
             addr,
-            pool: Pool::new(MAX_CONNECTIONS),
+            watched: Pool::new(MAX_CONNECTIONS),
+            unwatched: Pool::new(MAX_CONNECTIONS),
         }
     }
 
     /// Sends a call and waits for the head of its answer.
+    ///
+    /// The peer's silence is noticed until then; a long answer is as slow as its reader.
     pub(crate) async fn send(
         &self,
         ex: &Executor<'static>,
         keys: &FleetKeys,
         req: Request<Body>,
-    ) -> Result<(Response<Incoming>, Lease), SendError> {
+    ) -> Result<(Response<Incoming>, PeerLease), SendError> {
+        let is_watched = is_read_at_once(req.body());
         let connect = || async {
             let tcp = TcpStream::connect(self.addr).await?;
-            notice_silence(&tcp)?;
-            keys.connect(tcp).await
+            if is_watched {
+                notice_silence(&tcp)?;
+            }
+            let stream = keys.connect(tcp.clone()).await?;
+            Ok(Opened {
+                stream,
+                socket: tcp,
+            })
+        };
+        let pool = if is_watched {
+            &self.watched
+        } else {
+            &self.unwatched
         };
-        self.pool.send(ex, req, CONNECT_TIME, connect).await
+        let (res, lease) = pool.send(ex, req, CONNECT_TIME, connect).await?;
+        let watch_again = is_watched && !is_read_at_once(res.body());
+        if watch_again && bear_silence(lease.socket()).is_err() {
+            return Err(SendError::Broke);
+        }
+        Ok((res, PeerLease { lease, watch_again }))
     }
 
     /// Drops the idle connections; the calls on others go on.
     pub(crate) fn forget(&self) {
-        self.pool.forget_idle();
+        self.watched.forget_idle();
+        self.unwatched.forget_idle();
     }
 }
 
+fn is_read_at_once(body: &impl hyper::body::Body) -> bool {
+    let most = body.size_hint().upper();
+    most.is_some_and(|bytes| bytes <= READ_AT_ONCE_BYTES)
+}
+
 /// Has the kernel end a connection whose other end says nothing: a VM without power or behind a cut
 /// doesn't even refuse.
 fn notice_silence(tcp: &TcpStream) -> io::Result<()> {
@@ -69,3 +118,10 @@
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(SILENT_TIME))
 }
+
+/// Undoes [`notice_silence`] while a long answer is read.
+fn bear_silence(tcp: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(tcp);
+    socket.set_keepalive(false)?;
+    socket.set_tcp_user_timeout(None)
+}
--- a/crates/sorrelturn-daemon/src/net/pool.rs
+++ b/crates/sorrelturn-daemon/src/net/pool.rs
@@ -7,7 +7,7 @@
     body::Incoming,
     client::conn::http1::{Builder, SendRequest},
 };
-use smol::{Executor, Timer, future::FutureExt};
+use smol::{Executor, Timer, future::FutureExt, net::TcpStream};
 use smol_hyper::rt::FuturesIo;
 use std::{
     io,
@@ -26,7 +26,7 @@
 /// The part of the other end's own idle time for which a connection is used again, in percent.
 const IDLE_PART_PERCENT: u64 = 60;
 /// What one exchange may have on its way unread, in bytes; bounds the memory of a slow reader.
-const BUF_LIMIT_BYTES: usize = 128 << 10;
+pub(crate) const BUF_LIMIT_BYTES: usize = 128 << 10;
 
 /// Why a request has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,9 +56,18 @@
 /// task has ended: else connections that were dropped would take the place of new ones.
 struct Conn {
     sender: SendRequest<Body>,
+    socket: TcpStream,
     _open: Open,
 }
 
+/// A connection that was just opened.
+pub(crate) struct Opened {
+    /// What requests go over.
+    pub(crate) stream: BoxStream,
+    /// The socket below it, for its options.
+    pub(crate) socket: TcpStream,
+}
+
 /// A connection that carries one exchange.
 ///
 /// It goes back to the pool only after a whole exchange. Otherwise it is dropped, which closes it:
@@ -69,6 +78,11 @@
 }
 
 impl Lease {
+    /// The socket, for its options.
+    pub(crate) fn socket(&self) -> &TcpStream {
+        &self.conn.socket
+    }
+
     /// The exchange was whole: the connection can carry another one.
     pub(crate) fn give_back(self) {
         let mut idle = lock(&self.pool.idle);
@@ -136,7 +150,7 @@
         connect: impl Fn() -> F,
     ) -> Result<(Response<Incoming>, Lease), SendError>
     where
-        F: Future<Output = io::Result<BoxStream>>,
+        F: Future<Output = io::Result<Opened>>,
     {
         loop {
             let idle = self.take_idle();
@@ -182,7 +196,7 @@
         &self,
         ex: &Executor<'static>,
         connect_time: Duration,
-        connect: impl Future<Output = io::Result<BoxStream>>,
+        connect: impl Future<Output = io::Result<Opened>>,
     ) -> Result<Conn, SendError> {
         let open = Open(Arc::clone(&self.open));
         if self.open.fetch_add(1, Ordering::Relaxed) >= self.most.load(Ordering::Relaxed) {
@@ -192,10 +206,10 @@
             Timer::after(connect_time).await;
             Err(io::ErrorKind::TimedOut.into())
         };
-        let stream = connect.or(too_long).await.map_err(|_| SendError::NotSent)?;
+        let opened = connect.or(too_long).await.map_err(|_| SendError::NotSent)?;
         let (sender, conn) = Builder::new()
             .max_buf_size(BUF_LIMIT_BYTES)
-            .handshake(FuturesIo::new(stream))
+            .handshake(FuturesIo::new(opened.stream))
             .await
             .map_err(|_| SendError::NotSent)?;
         let drive = async move {
@@ -205,6 +219,7 @@
         ex.spawn(drive).detach();
         Ok(Conn {
             sender,
+            socket: opened.socket,
             _open: open,
         })
     }
--- a/crates/sorrelturn-daemon/src/request/exchange.rs
+++ b/crates/sorrelturn-daemon/src/request/exchange.rs
@@ -1,8 +1,9 @@
 //! One exchange with one instance, and what its failure means.
 
 use crate::{
+    fleet::peers::PeerLease,
     fleet::routes::Route,
-    net::pool::{Lease, SendError},
+    net::pool::SendError,
     node::Node,
     request::answer::Reply,
     request::body::{self, Body},
@@ -73,7 +74,7 @@
     send.or(too_late).await
 }
 
-fn reply_of(node: &Node, mut res: Response<Incoming>, lease: Lease) -> Result<Reply, Failure> {
+fn reply_of(node: &Node, mut res: Response<Incoming>, lease: PeerLease) -> Result<Reply, Failure> {
     let context = res
         .headers_mut()
         .remove(ANSWER)
