--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -236,9 +236,16 @@
             return self.in_force.threshold_below(&self.kind, now);
         };
         let mut graph = lock(&routed.graph);
-        graph.ended(&self.kind.name);
+        if let Some(calls) = graph.ended(&self.kind.name, now - self.started) {
+            let fields = vec![
+                Field::new("kind", &self.kind.name),
+                Field::new("calls", calls.join(",")),
+            ];
+            self.node.events.note(&events::CALLS_LEARNT, None, fields);
+        }
+        let calls = graph.calls(&self.kind.name);
         self.in_force
-            .threshold_of(graph.calls(&self.kind.name), now)
+            .threshold_of(calls.iter().map(String::as_str), now)
     }
 
     /// Passes the body on while it comes; slot, connection and registration end with it.
--- a/crates/sorrelturn-policy/src/call_graph.rs
+++ b/crates/sorrelturn-policy/src/call_graph.rs
@@ -3,21 +3,27 @@
 //!
 //! A call names no parent. What is known are the requests that the backend server works on when it
 //! makes the call, and that a call ends no later than its parent. Each call is credited to those
-//! that could have made it, in proportion to how many calls their kinds are known to make; over
-//! many calls the credit goes where the calls come from.
+//! that could have made it, in proportion to how many calls their kinds are known to make in the time
+//! that they are worked on; over many calls the credit goes where the calls come from. A kind that is
+//! worked on for long is present by chance at many calls, and gets the less for each.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
 /// A kind counts as a caller if it makes so many calls a request, or more.
 const LEAST_RATE: f64 = 0.2;
 /// And so many, as a part of what the kind with the most makes: the rest is credit gone astray.
 const LEAST_SHARE: f64 = 0.3;
-/// How much likelier a request is the parent if it ends at the same time as the call.
-const SAME_END_WEIGHT: f64 = 30.0;
+/// How much likelier a request is the parent if it ends at the same time as the call. A call that
+/// isn't cut short by a time limit of its own ends with its parent; the rest allows for those that are.
+const SAME_END_WEIGHT: f64 = 1_000.0;
 /// What is assumed of a pair of kinds before anything was seen, in calls a request, and how many
 /// requests that assumption weighs.
 const PRIOR_RATE: f64 = 0.5;
 const PRIOR_REQUESTS: f64 = 5.0;
+/// The time that such a request is assumed to take, in seconds.
+const PRIOR_TIME_S: f64 = 0.1;
+/// What a kind calls is worked out anew whenever so many of its requests have ended.
+const WORKED_OUT_EVERY: u32 = 20;
 /// When so many requests of a kind have ended, older ones begin to count less.
 const MEMORY_REQUESTS: f64 = 500.0;
 
@@ -25,7 +31,12 @@
 #[derive(Clone, Debug, Default)]
 struct Caller {
     ended: f64,
+    /// How long those that ended took, in seconds.
+    took_s: f64,
     credit: HashMap<String, f64>,
+    /// What it calls, in the order of their names, as last worked out.
+    calls: Vec<String>,
+    ended_since: u32,
 }
 
 /// Requests of one kind that may have made a call.
@@ -73,19 +84,40 @@
         } else {
             1.0
         };
-        self.rate(&candidate.kind, child) * f64::from(candidate.count) * likelier
+        let rate = self.rate(&candidate.kind, child);
+        rate / self.mean_time_s(&candidate.kind) * f64::from(candidate.count) * likelier
     }
 
-    /// The backend server has finished a request.
-    pub fn ended(&mut self, kind: &str) {
+    fn mean_time_s(&self, kind: &str) -> f64 {
+        let (ended, took_s) = self
+            .callers
+            .get(kind)
+            .map_or((0.0, 0.0), |caller| (caller.ended, caller.took_s));
+        (took_s + PRIOR_TIME_S * PRIOR_REQUESTS) / (ended + PRIOR_REQUESTS)
+    }
+
+    /// The backend server has finished a request that took so long; returns what its kind calls, if that has changed.
+    pub fn ended(&mut self, kind: &str, took: Duration) -> Option<&[String]> {
         let caller = caller(&mut self.callers, kind);
         caller.ended += 1.0;
+        caller.took_s += took.as_secs_f64();
         if caller.ended > MEMORY_REQUESTS {
             caller.ended /= 2.0;
+            caller.took_s /= 2.0;
             for credit in caller.credit.values_mut() {
                 *credit /= 2.0;
             }
         }
+        caller.ended_since += 1;
+        if caller.ended_since < WORKED_OUT_EVERY {
+            return None;
+        }
+        caller.ended_since = 0;
+        let calls = self.work_out(kind);
+        let caller = self.callers.get_mut(kind)?;
+        let changed = caller.calls != calls;
+        caller.calls = calls;
+        changed.then_some(caller.calls.as_slice())
     }
 
     /// The calls of a kind that one request of another kind makes.
@@ -100,16 +132,24 @@
     }
 
     /// The kinds that requests of a kind call.
-    pub fn calls<'a>(&'a self, parent: &'a str) -> impl Iterator<Item = &'a str> {
+    pub fn calls(&self, parent: &str) -> &[String] {
         let caller = self.callers.get(parent);
-        caller
+        caller.map_or(&[], |caller| &caller.calls)
+    }
+
+    fn work_out(&self, parent: &str) -> Vec<String> {
+        let caller = self.callers.get(parent);
+        let mut calls: Vec<String> = caller
             .into_iter()
             .flat_map(|caller| caller.credit.keys())
-            .map(String::as_str)
-            .filter(move |child| {
+            .filter(|child| {
                 let rate = self.rate(parent, child);
                 rate >= LEAST_RATE && rate >= LEAST_SHARE * self.highest_rate(child)
             })
+            .cloned()
+            .collect();
+        calls.sort_unstable();
+        calls
     }
 
     fn highest_rate(&self, child: &str) -> f64 {
--- a/crates/sorrelturn-policy/tests/entry_admission.rs
+++ b/crates/sorrelturn-policy/tests/entry_admission.rs
@@ -115,15 +115,14 @@
             graph.called("child", &candidates);
         }
         if rng.u32(0..80) < callers {
-            graph.ended("caller");
+            graph.ended("caller", Duration::from_millis(100));
         }
         if rng.u32(0..80) < others {
-            graph.ended("other");
+            graph.ended("other", Duration::from_millis(100));
         }
     }
-    let calls: Vec<&str> = graph.calls("caller").collect();
-    assert_eq!(calls, ["child"]);
-    let others: Vec<&str> = graph.calls("other").collect();
+    assert_eq!(graph.calls("caller"), ["child"]);
+    let others = graph.calls("other");
     assert!(others.is_empty(), "{}", graph.rate("other", "child"));
 }
 
@@ -212,3 +211,44 @@
     learned.observe(at(1_500), Priority(20));
     assert_eq!(learned.current(at(1_500)), Priority(20));
 }
+
+/// As seen at a billing server: some thirty long payments beside few short reads, each of which makes
+/// one call that ends with it; a payment that ends at the same time is chance.
+#[test]
+fn short_requests_keep_their_calls_beside_many_long_ones() {
+    let mut rng = fastrand::Rng::with_seed(11);
+    let mut graph = CallGraph::default();
+    let candidate = |kind: &str, same_end, count| Candidate {
+        kind: kind.to_owned(),
+        same_end,
+        count,
+    };
+    for _ in 0..2_000 {
+        let by_chance = u32::from(rng.u32(0..2) == 0);
+        if rng.u32(0..10) < 7 {
+            let candidates = [
+                candidate("payment", false, 30),
+                candidate("payment", true, by_chance),
+                candidate("read", false, 2),
+                candidate("read", true, 1),
+            ];
+            graph.called("fetch", &candidates);
+            graph.ended("read", Duration::from_millis(30));
+        } else {
+            let candidates = [
+                candidate("payment", false, 30),
+                candidate("payment", true, 1),
+                candidate("read", false, 3),
+            ];
+            graph.called("fetch", &candidates);
+            graph.ended("payment", Duration::from_millis(700));
+        }
+    }
+    assert_eq!(graph.calls("payment"), ["fetch"]);
+    assert_eq!(
+        graph.calls("read"),
+        ["fetch"],
+        "{}",
+        graph.rate("read", "fetch")
+    );
+}
--- a/crates/sorrelturn-telemetry/src/events.rs
+++ b/crates/sorrelturn-telemetry/src/events.rs
@@ -50,6 +50,7 @@
     BACKEND_LEAVING = 205 "backend-leaving" Info "The backend server announced that it leaves, and is handed no more work.";
 
     UNDER_LOAD = 206 "under-load" Debug "The slots of the backend server are asked for too much; noted once a second.";
+    CALLS_LEARNT = 207 "calls-learnt" Debug "What requests of a kind call was learnt anew at their backend server.";
 
     BUNDLE_IN_FORCE = 300 "bundle-in-force" Info "A higher bundle version is in force here.";
     BUNDLE_REFUSED = 301 "bundle-refused" Error "A bundle was not taken.";
