One function writes the own record to the store; a write at start that fails is logged

Three pieces of code did it (join, planned stop, backend server's state); the one at start swallowed its error. Condition under which a record is spread anew has a name.

--- a/crates/sorrelturn-daemon/src/backend/state.rs
+++ b/crates/sorrelturn-daemon/src/backend/state.rs
@@ -5,9 +5,9 @@
     fleet::gossip,
     node::{LastTime, Node, lock},
     request::dialect::Dialect,
+    store::own_record,
 };
 use hyper::{HeaderMap, StatusCode, header::HeaderValue};
-use sorrelturn_platform::{Expected, keys};
 use sorrelturn_policy::{CallGraph, GateConfig, Heard, LeavingCause, Origins, Presence};
 use sorrelturn_protocol::{Announcement, BackendState};
 use sorrelturn_telemetry::{Field, events};
@@ -167,7 +167,9 @@
     routed.saved.store(false, Ordering::Relaxed);
     node.set_own_backend(routed.current());
     node.backend.forget_idle();
-    if node.stop_leaving(LeavingCause::Backend) || !node.is_leaving() {
+    let no_longer_leaving = node.stop_leaving(LeavingCause::Backend);
+    // A daemon that leaves for another reason tells so already.
+    if no_longer_leaving || !node.is_leaving() {
         gossip::spread_own_record(node);
     }
     let node = Arc::clone(node);
@@ -201,20 +203,8 @@
     if routed.saved.load(Ordering::Relaxed) {
         return true;
     }
-    let record = node.own_record.load_full();
-    let value = serde_json::to_string(&*record).unwrap_or_default();
-    let key = keys::member(&record.instance);
-    let written = node.platform.put(&key, &value, Expected::Anything).await;
-    let unchanged = node.own_record.load().sequence == record.sequence;
-    match written {
-        Ok(_) => routed.saved.store(unchanged, Ordering::Relaxed),
-        Err(error) => node.note(
-            &events::RECORD_UNSAVED,
-            vec![
-                Field::new("sequence", record.sequence),
-                Field::new("error", error),
-            ],
-        ),
+    if own_record::write(node).await {
+        routed.saved.store(true, Ordering::Relaxed);
     }
     routed.saved.load(Ordering::Relaxed)
 }
--- a/crates/sorrelturn-daemon/src/fleet/join.rs
+++ b/crates/sorrelturn-daemon/src/fleet/join.rs
@@ -5,11 +5,11 @@
     config::fetch,
     fleet::gossip,
     node::{Node, lock},
-    store::outcomes,
+    store::{outcomes, own_record},
 };
 use smol::Timer;
 use sorrelturn_fleet::{Source, push_targets};
-use sorrelturn_platform::{Expected, keys};
+use sorrelturn_platform::keys;
 use sorrelturn_protocol::{Incarnation, MemberRecord, MemberState};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -44,10 +44,7 @@
     } else {
         MemberState::Live
     });
-    let own = (**node.own_record.load()).clone();
-    let value = serde_json::to_string(&own).unwrap_or_default();
-    let key = keys::member(&own.instance);
-    let _ = node.platform.put(&key, &value, Expected::Anything).await;
+    own_record::write(node).await;
 }
 
 /// Looks for a bundle until there is one: in the store and at peers of several failure domains,
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -21,7 +21,7 @@
     request::dialect::Dialect,
     request::parents::Parents,
     request::room::Room,
-    store::outcomes,
+    store::{outcomes, own_record},
 };
 use arc_swap::{ArcSwap, ArcSwapOption};
 use displaydoc::Display;
@@ -33,7 +33,7 @@
 use sorrelturn_bundle::{KeyError, TrustedKeys};
 use sorrelturn_fleet::{DomainView, Membership, Spread};
 use sorrelturn_once::{Ledger, LedgerConfig};
-use sorrelturn_platform::{Expected, Platform, keys};
+use sorrelturn_platform::Platform;
 use sorrelturn_policy::{Gate, GateConfig, Leaving, LeavingCause};
 use sorrelturn_protocol::{Incarnation, MemberRecord, MemberState};
 use sorrelturn_telemetry::{EventRing, Field, SpanBuffer, events};
@@ -149,16 +149,9 @@
     /// Tells peers and the store that this run is over.
     async fn say_gone(&self) {
         let node = &self.node;
-        let gone = node.set_own_state(MemberState::Gone);
+        node.set_own_state(MemberState::Gone);
         gossip::spread_own_record(node);
-        let value = serde_json::to_string(&gone).unwrap_or_default();
-        let key = keys::member(&gone.instance);
-        if let Err(error) = node.platform.put(&key, &value, Expected::Anything).await {
-            node.note(
-                &events::RECORD_UNSAVED,
-                vec![Field::new("error", error), Field::new("state", "gone")],
-            );
-        }
+        own_record::write(node).await;
     }
 
     /// The settings file may have changed. What the daemon listens on and whom it talks to is taken
