A daemon that stops ends the connections that go on; its longest wait counts from the signal

Now connections of callers end with the answer they carry once stop.linger_ms is over, calls of the own backend server are still taken, and stop.most_ms (was most_s) counts from the signal.

--- a/crates/sorrelturn-daemon/src/config/settings.rs
+++ b/crates/sorrelturn-daemon/src/config/settings.rs
@@ -186,8 +186,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct StopSettings {
-    /// The longest time to wait for what is in flight, in seconds.
-    pub most_s: u64,
+    /// The longest time from the signal to the exit, in milliseconds: what is in flight then is cut,
+    /// and whoever sent the signal may kill the process soon after.
+    pub most_ms: u64,
     /// So long requests are still taken after the daemon stopped being ready, in milliseconds,
     /// since whoever asks for readiness needs some time to notice.
     pub linger_ms: u64,
@@ -196,7 +197,7 @@
 impl Default for StopSettings {
     fn default() -> Self {
         Self {
-            most_s: 60,
+            most_ms: 60_000,
             linger_ms: 500,
         }
     }
--- a/crates/sorrelturn-daemon/src/net/listeners.rs
+++ b/crates/sorrelturn-daemon/src/net/listeners.rs
@@ -1,6 +1,12 @@
 //! Where a daemon listens.
 
-use crate::{config::settings::Settings, fleet::control, net::serve, node::Node, run::StartError};
+use crate::{
+    config::settings::Settings,
+    fleet::control,
+    net::serve::{self, Closing},
+    node::Node,
+    run::StartError,
+};
 use serde::{Deserialize, Serialize};
 use smol::{
     future::FutureExt,
@@ -84,15 +90,19 @@
         })
     }
 
-    /// Accepts connections until `closing` ends.
-    pub(crate) fn serve(self, node: &Arc<Node>, closing: &serve::Closing) {
-        let spawn = |listener, serve: fn(Arc<Node>, TcpStream, serve::Closing) -> _| {
+    /// Accepts connections until `closing` ends, those of callers until `closing_entries` does.
+    pub(crate) fn serve(self, node: &Arc<Node>, closing_entries: &Closing, closing: &Closing) {
+        let spawn = |listener, serve: fn(Arc<Node>, TcpStream, Closing) -> _| {
             let task = serve::accept(Arc::clone(node), listener, closing.clone(), serve);
             node.ex.spawn(task).detach();
         };
-        spawn(self.callers, |node, tcp, closing| {
-            serve::caller(node, tcp, closing).boxed()
-        });
+        let callers = serve::accept(
+            Arc::clone(node),
+            self.callers,
+            closing_entries.clone(),
+            serve::caller,
+        );
+        node.ex.spawn(callers).detach();
         spawn(self.local, |node, tcp, closing| {
             serve::local(node, tcp, closing).boxed()
         });
@@ -106,9 +116,11 @@
             serve::admin(node, tcp, closing).boxed()
         });
         if let Some(routed) = self.routed {
-            spawn(routed, |node, tcp, closing| {
-                serve::routed(node, tcp, closing).boxed()
-            });
+            // The own backend server's calls come here too, as long as it works on anything.
+            let closing_entries = closing_entries.clone();
+            let serve = move |node, tcp, _| serve::routed(node, tcp, closing_entries.clone());
+            let task = serve::accept(Arc::clone(node), routed, closing.clone(), serve);
+            node.ex.spawn(task).detach();
         }
         if let Some(announce) = self.announce {
             spawn(announce, |node, tcp, closing| {
--- a/crates/sorrelturn-daemon/src/net/serve.rs
+++ b/crates/sorrelturn-daemon/src/net/serve.rs
@@ -175,12 +175,18 @@
         let answered = answer(req);
         async { Ok::<_, Infallible>(answered.await) }
     });
+    // Opened while connections close: it carries one request.
+    let ends_soon = closing.is_closed();
     let conn = http1::Builder::new()
         .timer(timers)
         .header_read_timeout(head_time)
         .max_buf_size(BUF_LIMIT_BYTES)
+        .keep_alive(!ends_soon)
         .serve_connection(FuturesIo::new(stream), service);
     let mut conn = pin!(conn);
+    if ends_soon {
+        return conn.await;
+    }
     let finished = async { Some(conn.as_mut().await) };
     match finished.or(closed(&closing)).await {
         Some(result) => result,
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -143,6 +143,9 @@
         lock(&routed.graph).called(&asked.kind.name, &groups);
         return Ok(());
     }
+    if node.counts.takes_only_calls.load(Ordering::Relaxed) {
+        return Err(Reply::not_run(Refusal::Leaving).come_back(owner::come_back(node)));
+    }
     let was_tried = asked
         .left_ms
         .is_some_and(|left_ms| lock(&state.first_tries).saw(left_ms));
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -28,6 +28,7 @@
 use smol::{
     Executor, Timer,
     channel::{self, Sender},
+    future::FutureExt,
     lock::Mutex as AsyncMutex,
 };
 use sorrelturn_bundle::{KeyError, TrustedKeys};
@@ -59,6 +60,8 @@
 const STOP_STEP: Duration = Duration::from_millis(10);
 /// The longest time for connections to end once nothing is carried any more.
 const FLUSH_TIME: Duration = Duration::from_secs(2);
+/// The longest time for the store to take the last record of a run that is over.
+const LAST_WRITE_TIME: Duration = Duration::from_secs(1);
 /// How often the process looks whether it runs late or was paused, and what counts as a pause.
 const LAG_CHECK: Duration = Duration::from_millis(50);
 const PAUSE: Duration = Duration::from_secs(2);
@@ -90,6 +93,7 @@
     /// Where it listens.
     pub addresses: Addresses,
     node: Arc<Node>,
+    closing_entries: Sender<()>,
     closing: Sender<()>,
 }
 
@@ -107,11 +111,13 @@
             // Until the backend server was announced or answered, it takes no work.
             node.start_leaving(LeavingCause::Backend);
         }
+        let (closing_entries, entries_closed) = channel::bounded(1);
         let (closing, closed) = channel::bounded(1);
-        listeners.serve(&node, &closed);
+        listeners.serve(&node, &entries_closed, &closed);
         let daemon = Self {
             addresses,
             node,
+            closing_entries,
             closing,
         };
         join::join(&daemon.node).await;
@@ -146,14 +152,6 @@
         gossip::spread_own_record(node);
     }
 
-    /// Tells peers and the store that this run is over.
-    async fn say_gone(&self) {
-        let node = &self.node;
-        node.set_own_state(MemberState::Gone);
-        gossip::spread_own_record(node);
-        own_record::write(node).await;
-    }
-
     /// The settings file may have changed. What the daemon listens on and whom it talks to is taken
     /// over at the next start; a file that can't be used is reported now.
     pub fn settings_changed(&self, read: Result<Settings, String>) {
@@ -171,18 +169,23 @@
         }
     }
 
-    /// The planned stop: takes no new calls, carries what it has, closes its record, and returns.
-    /// Returns whether nothing was cut off.
+    /// The planned stop: is not ready at once, takes no new requests when others had the time to
+    /// notice, carries what it has, closes its record, and returns. Returns whether nothing was cut
+    /// off.
     pub async fn stop(self) -> bool {
         let node = &self.node;
         node.counts.stopping.store(true, Ordering::Relaxed);
+        let last = node.now() + Duration::from_millis(node.settings.stop.most_ms);
         let linger = Duration::from_millis(node.settings.stop.linger_ms);
         // Its backend server goes on meanwhile: other daemons use it as long as they can.
         Timer::after(linger.saturating_sub(LEAVES_BEFORE)).await;
         gossip::leave(node, LeavingCause::Signal);
-        let most = Duration::from_secs(node.settings.stop.most_s);
+        let most = last.saturating_sub(node.now());
         let carried = || node.counts.carried.load(Ordering::Relaxed);
         Timer::after(linger.min(LEAVES_BEFORE)).await;
+        // Whoever goes on over an open connection would be cut at the end.
+        node.counts.takes_only_calls.store(true, Ordering::Relaxed);
+        drop(self.closing_entries);
         while !lock(&node.leaving).may_exit(node.now(), carried(), most) {
             Timer::after(STOP_STEP).await;
         }
@@ -190,10 +193,10 @@
         if node.routed.is_none() {
             outcomes::close(node).await;
         }
-        self.say_gone().await;
+        say_gone(node).await;
         drop(self.closing);
         // What was carried may still lie in a socket's buffer; each connection ends when it is out.
-        let until = node.now() + FLUSH_TIME;
+        let until = last.min(node.now() + FLUSH_TIME);
         while node.counts.connections.load(Ordering::Relaxed) > 0 && node.now() < until {
             Timer::after(STOP_STEP).await;
         }
@@ -209,6 +212,18 @@
     }
 }
 
+/// Tells peers and the store that this run is over.
+async fn say_gone(node: &Arc<Node>) {
+    node.set_own_state(MemberState::Gone);
+    gossip::spread_own_record(node);
+    let too_late = async {
+        Timer::after(LAST_WRITE_TIME).await;
+        false
+    };
+    // What doesn't come through is logged there; the others know from the line above.
+    own_record::write(node).or(too_late).await;
+}
+
 fn node(
     settings: Settings,
     dialect: Dialect,
