--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -38,6 +38,8 @@
     AnswersTwice,
     /// It fails.
     Fails,
+    /// It answers after a while.
+    AnswersLate,
     /// It never answers.
     Hangs,
 }
@@ -65,12 +67,15 @@
     script: Script,
     reached: Vec<Reached>,
     ran: Vec<Reached>,
+    connections: usize,
 }
 
 /// The body of each answer.
 pub const BODY: &str = "the whole answer of the backend server";
 /// How long it says that connections may rest, in seconds.
 pub const IDLE_S: u64 = 1;
+/// How late it answers.
+const LATE: Duration = Duration::from_millis(300);
 /// The header that marks an answer of a backend server.
 pub const SIGNATURE: &str = "x-signature";
 
@@ -82,6 +87,7 @@
             script: Script::default(),
             reached: Vec::new(),
             ran: Vec::new(),
+            connections: 0,
         };
         Self {
             names: names.clone(),
@@ -98,7 +104,11 @@
             while let Ok((tcp, _)) = listener.accept().await {
                 let backend = backend.clone();
                 // A connection that breaks is what the tests are about.
-                let conn = async move { backend.connection(tcp).await.unwrap_or_default() };
+                let conn = async move {
+                    backend.lock().connections += 1;
+                    backend.connection(tcp).await.unwrap_or_default();
+                    backend.lock().connections -= 1;
+                };
                 inner.spawn(conn).detach();
             }
         };
@@ -126,6 +136,11 @@
         self.lock().reached.clone()
     }
 
+    /// How many connections are open.
+    pub fn connections(&self) -> usize {
+        self.lock().connections
+    }
+
     /// The requests that it began to run.
     pub fn ran(&self) -> Vec<Reached> {
         self.lock().ran.clone()
@@ -194,6 +209,10 @@
                 smol::Timer::after(Duration::from_secs(60)).await;
                 return Ok(false);
             }
+            Script::AnswersLate => {
+                smol::Timer::after(LATE).await;
+                (whole, true)
+            }
         };
         tcp.get_mut().write_all(bytes.as_bytes()).await?;
         Ok(goes_on)
--- a/crates/sorrelturn-daemon/src/net/pool.rs
+++ b/crates/sorrelturn-daemon/src/net/pool.rs
@@ -10,6 +10,7 @@
 use smol::{Executor, Timer, future::FutureExt, net::TcpStream};
 use smol_hyper::rt::FuturesIo;
 use std::{
+    collections::VecDeque,
     io,
     sync::{
         Arc, Mutex,
@@ -23,6 +24,10 @@
 /// An idle connection is not used again after this time: its other end may be about to close it,
 /// and a request that crosses the close may have run.
 const IDLE_TIME: Duration = Duration::from_secs(30);
+/// What was opened for a burst is dropped when it has been idle for this time, for its memory at both
+/// ends (some 20 KB each); so many are kept beyond it, so that few and far calls find one open.
+const SPARE_TIME: Duration = Duration::from_secs(2);
+const KEPT_IDLE: usize = 4;
 /// The part of the other end's own idle time for which a connection is used again, in percent.
 const IDLE_PART_PERCENT: u64 = 60;
 /// What one exchange may have on its way unread, in bytes; bounds the memory of a slow reader.
@@ -44,7 +49,8 @@
     most: AtomicUsize,
     idle_ms: AtomicU64,
     open: Arc<AtomicUsize>,
-    idle: Mutex<Vec<Idle>>,
+    /// The one that was used last is at the back.
+    idle: Mutex<VecDeque<Idle>>,
 }
 
 struct Idle {
@@ -85,16 +91,27 @@
 
     /// The exchange was whole: the connection can carry another one.
     pub(crate) fn give_back(self) {
+        let now = Instant::now();
         let mut idle = lock(&self.pool.idle);
+        // One at a time: each exchange gives back one, so old ones can't pile up.
+        if is_spare(&idle, now) {
+            idle.pop_front();
+        }
         if idle.len() < MAX_IDLE {
-            idle.push(Idle {
+            idle.push_back(Idle {
                 conn: self.conn,
-                since: Instant::now(),
+                since: now,
             });
         }
     }
 }
 
+/// Whether the connection that has been idle for longest was opened for a burst that is over.
+fn is_spare(idle: &VecDeque<Idle>, now: Instant) -> bool {
+    let oldest = idle.front().map(|oldest| now - oldest.since);
+    idle.len() >= KEPT_IDLE && oldest.is_some_and(|rested| rested >= SPARE_TIME)
+}
+
 /// Counts a connection while it is open.
 struct Open(Arc<AtomicUsize>);
 
@@ -182,7 +199,7 @@
     /// The connection that was used last: those below it grow old and are dropped.
     fn take_idle(&self) -> Option<Conn> {
         let mut idle = lock(&self.idle);
-        while let Some(last) = idle.pop() {
+        while let Some(last) = idle.pop_back() {
             if last.since.elapsed() >= self.idle_time() {
                 idle.clear();
             } else if !last.conn.sender.is_closed() {
--- a/crates/sorrelturn-policy/src/routing.rs
+++ b/crates/sorrelturn-policy/src/routing.rs
@@ -16,10 +16,16 @@
 /// If fewer than this share of the instances would be left, ejections are ignored: so many
 /// don't fail by themselves, and emptying a service would end it.
 const LEAST_LEFT_PERCENT: usize = 50;
-/// A reported load loses half of its weight in this time.
-const LOAD_HALF_LIFE_MS: u64 = 200;
-/// What a call in flight from here adds to an instance's load, in percent.
+/// A reported load loses half of its weight in this time. It must outlast the pauses between the calls
+/// that an entry makes to one instance: one that isn't asked would else look idle.
+const LOAD_HALF_LIFE_MS: u64 = 600;
+/// What a call adds to an instance's load that is in flight from here and not yet in its report, in
+/// percent.
 const OWN_CALL_WEIGHT: u64 = 4;
+/// From this load on, in percent, waits begin and requests are refused, and each further percent counts
+/// more times as much.
+const LOADED: u64 = 80;
+const LOADED_WEIGHT: u64 = 4;
 /// What an instance that fails every call would have added, in percent: at a failure in three it is
 /// avoided like one that is loaded to the full.
 const ERROR_WEIGHT: u64 = 300;
@@ -43,6 +49,8 @@
     warm_at_ms: u64,
     warm_time_ms: u64,
     in_flight: AtomicU32,
+    /// How many were in flight from here when it reported its load last.
+    in_flight_then: AtomicU32,
     load: AtomicU32,
     load_at_ms: AtomicU64,
     failures: AtomicU32,
@@ -82,6 +90,7 @@
             warm_at_ms: now.as_millis() as u64 + cold_ms,
             warm_time_ms: cold_ms,
             in_flight: AtomicU32::new(0),
+            in_flight_then: AtomicU32::new(0),
             load: AtomicU32::new(0),
             load_at_ms: AtomicU64::new(0),
             failures: AtomicU32::new(0),
@@ -99,13 +108,14 @@
 
     /// A call to it is over; returns whether the instance is ejected by it.
     pub fn finished(&self, now: Now, report: InstanceReport) -> bool {
-        self.in_flight.fetch_sub(1, Relaxed);
+        let in_flight = self.in_flight.fetch_sub(1, Relaxed).saturating_sub(1);
         match report {
             InstanceReport::Answered { load } => {
                 if self.errors.load(Relaxed) != 0 {
                     self.count_error(now, 0);
                 }
                 self.load.store(u32::from(load), Relaxed);
+                self.in_flight_then.store(in_flight, Relaxed);
                 self.load_at_ms.store(now.as_millis() as u64, Relaxed);
                 self.failures.store(0, Relaxed);
                 self.ejected_until_ms.store(0, Relaxed);
@@ -193,10 +203,13 @@
         let age = now_ms.saturating_sub(self.load_at_ms.load(Relaxed));
         let halvings = (age / LOAD_HALF_LIFE_MS).min(16) as u32;
         let reported = u64::from(self.load.load(Relaxed)) >> halvings;
-        let own = u64::from(self.in_flight.load(Relaxed)) * OWN_CALL_WEIGHT;
+        let in_flight = self.in_flight.load(Relaxed);
+        let unreported = in_flight.saturating_sub(self.in_flight_then.load(Relaxed));
+        let load = reported + u64::from(unreported) * OWN_CALL_WEIGHT;
+        let loaded = load.saturating_sub(LOADED) * (LOADED_WEIGHT - 1);
         let far = if self.near { 0 } else { OTHER_DOMAIN_WEIGHT };
         let errors = u64::from(self.errors_at(now_ms)) * ERROR_WEIGHT / u64::from(ERROR_SCALE);
-        reported + own + far + errors
+        load + loaded + far + errors
     }
 
     /// The share of its calls that a cold instance is given, in percent.
--- a/crates/sorrelturn-policy/tests/routing.rs
+++ b/crates/sorrelturn-policy/tests/routing.rs
@@ -140,3 +140,50 @@
     assert!(instances[0].is_ejected(ms(1)));
     assert!(!instances[0].is_ejected(ms(1_000)));
 }
+
+fn near_and_far() -> [Instance; 2] {
+    [true, false].map(|near| Instance::new(Incarnation(u64::from(near)), near, NONE, NONE))
+}
+
+#[test]
+fn a_far_instance_that_is_not_asked_does_not_look_idle() {
+    let [near, far] = near_and_far();
+    report(&far, ms(500), InstanceReport::Answered { load: 70 });
+    report(&near, ms(1_000), InstanceReport::Answered { load: 70 });
+    assert_eq!(shares(&[near, far], ms(1_000)), [1_000, 0]);
+}
+
+#[test]
+fn own_calls_that_the_last_report_holds_already_count_once() {
+    let [near, far] = near_and_far();
+    for _ in 0..40 {
+        near.started();
+    }
+    report(&near, ms(0), InstanceReport::Answered { load: 30 });
+    assert_eq!(shares(&[near, far], ms(0)), [1_000, 0]);
+}
+
+#[test]
+fn own_calls_since_the_last_report_count() {
+    let [near, far] = near_and_far();
+    report(&near, ms(0), InstanceReport::Answered { load: 30 });
+    for _ in 0..20 {
+        near.started();
+    }
+    assert_eq!(shares(&[near, far], ms(0)), [0, 1_000]);
+}
+
+#[test]
+fn the_own_failure_domain_is_left_earlier_the_fuller_its_instance_is() {
+    for (near_load, far_load, stays) in [(60, 30, true), (95, 60, false), (95, 90, true)] {
+        let [near, far] = near_and_far();
+        report(&near, ms(0), InstanceReport::Answered { load: near_load });
+        report(&far, ms(0), InstanceReport::Answered { load: far_load });
+        let expected = if stays { [1_000, 0] } else { [0, 1_000] };
+        assert_eq!(
+            shares(&[near, far], ms(0)),
+            expected,
+            "{near_load} {far_load}"
+        );
+    }
+}
