--- a/crates/sorrelturn-policy/src/load_level.rs
+++ b/crates/sorrelturn-policy/src/load_level.rs
@@ -10,10 +10,15 @@
 /// The part of its slots that a backend server may be asked for: above it, waits begin to grow and
 /// some backend servers slow down (their knee is at 0.95).
 const TARGET: f64 = 0.92;
-/// What a window's distance from the target adds to the level. The loop's delay is the way of a
-/// request from its entry to the deepest service, about 300 ms or six windows; with a gain of 0.15
-/// and half of the load in the lowest rank the loop is well damped (0.15 x 0.5 x 6 = 0.45 < 1.57).
+/// What a window's distance from the target adds to the level while the load is no more than the slots
+/// can do. The loop's delay is the way of a request through its chain of calls, 300 to 600 ms or up to
+/// twelve windows; with a gain of 0.15 and half of the load in the lowest rank the loop is damped
+/// (0.15 x 0.85 x 0.5 x 12 = 0.77 < 1.57). Where the load is several times what the slots can do, a
+/// step of the level changes several times as much, and the gain is divided by that.
 const GAIN: f64 = 0.15;
+/// The load and the part of it that is admitted are smoothed over about so many windows: as many as the
+/// loop's delay, since what arrives was admitted by an earlier level.
+const LOAD_WINDOWS: f64 = 12.0;
 /// Requests that wait are asked for again as if they were to be worked off in this time.
 const DRAIN_TIME: Duration = Duration::from_millis(300);
 /// A window this far from the target counts no more than this.
@@ -51,6 +56,10 @@
     mean_time_s: f64,
     lag: Duration,
     level: f64,
+    /// The smoothed part of the slots that is asked for, backlog left out.
+    asked: f64,
+    /// The smoothed part of the load that the level admits, if two ranks have half of it each.
+    admitted: f64,
     since: Option<Now>,
 }
 
@@ -64,6 +73,8 @@
             mean_time_s: 0.0,
             lag: Duration::ZERO,
             level: 0.0,
+            asked: 0.0,
+            admitted: 1.0,
             since: None,
         }
     }
@@ -105,7 +116,8 @@
         let distance = distance.clamp(-MOST_DISTANCE, MOST_DISTANCE);
         // After a quiet time one window stands for many.
         let windows = (length.as_secs_f64() / WINDOW.as_secs_f64()).min(20.0);
-        let mut level = self.level + GAIN * distance * windows;
+        self.smooth_load(asked, windows);
+        let mut level = self.level + GAIN / self.load().max(1.0) * distance * windows;
         if self.arrived > 0.0 {
             level += CONSENSUS * (self.heard / self.arrived - self.level);
         }
@@ -120,6 +132,19 @@
         self.window_start = now;
     }
 
+    fn smooth_load(&mut self, asked: f64, windows: f64) {
+        let part = (windows / LOAD_WINDOWS).min(1.0);
+        self.asked += (asked - self.asked) * part;
+        let of_rank = |rank: f64| (self.level - rank).clamp(0.0, 1.0) * MOST_REFUSED;
+        let admitted = 1.0 - (of_rank(0.0) + of_rank(1.0)) / 2.0;
+        self.admitted += (admitted - self.admitted) * part;
+    }
+
+    /// What would be asked for if nothing were refused, as a multiple of what the slots can do.
+    fn load(&self) -> f64 {
+        self.asked / self.admitted
+    }
+
     /// The level in steps.
     pub fn level(&self) -> u16 {
         (self.level * f64::from(LEVEL_STEPS)) as u16
--- a/crates/sorrelturn-policy/tests/entry_admission.rs
+++ b/crates/sorrelturn-policy/tests/entry_admission.rs
@@ -10,16 +10,25 @@
 const STEP: Duration = Duration::from_millis(10);
 /// How long the backend server takes for a request.
 const WORK: Duration = Duration::from_millis(20);
+/// So many steps pass until the daemons that make the calls hear of the level.
+const CALLER_DELAY: usize = 5;
 /// The steps at the end over which the mean is taken.
-const AT_END: u32 = 200;
+const AT_END: usize = 200;
 
 /// Plays a backend server that is asked for `load` times its slots by two ranks, half each; the
-/// entry hears of the level after `delay` steps. Returns the mean share of slots in use at the end,
-/// and the level.
+/// entry hears of the level after `delay` steps. Returns the mean share of slots that is asked for at
+/// the end, and the level.
 fn play(load: f64, delay: usize, steps: u32) -> (f64, u16) {
+    let (asked, level) = play_whole(load, delay, steps);
+    let at_end = &asked[asked.len() - AT_END..];
+    (at_end.iter().sum::<f64>() / AT_END as f64, level)
+}
+
+/// Returns the share of slots that is asked for at each step, and the last level.
+fn play_whole(load: f64, delay: usize, steps: u32) -> (Vec<f64>, u16) {
     let mut level = LoadLevel::new(Duration::ZERO);
     let mut told = vec![0; delay];
-    let mut used_at_end = 0.0;
+    let mut asked = Vec::new();
     let mut owed = 0.0;
     for step in 1..=steps {
         let heard = told.remove(0);
@@ -31,16 +40,29 @@
         owed += used * f64::from(SLOTS) * STEP.as_secs_f64() / WORK.as_secs_f64();
         while owed >= 1.0 {
             owed -= 1.0;
-            level.arrived(heard);
+            // The calls come from daemons close by, which hear of the level soon.
+            level.arrived(told[delay - CALLER_DELAY]);
             level.finished(WORK);
         }
         level.passed(STEP * step, 0, SLOTS);
         told.push(level.level());
-        if step > steps - AT_END {
-            used_at_end += used / f64::from(AT_END);
-        }
+        asked.push(used);
+    }
+    (asked, told[delay - 1])
+}
+
+/// Where one of several instances is left, a step of the level changes several times as much; the way
+/// of a request through a chain of sequential calls is half a second and more.
+#[test]
+fn the_level_does_not_swing_where_few_instances_are_left() {
+    for load in [2.0, 3.0, 4.5] {
+        let (asked, _) = play_whole(load, 60, 2_000);
+        let at_end = &asked[asked.len() - 2 * AT_END..];
+        let least = at_end.iter().copied().fold(f64::MAX, f64::min);
+        let most = at_end.iter().copied().fold(0.0, f64::max);
+        assert!(most - least < 0.3, "load {load}: {least} to {most}");
+        assert!((0.8..=1.05).contains(&least), "load {load}: {least}");
     }
-    (used_at_end, told[delay - 1])
 }
 
 #[test]
