--- a/crates/sorrelturn-daemon/src/backend/state.rs
+++ b/crates/sorrelturn-daemon/src/backend/state.rs
@@ -8,6 +8,7 @@
     store::own_record,
 };
 use hyper::{HeaderMap, StatusCode, header::HeaderValue};
+use sorrelturn_bundle::Bundle;
 use sorrelturn_policy::{CallGraph, GateConfig, Heard, LeavingCause, Origins, Presence};
 use sorrelturn_protocol::{Announcement, BackendState};
 use sorrelturn_telemetry::{Field, events};
@@ -91,6 +92,13 @@
         }
     }
 
+    /// Forgets what was learnt of kinds that a new bundle doesn't have.
+    pub(crate) fn retain_kinds(&self, bundle: &Bundle) {
+        let exists = |kind: &str| bundle.kind(kind).is_some();
+        lock(&self.graph).retain(exists);
+        lock(&self.origins).retain(exists);
+    }
+
     /// Decides what an answer is, by the id that it gives back.
     pub(crate) fn judge(
         &self,
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -193,6 +193,9 @@
             self.room.with_gate(|room, _| room.reconfigure(gate));
             self.backend.reconfigure(service.connections);
         }
+        if let Some(routed) = &self.routed {
+            routed.retain_kinds(&bundle);
+        }
         let retries = self.retry_terms();
         let in_force = InForce::new(bundle, origin, before.as_deref(), now, retries);
         self.in_force.store(Some(Arc::new(in_force)));
--- a/crates/sorrelturn-policy/src/call_graph.rs
+++ b/crates/sorrelturn-policy/src/call_graph.rs
@@ -120,6 +120,15 @@
         changed.then_some(caller.calls.as_slice())
     }
 
+    /// Forgets kinds that no longer exist.
+    pub fn retain(&mut self, exists: impl Fn(&str) -> bool) {
+        self.callers.retain(|kind, _| exists(kind));
+        for caller in self.callers.values_mut() {
+            caller.credit.retain(|kind, _| exists(kind));
+            caller.calls.retain(|kind| exists(kind));
+        }
+    }
+
     /// The calls of a kind that one request of another kind makes.
     pub fn rate(&self, parent: &str, child: &str) -> f64 {
         let caller = self.callers.get(parent);
--- a/crates/sorrelturn-policy/src/origins.rs
+++ b/crates/sorrelturn-policy/src/origins.rs
@@ -37,6 +37,11 @@
         }
     }
 
+    /// Forgets kinds that no longer exist.
+    pub fn retain(&mut self, exists: impl Fn(&str) -> bool) {
+        self.by_kind.retain(|kind, _| exists(kind));
+    }
+
     /// Whether requests of a kind are calls of backend servers, in a fleet of so many services.
     pub fn are_calls(&self, kind: &str, services: usize) -> bool {
         let Some(origins) = self.by_kind.get(kind) else {
--- a/crates/sorrelturn-policy/tests/entry_admission.rs
+++ b/crates/sorrelturn-policy/tests/entry_admission.rs
@@ -274,3 +274,25 @@
         graph.rate("read", "fetch")
     );
 }
+
+#[test]
+fn kinds_that_no_longer_exist_are_forgotten() {
+    let mut graph = CallGraph::default();
+    let mut origins = Origins::default();
+    for _ in 0..100 {
+        let parent = Candidate {
+            kind: "old".to_owned(),
+            same_end: true,
+            count: 1,
+        };
+        graph.called("child", &[parent]);
+        graph.ended("old", Duration::from_millis(10));
+        origins.saw("old", "a");
+    }
+    assert_eq!(graph.calls("old"), ["child"]);
+    assert!(origins.are_calls("old", 4));
+    graph.retain(|kind| kind == "child");
+    origins.retain(|kind| kind == "child");
+    assert!(graph.calls("old").is_empty());
+    assert!(!origins.are_calls("old", 4));
+}
