--- a/crates/sorrelturn-daemon/src/operators/log_sink.rs
+++ b/crates/sorrelturn-daemon/src/operators/log_sink.rs
@@ -4,7 +4,7 @@
 //! reader of standard output is slow, lines are dropped and the next flush says how many.
 
 use crate::node::lock;
-use env_logger::{Builder, Env, Target};
+use env_logger::{Builder, Env, Target, WriteStyle};
 use std::{
     io::{self, Write},
     mem,
@@ -15,12 +15,16 @@
 
 /// The most that waits to be written, in bytes: more than a second of the busiest daemon.
 const BUF_LIMIT_BYTES: usize = 1 << 20;
+/// What a buffer keeps of its memory between two flushes: a flush of a daemon under ordinary load.
+const KEPT_BYTES: usize = 64 << 10;
 /// How often the buffer is written out. Each time costs a wake-up and a system call.
 const FLUSH_EVERY: Duration = Duration::from_millis(250);
 
 #[derive(Default)]
 struct Waiting {
     buf: Vec<u8>,
+    /// The buffer before it, empty, so that it needn't grow anew.
+    spare: Vec<u8>,
     dropped: u64,
 }
 
@@ -51,6 +55,8 @@
 pub(crate) fn start() {
     Builder::from_env(Env::default().default_filter_or("sorrelturn=info"))
         .target(Target::Pipe(Box::new(Sink)))
+        // Else each line is searched for colours to be taken out.
+        .write_style(WriteStyle::Always)
         .format(|buf, record| writeln!(buf, "{:<5} {}", record.level(), record.args()))
         .init();
     thread::spawn(|| {
@@ -63,10 +69,12 @@
 
 /// Writes out what waits.
 pub(crate) fn flush() {
-    let Waiting { buf, dropped } = mem::take(&mut *waiting());
-    if buf.is_empty() && dropped == 0 {
-        return;
-    }
+    let (mut buf, dropped) = {
+        let mut waiting = waiting();
+        let spare = mem::take(&mut waiting.spare);
+        let buf = mem::replace(&mut waiting.buf, spare);
+        (buf, mem::take(&mut waiting.dropped))
+    };
     let mut out = io::stdout().lock();
     // Nobody is left to tell if standard output is gone.
     let _ = out.write_all(&buf);
@@ -74,4 +82,7 @@
         let _ = writeln!(out, "WARN  log lines dropped={dropped} reason=slow-reader");
     }
     let _ = out.flush();
+    buf.clear();
+    buf.shrink_to(KEPT_BYTES);
+    waiting().spare = buf;
 }
--- a/crates/sorrelturn-telemetry/src/event.rs
+++ b/crates/sorrelturn-telemetry/src/event.rs
@@ -37,6 +37,25 @@
     }
 }
 
+impl fmt::Display for Field {
+    /// Control characters are written as escapes: values come from backend servers and peers too, and
+    /// one with a line end could write a line of its own into the log.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}=", self.name)?;
+        if !self.value.contains(char::is_control) {
+            return f.write_str(&self.value);
+        }
+        for c in self.value.chars() {
+            if c.is_control() {
+                write!(f, "{}", c.escape_default())?;
+            } else {
+                write!(f, "{c}")?;
+            }
+        }
+        Ok(())
+    }
+}
+
 /// One event that happened.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EventRecord {
@@ -119,7 +138,7 @@
             write!(f, " request={request}")?;
         }
         for field in &self.fields {
-            write!(f, " {}={}", field.name, field.value)?;
+            write!(f, " {field}")?;
         }
         Ok(())
     }
--- a/crates/sorrelturn-telemetry/src/ring.rs
+++ b/crates/sorrelturn-telemetry/src/ring.rs
@@ -33,7 +33,7 @@
             write!(f, " request={request}")?;
         }
         for field in &self.fields {
-            write!(f, " {}={}", field.name, field.value)?;
+            write!(f, " {field}")?;
         }
         Ok(())
     }
--- a/crates/sorrelturn-telemetry/tests/log_lines.rs
+++ b/crates/sorrelturn-telemetry/tests/log_lines.rs
@@ -31,3 +31,10 @@
         assert_eq!(EventRecord::from_log_line(line), None, "{line}");
     }
 }
+
+#[test]
+fn a_value_with_line_ends_and_colours_stays_one_plain_line() {
+    let field = Field::new("backend", "b\nINFO 1 i-1 S002 stopped \u{1b}[31m");
+    let line = field.to_string();
+    assert_eq!(line, r"backend=b\nINFO 1 i-1 S002 stopped \u{1b}[31m");
+}
