--- a/crates/sorrelturn-daemon/src/fleet/peers.rs
+++ b/crates/sorrelturn-daemon/src/fleet/peers.rs
@@ -13,8 +13,8 @@
 /// The longest time for a new connection. Peers are about 1 ms apart; an opening packet that was
 /// lost is sent again after a second, and by then another instance has long answered.
 const CONNECT_TIME: Duration = Duration::from_millis(250);
-/// A message of at most so many bytes is taken by its reader's daemon whatever the reader does.
-/// Behind a longer one, a slow reader leaves no window, and its kernel then looks like a silent one.
+/// A message of at most so many bytes is taken by its reader's daemon whatever the reader does. Behind a
+/// longer one a slow reader can hold a connection still for long, which the options below don't bear.
 const READ_AT_ONCE_BYTES: u64 = BUF_LIMIT_BYTES as u64;
 /// A peer that doesn't acknowledge what was sent for so long is silent. Two losses of one packet in a
 /// row, 200 and 400 ms, still pass.
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -218,9 +218,10 @@
     gossip::spread_own_record(node);
     let too_late = async {
         Timer::after(LAST_WRITE_TIME).await;
+        let error = format!("no answer within {LAST_WRITE_TIME:?}");
+        own_record::note_unsaved(node, &node.own_record.load(), error);
         false
     };
-    // What doesn't come through is logged there; the others know from the line above.
     own_record::write(node).or(too_late).await;
 }
 
--- a/crates/sorrelturn-daemon/src/store/own_record.rs
+++ b/crates/sorrelturn-daemon/src/store/own_record.rs
@@ -3,6 +3,7 @@
 
 use crate::node::Node;
 use sorrelturn_platform::{Expected, keys};
+use sorrelturn_protocol::MemberRecord;
 use sorrelturn_telemetry::{Field, events};
 
 /// Writes the own record as it is now.
@@ -19,13 +20,18 @@
         Err(error) => Err(error.to_string()),
     };
     if let Err(error) = written {
-        let fields = vec![
-            Field::new("sequence", record.sequence),
-            Field::new("state", format!("{:?}", record.state).to_lowercase()),
-            Field::new("error", error),
-        ];
-        node.note(&events::RECORD_UNSAVED, fields);
+        note_unsaved(node, &record, error);
         return false;
     }
     node.own_record.load().sequence == record.sequence
 }
+
+/// Says in the log that the store doesn't have this record, and why.
+pub(crate) fn note_unsaved(node: &Node, record: &MemberRecord, error: String) {
+    let fields = vec![
+        Field::new("sequence", record.sequence),
+        Field::new("state", format!("{:?}", record.state).to_lowercase()),
+        Field::new("error", error),
+    ];
+    node.note(&events::RECORD_UNSAVED, fields);
+}
--- a/crates/sorrelturn-policy/src/call_graph.rs
+++ b/crates/sorrelturn-policy/src/call_graph.rs
@@ -96,7 +96,8 @@
         (took_s + PRIOR_TIME_S * PRIOR_REQUESTS) / (ended + PRIOR_REQUESTS)
     }
 
-    /// The backend server has finished a request that took so long; returns what its kind calls, if that has changed.
+    /// The backend server has finished a request that took so long; returns what its kind calls, if
+    /// that has changed.
     pub fn ended(&mut self, kind: &str, took: Duration) -> Option<&[String]> {
         let caller = caller(&mut self.callers, kind);
         caller.ended += 1.0;
--- a/crates/sorrelturn-policy/src/routing.rs
+++ b/crates/sorrelturn-policy/src/routing.rs
@@ -22,9 +22,9 @@
 /// What a call adds to an instance's load that is in flight from here and not yet in its report, in
 /// percent.
 const OWN_CALL_WEIGHT: u64 = 4;
-/// From this load on, in percent, waits begin and requests are refused, and each further percent counts
-/// more times as much.
+/// From this load on, in percent, waits begin and requests are refused.
 const LOADED: u64 = 80;
+/// Each percent above it counts so many times.
 const LOADED_WEIGHT: u64 = 4;
 /// What an instance that fails every call would have added, in percent: at a failure in three it is
 /// avoided like one that is loaded to the full.
