One piece of code where the change had written two

Found on the last reading of the whole change; no behaviour is meant to change. - Addresses was ListenSettings once more: one type. - The bounds of a deadline stood in check.rs and routes.rs. - Two files wrote member records to the store; both call member_record::put. (A record that can't be written as JSON is no longer put as an empty text; that can't happen with this type.) - Counter and time of a request that is done, the version in force, and the share that a level refuses of a rank stood twice each. - RouteEntry.target_ms was read by nobody. The kind's name is copied at the owner only where it is used. - Tests build candidates in one function; assertions are the same.

--- a/crates/sorrelturn-bench/src/idle_fleet.rs
+++ b/crates/sorrelturn-bench/src/idle_fleet.rs
@@ -8,7 +8,7 @@
 use hyper::Request;
 use smol::Timer;
 use sorrelturn_bundle::{BundleSource, SignedManifest, split};
-use sorrelturn_daemon::{Addresses, StatusReport};
+use sorrelturn_daemon::{ListenSettings, StatusReport};
 use sorrelturn_platform::{Counters, Faults, Platform, http::exchange};
 use sorrelturn_telemetry::EventRecord;
 use std::{
@@ -80,7 +80,7 @@
 
 /// Daemons that carry no calls, and the platform's stand-in.
 pub(crate) struct IdleFleet {
-    pub(crate) daemons: Vec<(Process, Addresses)>,
+    pub(crate) daemons: Vec<(Process, ListenSettings)>,
     platform: SocketAddr,
     _platform: Process,
 }
--- a/crates/sorrelturn-bench/src/processes.rs
+++ b/crates/sorrelturn-bench/src/processes.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use hyper::Request;
 use smol::{Executor, Timer};
-use sorrelturn_daemon::{Addresses, Settings, StatusReport};
+use sorrelturn_daemon::{ListenSettings, Settings, StatusReport};
 use sorrelturn_platform::{Faults, Platform, VmEntry, http::exchange};
 use sorrelturn_protocol::MemberRecord;
 use std::{
@@ -109,7 +109,7 @@
     /// The daemon.
     pub process: Process,
     /// Where it listens.
-    pub addresses: Addresses,
+    pub addresses: ListenSettings,
     /// The backend server.
     pub backend: Process,
     /// Where the backend server listens.
@@ -176,7 +176,7 @@
         std::fs::write(&file, text).expect("the folder can be written");
         let file = file.display().to_string();
         let process = Process::start("sorrelturnd", &["--settings", &file]);
-        let addresses: Addresses =
+        let addresses: ListenSettings =
             serde_json::from_str(&process.first_line).expect("the daemon prints its addresses");
         let daemon = DaemonProcess {
             process,
--- a/crates/sorrelturn-bench/src/routed_fleet.rs
+++ b/crates/sorrelturn-bench/src/routed_fleet.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use hyper::{Request, Response};
 use smol::{Executor, Timer, net::TcpListener};
-use sorrelturn_daemon::{Addresses, Daemon, Dialect, Settings};
+use sorrelturn_daemon::{Daemon, Dialect, ListenSettings, Settings};
 use sorrelturn_platform::{Expected, Platform, StandIn, http::exchange, serve};
 use std::{
     net::SocketAddr,
@@ -26,7 +26,7 @@
     /// The backend server.
     pub backend: RoutedBackend,
     /// Where the daemon listens.
-    pub addresses: Addresses,
+    pub addresses: ListenSettings,
     /// The daemon's settings, to start it anew.
     pub settings: Settings,
     /// The daemon, until it is stopped.
--- a/crates/sorrelturn-bundle/src/check.rs
+++ b/crates/sorrelturn-bundle/src/check.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The longest deadline that makes sense for a call; longer ones are taken for a wrong unit.
-const MAX_DEADLINE_MS: u32 = 600_000;
+pub(crate) const MAX_DEADLINE_MS: u32 = 600_000;
 
 /// Returns all findings, in the file's order of services and callers.
 pub fn check(source: &BundleSource, map: &SourceMap) -> Vec<Diagnostic> {
--- a/crates/sorrelturn-bundle/src/routes.rs
+++ b/crates/sorrelturn-bundle/src/routes.rs
@@ -3,7 +3,7 @@
 //! A route table is the second form of a bundle. It is one document in the platform's store, which
 //! is trusted because only operators may write there; `docs/BUNDLE.md` describes its fields.
 
-use crate::{Execution, Kind, KindEntry, Service};
+use crate::{Execution, Kind, KindEntry, Service, check::MAX_DEADLINE_MS};
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
 use sorrelturn_protocol::Importance;
@@ -115,9 +115,6 @@
 
 impl std::error::Error for RouteError {}
 
-/// The longest deadline that makes sense for a call; longer ones are taken for a wrong unit.
-const MAX_DEADLINE_MS: u32 = 600_000;
-
 impl RouteTable {
     /// Finds the first rule that the table breaks.
     pub fn check(&self) -> Result<(), RouteError> {
@@ -168,8 +165,6 @@
 pub struct RouteEntry {
     /// Its name.
     pub name: String,
-    /// The time within which an answer is worth most, in milliseconds.
-    pub target_ms: u32,
     path_prefix: String,
     /// Each share's kind with the sum of the weights up to it.
     shares: Vec<(u64, Arc<KindEntry>)>,
@@ -260,7 +255,6 @@
         .collect();
     RouteEntry {
         name: name.to_owned(),
-        target_ms: route.target_ms,
         path_prefix: route.path_prefix.clone(),
         shares,
     }
--- a/crates/sorrelturn-daemon/src/backend/state.rs
+++ b/crates/sorrelturn-daemon/src/backend/state.rs
@@ -5,7 +5,7 @@
     fleet::gossip,
     node::{LastTime, Node, lock},
     request::dialect::Dialect,
-    store::own_record,
+    store::member_record,
 };
 use hyper::{HeaderMap, StatusCode, header::HeaderValue};
 use sorrelturn_bundle::Bundle;
@@ -211,7 +211,7 @@
     if routed.saved.load(Ordering::Relaxed) {
         return true;
     }
-    if own_record::write(node).await {
+    if member_record::write_own(node).await {
         routed.saved.store(true, Ordering::Relaxed);
     }
     routed.saved.load(Ordering::Relaxed)
--- a/crates/sorrelturn-daemon/src/config/fetch.rs
+++ b/crates/sorrelturn-daemon/src/config/fetch.rs
@@ -38,12 +38,7 @@
 
 /// Somebody has this version; if it is higher, it is fetched. Cheap enough for every answer.
 pub(crate) fn heard_version(node: &Arc<Node>, version: u64, source: Source) {
-    let in_force = node
-        .in_force
-        .load()
-        .as_ref()
-        .map_or(0, |in_force| in_force.bundle.version);
-    if version <= in_force {
+    if version <= node.bundle_version() {
         return;
     }
     let fetch = lock(&node.spread).heard(node.now(), version, source);
--- a/crates/sorrelturn-daemon/src/config/settings.rs
+++ b/crates/sorrelturn-daemon/src/config/settings.rs
@@ -57,7 +57,8 @@
     pub events: EventSettings,
 }
 
-/// Addresses to listen on; port 0 takes a free one.
+/// Addresses to listen on; port 0 takes a free one. A daemon that runs tells by the same form where it
+/// listens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ListenSettings {
--- a/crates/sorrelturn-daemon/src/fleet/join.rs
+++ b/crates/sorrelturn-daemon/src/fleet/join.rs
@@ -5,7 +5,7 @@
     config::fetch,
     fleet::gossip,
     node::{Node, lock},
-    store::{outcomes, own_record},
+    store::{member_record, outcomes},
 };
 use smol::Timer;
 use sorrelturn_fleet::{Source, push_targets};
@@ -44,7 +44,7 @@
     } else {
         MemberState::Live
     });
-    own_record::write(node).await;
+    member_record::write_own(node).await;
 }
 
 /// Looks for a bundle until there is one: in the store and at peers of several failure domains,
--- a/crates/sorrelturn-daemon/src/fleet/watch.rs
+++ b/crates/sorrelturn-daemon/src/fleet/watch.rs
@@ -6,6 +6,7 @@
     fleet::control_client as control,
     fleet::gossip,
     node::{Node, lock},
+    store::member_record,
 };
 use smol::{Timer, future::FutureExt};
 use sorrelturn_bundle::SignedManifest;
@@ -296,10 +297,8 @@
 async fn declare_gone(node: &Arc<Node>, mut record: MemberRecord) {
     record.sequence += 1;
     record.state = MemberState::Gone;
-    let value = serde_json::to_string(&record).unwrap_or_default();
-    let key = keys::member(&record.instance);
-    gossip::heard_member(node, record);
-    let _ = node.platform.put(&key, &value, Expected::Anything).await;
+    gossip::heard_member(node, record.clone());
+    let _ = member_record::put(node, &record).await;
 }
 
 async fn write_status(node: &Arc<Node>) {
--- a/crates/sorrelturn-daemon/src/lib.rs
+++ b/crates/sorrelturn-daemon/src/lib.rs
@@ -17,7 +17,6 @@
     MetricsSettings, OnceSettings, PlatformSettings, RouteSettings, Settings, StopSettings,
     TraceSettings,
 };
-pub use net::listeners::Addresses;
 pub use net::stream::fleet_client_stream;
 pub use operators::status::StatusReport;
 pub use request::dialect::{Dialect, HeaderNames};
--- a/crates/sorrelturn-daemon/src/net/listeners.rs
+++ b/crates/sorrelturn-daemon/src/net/listeners.rs
@@ -1,43 +1,18 @@
 //! Where a daemon listens.
 
 use crate::{
-    config::settings::Settings,
+    config::settings::{ListenSettings, Settings},
     fleet::control,
     net::serve::{self, Closing},
     node::Node,
     run::StartError,
 };
-use serde::{Deserialize, Serialize};
 use smol::{
     future::FutureExt,
     net::{TcpListener, TcpStream},
 };
 use std::{net::SocketAddr, sync::Arc};
 
-/// Where a daemon listens, with the ports that it got for port 0.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Addresses {
-    /// For callers.
-    pub callers: SocketAddr,
-    /// For the own backend server's calls.
-    pub local: SocketAddr,
-    /// For calls of other daemons.
-    pub peers: SocketAddr,
-    /// For control messages of other daemons.
-    pub control: SocketAddr,
-    /// For operators.
-    pub admin: SocketAddr,
-    /// For requests that are told by routes.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub routed: Option<SocketAddr>,
-    /// For announcements of the own backend server.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub announce: Option<SocketAddr>,
-    /// For the question whether the daemon is ready.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub ready: Option<SocketAddr>,
-}
-
 /// The sockets of one daemon.
 pub(crate) struct Listeners {
     callers: TcpListener,
@@ -66,8 +41,8 @@
         })
     }
 
-    /// Where they listen.
-    pub(crate) fn addresses(&self, settings: &Settings) -> Result<Addresses, StartError> {
+    /// Where they listen, with the ports that they got for port 0.
+    pub(crate) fn addresses(&self, settings: &Settings) -> Result<ListenSettings, StartError> {
         let of = |listener: &TcpListener, addr| {
             listener
                 .local_addr()
@@ -78,7 +53,7 @@
             both.map(|(listener, addr)| of(listener, addr)).transpose()
         };
         let listen = &settings.listen;
-        Ok(Addresses {
+        Ok(ListenSettings {
             callers: of(&self.callers, listen.callers)?,
             local: of(&self.local, listen.local)?,
             peers: of(&self.peers, listen.peers)?,
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -176,6 +176,14 @@
         self.events.note(kind, None, fields);
     }
 
+    /// The version of the bundle in force; 0 before the first.
+    pub(crate) fn bundle_version(&self) -> u64 {
+        let in_force = self.in_force.load();
+        in_force
+            .as_ref()
+            .map_or(0, |in_force| in_force.bundle.version)
+    }
+
     /// Puts a bundle in force if its version is higher; returns whether it was.
     pub(crate) fn put_in_force(&self, bundle: Bundle, origin: Origin) -> bool {
         let version = bundle.version;
--- a/crates/sorrelturn-daemon/src/operators/export.rs
+++ b/crates/sorrelturn-daemon/src/operators/export.rs
@@ -11,7 +11,7 @@
 use hyper::{Request, header::CONTENT_TYPE};
 use smol::Timer;
 use sorrelturn_platform::http::exchange;
-use sorrelturn_protocol::Priority;
+use sorrelturn_protocol::{Priority, Verdict};
 use sorrelturn_telemetry::{
     Field, events,
     metrics::{self, Metric},
@@ -71,6 +71,13 @@
     }
 }
 
+/// A request that began here has its answer; its importance is `none` where that wasn't found out.
+pub(crate) fn request_done(node: &Node, importance: &str, verdict: Verdict, took: Duration) {
+    let tags = [("importance", importance), ("verdict", verdict.name())];
+    count(node, &metrics::REQUESTS, &tags);
+    time(node, &metrics::HOP_TIME, took, &tags[..1]);
+}
+
 fn send<'t, T: cadence::Metric + From<String>>(
     builder: MetricBuilder<'t, '_, T>,
     tags: &[(&'t str, &'t str)],
--- a/crates/sorrelturn-daemon/src/request/entry.rs
+++ b/crates/sorrelturn-daemon/src/request/entry.rs
@@ -22,7 +22,7 @@
     CallContext, ExecutionToken, Refusal, RequestId, SpanId, Verdict,
     headers::{IDEMPOTENCY_KEY, TOKEN, TRACEPARENT},
 };
-use sorrelturn_telemetry::{Field, TraceContext, events, metrics};
+use sorrelturn_telemetry::{Field, TraceContext, events};
 use std::{net::IpAddr, sync::Arc, time::Duration};
 
 /// Where callers get tokens.
@@ -62,10 +62,12 @@
         Err(reply) if may_be_repeat => ("none", unknown_here(reply)),
         Err(reply) => ("none", reply),
     };
-    let verdict = reply.context.verdict.name();
-    let tags = [("importance", importance), ("verdict", verdict)];
-    export::count(node, &metrics::REQUESTS, &tags);
-    export::time(node, &metrics::HOP_TIME, node.now() - started, &tags[..1]);
+    export::request_done(
+        node,
+        importance,
+        reply.context.verdict,
+        node.now() - started,
+    );
     reply.into_response(request, carried)
 }
 
--- a/crates/sorrelturn-daemon/src/request/owner.rs
+++ b/crates/sorrelturn-daemon/src/request/owner.rs
@@ -19,21 +19,20 @@
 
 /// Runs a call at this daemon's backend server, or refuses it.
 pub(crate) async fn serve(node: &Arc<Node>, context: CallContext, req: Request<Body>) -> Reply {
-    let kind = context.kind.clone();
+    let asked = node
+        .routed
+        .as_ref()
+        .map(|routed| (routed, context.kind.clone()));
     let mut reply = if req.uri().path() == tokens::ISSUE_PATH {
         unused(tokens::issue(node), context.attempts)
     } else {
         admit(node, context, req).await
     };
     let answer = &mut reply.context;
-    if let Some(routed) = &node.routed {
+    if let Some((routed, kind)) = asked {
         answer.is_call = is_call(node, routed, &kind);
     }
-    answer.bundle_version = node
-        .in_force
-        .load()
-        .as_ref()
-        .map_or(0, |in_force| in_force.bundle.version);
+    answer.bundle_version = node.bundle_version();
     answer.incarnation = node.incarnation;
     answer.leaving = node.is_leaving();
     node.room.with_gate(|gate, now| {
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -23,7 +23,7 @@
 use sorrelturn_bundle::KindEntry;
 use sorrelturn_policy::{Now, refuses};
 use sorrelturn_protocol::{CallContext, CallerId, Refusal, RequestId, SpanId, Verdict};
-use sorrelturn_telemetry::{Field, events, metrics};
+use sorrelturn_telemetry::{Field, events};
 use std::{
     sync::{Arc, atomic::Ordering},
     time::Duration,
@@ -69,12 +69,12 @@
         Err(reply) => ("none", None, reply),
     };
     note(node, request, kind.as_deref(), arrived, &reply);
-    let tags = [
-        ("importance", importance),
-        ("verdict", reply.context.verdict.name()),
-    ];
-    export::count(node, &metrics::REQUESTS, &tags);
-    export::time(node, &metrics::HOP_TIME, node.now() - arrived, &tags[..1]);
+    export::request_done(
+        node,
+        importance,
+        reply.context.verdict,
+        node.now() - arrived,
+    );
     into_response(routed, id, reply, carried)
 }
 
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -5,14 +5,14 @@
     backend::link::Backend,
     backend::state::Routed,
     clock::{Clock, unix_ms},
-    config::settings::Settings,
+    config::settings::{ListenSettings, Settings},
     fleet::control_client::ControlLinks,
     fleet::gossip,
     fleet::join,
     fleet::reports,
     fleet::routes::Routes,
     fleet::watch,
-    net::listeners::{Addresses, Listeners},
+    net::listeners::Listeners,
     net::stream::{FleetKeys, KeysError},
     net::timers::Timers,
     node::{Counts, Node, lock},
@@ -21,7 +21,7 @@
     request::dialect::Dialect,
     request::parents::Parents,
     request::room::Room,
-    store::{outcomes, own_record},
+    store::{member_record, outcomes},
 };
 use arc_swap::{ArcSwap, ArcSwapOption};
 use displaydoc::Display;
@@ -91,7 +91,7 @@
 /// A running daemon.
 pub struct Daemon {
     /// Where it listens.
-    pub addresses: Addresses,
+    pub addresses: ListenSettings,
     node: Arc<Node>,
     closing_entries: Sender<()>,
     closing: Sender<()>,
@@ -219,17 +219,17 @@
     let too_late = async {
         Timer::after(LAST_WRITE_TIME).await;
         let error = format!("no answer within {LAST_WRITE_TIME:?}");
-        own_record::note_unsaved(node, &node.own_record.load(), error);
+        member_record::note_unsaved(node, &node.own_record.load(), error);
         false
     };
-    own_record::write(node).or(too_late).await;
+    member_record::write_own(node).or(too_late).await;
 }
 
 fn node(
     settings: Settings,
     dialect: Dialect,
     ex: Arc<Executor<'static>>,
-    addresses: &Addresses,
+    addresses: &ListenSettings,
 ) -> Result<Node, StartError> {
     let clock = Clock::start();
     let (timers, woken) = Timers::new(clock);
--- a/crates/sorrelturn-daemon/src/store/mod.rs
+++ b/crates/sorrelturn-daemon/src/store/mod.rs
@@ -1,4 +1,4 @@
 //! What outlives a process in the platform's store.
 
+pub(crate) mod member_record;
 pub(crate) mod outcomes;
-pub(crate) mod own_record;
--- a/crates/sorrelturn-policy/src/load_level.rs
+++ b/crates/sorrelturn-policy/src/load_level.rs
@@ -135,8 +135,7 @@
     fn smooth_load(&mut self, asked: f64, windows: f64) {
         let part = (windows / LOAD_WINDOWS).min(1.0);
         self.asked += (asked - self.asked) * part;
-        let of_rank = |rank: f64| (self.level - rank).clamp(0.0, 1.0) * MOST_REFUSED;
-        let admitted = 1.0 - (of_rank(0.0) + of_rank(1.0)) / 2.0;
+        let admitted = 1.0 - (refused_of(self.level, 0) + refused_of(self.level, 1)) / 2.0;
         self.admitted += (admitted - self.admitted) * part;
     }
 
@@ -156,12 +155,17 @@
     }
 }
 
+/// The share of a rank that a level refuses for the sake of others.
+fn refused_of(level: f64, rank: usize) -> f64 {
+    (level - rank as f64).clamp(0.0, 1.0) * MOST_REFUSED
+}
+
 /// Whether a level refuses a root request that is in the given bucket (0 to 255, lowest first) of
 /// a rank: 0 for the lowest of the `ranks` that root requests have. Beyond the highest rank more is
 /// refused of all alike, so that a service that has lost nearly all of its instances isn't buried.
 pub fn refuses(level: u16, rank: usize, ranks: usize, bucket: u8) -> bool {
     let level = f64::from(level) / f64::from(LEVEL_STEPS);
-    let of_rank = (level - rank as f64).clamp(0.0, 1.0) * MOST_REFUSED;
+    let of_rank = refused_of(level, rank);
     let of_all = (level - ranks as f64).clamp(0.0, 1.0) * MORE_REFUSED_OF_ALL;
     f64::from(bucket) < (of_rank + of_all) * 256.0
 }
--- a/crates/sorrelturn-policy/tests/entry_admission.rs
+++ b/crates/sorrelturn-policy/tests/entry_admission.rs
@@ -119,6 +119,14 @@
     assert!(!refuses(u16::MAX, 1, 2, 250));
 }
 
+fn candidate(kind: &str, same_end: bool, count: u32) -> Candidate {
+    Candidate {
+        kind: kind.to_owned(),
+        same_end,
+        count,
+    }
+}
+
 #[test]
 fn calls_are_credited_to_the_kind_that_makes_them() {
     let mut rng = fastrand::Rng::with_seed(7);
@@ -127,13 +135,11 @@
         // Many requests of a kind that calls, few of one that doesn't, in changing numbers.
         let callers = rng.u32(1..20);
         let others = rng.u32(0..4);
-        let candidate = |kind: &str, count| Candidate {
-            kind: kind.to_owned(),
-            same_end: false,
-            count,
-        };
         if rng.u32(0..20) < callers {
-            let candidates = [candidate("caller", callers), candidate("other", others)];
+            let candidates = [
+                candidate("caller", false, callers),
+                candidate("other", false, others),
+            ];
             graph.called("child", &candidates);
         }
         if rng.u32(0..80) < callers {
@@ -240,11 +246,6 @@
 fn short_requests_keep_their_calls_beside_many_long_ones() {
     let mut rng = fastrand::Rng::with_seed(11);
     let mut graph = CallGraph::default();
-    let candidate = |kind: &str, same_end, count| Candidate {
-        kind: kind.to_owned(),
-        same_end,
-        count,
-    };
     for _ in 0..2_000 {
         let by_chance = u32::from(rng.u32(0..2) == 0);
         if rng.u32(0..10) < 7 {
@@ -280,12 +281,7 @@
     let mut graph = CallGraph::default();
     let mut origins = Origins::default();
     for _ in 0..100 {
-        let parent = Candidate {
-            kind: "old".to_owned(),
-            same_end: true,
-            count: 1,
-        };
-        graph.called("child", &[parent]);
+        graph.called("child", &[candidate("old", true, 1)]);
         graph.ended("old", Duration::from_millis(10));
         origins.saw("old", "a");
     }
