A long answer no longer stands still when its socket has room again at once

A stream of async-net forgets the wish to be woken with a write that succeeds, so nobody wakes the connection. Ruled out: the kernel (no drops, no zero window that stays: nstat), the peers' socket options (the connection of the test's answer has none once the head is read), timers. Change: hyper_io wakes the task once more after such a write; all connections that hyper drives use it.

--- a/crates/sorrelturn-bench/src/backend.rs
+++ b/crates/sorrelturn-bench/src/backend.rs
@@ -13,7 +13,7 @@
     service::service_fn,
 };
 use smol::{Executor, Timer, lock::Semaphore, net::TcpListener, stream};
-use smol_hyper::rt::FuturesIo;
+use sorrelturn_platform::hyper_io;
 use std::{
     collections::HashMap,
     convert::Infallible,
@@ -72,7 +72,7 @@
         let conn = async move {
             let service = service_fn(|req| backend.answer(&nested, req));
             let _ = http1::Builder::new()
-                .serve_connection(FuturesIo::new(tcp), service)
+                .serve_connection(hyper_io(tcp), service)
                 .await;
         };
         ex.spawn(conn).detach();
--- a/crates/sorrelturn-bench/src/baseline.rs
+++ b/crates/sorrelturn-bench/src/baseline.rs
@@ -7,8 +7,8 @@
     Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
 };
 use smol::{Executor, Timer, net::TcpListener};
-use smol_hyper::rt::FuturesIo;
 use sorrelturn_bundle::Bundle;
+use sorrelturn_platform::hyper_io;
 use std::{
     collections::HashMap,
     convert::Infallible,
@@ -91,7 +91,7 @@
             let conn = async move {
                 let service = service_fn(|req| proxy.answer(req));
                 let _ = http1::Builder::new()
-                    .serve_connection(FuturesIo::new(tcp), service)
+                    .serve_connection(hyper_io(tcp), service)
                     .await;
             };
             ex.spawn(conn).detach();
--- a/crates/sorrelturn-bench/src/client.rs
+++ b/crates/sorrelturn-bench/src/client.rs
@@ -9,7 +9,7 @@
     header::HOST,
 };
 use smol::{Executor, Timer, future::FutureExt, net::TcpStream};
-use smol_hyper::rt::FuturesIo;
+use sorrelturn_platform::hyper_io;
 use std::{
     io,
     net::SocketAddr,
@@ -156,9 +156,7 @@
     async fn connect(&self) -> io::Result<SendRequest<Full<Bytes>>> {
         let tcp = TcpStream::connect(self.addr).await?;
         tcp.set_nodelay(true)?;
-        let (sender, conn) = handshake(FuturesIo::new(tcp))
-            .await
-            .map_err(io::Error::other)?;
+        let (sender, conn) = handshake(hyper_io(tcp)).await.map_err(io::Error::other)?;
         let drive = async move {
             let _ = conn.await;
         };
--- a/crates/sorrelturn-bench/tests/telemetry.rs
+++ b/crates/sorrelturn-bench/tests/telemetry.rs
@@ -12,10 +12,10 @@
     Timer,
     net::{TcpListener, UdpSocket},
 };
-use smol_hyper::rt::FuturesIo;
 use sorrelturn_bench::{FleetPlan, LocalFleet, run_on};
 use sorrelturn_daemon::{MetricsSettings, TraceSettings};
 use sorrelturn_platform::http::exchange;
+use sorrelturn_platform::hyper_io;
 use sorrelturn_telemetry::EventRecord;
 use std::{
     collections::HashMap,
@@ -46,7 +46,7 @@
                         Ok::<_, Infallible>(Response::new(Full::new(Bytes::from("{}"))))
                     });
                     let _ = http1::Builder::new()
-                        .serve_connection(FuturesIo::new(tcp), service)
+                        .serve_connection(hyper_io(tcp), service)
                         .await;
                 };
                 for_conns.spawn(conn).detach();
--- a/crates/sorrelturn-daemon/src/net/pool.rs
+++ b/crates/sorrelturn-daemon/src/net/pool.rs
@@ -8,7 +8,7 @@
     client::conn::http1::{Builder, SendRequest},
 };
 use smol::{Executor, Timer, future::FutureExt, net::TcpStream};
-use smol_hyper::rt::FuturesIo;
+use sorrelturn_platform::hyper_io;
 use std::{
     collections::VecDeque,
     io,
@@ -226,7 +226,7 @@
         let opened = connect.or(too_long).await.map_err(|_| SendError::NotSent)?;
         let (sender, conn) = Builder::new()
             .max_buf_size(BUF_LIMIT_BYTES)
-            .handshake(FuturesIo::new(opened.stream))
+            .handshake(hyper_io(opened.stream))
             .await
             .map_err(|_| SendError::NotSent)?;
         let drive = async move {
--- a/crates/sorrelturn-platform/src/http.rs
+++ b/crates/sorrelturn-platform/src/http.rs
@@ -1,5 +1,6 @@
 //! A minimal HTTP/1.1 exchange for control calls: one connection each, whole bodies, one timeout.
 
+use crate::hyper_io;
 use bytes::Bytes;
 use displaydoc::Display;
 use http_body_util::{BodyExt, Full, Limited};
@@ -9,7 +10,6 @@
     future::{self, FutureExt},
     net::TcpStream,
 };
-use smol_hyper::rt::FuturesIo;
 use std::{net::SocketAddr, time::Duration};
 
 /// The largest answer that a control call takes, in bytes.
@@ -49,9 +49,7 @@
         .await
         .map_err(ExchangeError::NotSent)?;
     let broke = |error: hyper::Error| ExchangeError::Broke(error.to_string());
-    let (mut sender, conn) = http1::handshake(FuturesIo::new(stream))
-        .await
-        .map_err(broke)?;
+    let (mut sender, conn) = http1::handshake(hyper_io(stream)).await.map_err(broke)?;
     let host = addr.to_string().parse();
     req.headers_mut()
         .entry(HOST)
--- a/crates/sorrelturn-platform/src/lib.rs
+++ b/crates/sorrelturn-platform/src/lib.rs
@@ -3,9 +3,11 @@
 mod api;
 mod client;
 pub mod http;
+mod hyper_io;
 mod stand_in;
 mod store;
 
 pub use api::{Changes, Counters, Faults, Object, VmEntry, VmState, keys};
 pub use client::{Expected, OBJECTS_PATH, Platform, PlatformError};
+pub use hyper_io::{WokenWrites, hyper_io};
 pub use stand_in::{StandIn, serve};
--- a/crates/sorrelturn-platform/src/stand_in.rs
+++ b/crates/sorrelturn-platform/src/stand_in.rs
@@ -3,6 +3,7 @@
 use crate::{
     Faults,
     api::{WireEvents, WireObject},
+    hyper_io,
     store::{Store, VALUE_LIMIT_BYTES, Written},
 };
 use bytes::Bytes;
@@ -12,7 +13,6 @@
 };
 use serde::Serialize;
 use smol::{Executor, Timer, future, lock::Mutex, net::TcpListener};
-use smol_hyper::rt::FuturesIo;
 use std::{
     sync::Arc,
     time::{Duration, Instant},
@@ -40,7 +40,7 @@
         let conn = async move {
             let service = service_fn(|req| stand_in.answer(req));
             let _ = http1::Builder::new()
-                .serve_connection(FuturesIo::new(stream), service)
+                .serve_connection(hyper_io(stream), service)
                 .await;
         };
         ex.spawn(conn).detach();
