--- a/crates/sorrelturn-daemon/src/backend/announce.rs
+++ b/crates/sorrelturn-daemon/src/backend/announce.rs
@@ -8,12 +8,13 @@
     net::serve::status,
     node::Node,
     request::body::{self, Body},
+    store::member_record,
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use serde::Deserialize;
-use smol::{Timer, future::FutureExt};
+use smol::Timer;
 use sorrelturn_platform::http::exchange;
 use sorrelturn_policy::Heard;
 use sorrelturn_protocol::{Announcement, BackendState};
@@ -79,7 +80,8 @@
     };
     let leaves = news.state != BackendState::Ready;
     if heard(node, routed, news) != Heard::Late && leaves {
-        save_in_time(node, routed).await;
+        let save = state::save(node, routed);
+        member_record::within(node, ACKNOWLEDGE_TIME, save).await;
     }
     Response::new(body::full("{}"))
 }
@@ -90,14 +92,6 @@
     serde_json::from_slice(&bytes).ok()
 }
 
-async fn save_in_time(node: &Arc<Node>, routed: &Routed) {
-    let in_time = async {
-        Timer::after(ACKNOWLEDGE_TIME).await;
-        false
-    };
-    state::save(node, routed).or(in_time).await;
-}
-
 /// Answers whether this daemon is ready for callers' requests.
 pub(crate) async fn ready(node: &Arc<Node>, _: Request<Incoming>) -> Response<Body> {
     let stops = node.counts.stopping.load(Ordering::Relaxed);
--- a/crates/sorrelturn-daemon/src/fleet/watch.rs
+++ b/crates/sorrelturn-daemon/src/fleet/watch.rs
@@ -306,7 +306,9 @@
     record.sequence += 1;
     record.state = MemberState::Gone;
     gossip::heard_member(node, record.clone());
-    let _ = member_record::put(node, &record).await;
+    if let Err(error) = member_record::put(node, &record).await {
+        member_record::note_unsaved(node, &record, error);
+    }
 }
 
 async fn write_status(node: &Arc<Node>) {
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -28,7 +28,6 @@
 use smol::{
     Executor, Timer,
     channel::{self, Sender},
-    future::FutureExt,
     lock::Mutex as AsyncMutex,
 };
 use sorrelturn_bundle::{KeyError, TrustedKeys};
@@ -215,13 +214,7 @@
 async fn say_gone(node: &Arc<Node>) {
     node.set_own_state(MemberState::Gone);
     gossip::spread_own_record(node);
-    let too_late = async {
-        Timer::after(LAST_WRITE_TIME).await;
-        let error = format!("no answer within {LAST_WRITE_TIME:?}");
-        member_record::note_unsaved(node, &node.own_record.load(), error);
-        false
-    };
-    member_record::write_own(node).or(too_late).await;
+    member_record::within(node, LAST_WRITE_TIME, member_record::write_own(node)).await;
 }
 
 fn node(
--- a/crates/sorrelturn-daemon/src/store/member_record.rs
+++ b/crates/sorrelturn-daemon/src/store/member_record.rs
@@ -2,9 +2,11 @@
 //! while this one is silent, know of it.
 
 use crate::node::Node;
+use smol::{Timer, future::FutureExt};
 use sorrelturn_platform::{Expected, PlatformError, keys};
 use sorrelturn_protocol::MemberRecord;
 use sorrelturn_telemetry::{Field, events};
+use std::time::Duration;
 
 /// Writes a member's record over whatever is there.
 pub(crate) async fn put(node: &Node, record: &MemberRecord) -> Result<(), String> {
@@ -44,9 +46,26 @@
     node.own_record.load().sequence == record.sequence
 }
 
-/// Says in the log that the store doesn't have this state of the own record, and why.
+/// Waits for a write of the own record, and no longer than `limit`; if that is over, a line in the log
+/// says so. Returns whether the store has the record.
+pub(crate) async fn within(
+    node: &Node,
+    limit: Duration,
+    write: impl Future<Output = bool>,
+) -> bool {
+    let too_late = async {
+        Timer::after(limit).await;
+        let error = format!("no answer within {limit:?}");
+        note_unsaved(node, &node.own_record.load(), error);
+        false
+    };
+    write.or(too_late).await
+}
+
+/// Says in the log that the store doesn't have this state of a record, and why.
 pub(crate) fn note_unsaved(node: &Node, record: &MemberRecord, error: String) {
     let fields = vec![
+        Field::new("member", &record.instance),
         Field::new("sequence", record.sequence),
         Field::new("state", format!("{:?}", record.state).to_lowercase()),
         Field::new("error", error),
--- a/crates/sorrelturn-telemetry/src/events.rs
+++ b/crates/sorrelturn-telemetry/src/events.rs
@@ -70,7 +70,7 @@
     PLATFORM_BACK = 501 "platform-back" Info "The platform answers again.";
     OUTCOMES_UNSAVED = 502 "outcomes-unsaved" Warn "The outcomes of tokens could not be written to the platform.";
 
-    RECORD_UNSAVED = 503 "record-unsaved" Warn "The own member record could not be written to the platform.";
+    RECORD_UNSAVED = 503 "record-unsaved" Warn "A member record, most often the own one, could not be written to the platform.";
 
     BAD_PEER = 600 "bad-peer" Warn "Somebody on the peer or control port sent what no daemon sends.";
     BAD_REQUEST = 601 "bad-request" Debug "A request was malformed or too large.";
