--- a/crates/sorrelturn-policy/src/load_level.rs
+++ b/crates/sorrelturn-policy/src/load_level.rs
@@ -13,7 +13,7 @@
 /// What a window's distance from the target adds to the level while the load is no more than the slots
 /// can do. The loop's delay is the way of a request through its chain of calls, 300 to 600 ms or up to
 /// twelve windows; with a gain of 0.15 and half of the load in the lowest rank the loop is damped
-/// (0.15 x 0.85 x 0.5 x 12 = 0.77 < 1.57). Where the load is several times what the slots can do, a
+/// (0.15 x 0.75 x 0.5 x 12 = 0.68 < 1.57). Where the load is several times what the slots can do, a
 /// step of the level changes several times as much, and the gain is divided by that.
 const GAIN: f64 = 0.15;
 /// The load and the part of it that is admitted are smoothed over about so many windows: as many as the
@@ -37,10 +37,12 @@
 const CONSENSUS: f64 = 0.2;
 /// The level's unit on the wire: so many steps refuse all that may be refused of one rank.
 pub const LEVEL_STEPS: u16 = 256;
-/// The largest share of a rank that is refused for the sake of others: no kind may be starved.
-const MOST_REFUSED: f64 = 0.85;
+/// The largest share of a rank that is refused for the sake of others: no kind may be starved. What is
+/// left of the lowest rank, a quarter, is a floor that the users' days have for each kind where one of
+/// three instances of the smallest service is left (0.24).
+const MOST_REFUSED: f64 = 0.75;
 /// What may be refused besides once all ranks have given that up.
-const MORE_REFUSED_OF_ALL: f64 = 0.11;
+const MORE_REFUSED_OF_ALL: f64 = 0.21;
 /// The highest level: the two ranks that the users' route tables have, and one for all alike. Higher,
 /// it would only take longer to come down.
 const MOST_LEVEL: f64 = 3.0;
