A line when the process is told to stop; the processes 'killed at the end of the grace time' are explained

The stop had no line of its own when the backend server had left before. S006 says when it begins, and S002 and S003 with how many requests and connections are open. Ruled out: connections that stay open (0 at each S002), requests that are carried (0), a process that hangs after S002 (those that were to start again did, 0.8 s later).

--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -118,6 +118,18 @@
     }
 }
 
+impl Counts {
+    /// What the log says of them when the process stops.
+    pub(crate) fn as_fields(&self) -> Vec<Field> {
+        let carried = self.carried.load(Ordering::Relaxed);
+        let connections = self.connections.load(Ordering::Relaxed);
+        vec![
+            Field::new("carried", carried),
+            Field::new("connections", connections),
+        ]
+    }
+}
+
 /// Counts a request as carried while it lives.
 pub(crate) struct Carried {
     node: Arc<Node>,
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -176,6 +176,7 @@
         node.counts.stopping.store(true, Ordering::Relaxed);
         let last = node.now() + Duration::from_millis(node.settings.stop.most_ms);
         let linger = Duration::from_millis(node.settings.stop.linger_ms);
+        node.note(&events::STOPPING, node.counts.as_fields());
         // Its backend server goes on meanwhile: other daemons use it as long as they can.
         Timer::after(linger.saturating_sub(LEAVES_BEFORE)).await;
         gossip::leave(node, LeavingCause::Signal);
@@ -204,7 +205,7 @@
             } else {
                 &events::STOP_CUT
             },
-            Vec::new(),
+            node.counts.as_fields(),
         );
         whole
     }
