--- a/crates/sorrelturn-telemetry/src/events.rs
+++ b/crates/sorrelturn-telemetry/src/events.rs
@@ -27,10 +27,10 @@
     STOP_CUT = 3 "stop-cut" Warn "The daemon exits though requests were still in flight.";
     LEAVING = 4 "leaving" Info "The daemon takes no new calls from now on.";
     STAYING = 5 "staying" Info "The reason for leaving was taken back; the daemon takes calls again.";
-    STOPPING = 6 "stopping" Info "The process was told to stop.";
 
     SETTINGS_RELOADED = 6 "settings-reloaded" Info "The settings file was read again.";
     SETTINGS_REFUSED = 7 "settings-refused" Error "The changed settings file can't be used; the daemon goes on with the settings it has.";
+    STOPPING = 8 "stopping" Info "The process was told to stop.";
 
     HOP_SERVED = 100 "hop-served" Debug "The backend server answered this hop.";
     HOP_FORWARDED = 101 "hop-forwarded" Debug "The call was forwarded to the owner daemon.";
