Reading the change: one function writes a record, one clock read a request

No behaviour is meant to change. put takes what it expects; the nested results of put_if are gone. platform/tests/rules.rs: 21 passed.

--- a/crates/sorrelturn-daemon/src/fleet/watch.rs
+++ b/crates/sorrelturn-daemon/src/fleet/watch.rs
@@ -306,7 +306,7 @@
     record.sequence += 1;
     record.state = MemberState::Gone;
     gossip::heard_member(node, record.clone());
-    if let Err(error) = member_record::put(node, &record).await {
+    if let Err(error) = member_record::put(node, &record, Expected::Anything).await {
         member_record::note_unsaved(node, &record, error);
     }
 }
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -73,7 +73,7 @@
     let id = req.headers().get(&routed.dialect.headers.request_id);
     let id = id.cloned();
     let request = request_id(id.as_ref());
-    let asked = ask(node, routed, &req, request, arrives);
+    let asked = ask(node, routed, &req, request, arrived, arrives);
     let (importance, kind, reply) = match asked {
         Ok(asked) => {
             let (importance, kind) = (asked.kind.importance(), Arc::clone(&asked.kind));
@@ -109,9 +109,9 @@
     routed: &Routed,
     req: &Request<Incoming>,
     request: RequestId,
+    arrived: Now,
     arrives: Arrives,
 ) -> Result<Asked, Reply> {
-    let arrived = node.now();
     let headers = req.headers();
     if ambiguous(req) || !headers.contains_key(&routed.dialect.headers.request_id) {
         return Err(Reply::not_run(Refusal::Malformed));
--- a/crates/sorrelturn-daemon/src/store/member_record.rs
+++ b/crates/sorrelturn-daemon/src/store/member_record.rs
@@ -3,35 +3,31 @@
 
 use crate::node::Node;
 use smol::{Timer, future::FutureExt};
-use sorrelturn_platform::{Expected, PlatformError, keys};
+use sorrelturn_platform::{Expected, keys};
 use sorrelturn_protocol::MemberRecord;
 use sorrelturn_telemetry::{Field, events};
 use std::time::Duration;
 
-/// Writes a member's record over whatever is there.
-pub(crate) async fn put(node: &Node, record: &MemberRecord) -> Result<(), String> {
-    let written = put_if(node, record, Expected::Anything).await?;
+/// Writes a member's record.
+pub(crate) async fn put(
+    node: &Node,
+    record: &MemberRecord,
+    expected: Expected,
+) -> Result<(), String> {
+    let value = serde_json::to_string(record).map_err(|error| error.to_string())?;
+    let key = keys::member(&record.instance);
+    let written = node.platform.put(&key, &value, expected).await;
     written.map(drop).map_err(|error| error.to_string())
 }
 
-/// Writes the own record where the store was seen to have none, which saves a call; another one that
-/// was written since then is written over.
+/// Writes the own record where the store was seen to have none, which saves a call; if there is one by
+/// now, as [`write_own`] does.
 pub(crate) async fn create_own(node: &Node) -> bool {
     let record = node.own_record.load_full();
-    match put_if(node, &record, Expected::Absent).await {
-        Ok(Ok(_)) => node.own_record.load().sequence == record.sequence,
-        _ => write_own(node).await,
+    if put(node, &record, Expected::Absent).await.is_err() {
+        return write_own(node).await;
     }
-}
-
-async fn put_if(
-    node: &Node,
-    record: &MemberRecord,
-    expected: Expected,
-) -> Result<Result<u64, PlatformError>, String> {
-    let value = serde_json::to_string(record).map_err(|error| error.to_string())?;
-    let key = keys::member(&record.instance);
-    Ok(node.platform.put(&key, &value, expected).await)
+    node.own_record.load().sequence == record.sequence
 }
 
 /// Writes the own record as it is now.
@@ -39,7 +35,7 @@
 /// Returns whether the store has the newest one; if not, a line in the log says why.
 pub(crate) async fn write_own(node: &Node) -> bool {
     let record = node.own_record.load_full();
-    if let Err(error) = put(node, &record).await {
+    if let Err(error) = put(node, &record, Expected::Anything).await {
         note_unsaved(node, &record, error);
         return false;
     }
