Tests send faults to the stand-in, and start a daemon, in one way each

Found on the last reading: RoutedFleet::set_faults was a third copy of what ProcessFleet and the idle fleet had, and took its faults as a text; all three call play_faults now, with the typed Faults. start_anew repeated how a daemon is started.

--- a/crates/sorrelturn-bench/src/idle_fleet.rs
+++ b/crates/sorrelturn-bench/src/idle_fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     fleet::{FleetPlan, InstancePlan, publish_bundle},
-    processes::{Process, cpu_time},
+    processes::{Process, cpu_time, play_faults},
 };
 use bytes::Bytes;
 use hyper::Request;
@@ -160,10 +160,13 @@
         let manifest = publish_bundle(&Platform::new(self.platform, WAIT), &source).await;
         let accepted = unix_ms();
         if outage {
-            self.play(&Faults {
-                down: true,
-                ..Faults::default()
-            })
+            play_faults(
+                self.platform,
+                &Faults {
+                    down: true,
+                    ..Faults::default()
+                },
+            )
             .await;
             self.bring(&manifest, &source).await;
         }
@@ -175,17 +178,10 @@
                     .saturating_sub(accepted),
             );
         }
-        self.play(&Faults::default()).await;
+        play_faults(self.platform, &Faults::default()).await;
         times
     }
 
-    async fn play(&self, faults: &Faults) {
-        let body = serde_json::to_vec(faults).unwrap_or_default();
-        let req = Request::put("/stand-in/faults").body(Bytes::from(body));
-        let played = exchange(self.platform, req.expect("a request"), WAIT).await;
-        assert!(played.is_ok_and(|res| res.status().is_success()));
-    }
-
     async fn bring(&self, manifest: &SignedManifest, source: &BundleSource) {
         let brought = serde_json::json!({ "manifest": manifest, "sections": split(source) });
         let req = Request::put("/bundle").body(Bytes::from(brought.to_string()));
--- a/crates/sorrelturn-bench/src/processes.rs
+++ b/crates/sorrelturn-bench/src/processes.rs
@@ -200,8 +200,7 @@
 
     /// Makes the stand-in play faults.
     pub async fn play(&self, faults: &Faults) {
-        let body = serde_json::to_vec(faults).expect("faults are JSON");
-        put(self.platform, "/stand-in/faults", body).await;
+        play_faults(self.platform, faults).await;
     }
 
     /// Sets the list of VMs.
@@ -314,6 +313,12 @@
     kilobytes.unwrap_or(0) * 1024
 }
 
+/// Makes the stand-in at `platform` play faults.
+pub(crate) async fn play_faults(platform: SocketAddr, faults: &Faults) {
+    let body = serde_json::to_vec(faults).expect("faults are JSON");
+    put(platform, "/stand-in/faults", body).await;
+}
+
 async fn put(addr: SocketAddr, path: &str, body: Vec<u8>) {
     let req = Request::put(path)
         .body(Bytes::from(body))
--- a/crates/sorrelturn-bench/src/routed_fleet.rs
+++ b/crates/sorrelturn-bench/src/routed_fleet.rs
@@ -1,11 +1,11 @@
 //! A small fleet on loopback whose kinds are told by routes, beside scripted backend servers.
 
-use crate::{RoutedBackend, fleet::free_ports};
+use crate::{RoutedBackend, fleet::free_ports, processes::play_faults};
 use bytes::Bytes;
 use hyper::{Request, Response};
 use smol::{Executor, Timer, net::TcpListener};
 use sorrelturn_daemon::{Daemon, Dialect, ListenSettings, Settings, StartError};
-use sorrelturn_platform::{Expected, Platform, StandIn, http::exchange, serve};
+use sorrelturn_platform::{Expected, Faults, Platform, StandIn, http::exchange, serve};
 use std::{
     net::SocketAddr,
     sync::Arc,
@@ -95,9 +95,12 @@
 
     /// Starts a daemon.
     pub async fn start_daemon(&self, settings: Settings) -> Daemon {
-        Daemon::start(settings, self.dialect.clone(), Arc::clone(&self.ex))
-            .await
-            .expect("the daemon starts")
+        let started = self.try_start(settings).await;
+        started.expect("the daemon starts")
+    }
+
+    async fn try_start(&self, settings: Settings) -> Result<Daemon, StartError> {
+        Daemon::start(settings, self.dialect.clone(), Arc::clone(&self.ex)).await
     }
 
     fn settings(&self, number: usize, service: &str, backend: SocketAddr) -> Settings {
@@ -125,11 +128,9 @@
         written.expect("the store takes it");
     }
 
-    /// Sets the faults of the stand-in, as JSON.
-    pub async fn set_faults(&self, faults: &str) {
-        let req = Request::put("/stand-in/faults").body(Bytes::from(faults.to_owned()));
-        let res = send(self.platform, req.expect("a request")).await;
-        assert!(res.status().is_success(), "{faults}");
+    /// Makes the stand-in play faults.
+    pub async fn play(&self, faults: &Faults) {
+        play_faults(self.platform, faults).await;
     }
 
     /// Announces every backend server as ready and waits until every daemon knows all.
@@ -160,8 +161,7 @@
         let end = Instant::now() + WAIT;
         // The tasks that listened for the last run end a little later than it.
         let daemon = loop {
-            let dialect = self.dialect.clone();
-            match Daemon::start(settings.clone(), dialect, Arc::clone(&self.ex)).await {
+            match self.try_start(settings.clone()).await {
                 Err(StartError::Listen { .. }) if Instant::now() < end => {
                     Timer::after(Duration::from_millis(20)).await;
                 }
