--- a/crates/sorrelturn-bench/src/routed_fleet.rs
+++ b/crates/sorrelturn-bench/src/routed_fleet.rs
@@ -1,13 +1,18 @@
 //! A small fleet on loopback whose kinds are told by routes, beside scripted backend servers.
 
-use crate::{RoutedBackend, fleet::free_ports, processes::play_faults};
+use crate::{
+    RoutedBackend,
+    fleet::free_ports,
+    processes::{Process, play_faults},
+};
 use bytes::Bytes;
 use hyper::{Request, Response};
 use smol::{Executor, Timer, net::TcpListener};
-use sorrelturn_daemon::{Daemon, Dialect, ListenSettings, Settings, StartError};
+use sorrelturn_daemon::{Daemon, Dialect, ListenSettings, Settings, StartError, StopSettings};
 use sorrelturn_platform::{Expected, Faults, Platform, StandIn, http::exchange, serve};
 use std::{
     net::SocketAddr,
+    path::Path,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -18,6 +23,8 @@
 const RETRY_SLACK: u32 = 1_000;
 /// How long a daemon that stops goes on serving, where a test doesn't say.
 const LINGER: Duration = Duration::from_millis(50);
+/// The program that reads route tables.
+const ADAPTED: &str = "sorrelturn-adapted";
 /// Where the route table lies.
 const TABLE: &str = "config/main";
 
@@ -31,6 +38,8 @@
     pub settings: Settings,
     /// The daemon, until it is stopped.
     pub daemon: Option<Daemon>,
+    /// The daemon as a process of its own, in the place of one that was stopped.
+    pub process: Option<Process>,
     sequence: u64,
 }
 
@@ -42,8 +51,8 @@
     pub platform: SocketAddr,
     /// The dialect of all daemons.
     pub dialect: Dialect,
-    /// How long a daemon that stops goes on serving.
-    pub linger: Duration,
+    /// How daemons stop.
+    pub stopping: StopSettings,
     /// The instances.
     pub instances: Vec<RoutedInstance>,
 }
@@ -60,6 +69,20 @@
         dialect: Dialect,
         services: &[&str],
         linger: Duration,
+    ) -> Self {
+        let stopping = StopSettings {
+            linger_ms: linger.as_millis() as u64,
+            ..StopSettings::default()
+        };
+        Self::start_stopping(ex, dialect, services, stopping).await
+    }
+
+    /// As [`RoutedFleet::start`], with daemons that stop like this.
+    pub async fn start_stopping(
+        ex: Arc<Executor<'static>>,
+        dialect: Dialect,
+        services: &[&str],
+        stopping: StopSettings,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let platform = listener.local_addr().expect("an address");
@@ -69,7 +92,7 @@
             ex,
             platform,
             dialect,
-            linger,
+            stopping,
             instances: Vec::new(),
         };
         for (number, service) in services.iter().enumerate() {
@@ -89,6 +112,7 @@
             addresses: daemon.addresses,
             settings,
             daemon: Some(daemon),
+            process: None,
             sequence: 0,
         }
     }
@@ -113,10 +137,9 @@
                 "backend": {{ "address": "{backend}" }},
                 "platform": {{ "address": "{}" }},
                 "routes": {{ "object": "{TABLE}", "retry_slack": {RETRY_SLACK} }},
-                "stop": {{ "linger_ms": {} }}
+                "stop": {{ "linger_ms": {}, "most_ms": {} }}
             }}"#,
-            self.platform,
-            self.linger.as_millis()
+            self.platform, self.stopping.linger_ms, self.stopping.most_ms
         );
         Settings::parse("test", &text).expect("the settings are right")
     }
@@ -171,6 +194,40 @@
         self.instances[at].daemon = Some(daemon);
     }
 
+    /// Puts a process in the place of one instance's daemon, with the same settings, and waits until it is ready;
+    /// `folder` takes the settings file.
+    pub async fn hand_to_process(&mut self, at: usize, folder: &Path) {
+        if let Some(daemon) = self.instances[at].daemon.take() {
+            daemon.stop().await;
+        }
+        self.start_process(at, folder).await;
+        assert_eq!(self.announce(at, "ready").await, 200);
+        let instance = &self.instances[at];
+        until("ready", async || instance.is_ready().await).await;
+    }
+
+    /// Starts a process for an instance whose daemon has ended.
+    pub async fn start_process(&mut self, at: usize, folder: &Path) {
+        let instance = &mut self.instances[at];
+        let mut settings = instance.settings.clone();
+        settings.listen = instance.addresses;
+        let file = folder.join(format!("{}.jsonc", settings.instance));
+        let text = serde_json::to_string_pretty(&settings).expect("settings are JSON");
+        std::fs::write(&file, text).expect("the folder can be written");
+        let file = file.display().to_string();
+        // The tasks that listened for the last run end a little later than it.
+        until("the process starts", async || {
+            // Elsewhere than on the threads of the other daemons, which would take the wait for load.
+            let file = file.clone();
+            let start = move || Process::start(ADAPTED, &["--settings", &file]);
+            let process = smol::unblock(start).await;
+            let starts = !process.first_line.is_empty();
+            instance.process = starts.then_some(process);
+            starts
+        })
+        .await;
+    }
+
     /// Has one backend server announce a state; returns the status of the answer.
     pub async fn announce(&mut self, at: usize, state: &str) -> u16 {
         let instance = &mut self.instances[at];
