A stopping daemon's end is a deadline for all that it carries

Cause: what a stopping daemon takes knew nothing of the time at which the process would be gone. Now what is passed on after the signal is told to end 0.4 s before stop.most_ms; what can't be answered by then, going by its target, is refused as not run; whoever still waits 0.3 s before the exit gets 504 (may have run). A stop.most_ms without a second for requests after the linger time is refused. Ruled out: refusing calls of the own backend server from the linger time on, which fails parents that would be done in time. Not covered: a body that is still being streamed to a slow reader at the exit is cut.

--- a/crates/sorrelturn-bundle/src/index.rs
+++ b/crates/sorrelturn-bundle/src/index.rs
@@ -9,6 +9,7 @@
     collections::{BTreeMap, HashMap},
     net::IpAddr,
     sync::Arc,
+    time::Duration,
 };
 
 /// A kind of request with what the path of a request needs of it.
@@ -20,6 +21,8 @@
     pub service: String,
     /// As the operators wrote it.
     pub kind: Kind,
+    /// The time within which an answer is worth most, where the bundle names one.
+    pub target: Option<Duration>,
     /// The executions that it needs when nothing fails: itself and all that it calls.
     pub need: u32,
     /// Absent for the kinds of routes, which are told by host and path prefix.
@@ -29,11 +32,12 @@
 impl KindEntry {
     /// The kind that a route's requests have at one service. It needs one execution: what a
     /// backend server calls for it is a request of its own.
-    pub fn of_route(name: String, service: &str, kind: Kind) -> Self {
+    pub fn of_route(name: String, service: &str, kind: Kind, target: Option<Duration>) -> Self {
         Self {
             name,
             service: service.to_owned(),
             kind,
+            target,
             need: 1,
             pattern: None,
         }
@@ -121,6 +125,7 @@
                     continue;
                 };
                 let entry = Arc::new(KindEntry {
+                    target: None,
                     name: name.clone(),
                     service: service_name.clone(),
                     kind: kind.clone(),
--- a/crates/sorrelturn-bundle/src/routes.rs
+++ b/crates/sorrelturn-bundle/src/routes.rs
@@ -10,6 +10,7 @@
 use std::{
     collections::{BTreeMap, HashMap},
     sync::Arc,
+    time::Duration,
 };
 
 /// A whole route table as operators wrote it, at its version.
@@ -247,10 +248,9 @@
                 exposed: true,
                 calls: BTreeMap::new(),
             };
-            (
-                upto,
-                Arc::new(KindEntry::of_route(kind_name, &share.service, kind)),
-            )
+            let target = Some(Duration::from_millis(route.target_ms.into()));
+            let entry = KindEntry::of_route(kind_name, &share.service, kind, target);
+            (upto, Arc::new(entry))
         })
         .collect();
     RouteEntry {
--- a/crates/sorrelturn-daemon/src/backend/announce.rs
+++ b/crates/sorrelturn-daemon/src/backend/announce.rs
@@ -18,10 +18,7 @@
 use sorrelturn_platform::http::exchange;
 use sorrelturn_policy::Heard;
 use sorrelturn_protocol::{Announcement, BackendState};
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 /// The largest announcement, in bytes.
 const ANNOUNCEMENT_LIMIT_BYTES: usize = 4 << 10;
@@ -94,7 +91,7 @@
 
 /// Answers whether this daemon is ready for callers' requests.
 pub(crate) async fn ready(node: &Arc<Node>, _: Request<Incoming>) -> Response<Body> {
-    let stops = node.counts.stopping.load(Ordering::Relaxed);
+    let stops = node.ending.has_begun();
     let knows = node.in_force.load().is_some();
     status(if knows && !stops {
         StatusCode::OK
--- a/crates/sorrelturn-daemon/src/config/settings.rs
+++ b/crates/sorrelturn-daemon/src/config/settings.rs
@@ -187,7 +187,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct StopSettings {
-    /// The longest time from the signal to the exit, in milliseconds: what is in flight then is cut,
+    /// The longest time from the signal to the exit, in milliseconds: everybody has a final answer by then,
     /// and whoever sent the signal may kill the process soon after.
     pub most_ms: u64,
     /// So long requests are still taken after the daemon stopped being ready, in milliseconds,
@@ -257,6 +257,10 @@
 /// The most tokens that can be out: about 41 bytes each, and the store's values end at a megabyte.
 const MAX_TOKENS: usize = 20_000;
 
+/// What is left for requests after the linger time has to be worth something, in milliseconds: most
+/// requests end within a second.
+const LEAST_AFTER_LINGER_MS: u64 = 1_000;
+
 impl Settings {
     /// Reads and checks a settings file; `file` is its name for errors.
     pub fn parse(file: &str, text: &str) -> Result<Self, Vec<Diagnostic>> {
@@ -351,6 +355,13 @@
                 "write where it lies, as in \"routes\": { \"object\": \"config/main\" }",
             );
         }
+        if self.stop.most_ms < self.stop.linger_ms.saturating_add(LEAST_AFTER_LINGER_MS) {
+            at(
+                &["stop", "most_ms"],
+                "a stop would be over before the requests that it took are answered",
+                &format!("write stop.linger_ms and {LEAST_AFTER_LINGER_MS} ms, or more"),
+            );
+        }
         if self.once.ttl_s == 0 || self.once.capacity == 0 {
             at(
                 &["once"],
--- /dev/null
+++ b/crates/sorrelturn-daemon/src/ending.rs
@@ -0,0 +1,56 @@
+//! The end of a daemon's run, as far as requests have to know of it.
+//!
+//! A process that was told to stop is killed some time later, whatever it carries then, and a
+//! connection that ends without an answer tells a caller nothing. So all that a stopping daemon
+//! carries has its final answer by a set time, and what can't have one by then is refused while that
+//! is still true: as not run. See `docs/design/leaving.md`.
+
+use smol::channel::{self, Receiver, Sender};
+use sorrelturn_policy::Now;
+use std::{sync::OnceLock, time::Duration};
+
+/// What is passed on ends so long before the final answers, so that the answer of whoever stops
+/// work at its deadline still arrives: a few hops of milliseconds each, on a busy machine.
+const ANSWER_TRAVELS: Duration = Duration::from_millis(100);
+
+/// When all requests have to be answered, once the daemon was told to stop.
+pub(crate) struct Ending {
+    answers_by: OnceLock<Now>,
+    over: Receiver<()>,
+}
+
+impl Ending {
+    /// A run whose end isn't known yet; requests are over when the sender is dropped.
+    pub(crate) fn new() -> (Self, Sender<()>) {
+        let (sender, over) = channel::bounded(1);
+        let ending = Self {
+            answers_by: OnceLock::new(),
+            over,
+        };
+        (ending, sender)
+    }
+
+    /// The daemon was told to stop, and gives the last answers at `answers_by`.
+    pub(crate) fn begins(&self, answers_by: Now) {
+        // A stop that has begun isn't put off.
+        let _ = self.answers_by.set(answers_by);
+    }
+
+    /// Whether the daemon was told to stop.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.answers_by.get().is_some()
+    }
+
+    /// The deadline of what is passed on: the request's own, or the end of the run.
+    pub(crate) fn bound(&self, deadline: Now) -> Now {
+        match self.answers_by.get() {
+            Some(answers_by) => deadline.min(answers_by.saturating_sub(ANSWER_TRAVELS)),
+            None => deadline,
+        }
+    }
+
+    /// Waits until every request needs its final answer.
+    pub(crate) async fn over(&self) {
+        let _ = self.over.recv().await;
+    }
+}
--- a/crates/sorrelturn-daemon/src/lib.rs
+++ b/crates/sorrelturn-daemon/src/lib.rs
@@ -3,6 +3,7 @@
 mod backend;
 mod clock;
 mod config;
+mod ending;
 mod fleet;
 mod net;
 mod node;
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -6,6 +6,7 @@
     clock::Clock,
     config::in_force::{InForce, Origin, RetryTerms},
     config::settings::Settings,
+    ending::Ending,
     fleet::control_client::ControlLinks,
     fleet::routes::Routes,
     net::stream::FleetKeys,
@@ -72,6 +73,7 @@
     pub(crate) neighbours: Mutex<VecDeque<String>>,
     pub(crate) visitors: Mutex<HashMap<String, Now>>,
     pub(crate) leaving: Mutex<Leaving>,
+    pub(crate) ending: Ending,
     pub(crate) own_record: ArcSwap<MemberRecord>,
     pub(crate) events: EventRing,
     pub(crate) spans: SpanBuffer,
@@ -89,8 +91,6 @@
     pub(crate) connections: Arc<AtomicUsize>,
     /// Whether the backend server could not be reached last.
     pub(crate) backend_lost: AtomicBool,
-    /// Whether the process was told to stop.
-    pub(crate) stopping: AtomicBool,
     /// When this daemon reported to its watchers last.
     pub(crate) reported: LastTime,
     /// Whether this daemon watches the platform.
--- a/crates/sorrelturn-daemon/src/request/exchange.rs
+++ b/crates/sorrelturn-daemon/src/request/exchange.rs
@@ -47,7 +47,8 @@
     }
 }
 
-/// Sends one try to one instance and waits for its answer until the deadline.
+/// Sends one try to one instance and waits for its answer until the deadline, or until this run of the
+/// daemon gives its last answers.
 pub(crate) async fn exchange(
     node: &Arc<Node>,
     route: &Route,
@@ -55,7 +56,8 @@
     mut req: Request<Body>,
 ) -> Result<Reply, Failure> {
     let too_late = async {
-        node.timers.at(call.deadline).await;
+        let deadline = node.timers.at(call.deadline);
+        deadline.or(node.ending.over()).await;
         Err(Failure::TooLate)
     };
     if route.record.incarnation == node.incarnation {
--- a/crates/sorrelturn-daemon/src/request/forward.rs
+++ b/crates/sorrelturn-daemon/src/request/forward.rs
@@ -27,6 +27,8 @@
 
 /// Without this much time left, another try could not bring an answer.
 const LEAST_TIME_FOR_ANOTHER_TRY: Duration = Duration::from_millis(5);
+/// How long a call probably takes where the bundle names no target: most end within a second.
+const TIME_WITHOUT_TARGET: Duration = Duration::from_secs(1);
 /// How often an owner is asked again for the outcome of a token when an exchange broke off.
 const TOKEN_ASKS: u32 = 2;
 
@@ -56,6 +58,11 @@
 
 /// Forwards a call until there is a final answer.
 pub(crate) async fn call(node: &Arc<Node>, call: &mut Call) -> Reply {
+    if ends_before(node, call) {
+        let refused = Reply::not_run(Refusal::Leaving).come_back(owner::come_back(node));
+        return owner::unused(refused, call.context.attempts);
+    }
+    call.deadline = node.ending.bound(call.deadline);
     let kind_state = call.in_force.kind_state(&call.kind);
     let span = SpanId::random(&mut fastrand::Rng::new());
     let share = call.context.attempts;
@@ -89,6 +96,14 @@
     reply
 }
 
+/// Whether this daemon stops before the call would probably have its answer. Then it is refused while
+/// that is true, instead of being cut while it runs. Only its owner knows what became of a token.
+fn ends_before(node: &Node, call: &Call) -> bool {
+    let probably = call.kind.target.unwrap_or(TIME_WITHOUT_TARGET);
+    let answered = call.deadline.min(node.now() + probably);
+    call.context.token.is_none() && node.ending.bound(answered) < answered
+}
+
 /// Asks one instance. `None` if there is none left to ask.
 async fn one_try(
     node: &Arc<Node>,
@@ -267,7 +282,8 @@
     kind_state: &KindState,
     reply: &Reply,
 ) -> bool {
-    let left = call.deadline.saturating_sub(node.now());
+    let deadline = node.ending.bound(call.deadline);
+    let left = deadline.saturating_sub(node.now());
     let time_left = left >= LEAST_TIME_FOR_ANOTHER_TRY;
     if call.context.token.is_some() {
         return asks_owner_again(progress, reply) && time_left && call.payload.can_be_sent_again();
--- a/crates/sorrelturn-daemon/src/request/owner.rs
+++ b/crates/sorrelturn-daemon/src/request/owner.rs
@@ -121,6 +121,7 @@
         name,
         &node.settings.service,
         kind,
+        None,
     )))
 }
 
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -6,6 +6,7 @@
     backend::state::Routed,
     clock::{Clock, unix_ms},
     config::settings::{ListenSettings, Settings},
+    ending::Ending,
     fleet::control_client::ControlLinks,
     fleet::gossip,
     fleet::join,
@@ -34,7 +35,7 @@
 use sorrelturn_fleet::{DomainView, Membership, Spread};
 use sorrelturn_once::{Ledger, LedgerConfig};
 use sorrelturn_platform::Platform;
-use sorrelturn_policy::{Gate, GateConfig, Leaving, LeavingCause};
+use sorrelturn_policy::{Gate, GateConfig, Leaving, LeavingCause, Now};
 use sorrelturn_protocol::{Incarnation, MemberRecord, MemberState};
 use sorrelturn_telemetry::{EventRing, Field, SpanBuffer, events};
 use std::{
@@ -57,6 +58,9 @@
 const LEAVES_BEFORE: Duration = Duration::from_millis(700);
 /// How often the planned stop looks whether everything is carried.
 const STOP_STEP: Duration = Duration::from_millis(10);
+/// The last answers are given so long before the exit: they have to leave, and the store has to take
+/// the last record, whose writes take 4 ms as a rule.
+const LAST_ANSWERS_BEFORE: Duration = Duration::from_millis(300);
 /// The longest time for connections to end once nothing is carried any more.
 const FLUSH_TIME: Duration = Duration::from_secs(2);
 /// The longest time for the store to take the last record of a run that is over.
@@ -93,6 +97,7 @@
     pub addresses: ListenSettings,
     node: Arc<Node>,
     closing_entries: Sender<()>,
+    answering: Sender<()>,
     closing: Sender<()>,
 }
 
@@ -105,7 +110,8 @@
     ) -> Result<Self, StartError> {
         let listeners = Listeners::bind(&settings).await?;
         let addresses = listeners.addresses(&settings)?;
-        let node = Arc::new(node(settings, dialect, ex, &addresses)?);
+        let (ending, answering) = Ending::new();
+        let node = Arc::new(node(settings, dialect, ex, &addresses, ending)?);
         if node.routed.is_some() {
             // Until the backend server was announced or answered, it takes no work.
             node.start_leaving(LeavingCause::Backend);
@@ -117,6 +123,7 @@
             addresses,
             node,
             closing_entries,
+            answering,
             closing,
         };
         join::join(&daemon.node).await;
@@ -169,18 +176,19 @@
     }
 
     /// The planned stop: is not ready at once, takes no new requests when others had the time to
-    /// notice, carries what it has, closes its record, and returns. Returns whether nothing was cut
-    /// off.
+    /// notice, carries what it has or gives it a final answer, closes its record, and returns. Returns
+    /// whether nothing was cut off.
     pub async fn stop(self) -> bool {
         let node = &self.node;
-        node.counts.stopping.store(true, Ordering::Relaxed);
         let last = node.now() + Duration::from_millis(node.settings.stop.most_ms);
+        let answers_by = last.saturating_sub(LAST_ANSWERS_BEFORE);
+        node.ending.begins(answers_by);
         let linger = Duration::from_millis(node.settings.stop.linger_ms);
         node.note(&events::STOPPING, node.counts.as_fields());
         // Its backend server goes on meanwhile: other daemons use it as long as they can.
         Timer::after(linger.saturating_sub(LEAVES_BEFORE)).await;
         gossip::leave(node, LeavingCause::Signal);
-        let most = last.saturating_sub(node.now());
+        let most = answers_by.saturating_sub(node.now());
         let carried = || node.counts.carried.load(Ordering::Relaxed);
         Timer::after(linger.min(LEAVES_BEFORE)).await;
         // Whoever goes on over an open connection would be cut at the end.
@@ -188,11 +196,17 @@
         while !lock(&node.leaving).may_exit(node.now(), carried(), most) {
             Timer::after(STOP_STEP).await;
         }
+        // Whoever still waits has its final answer now, while there is somebody to give it.
+        drop(self.answering);
+        let until = last.min(node.now() + LAST_ANSWERS_BEFORE / 2);
+        while carried() > 0 && node.now() < until {
+            Timer::after(STOP_STEP).await;
+        }
         let whole = carried() == 0;
         if node.routed.is_none() {
             outcomes::close(node).await;
         }
-        say_gone(node).await;
+        say_gone(node, last).await;
         drop(self.closing);
         // What was carried may still lie in a socket's buffer; each connection ends when it is out.
         let until = last.min(node.now() + FLUSH_TIME);
@@ -211,11 +225,12 @@
     }
 }
 
-/// Tells peers and the store that this run is over.
-async fn say_gone(node: &Arc<Node>) {
+/// Tells peers and the store that this run is over, which ends at `last` in any case.
+async fn say_gone(node: &Arc<Node>, last: Now) {
     node.set_own_state(MemberState::Gone);
     gossip::spread_own_record(node);
-    member_record::within(node, LAST_WRITE_TIME, member_record::write_own(node)).await;
+    let time = LAST_WRITE_TIME.min(last.saturating_sub(node.now()));
+    member_record::within(node, time, member_record::write_own(node)).await;
 }
 
 fn node(
@@ -223,6 +238,7 @@
     dialect: Dialect,
     ex: Arc<Executor<'static>>,
     addresses: &ListenSettings,
+    ending: Ending,
 ) -> Result<Node, StartError> {
     let clock = Clock::start();
     let (timers, woken) = Timers::new(clock);
@@ -279,6 +295,7 @@
         neighbours: Mutex::default(),
         visitors: Mutex::default(),
         leaving: Mutex::new(Leaving::default()),
+        ending,
         own_record: ArcSwap::from_pointee(record),
         events: EventRing::new(&settings.instance, settings.events.kept),
         spans: SpanBuffer::new(spans),
--- a/crates/sorrelturn-daemon/tests/settings.rs
+++ b/crates/sorrelturn-daemon/tests/settings.rs
@@ -111,6 +111,11 @@
             r#""capacity": 20001"#,
             "would not fit",
         ),
+        (
+            r#""most_ms": 60000"#,
+            r#""most_ms": 1000"#,
+            "before the requests that it took",
+        ),
         (
             r#""example": "2152"#,
             r#""example": "zz52"#,
