After the last look at what is carried, a stopping daemon refuses instead of taking and cutting

Found on reading: a stop that ends early, because nothing is carried, still took calls of the own backend server while the last record was written and connections ended (up to 3 s). Since the last answers are tied to the stop's latest end, such a call would have been passed on and answered 504 at once, or cut.

--- a/crates/sorrelturn-daemon/src/ending.rs
+++ b/crates/sorrelturn-daemon/src/ending.rs
@@ -7,15 +7,20 @@
 
 use smol::channel::{self, Receiver, Sender};
 use sorrelturn_policy::Now;
-use std::{sync::OnceLock, time::Duration};
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
 /// What is passed on ends so long before the final answers, so that the answer of whoever stops
 /// work at its deadline still arrives: a few hops of milliseconds each, on a busy machine.
 const ANSWER_TRAVELS: Duration = Duration::from_millis(100);
+/// The value of [`Ending::answers_by_ms`] while the daemon wasn't told to stop.
+const NOT_STOPPING: u64 = u64::MAX;
 
 /// When all requests have to be answered, once the daemon was told to stop.
 pub(crate) struct Ending {
-    answers_by: OnceLock<Now>,
+    answers_by_ms: AtomicU64,
     over: Receiver<()>,
 }
 
@@ -24,28 +29,29 @@
     pub(crate) fn new() -> (Self, Sender<()>) {
         let (sender, over) = channel::bounded(1);
         let ending = Self {
-            answers_by: OnceLock::new(),
+            answers_by_ms: AtomicU64::new(NOT_STOPPING),
             over,
         };
         (ending, sender)
     }
 
-    /// The daemon was told to stop, and gives the last answers at `answers_by`.
+    /// The daemon was told to stop and gives the last answers at `answers_by`, or earlier if that was
+    /// said before.
     pub(crate) fn begins(&self, answers_by: Now) {
-        // A stop that has begun isn't put off.
-        let _ = self.answers_by.set(answers_by);
+        let ms = answers_by.as_millis() as u64;
+        self.answers_by_ms.fetch_min(ms, Ordering::Relaxed);
     }
 
     /// Whether the daemon was told to stop.
     pub(crate) fn has_begun(&self) -> bool {
-        self.answers_by.get().is_some()
+        self.answers_by_ms.load(Ordering::Relaxed) != NOT_STOPPING
     }
 
     /// The deadline of what is passed on: the request's own, or the end of the run.
     pub(crate) fn bound(&self, deadline: Now) -> Now {
-        match self.answers_by.get() {
-            Some(answers_by) => deadline.min(answers_by.saturating_sub(ANSWER_TRAVELS)),
-            None => deadline,
+        match self.answers_by_ms.load(Ordering::Relaxed) {
+            NOT_STOPPING => deadline,
+            ms => deadline.min(Duration::from_millis(ms).saturating_sub(ANSWER_TRAVELS)),
         }
     }
 
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -196,7 +196,9 @@
         while !lock(&node.leaving).may_exit(node.now(), carried(), most) {
             Timer::after(STOP_STEP).await;
         }
-        // Whoever still waits has its final answer now, while there is somebody to give it.
+        // What is asked for from now on is refused, and whoever still waits has its final answer,
+        // while there is somebody to give them.
+        node.ending.begins(node.now());
         drop(self.answering);
         let until = last.min(node.now() + LAST_ANSWERS_BEFORE / 2);
         while carried() > 0 && node.now() < until {
