--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -38,6 +38,8 @@
     AnswersTwice,
     /// It fails.
     Fails,
+    /// It works as long as a call of its own would take.
+    AnswersSoon,
     /// It answers after a while.
     AnswersLate,
     /// It never answers.
@@ -74,6 +76,8 @@
 pub const BODY: &str = "the whole answer of the backend server";
 /// How long it says that connections may rest, in seconds.
 pub const IDLE_S: u64 = 1;
+/// How long it works where a test makes calls for it meanwhile.
+const SOON: Duration = Duration::from_millis(100);
 /// How late it answers.
 const LATE: Duration = Duration::from_millis(300);
 /// The header that marks an answer of a backend server.
@@ -209,6 +213,10 @@
                 smol::Timer::after(Duration::from_secs(60)).await;
                 return Ok(false);
             }
+            Script::AnswersSoon => {
+                smol::Timer::after(SOON).await;
+                (whole, true)
+            }
             Script::AnswersLate => {
                 smol::Timer::after(LATE).await;
                 (whole, true)
--- a/crates/sorrelturn-daemon/src/config/in_force.rs
+++ b/crates/sorrelturn-daemon/src/config/in_force.rs
@@ -1,6 +1,6 @@
 //! The bundle in force, with what is learnt under it.
 
-use crate::node::lock;
+use crate::node::{LastTime, lock};
 use sorrelturn_bundle::{Bundle, CallerEntry, KindEntry, SectionBytes, SignedManifest};
 use sorrelturn_policy::{FirstTries, LearnedThreshold, Now, RateBucket, RetryBucket};
 use sorrelturn_protocol::{CallerId, Importance, Priority};
@@ -10,6 +10,7 @@
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU8, Ordering},
     },
+    time::Duration,
 };
 
 /// The retries that each success of a kind pays for.
@@ -17,6 +18,10 @@
 /// The retries of a kind that are paid for in advance.
 const EDGE_RETRY_BURST: f64 = 10.0;
 
+/// So long it is believed that something below a kind has no instance. A daemon that starts anew is back
+/// in a second or two; each time this ends, the requests of a few milliseconds try in vain.
+const LACK_HOLDS: Duration = Duration::from_millis(200);
+
 /// What a bundle was read from.
 pub(crate) enum Origin {
     /// Sections that an operator signed for.
@@ -85,6 +90,8 @@
     pub(crate) is_call: AtomicBool,
     /// Whether anybody answered a request of this kind.
     was_answered: AtomicBool,
+    /// When a request of this kind was refused last because something below it has no instance.
+    lacked_below: LastTime,
     /// How much time callers begin with.
     pub(crate) first_tries: Mutex<FirstTries>,
 }
@@ -196,6 +203,11 @@
             .unwrap_or_default()
     }
 
+    /// What is learnt about a kind of this name.
+    pub(crate) fn state_of(&self, kind: &str) -> Option<&KindState> {
+        self.kinds.get(kind).map(Arc::as_ref)
+    }
+
     /// Takes one request out of a caller's rate.
     pub(crate) fn caller_may_ask(&self, caller: &CallerEntry, now: Now) -> bool {
         self.callers
@@ -219,6 +231,16 @@
 }
 
 impl KindState {
+    /// A request of this kind was refused because something below it has no instance.
+    pub(crate) fn lacks_below(&self, now: Now) {
+        self.lacked_below.set(now);
+    }
+
+    /// Whether the next one would probably be refused for the same reason.
+    pub(crate) fn still_lacks_below(&self, now: Now) -> bool {
+        self.lacked_below.is_after(now.saturating_sub(LACK_HOLDS))
+    }
+
     fn fresh(terms: RetryTerms) -> Arc<Self> {
         Self::new(LearnedThreshold::default(), terms.bucket())
     }
@@ -234,6 +256,7 @@
             retries,
             is_call: AtomicBool::new(false),
             was_answered: AtomicBool::new(false),
+            lacked_below: LastTime::default(),
             first_tries: Mutex::default(),
         })
     }
--- a/crates/sorrelturn-daemon/src/request/forward.rs
+++ b/crates/sorrelturn-daemon/src/request/forward.rs
@@ -258,6 +258,9 @@
         }
         return;
     }
+    if answer.refusal == Some(Refusal::NoInstanceBelow) {
+        kind_state.lacks_below(node.now());
+    }
     if answer.refusal.is_none_or(Refusal::tells_load) {
         kind_state.threshold.observe(node.now(), answer.threshold);
         let gate_level = Priority(answer.gate_level);
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -57,12 +57,32 @@
         if self.node.is_leaving() {
             return unused(self.refused(Refusal::Leaving), share);
         }
+        if self.lacks_service() {
+            return unused(self.refused(Refusal::NoInstanceBelow), share);
+        }
         match self.enter().await {
             Ok(slot) => self.forward(slot, req).await,
             Err(refusal) => unused(self.refused(refusal), share),
         }
     }
 
+    /// Whether a service without any instance is needed for it, here or further down. What would be run in
+    /// vain can still be refused as not run, so that its caller may come back.
+    fn lacks_service(&self) -> bool {
+        let Some(routed) = &self.node.routed else {
+            return false;
+        };
+        let routes = self.node.routes.load();
+        let now = self.node.now();
+        let graph = lock(&routed.graph);
+        graph.needs(&self.kind.name).any(|call| {
+            let kind = self.in_force.bundle.kind(call);
+            let state = self.in_force.state_of(call);
+            kind.is_some_and(|kind| routes.of_service(&kind.service).is_empty())
+                || state.is_some_and(|state| state.still_lacks_below(now))
+        })
+    }
+
     pub(crate) async fn enter(&self) -> Result<Slot, Refusal> {
         let priority = self.context.priority();
         let holds_work = self.context.depth > 0;
--- a/crates/sorrelturn-policy/src/call_graph.rs
+++ b/crates/sorrelturn-policy/src/call_graph.rs
@@ -13,6 +13,9 @@
 const LEAST_RATE: f64 = 0.2;
 /// And so many, as a part of what the kind with the most makes: the rest is credit gone astray.
 const LEAST_SHARE: f64 = 0.3;
+/// A kind needs what its requests call so often, in calls a request. Below it many get by without; some
+/// credit goes astray, so that one call a request shows as a little less.
+const NEEDED_RATE: f64 = 0.75;
 /// How much likelier a request is the parent if it ends at the same time as the call. A call that
 /// isn't cut short by a time limit of its own ends with its parent; the rest allows for those that are.
 const SAME_END_WEIGHT: f64 = 1_000.0;
@@ -147,6 +150,12 @@
         caller.map_or(&[], |caller| &caller.calls)
     }
 
+    /// The kinds that nearly every request of a kind calls.
+    pub fn needs<'a>(&'a self, parent: &'a str) -> impl Iterator<Item = &'a str> {
+        let calls = self.calls(parent).iter().map(String::as_str);
+        calls.filter(move |child| self.rate(parent, child) >= NEEDED_RATE)
+    }
+
     fn work_out(&self, parent: &str) -> Vec<String> {
         let caller = self.callers.get(parent);
         let mut calls: Vec<String> = caller
--- a/crates/sorrelturn-protocol/src/refusal.rs
+++ b/crates/sorrelturn-protocol/src/refusal.rs
@@ -52,6 +52,8 @@
     TooLarge,
     /// the backend server refused before it ran the request
     BackendRefused,
+    /// a service that the request would call has no instance
+    NoInstanceBelow,
 }
 
 impl Refusal {
@@ -99,6 +101,7 @@
             Self::Malformed => "malformed",
             Self::TooLarge => "too-large",
             Self::BackendRefused => "backend-refused",
+            Self::NoInstanceBelow => "no-instance-below",
         }
     }
 
