--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -38,6 +38,8 @@
     AnswersTwice,
     /// It fails.
     Fails,
+    /// It answers when the time that it was given is over, or at once without a time.
+    AnswersInTheEnd,
     /// It works as long as a call of its own would take.
     AnswersSoon,
     /// It answers after a while.
@@ -213,6 +215,12 @@
                 smol::Timer::after(Duration::from_secs(60)).await;
                 return Ok(false);
             }
+            Script::AnswersInTheEnd => {
+                let told = req.headers.get(self.names.time_left_ms.as_str());
+                let told_ms = told.and_then(|ms| ms.parse().ok()).unwrap_or_default();
+                smol::Timer::after(Duration::from_millis(told_ms)).await;
+                (whole, true)
+            }
             Script::AnswersSoon => {
                 smol::Timer::after(SOON).await;
                 (whole, true)
--- a/crates/sorrelturn-daemon/src/ending.rs
+++ b/crates/sorrelturn-daemon/src/ending.rs
@@ -21,24 +21,23 @@
 /// When all requests have to be answered, once the daemon was told to stop.
 pub(crate) struct Ending {
     answers_by_ms: AtomicU64,
-    over: Receiver<()>,
+    ended: Receiver<()>,
 }
 
 impl Ending {
     /// A run whose end isn't known yet; requests are over when the sender is dropped.
     pub(crate) fn new() -> (Self, Sender<()>) {
-        let (sender, over) = channel::bounded(1);
+        let (sender, ended) = channel::bounded(1);
         let ending = Self {
             answers_by_ms: AtomicU64::new(NOT_STOPPING),
-            over,
+            ended,
         };
         (ending, sender)
     }
 
-    /// The daemon was told to stop and gives the last answers at `answers_by`, or earlier if that was
-    /// said before.
-    pub(crate) fn begins(&self, answers_by: Now) {
-        let ms = answers_by.as_millis() as u64;
+    /// The daemon was told to stop and gives the last answers at `time`, or earlier if that was said before.
+    pub(crate) fn answers_by(&self, time: Now) {
+        let ms = time.as_millis() as u64;
         self.answers_by_ms.fetch_min(ms, Ordering::Relaxed);
     }
 
@@ -57,6 +56,6 @@
 
     /// Waits until every request needs its final answer.
     pub(crate) async fn over(&self) {
-        let _ = self.over.recv().await;
+        let _ = self.ended.recv().await;
     }
 }
--- a/crates/sorrelturn-daemon/src/fleet/routes.rs
+++ b/crates/sorrelturn-daemon/src/fleet/routes.rs
@@ -5,7 +5,7 @@
 use sorrelturn_policy::{Instance, Now};
 use sorrelturn_protocol::{Incarnation, MemberRecord, MemberState};
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::{Arc, atomic::AtomicBool},
     time::Duration,
 };
@@ -27,12 +27,15 @@
 pub(crate) struct Routes {
     by_service: HashMap<String, Vec<Arc<Route>>>,
     by_incarnation: HashMap<Incarnation, Arc<Route>>,
+    /// The services that members belong to or belonged to.
+    services: BTreeSet<String>,
 }
 
 impl Routes {
-    /// How many services have instances that take calls.
+    /// How many services there are. One whose last instance stops or is away still counts: where requests
+    /// come from is told by it, and that doesn't change meanwhile.
     pub(crate) fn services(&self) -> usize {
-        self.by_service.len()
+        self.services.len()
     }
 
     /// The instances of a service that take calls.
@@ -55,7 +58,10 @@
         now: Now,
         cold_start: impl Fn(&str) -> Duration,
     ) -> Self {
-        let mut routes = Self::default();
+        let mut routes = Self {
+            services: self.services.clone(),
+            ..Self::default()
+        };
         let known_before = !self.by_incarnation.is_empty();
         for record in membership.present() {
             let known = self.by_incarnation.get(&record.incarnation);
@@ -78,6 +84,9 @@
                     })
                 }
             };
+            if !routes.services.contains(&record.service) {
+                routes.services.insert(record.service.clone());
+            }
             if record.state == MemberState::Live {
                 routes
                     .by_service
--- a/crates/sorrelturn-daemon/src/request/forward.rs
+++ b/crates/sorrelturn-daemon/src/request/forward.rs
@@ -62,7 +62,6 @@
         let refused = Reply::not_run(Refusal::Leaving).come_back(owner::come_back(node));
         return owner::unused(refused, call.context.attempts);
     }
-    call.deadline = node.ending.bound(call.deadline);
     let kind_state = call.in_force.kind_state(&call.kind);
     let span = SpanId::random(&mut fastrand::Rng::new());
     let share = call.context.attempts;
@@ -97,7 +96,8 @@
 }
 
 /// Whether this daemon stops before the call would probably have its answer. Then it is refused while
-/// that is true, instead of being cut while it runs. Only its owner knows what became of a token.
+/// that is true, instead of being cut while it runs. What it probably takes is its target at most, since that is
+/// what its operators aim at. Only its owner knows what became of a token.
 fn ends_before(node: &Node, call: &Call) -> bool {
     let probably = call.kind.target.unwrap_or(TIME_WITHOUT_TARGET);
     let answered = call.deadline.min(node.now() + probably);
@@ -225,7 +225,8 @@
 
 fn request(node: &Node, call: &mut Call, progress: &mut Progress) -> Option<Request<Body>> {
     let body = call.payload.take()?;
-    let left = call.deadline.saturating_sub(node.now());
+    let deadline = node.ending.bound(call.deadline);
+    let left = deadline.saturating_sub(node.now());
     call.context.deadline_ms = left.as_millis().min(u128::from(u32::MAX)) as u32;
     call.context.attempts = share_of_try(call, progress);
     progress.attempts_left = progress.attempts_left.saturating_sub(call.context.attempts);
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -28,13 +28,20 @@
     headers::{DEADLINE_MS, IMPORTANCE, PARENT, REQUEST_ID, TRACEPARENT},
 };
 use sorrelturn_telemetry::{EventKind, Field, Span, SpanKind, TraceContext, events, metrics};
-use std::sync::{Arc, atomic::Ordering};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 /// An answer up to this size counts as one piece of work: its slot is held to the last byte.
 /// A larger one waits for its reader most of the time, so its slot is free after the head; only
 /// the connection is held. See `docs/design/streaming.md`.
 const ONE_PIECE_BYTES: u64 = 64 << 10;
 
+/// A backend server that stops at the deadline that it was told says so in this time; without it, half of such
+/// answers were given up in the moment in which they came.
+const LAST_WORD: Duration = Duration::from_millis(50);
+
 /// One call at its owner.
 pub(crate) struct Hop {
     pub(crate) node: Arc<Node>,
@@ -113,7 +120,8 @@
         let node = Arc::clone(&self.node);
         let exchange = async { Some(node.backend.send(&node.ex, req).await) };
         let too_late = async {
-            node.timers.at(self.deadline).await;
+            let deadline = node.timers.at(self.deadline + LAST_WORD);
+            deadline.or(node.ending.over()).await;
             None
         };
         match exchange.or(too_late).await {
--- a/crates/sorrelturn-daemon/src/request/owner.rs
+++ b/crates/sorrelturn-daemon/src/request/owner.rs
@@ -50,6 +50,12 @@
     reply
 }
 
+/// A request that can't be passed on any more because this run of the daemon is over.
+pub(crate) async fn refused_at_the_end(node: &Node) -> Reply {
+    node.ending.over().await;
+    Reply::not_run(Refusal::Leaving).come_back(come_back(node))
+}
+
 /// When a refused caller should come back, from how long the pressure here has lasted.
 pub(crate) fn come_back(node: &Node) -> Duration {
     let lasting = node.room.with_gate(|gate, now| gate.pressure_lasting(now));
@@ -78,6 +84,7 @@
         context.depth = u8::from(is_call(node, routed, &context.kind));
     }
     let deadline = node.now() + Duration::from_millis(context.deadline_ms.into());
+    let deadline = node.ending.bound(deadline);
     let hop = Hop {
         span: SpanId::random(&mut fastrand::Rng::new()),
         _carried: Carried::new(node),
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -20,6 +20,7 @@
     body::{Body as _, Incoming},
     header::{HOST, HeaderName, HeaderValue, RETRY_AFTER},
 };
+use smol::future::FutureExt;
 use sorrelturn_bundle::KindEntry;
 use sorrelturn_policy::{Now, refuses};
 use sorrelturn_protocol::{CallContext, CallerId, Refusal, RequestId, SpanId, Verdict};
@@ -38,7 +39,7 @@
     /// While the daemon takes callers' requests.
     BeforeEnd,
     /// While connections of callers end, since the daemon stops: only calls of the own backend server are
-    /// taken. Whoever went on over an open connection has been answered.
+    /// taken. Callers were told by the readiness and by the end of their open connections.
     WhileEnding,
 }
 
@@ -197,7 +198,9 @@
 
 async fn carry(node: &Arc<Node>, routed: &Routed, asked: Asked, req: Request<Incoming>) -> Reply {
     let (mut parts, incoming) = req.into_parts();
-    let payload = match Payload::read(&node.timers, incoming).await {
+    let read = Payload::read(&node.timers, incoming);
+    let ends = async { Err(owner::refused_at_the_end(node).await) };
+    let payload = match read.or(ends).await {
         Ok(payload) => payload,
         Err(refused) => return refused,
     };
@@ -227,7 +230,9 @@
         payload,
     };
     let reply = forward::call(node, &mut call).await;
-    if asked.is_call && has_failed(&reply) {
+    // Where this daemon ends, another instance may do better: its backend server's failure may be retried.
+    let ends_here = reply.context.refusal == Some(Refusal::Leaving);
+    if asked.is_call && has_failed(&reply) && !ends_here {
         routed.call_failed.set(node.now());
     }
     reply
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -29,6 +29,7 @@
 use smol::{
     Executor, Timer,
     channel::{self, Sender},
+    future::FutureExt,
     lock::Mutex as AsyncMutex,
 };
 use sorrelturn_bundle::{KeyError, TrustedKeys};
@@ -65,6 +66,10 @@
 /// The last answers are given so long before the exit: they have to leave, and the store has to take
 /// the last record, whose writes take 4 ms as a rule.
 const LAST_ANSWERS_BEFORE: Duration = Duration::from_millis(300);
+/// The longest time for the last answers to leave; a few milliseconds are usual.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(150);
+/// Connections have at least this time to end, however late the process is.
+const LEAST_FLUSH_TIME: Duration = Duration::from_millis(100);
 /// The longest time for connections to end once nothing is carried any more.
 const FLUSH_TIME: Duration = Duration::from_secs(2);
 /// The longest time for the store to take the last record of a run that is over.
@@ -100,8 +105,11 @@
     /// Where it listens.
     pub addresses: ListenSettings,
     node: Arc<Node>,
+    /// Dropped first, when others had the time to notice the stop: connections of callers end.
     closing_entries: Sender<()>,
+    /// Dropped next: everybody who still waits has a final answer.
     answering: Sender<()>,
+    /// Dropped last: all connections end.
     closing: Sender<()>,
 }
 
@@ -186,7 +194,7 @@
         let node = &self.node;
         let last = node.now() + Duration::from_millis(node.settings.stop.most_ms);
         let answers_by = last.saturating_sub(LAST_ANSWERS_BEFORE);
-        node.ending.begins(answers_by);
+        node.ending.answers_by(answers_by);
         let linger = Duration::from_millis(node.settings.stop.linger_ms);
         node.note(&events::STOPPING, node.counts.as_fields());
         // Its backend server goes on meanwhile: other daemons use it as long as they can.
@@ -215,20 +223,23 @@
         }
         // What is asked for from now on is refused, and whoever still waits has its final answer,
         // while there is somebody to give them.
-        node.ending.begins(node.now());
+        node.ending.answers_by(node.now());
         drop(self.answering);
-        let until = last.min(node.now() + LAST_ANSWERS_BEFORE / 2);
+        // A process that is late gives them all the same: whoever kills it waits a little longer.
+        let until = node.now() + LAST_ANSWERS_TIME;
         while carried() > 0 && node.now() < until {
             Timer::after(STOP_STEP).await;
         }
         let whole = carried() == 0;
         if node.routed.is_none() {
-            outcomes::close(node).await;
+            let in_time = node.timers.at(last);
+            outcomes::close(node).or(in_time).await;
         }
         say_gone(node, last).await;
         drop(self.closing);
         // What was carried may still lie in a socket's buffer; each connection ends when it is out.
-        let until = last.min(node.now() + FLUSH_TIME);
+        let late = node.now() + LEAST_FLUSH_TIME;
+        let until = last.max(late).min(node.now() + FLUSH_TIME);
         while node.counts.connections.load(Ordering::Relaxed) > 0 && node.now() < until {
             Timer::after(STOP_STEP).await;
         }
