--- a/crates/sorrelturn-bench/src/lib.rs
+++ b/crates/sorrelturn-bench/src/lib.rs
@@ -33,7 +33,9 @@
 pub use plan::{Fault, KindPlan, Plan, PlannedCall, plan_for};
 pub use processes::{DaemonProcess, Process, ProcessFleet, binary, cpu_time, memory};
 pub use relay::Relay;
-pub use routed_backend::{BODY, IDLE_S, Reached, RoutedBackend, SIGNATURE, Script};
+pub use routed_backend::{
+    BODY, CALL_PATH, Cancelled, IDLE_S, Reached, RoutedBackend, SIGNATURE, Script,
+};
 pub use routed_fleet::{RoutedFleet, RoutedInstance, until};
 pub use scenario::{Lengths, SCENARIOS, Scenario, System, run_scenario};
 pub use summary::{Goodput, Summary};
--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -5,6 +5,7 @@
 
 use smol::{
     Executor,
+    future::FutureExt,
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
 };
@@ -15,7 +16,7 @@
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// What it does with the next requests.
@@ -42,6 +43,21 @@
     AnswersLate,
     /// It never answers.
     Hangs,
+    /// It sends half of its answer and never the rest.
+    Rests,
+    /// It sends a body that is larger than what sockets and daemons hold of it.
+    AnswersLarge,
+    /// It answers with what it gets for [`CALL_PATH`] from its own daemon.
+    Calls,
+}
+
+/// A request that was dropped because its connection was closed.
+#[derive(Clone, Debug)]
+pub struct Cancelled {
+    /// Method, target and protocol.
+    pub line: String,
+    /// When the close was seen.
+    pub at: Instant,
 }
 
 /// A request as it reached the backend server.
@@ -67,13 +83,21 @@
     script: Script,
     reached: Vec<Reached>,
     ran: Vec<Reached>,
+    cancelled: Vec<Cancelled>,
     connections: usize,
+    daemon: Option<SocketAddr>,
 }
 
 /// The body of each answer.
 pub const BODY: &str = "the whole answer of the backend server";
 /// How long it says that connections may rest, in seconds.
 pub const IDLE_S: u64 = 1;
+/// What it asks of its daemon while it works on a request.
+pub const CALL_PATH: &str = "/call/1";
+/// The size of a large answer.
+const LARGE_BYTES: usize = 50_000_000;
+/// How long it stays silent where it never answers.
+const HANG_TIME: Duration = Duration::from_secs(60);
 /// How late it answers.
 const LATE: Duration = Duration::from_millis(300);
 /// The header that marks an answer of a backend server.
@@ -87,7 +111,9 @@
             script: Script::default(),
             reached: Vec::new(),
             ran: Vec::new(),
+            cancelled: Vec::new(),
             connections: 0,
+            daemon: None,
         };
         Self {
             names: names.clone(),
@@ -121,6 +147,11 @@
         self.lock().script = script;
     }
 
+    /// Its own calls go through this daemon from now on.
+    pub fn call_through(&self, daemon: SocketAddr) {
+        self.lock().daemon = Some(daemon);
+    }
+
     /// The backend server is another run from now on.
     pub fn restart_as(&self, id: &str) {
         self.lock().id = id.to_owned();
@@ -146,6 +177,11 @@
         self.lock().ran.clone()
     }
 
+    /// The requests that it dropped since their connections were closed.
+    pub fn cancelled(&self) -> Vec<Cancelled> {
+        self.lock().cancelled.clone()
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -168,8 +204,16 @@
             if script != Script::SaysNotRun {
                 self.lock().ran.push(req.clone());
             }
-            if !self.answer(&mut tcp, &req, script).await? {
-                return Ok(());
+            let sender = tcp.get_ref().clone();
+            let answer = self.answer(&mut tcp, &req, script);
+            match answer.or(closed(&sender)).await {
+                Ok(true) => {}
+                Ok(false) => return Ok(()),
+                Err(_) => {
+                    let (line, at) = (req.line, Instant::now());
+                    self.lock().cancelled.push(Cancelled { line, at });
+                    return Ok(());
+                }
             }
         }
         Ok(())
@@ -206,17 +250,53 @@
             Script::AnswersTwice => (whole.clone() + &whole, true),
             Script::Fails => (head(500, "Internal Server Error", &back, Some(0)), true),
             Script::Hangs => {
-                smol::Timer::after(Duration::from_secs(60)).await;
+                smol::Timer::after(HANG_TIME).await;
                 return Ok(false);
             }
             Script::AnswersLate => {
                 smol::Timer::after(LATE).await;
                 (whole, true)
             }
+            Script::Rests => {
+                let half = head(200, "OK", &back, Some(BODY.len())) + &BODY[..BODY.len() / 2];
+                tcp.get_mut().write_all(half.as_bytes()).await?;
+                smol::Timer::after(HANG_TIME).await;
+                return Ok(false);
+            }
+            Script::AnswersLarge => {
+                let large = head(200, "OK", &back, Some(LARGE_BYTES));
+                (large + &"x".repeat(LARGE_BYTES), true)
+            }
+            Script::Calls => {
+                self.call(&asked).await?;
+                (whole, true)
+            }
         };
         tcp.get_mut().write_all(bytes.as_bytes()).await?;
         Ok(goes_on)
     }
+
+    /// Makes a call for the request `parent`; whoever drops it closes its connection.
+    async fn call(&self, parent: &str) -> io::Result<()> {
+        let daemon = self.lock().daemon.ok_or(io::ErrorKind::NotConnected)?;
+        let mut tcp = TcpStream::connect(daemon).await?;
+        let id = &self.names.request_id;
+        let req = format!(
+            "GET {CALL_PATH} HTTP/1.1\r\nhost: h.example\r\n{id}: {parent}-call\r\n\
+             connection: close\r\n\r\n"
+        );
+        tcp.write_all(req.as_bytes()).await?;
+        tcp.read_to_end(&mut Vec::new()).await?;
+        Ok(())
+    }
+}
+
+/// Fails when the other end closes the connection; until then it isn't expected to send anything.
+async fn closed(tcp: &TcpStream) -> io::Result<bool> {
+    match tcp.peek(&mut [0]).await? {
+        0 => Err(io::ErrorKind::ConnectionAborted.into()),
+        _ => std::future::pending().await,
+    }
 }
 
 fn head(status: u16, reason: &str, headers: &str, length: Option<usize>) -> String {
