A client that leaves behind unread bytes is noticed at once

Cause: hyper reads a connection only as far as the request that it carries needs; a close behind a second request, or behind a body that nobody takes yet, isn't read. Ruled out: half_close (it would hide all closes); asking the kernel for the state of the socket by a timer (a timer per such request, and later); reading bodies first (leaves second requests, and the owner's side).

--- a/crates/sorrelturn-daemon/src/net/serve.rs
+++ b/crates/sorrelturn-daemon/src/net/serve.rs
@@ -22,7 +22,7 @@
     io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream},
 };
-use sorrelturn_platform::hyper_io;
+use sorrelturn_platform::hyper_server_io;
 use sorrelturn_protocol::{CallContext, Refusal, headers::CONTEXT};
 use sorrelturn_telemetry::{Field, events};
 use std::{
@@ -188,7 +188,7 @@
         .header_read_timeout(head_time)
         .max_buf_size(BUF_LIMIT_BYTES)
         .keep_alive(!ends_soon)
-        .serve_connection(hyper_io(stream), service);
+        .serve_connection(hyper_server_io(stream), service);
     let mut conn = pin!(conn);
     if ends_soon {
         return conn.await;
--- a/crates/sorrelturn-platform/src/hyper_io.rs
+++ b/crates/sorrelturn-platform/src/hyper_io.rs
@@ -6,6 +6,7 @@
 //! reader that reads in bursts stands still. Here such a task is woken once more.
 //! See `docs/design/streaming.md`.
 
+use crate::read_ahead::ReadAhead;
 use smol::io::{AsyncRead, AsyncWrite};
 use smol_hyper::rt::FuturesIo;
 use std::{
@@ -16,10 +17,13 @@
 
 /// Gives hyper a stream of the runtime.
 pub fn hyper_io<S>(stream: S) -> FuturesIo<WokenWrites<S>> {
-    FuturesIo::new(WokenWrites {
-        stream,
-        blocked: false,
-    })
+    FuturesIo::new(WokenWrites::new(stream))
+}
+
+/// Gives hyper the server's end of a connection. It fails once the client has left, whatever it
+/// has sent before that nobody has read.
+pub fn hyper_server_io<S>(stream: S) -> FuturesIo<ReadAhead<WokenWrites<S>>> {
+    FuturesIo::new(ReadAhead::new(WokenWrites::new(stream)))
 }
 
 /// A stream that wakes its task after a write that succeeds where the one before would have blocked.
@@ -30,6 +34,13 @@
 }
 
 impl<S> WokenWrites<S> {
+    fn new(stream: S) -> Self {
+        Self {
+            stream,
+            blocked: false,
+        }
+    }
+
     /// Wakes the task if `written` ends a time in which it waited for room.
     fn woken<T>(&mut self, cx: &Context<'_>, written: Poll<T>) -> Poll<T> {
         let was_blocked = std::mem::replace(&mut self.blocked, written.is_pending());
--- a/crates/sorrelturn-platform/src/lib.rs
+++ b/crates/sorrelturn-platform/src/lib.rs
@@ -4,10 +4,12 @@
 mod client;
 pub mod http;
 mod hyper_io;
+mod read_ahead;
 mod stand_in;
 mod store;
 
 pub use api::{Changes, Counters, Faults, Object, VmEntry, VmState, keys};
 pub use client::{Expected, OBJECTS_PATH, Platform, PlatformError};
-pub use hyper_io::{WokenWrites, hyper_io};
+pub use hyper_io::{WokenWrites, hyper_io, hyper_server_io};
+pub use read_ahead::ReadAhead;
 pub use stand_in::{StandIn, serve};
