New clients are taken however many connections are open

A failed accept is an event (S603). Ruled out: a queue of resting connections, in which each request would move its connection under a lock; here a request costs two atomic stores and an atomic count, and only a new client beyond the limit looks at all connections. Refusing the new client: it would be without service as long as others rest.

--- a/crates/sorrelturn-bench/src/fleet.rs
+++ b/crates/sorrelturn-bench/src/fleet.rs
@@ -129,6 +129,7 @@
             operators: BTreeMap::from([(OPERATOR.to_owned(), key.public_hex())]),
             fleet_keys: self.fleet_keys.clone(),
             threads: 1,
+            connections: 2_048,
             once: OnceSettings::default(),
             stop: StopSettings::default(),
             trace: self.trace,
--- a/crates/sorrelturn-bench/src/processes.rs
+++ b/crates/sorrelturn-bench/src/processes.rs
@@ -45,8 +45,18 @@
 impl Process {
     /// Starts a program and waits for its first line.
     pub fn start(name: &str, args: &[&str]) -> Self {
-        let mut child = Command::new(binary(name))
-            .args(args)
+        Self::start_command(Command::new(binary(name)).args(args))
+    }
+
+    /// As [`Process::start`], with no more than so many file descriptors.
+    pub fn start_with_descriptors(descriptors: u32, name: &str, args: &[&str]) -> Self {
+        let run = format!(r#"ulimit -n {descriptors} && exec "$0" "$@""#);
+        let mut command = Command::new("sh");
+        Self::start_command(command.args(["-c", &run]).arg(binary(name)).args(args))
+    }
+
+    fn start_command(command: &mut Command) -> Self {
+        let mut child = command
             .env(
                 "RUST_LOG",
                 std::env::var("RUST_LOG").unwrap_or("error".to_owned()),
--- a/crates/sorrelturn-bench/src/routed_fleet.rs
+++ b/crates/sorrelturn-bench/src/routed_fleet.rs
@@ -40,6 +40,8 @@
     pub daemon: Option<Daemon>,
     /// The daemon as a process of its own, in the place of one that was stopped.
     pub process: Option<Process>,
+    /// The file descriptors of that process, where they are few.
+    pub descriptors: Option<u32>,
     sequence: u64,
 }
 
@@ -113,6 +115,7 @@
             settings,
             daemon: Some(daemon),
             process: None,
+            descriptors: None,
             sequence: 0,
         }
     }
@@ -219,7 +222,13 @@
         until("the process starts", async || {
             // Elsewhere than on the threads of the other daemons, which would take the wait for load.
             let file = file.clone();
-            let start = move || Process::start(ADAPTED, &["--settings", &file]);
+            let descriptors = instance.descriptors;
+            let start = move || match descriptors {
+                Some(most) => {
+                    Process::start_with_descriptors(most, ADAPTED, &["--settings", &file])
+                }
+                None => Process::start(ADAPTED, &["--settings", &file]),
+            };
             let process = smol::unblock(start).await;
             let starts = !process.first_line.is_empty();
             instance.process = starts.then_some(process);
--- a/crates/sorrelturn-daemon/src/config/settings.rs
+++ b/crates/sorrelturn-daemon/src/config/settings.rs
@@ -40,6 +40,9 @@
     /// Threads that work on requests.
     #[serde(default = "default_threads")]
     pub threads: usize,
+    /// Open connections of all listeners beyond which each new one ends the one that rested longest.
+    #[serde(default = "default_connections")]
+    pub connections: usize,
     /// At-most-once execution.
     #[serde(default)]
     pub once: OnceSettings,
@@ -227,6 +230,12 @@
     2
 }
 
+/// Half of the file descriptors of a daemon with 4,100; the backend server's connections take up to
+/// 1,800 of the rest.
+fn default_connections() -> usize {
+    2_048
+}
+
 fn default_connect_ms() -> u64 {
     300
 }
--- a/crates/sorrelturn-daemon/src/fleet/control.rs
+++ b/crates/sorrelturn-daemon/src/fleet/control.rs
@@ -5,14 +5,14 @@
     config::in_force::Origin,
     fleet::gossip,
     fleet::metered::Metered,
-    net::serve::Closing,
+    net::serve::{Accepted, Closing},
     net::stream::BoxStream,
     node::{Node, lock},
     operators::explain,
 };
 use async_compat::Compat;
 use serde::{Deserialize, Serialize};
-use smol::{future::FutureExt, net::TcpStream, stream::StreamExt};
+use smol::{future::FutureExt, stream::StreamExt};
 use sorrelturn_bundle::{ContentHash, SectionBytes, SignedManifest};
 use sorrelturn_fleet::{Digest, DigestReply, Report};
 use sorrelturn_policy::LeavingCause;
@@ -161,7 +161,10 @@
 }
 
 /// Serves the control calls of one connection.
-pub(crate) async fn serve(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
+pub(crate) async fn serve(node: Arc<Node>, accepted: Accepted, closing: Closing) {
+    let Accepted { tcp, conn } = accepted;
+    // Control messages come at any time, so it never rests.
+    let _carries = conn.carries();
     let Ok(stream) = node.keys.accept(tcp).await else {
         node.note(&events::BAD_PEER, vec![Field::new("port", "control")]);
         return;
--- a/crates/sorrelturn-daemon/src/net/listeners.rs
+++ b/crates/sorrelturn-daemon/src/net/listeners.rs
@@ -3,15 +3,18 @@
 use crate::{
     config::settings::{ListenSettings, Settings},
     fleet::control,
-    net::serve::{self, Closing},
+    net::serve::{self, Accepted, Closing},
     node::Node,
     run::StartError,
 };
-use smol::{
-    future::FutureExt,
-    net::{TcpListener, TcpStream},
-};
-use std::{net::SocketAddr, sync::Arc};
+use smol::{future::FutureExt, net::TcpListener};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::{io, net::SocketAddr, sync::Arc};
+
+/// New connections that the kernel holds while the daemon is busy or stands still. An opening packet
+/// beyond them is dropped and sent again a second later, when clients have given up; the runtime asks for
+/// 128. The kernel cuts it to its own limit, 4,096 by default.
+const BACKLOG: i32 = 4_096;
 
 /// The sockets of one daemon.
 pub(crate) struct Listeners {
@@ -27,17 +30,17 @@
 
 impl Listeners {
     /// Opens all of them.
-    pub(crate) async fn bind(settings: &Settings) -> Result<Self, StartError> {
+    pub(crate) fn bind(settings: &Settings) -> Result<Self, StartError> {
         let listen = &settings.listen;
         Ok(Self {
-            callers: bind(listen.callers).await?,
-            local: bind(listen.local).await?,
-            peers: bind(listen.peers).await?,
-            control: bind(listen.control).await?,
-            admin: bind(listen.admin).await?,
-            routed: bind_some(listen.routed).await?,
-            announce: bind_some(listen.announce).await?,
-            ready: bind_some(listen.ready).await?,
+            callers: bind(listen.callers)?,
+            local: bind(listen.local)?,
+            peers: bind(listen.peers)?,
+            control: bind(listen.control)?,
+            admin: bind(listen.admin)?,
+            routed: bind_some(listen.routed)?,
+            announce: bind_some(listen.announce)?,
+            ready: bind_some(listen.ready)?,
         })
     }
 
@@ -67,7 +70,7 @@
 
     /// Accepts connections until `closing` ends, those of callers until `closing_entries` does.
     pub(crate) fn serve(self, node: &Arc<Node>, closing_entries: &Closing, closing: &Closing) {
-        let spawn = |listener, serve: fn(Arc<Node>, TcpStream, Closing) -> _| {
+        let spawn = |listener, serve: fn(Arc<Node>, Accepted, Closing) -> _| {
             let task = serve::accept(Arc::clone(node), listener, closing.clone(), serve);
             node.ex.spawn(task).detach();
         };
@@ -78,47 +81,55 @@
             serve::caller,
         );
         node.ex.spawn(callers).detach();
-        spawn(self.local, |node, tcp, closing| {
-            serve::local(node, tcp, closing).boxed()
+        spawn(self.local, |node, accepted, closing| {
+            serve::local(node, accepted, closing).boxed()
         });
-        spawn(self.peers, |node, tcp, closing| {
-            serve::peer(node, tcp, closing).boxed()
+        spawn(self.peers, |node, accepted, closing| {
+            serve::peer(node, accepted, closing).boxed()
         });
-        spawn(self.control, |node, tcp, closing| {
-            control::serve(node, tcp, closing).boxed()
+        spawn(self.control, |node, accepted, closing| {
+            control::serve(node, accepted, closing).boxed()
         });
-        spawn(self.admin, |node, tcp, closing| {
-            serve::admin(node, tcp, closing).boxed()
+        spawn(self.admin, |node, accepted, closing| {
+            serve::admin(node, accepted, closing).boxed()
         });
         if let Some(routed) = self.routed {
             // The own backend server's calls come here too, as long as it works on anything.
             let closing_entries = closing_entries.clone();
-            let serve = move |node, tcp, _| serve::routed(node, tcp, closing_entries.clone());
+            let serve =
+                move |node, accepted, _| serve::routed(node, accepted, closing_entries.clone());
             let task = serve::accept(Arc::clone(node), routed, closing.clone(), serve);
             node.ex.spawn(task).detach();
         }
         if let Some(announce) = self.announce {
-            spawn(announce, |node, tcp, closing| {
-                serve::announce(node, tcp, closing).boxed()
+            spawn(announce, |node, accepted, closing| {
+                serve::announce(node, accepted, closing).boxed()
             });
         }
         if let Some(ready) = self.ready {
-            spawn(ready, |node, tcp, closing| {
-                serve::ready(node, tcp, closing).boxed()
+            spawn(ready, |node, accepted, closing| {
+                serve::ready(node, accepted, closing).boxed()
             });
         }
     }
 }
 
-async fn bind_some(addr: Option<SocketAddr>) -> Result<Option<TcpListener>, StartError> {
+fn bind_some(addr: Option<SocketAddr>) -> Result<Option<TcpListener>, StartError> {
     match addr {
-        Some(addr) => bind(addr).await.map(Some),
+        Some(addr) => bind(addr).map(Some),
         None => Ok(None),
     }
 }
 
-async fn bind(addr: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(addr)
-        .await
-        .map_err(|error| StartError::Listen { addr, error })
+fn bind(addr: SocketAddr) -> Result<TcpListener, StartError> {
+    open(addr).map_err(|error| StartError::Listen { addr, error })
+}
+
+fn open(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
+    // The next run listens where connections of the last one may still end.
+    socket.set_reuse_address(true)?;
+    socket.bind(&addr.into())?;
+    socket.listen(BACKLOG)?;
+    std::net::TcpListener::from(socket).try_into()
 }
--- a/crates/sorrelturn-daemon/src/net/mod.rs
+++ b/crates/sorrelturn-daemon/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! Listeners, connections and timers, without knowledge of what is carried.
 
+pub(crate) mod connections;
 pub(crate) mod listeners;
 pub(crate) mod pool;
 pub(crate) mod serve;
--- a/crates/sorrelturn-daemon/src/net/serve.rs
+++ b/crates/sorrelturn-daemon/src/net/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     backend::announce,
+    net::connections::Connection,
     net::timers::Timers,
     node::{Carried, Node},
     request::answer::Reply,
@@ -27,6 +28,7 @@
 use sorrelturn_telemetry::{Field, events};
 use std::{
     convert::Infallible,
+    io,
     pin::pin,
     sync::{
         Arc,
@@ -48,18 +50,29 @@
 const HANDSHAKE_TIME: Duration = Duration::from_secs(5);
 /// The most connections of one listener.
 const MAX_CONNECTIONS: usize = 8_192;
-/// The pause after a failed accept, which is most often a lack of file descriptors.
+/// The pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// So many connections that rest end when file descriptors are short: with the pause, room for 400 new
+/// clients a second.
+const ENDED_FOR_ROOM: usize = 8;
 
 /// Ends when its sender is dropped; connections then finish what they carry and close.
 pub(crate) type Closing = Receiver<()>;
 
+/// A connection that was just accepted.
+pub(crate) struct Accepted {
+    /// Its socket.
+    pub(crate) tcp: TcpStream,
+    /// Its place among the open ones.
+    pub(crate) conn: Connection,
+}
+
 /// Accepts connections until `closing` ends, and runs `serve` for each.
 pub(crate) async fn accept<F>(
     node: Arc<Node>,
     listener: TcpListener,
     closing: Closing,
-    serve: impl Fn(Arc<Node>, TcpStream, Closing) -> F + Send + 'static,
+    serve: impl Fn(Arc<Node>, Accepted, Closing) -> F + Send + 'static,
 ) where
     F: Future<Output = ()> + Send + 'static,
 {
@@ -69,9 +82,16 @@
         let Some(accepted) = next.or(closed(&closing)).await else {
             return;
         };
-        let Ok((tcp, _)) = accepted else {
-            Timer::after(ACCEPT_PAUSE).await;
-            continue;
+        let tcp = match accepted {
+            Ok((tcp, _)) => tcp,
+            Err(error) => {
+                if lacks_descriptors(&error) {
+                    node.connections.end_resting(ENDED_FOR_ROOM);
+                }
+                node.note(&events::ACCEPT_FAILED, vec![Field::new("error", error)]);
+                Timer::after(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         let full = open.load(Ordering::Relaxed) >= MAX_CONNECTIONS;
         if full || tcp.set_nodelay(true).is_err() {
@@ -81,7 +101,8 @@
         for count in &counts {
             count.fetch_add(1, Ordering::Relaxed);
         }
-        let conn = serve(Arc::clone(&node), tcp, closing.clone());
+        let conn = node.connections.open();
+        let conn = serve(Arc::clone(&node), Accepted { tcp, conn }, closing.clone());
         let counted = async move {
             conn.await;
             for count in counts {
@@ -92,13 +113,18 @@
     }
 }
 
+fn lacks_descriptors(error: &io::Error) -> bool {
+    matches!(error.raw_os_error(), Some(libc::EMFILE | libc::ENFILE))
+}
+
 async fn closed<T>(closing: &Closing) -> Option<T> {
     let _ = closing.recv().await;
     None
 }
 
 /// A connection of a caller.
-pub(crate) async fn caller(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
+pub(crate) async fn caller(node: Arc<Node>, accepted: Accepted, closing: Closing) {
+    let Accepted { tcp, conn } = accepted;
     let Ok(peer) = tcp.peer_addr() else {
         return;
     };
@@ -113,56 +139,57 @@
             entry::serve(&node, ip, req).await
         }
     };
-    let _ = http1(timers, tcp, HEAD_TIME, closing, answer).await;
+    let _ = http1(timers, tcp, &conn, HEAD_TIME, closing, answer).await;
 }
 
 /// A connection for requests that are told by routes.
-pub(crate) async fn routed(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
+pub(crate) async fn routed(node: Arc<Node>, accepted: Accepted, closing: Closing) {
     if closing.is_closed() {
         let serve =
             async |node: &Arc<Node>, req| routed::serve(node, req, Arrives::WhileEnding).await;
-        return plain(node, tcp, ROUTED_IDLE_TIME, closing, serve).await;
+        return plain(node, accepted, ROUTED_IDLE_TIME, closing, serve).await;
     }
     let serve = async |node: &Arc<Node>, req| routed::serve(node, req, Arrives::BeforeEnd).await;
-    plain(node, tcp, ROUTED_IDLE_TIME, closing, serve).await;
+    plain(node, accepted, ROUTED_IDLE_TIME, closing, serve).await;
 }
 
 /// A connection of the own backend server that announces itself.
-pub(crate) async fn announce(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
+pub(crate) async fn announce(node: Arc<Node>, accepted: Accepted, closing: Closing) {
     let serve = async |node: &Arc<Node>, req| announce::serve(node, req).await;
-    plain(node, tcp, PEER_IDLE_TIME, closing, serve).await;
+    plain(node, accepted, PEER_IDLE_TIME, closing, serve).await;
 }
 
 /// A connection of whoever asks whether this daemon is ready.
-pub(crate) async fn ready(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
+pub(crate) async fn ready(node: Arc<Node>, accepted: Accepted, closing: Closing) {
     let serve = async |node: &Arc<Node>, req| announce::ready(node, req).await;
-    plain(node, tcp, PEER_IDLE_TIME, closing, serve).await;
+    plain(node, accepted, PEER_IDLE_TIME, closing, serve).await;
 }
 
 /// A connection of the own backend server.
-pub(crate) async fn local(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
+pub(crate) async fn local(node: Arc<Node>, accepted: Accepted, closing: Closing) {
     let serve = async |node: &Arc<Node>, req| nested::serve(node, req).await;
-    plain(node, tcp, HEAD_TIME, closing, serve).await;
+    plain(node, accepted, HEAD_TIME, closing, serve).await;
 }
 
 /// A connection of an operator.
-pub(crate) async fn admin(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
+pub(crate) async fn admin(node: Arc<Node>, accepted: Accepted, closing: Closing) {
     let serve = async |node: &Arc<Node>, req| crate::operators::admin::serve(node, req).await;
-    plain(node, tcp, HEAD_TIME, closing, serve).await;
+    plain(node, accepted, HEAD_TIME, closing, serve).await;
 }
 
 /// A connection without anything between TCP and the requests on it. How it ends is of no interest:
 /// whoever asked sees it.
 async fn plain(
     node: Arc<Node>,
-    tcp: TcpStream,
+    accepted: Accepted,
     head_time: Duration,
     closing: Closing,
     serve: impl AsyncFn(&Arc<Node>, Request<Incoming>) -> Response<Body>,
 ) {
+    let Accepted { tcp, conn } = accepted;
     let timers = node.timers.clone();
     let answer = async |req| serve(&node, req).await;
-    let _ = http1(timers, tcp, head_time, closing, answer).await;
+    let _ = http1(timers, tcp, &conn, head_time, closing, answer).await;
 }
 
 /// Serves a connection; `head_time` is the longest time for the head of each request, the wait for
@@ -170,6 +197,7 @@
 async fn http1<F>(
     timers: Timers,
     stream: impl AsyncRead + AsyncWrite + Unpin,
+    place: &Connection,
     head_time: Duration,
     closing: Closing,
     answer: impl Fn(Request<Incoming>) -> F,
@@ -178,8 +206,13 @@
     F: Future<Output = Response<Body>>,
 {
     let service = service_fn(|req| {
+        let carries = place.carries();
         let answered = answer(req);
-        async { Ok::<_, Infallible>(answered.await) }
+        async move {
+            let res = answered.await;
+            drop(carries);
+            Ok::<_, Infallible>(res)
+        }
     });
     // Opened while connections close: it carries one request.
     let ends_soon = closing.is_closed();
@@ -194,7 +227,11 @@
         return conn.await;
     }
     let finished = async { Some(conn.as_mut().await) };
-    match finished.or(closed(&closing)).await {
+    let ended = async {
+        place.ended().await;
+        None
+    };
+    match finished.or(closed(&closing)).or(ended).await {
         Some(result) => result,
         None => {
             conn.as_mut().graceful_shutdown();
@@ -204,7 +241,8 @@
 }
 
 /// A connection of another daemon.
-pub(crate) async fn peer(node: Arc<Node>, tcp: TcpStream, closing: Closing) {
+pub(crate) async fn peer(node: Arc<Node>, accepted: Accepted, closing: Closing) {
+    let Accepted { tcp, conn } = accepted;
     let too_late = async {
         Timer::after(HANDSHAKE_TIME).await;
         Err(std::io::ErrorKind::TimedOut.into())
@@ -222,7 +260,7 @@
         async move { peer_call(&node, req).await }
     };
     let timers = node.timers.clone();
-    let result = http1(timers, stream, PEER_IDLE_TIME, closing, answer).await;
+    let result = http1(timers, stream, &conn, PEER_IDLE_TIME, closing, answer).await;
     if let Err(error) = result
         && error.is_parse()
     {
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -8,6 +8,7 @@
     config::settings::Settings,
     fleet::control_client::ControlLinks,
     fleet::routes::Routes,
+    net::connections::Connections,
     net::stream::FleetKeys,
     net::timers::Timers,
     operators::metrics_page::MetricsPage,
@@ -77,6 +78,7 @@
     pub(crate) spans: SpanBuffer,
     pub(crate) metrics: StatsdClient,
     pub(crate) metrics_page: Arc<MetricsPage>,
+    pub(crate) connections: Arc<Connections>,
     pub(crate) counts: Counts,
 }
 
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -12,6 +12,7 @@
     fleet::reports,
     fleet::routes::Routes,
     fleet::watch,
+    net::connections::Connections,
     net::listeners::Listeners,
     net::stream::{FleetKeys, KeysError},
     net::timers::Timers,
@@ -103,7 +104,7 @@
         dialect: Dialect,
         ex: Arc<Executor<'static>>,
     ) -> Result<Self, StartError> {
-        let listeners = Listeners::bind(&settings).await?;
+        let listeners = Listeners::bind(&settings)?;
         let addresses = listeners.addresses(&settings)?;
         let node = Arc::new(node(settings, dialect, ex, &addresses)?);
         if node.routed.is_some() {
@@ -284,6 +285,7 @@
         spans: SpanBuffer::new(spans),
         metrics,
         metrics_page,
+        connections: Connections::new(settings.connections),
         counts: Counts::default(),
         ex,
         clock,
--- a/crates/sorrelturn-telemetry/src/events.rs
+++ b/crates/sorrelturn-telemetry/src/events.rs
@@ -76,4 +76,5 @@
     BAD_PEER = 600 "bad-peer" Warn "Somebody on the peer or control port sent what no daemon sends.";
     BAD_REQUEST = 601 "bad-request" Debug "A request was malformed or too large.";
     KEYS_ROTATED = 602 "keys-rotated" Info "The fleet's keys were read anew.";
+    ACCEPT_FAILED = 603 "accept-failed" Warn "A new connection could not be taken.";
 }
