--- a/crates/sorrelturn-daemon/src/net/serve.rs
+++ b/crates/sorrelturn-daemon/src/net/serve.rs
@@ -19,7 +19,7 @@
 use smol::{
     Timer,
     channel::Receiver,
-    future::FutureExt,
+    future::{self, FutureExt},
     io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream},
 };
@@ -139,7 +139,7 @@
             entry::serve(&node, ip, req).await
         }
     };
-    let _ = http1(timers, tcp, &conn, HEAD_TIME, closing, answer).await;
+    let _ = http1(timers, tcp, Some(&conn), HEAD_TIME, closing, answer).await;
 }
 
 /// A connection for requests that are told by routes.
@@ -189,15 +189,15 @@
     let Accepted { tcp, conn } = accepted;
     let timers = node.timers.clone();
     let answer = async |req| serve(&node, req).await;
-    let _ = http1(timers, tcp, &conn, head_time, closing, answer).await;
+    let _ = http1(timers, tcp, Some(&conn), head_time, closing, answer).await;
 }
 
 /// Serves a connection; `head_time` is the longest time for the head of each request, the wait for
-/// it included.
+/// it included. `ends_for_room` is given where the connection may end for a new one while it rests.
 async fn http1<F>(
     timers: Timers,
     stream: impl AsyncRead + AsyncWrite + Unpin,
-    place: &Connection,
+    ends_for_room: Option<&Connection>,
     head_time: Duration,
     closing: Closing,
     answer: impl Fn(Request<Incoming>) -> F,
@@ -206,7 +206,7 @@
     F: Future<Output = Response<Body>>,
 {
     let service = service_fn(|req| {
-        let carries = place.carries();
+        let carries = ends_for_room.map(Connection::carries);
         let answered = answer(req);
         async move {
             let res = answered.await;
@@ -228,7 +228,10 @@
     }
     let finished = async { Some(conn.as_mut().await) };
     let ended = async {
-        place.ended().await;
+        match ends_for_room {
+            Some(conn) => conn.ended().await,
+            None => future::pending().await,
+        }
         None
     };
     match finished.or(closed(&closing)).or(ended).await {
@@ -243,6 +246,8 @@
 /// A connection of another daemon.
 pub(crate) async fn peer(node: Arc<Node>, accepted: Accepted, closing: Closing) {
     let Accepted { tcp, conn } = accepted;
+    // It never ends for a new one: a call that crosses the end would count as one that may have run.
+    let _carries = conn.carries();
     let too_late = async {
         Timer::after(HANDSHAKE_TIME).await;
         Err(std::io::ErrorKind::TimedOut.into())
@@ -260,7 +265,7 @@
         async move { peer_call(&node, req).await }
     };
     let timers = node.timers.clone();
-    let result = http1(timers, stream, &conn, PEER_IDLE_TIME, closing, answer).await;
+    let result = http1(timers, stream, None, PEER_IDLE_TIME, closing, answer).await;
     if let Err(error) = result
         && error.is_parse()
     {
