--- /dev/null
+++ b/crates/sorrelturn-platform/tests/read_ahead.rs
@@ -0,0 +1,73 @@
+//! What a server takes in before anybody asks for it arrives unchanged, and in its order.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use smol::{
+    Timer,
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+use sorrelturn_platform::hyper_server_io;
+use std::{convert::Infallible, time::Duration};
+
+/// Far more than is taken in ahead.
+const BODY_BYTES: usize = 500_000;
+/// So long a body lies unread, so that some of it is taken in.
+const UNREAD: Duration = Duration::from_millis(100);
+
+/// Sends back the body that it reads late.
+async fn echo(req: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+    Timer::after(UNREAD).await;
+    let body = req.into_body().collect().await.expect("a whole body");
+    Ok(Response::new(Full::new(body.to_bytes())))
+}
+
+async fn serve(listener: TcpListener) {
+    let (tcp, _) = listener.accept().await.expect("a client");
+    let conn = http1::Builder::new().serve_connection(hyper_server_io(tcp), service_fn(echo));
+    // The client closes it in the end.
+    let _ = conn.await;
+}
+
+#[test]
+fn bodies_and_requests_that_lie_unread_for_a_while_arrive_unchanged() {
+    let mut rng = fastrand::Rng::with_seed(1);
+    let bodies: Vec<Vec<u8>> = [BODY_BYTES, 10, BODY_BYTES, 20_000]
+        .into_iter()
+        .map(|len| (0..len).map(|_| rng.u8(..)).collect())
+        .collect();
+    smol::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = listener.local_addr().expect("an address");
+        let client = async {
+            let tcp = TcpStream::connect(addr).await.expect("it listens");
+            let (mut reads, mut writes) = (tcp.clone(), tcp);
+            let sends = async {
+                for body in &bodies {
+                    let head = format!(
+                        "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n",
+                        body.len()
+                    );
+                    writes.write_all(head.as_bytes()).await.expect("sent");
+                    writes.write_all(body).await.expect("sent");
+                }
+            };
+            let receives = async {
+                for body in &bodies {
+                    let mut head = Vec::new();
+                    while !head.ends_with(b"\r\n\r\n") {
+                        let mut byte = [0];
+                        reads.read_exact(&mut byte).await.expect("a head");
+                        head.push(byte[0]);
+                    }
+                    let mut back = vec![0; body.len()];
+                    reads.read_exact(&mut back).await.expect("a body");
+                    assert!(back == *body, "changed on its way");
+                }
+            };
+            smol::future::zip(sends, receives).await;
+        };
+        smol::future::zip(serve(listener), client).await;
+    });
+}
