--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -13,6 +13,7 @@
     fleet::reports,
     fleet::routes::Routes,
     fleet::watch,
+    net::connections::Connections,
     net::listeners::Listeners,
     net::stream::{FleetKeys, KeysError},
     net::timers::Timers,
@@ -120,7 +121,7 @@
         dialect: Dialect,
         ex: Arc<Executor<'static>>,
     ) -> Result<Self, StartError> {
-        let listeners = Listeners::bind(&settings).await?;
+        let listeners = Listeners::bind(&settings)?;
         let addresses = listeners.addresses(&settings)?;
         let (ending, answering) = Ending::new();
         let node = Arc::new(node(settings, dialect, ex, &addresses, ending)?);
@@ -340,6 +341,7 @@
         spans: SpanBuffer::new(spans),
         metrics,
         metrics_page,
+        connections: Connections::new(settings.connections),
         counts: Counts::default(),
         ex,
         clock,
