--- a/crates/sorrelturn-platform/tests/read_ahead.rs
+++ b/crates/sorrelturn-platform/tests/read_ahead.rs
@@ -5,6 +5,7 @@
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use smol::{
     Timer,
+    future::FutureExt,
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
 };
@@ -16,6 +17,9 @@
 /// So long a body lies unread, so that some of it is taken in.
 const UNREAD: Duration = Duration::from_millis(100);
 
+/// The longest time for all of it; long, so that a busy machine doesn't fail.
+const WAIT: Duration = Duration::from_secs(60);
+
 /// Sends back the body that it reads late.
 async fn echo(req: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
     Timer::after(UNREAD).await;
@@ -68,6 +72,13 @@
             };
             smol::future::zip(sends, receives).await;
         };
-        smol::future::zip(serve(listener), client).await;
+        let both = async {
+            smol::future::zip(serve(listener), client).await;
+        };
+        let too_long = async {
+            Timer::after(WAIT).await;
+            panic!("something is missing")
+        };
+        both.or(too_long).await;
     });
 }
