--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -47,7 +47,7 @@
     Rests,
     /// It sends a body that is larger than what sockets and daemons hold of it.
     AnswersLarge,
-    /// It answers with what it gets for [`CALL_PATH`] from its own daemon.
+    /// It asks its own daemon for [`CALL_PATH`], and answers when that is over.
     Calls,
 }
 
--- a/crates/sorrelturn-daemon/src/net/serve.rs
+++ b/crates/sorrelturn-daemon/src/net/serve.rs
@@ -101,8 +101,11 @@
         for count in &counts {
             count.fetch_add(1, Ordering::Relaxed);
         }
-        let conn = node.connections.open();
-        let conn = serve(Arc::clone(&node), Accepted { tcp, conn }, closing.clone());
+        let accepted = Accepted {
+            tcp,
+            conn: node.connections.open(),
+        };
+        let conn = serve(Arc::clone(&node), accepted, closing.clone());
         let counted = async move {
             conn.await;
             for count in counts {
