--- a/crates/sorrelturn-bench/src/lib.rs
+++ b/crates/sorrelturn-bench/src/lib.rs
@@ -34,7 +34,7 @@
 pub use processes::{DaemonProcess, Process, ProcessFleet, binary, cpu_time, memory};
 pub use relay::Relay;
 pub use routed_backend::{BODY, IDLE_S, Reached, RoutedBackend, SIGNATURE, Script};
-pub use routed_fleet::{RoutedFleet, RoutedInstance, until};
+pub use routed_fleet::{Paths, RoutedFleet, RoutedInstance, until};
 pub use scenario::{Lengths, SCENARIOS, Scenario, System, run_scenario};
 pub use summary::{Goodput, Summary};
 pub use workload::{MixPart, Workload};
--- a/crates/sorrelturn-bench/src/relay.rs
+++ b/crates/sorrelturn-bench/src/relay.rs
@@ -1,5 +1,6 @@
 //! A path between two processes that can be cut: bytes on their way are held up, as in a partition,
-//! and go on when it is joined again. Nobody is told of the cut.
+//! and go on when it is joined again. Nobody is told of the cut. Besides, the connections that are open
+//! can be silenced for good, while new ones work.
 
 use smol::{
     Executor, Timer,
@@ -10,7 +11,7 @@
     net::{Ipv4Addr, SocketAddr},
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -31,6 +32,10 @@
 #[derive(Default)]
 struct State {
     cut: AtomicBool,
+    /// How many connections were opened so far.
+    opened: AtomicUsize,
+    /// The connections before this one are silent.
+    first_heard: AtomicUsize,
     target: Mutex<Option<SocketAddr>>,
 }
 
@@ -61,6 +66,18 @@
     pub fn join(&self) {
         self.state.cut.store(false, Ordering::Relaxed);
     }
+
+    /// Silences all connections that are open now, for good: what is sent over them is taken and lost,
+    /// and neither end hears of the other's close.
+    pub fn silence(&self) {
+        let opened = self.state.opened.load(Ordering::Relaxed);
+        self.state.first_heard.store(opened, Ordering::Relaxed);
+    }
+
+    /// How many connections were opened so far.
+    pub fn opened(&self) -> usize {
+        self.state.opened.load(Ordering::Relaxed)
+    }
 }
 
 impl State {
@@ -73,30 +90,42 @@
             Timer::after(LOOK).await;
         }
     }
+
+    fn is_silent(&self, number: usize) -> bool {
+        number < self.first_heard.load(Ordering::Relaxed)
+    }
 }
 
 async fn accept(ex: Arc<Executor<'static>>, listener: TcpListener, state: Arc<State>) {
     while let Ok((near, _)) = listener.accept().await {
         let state = Arc::clone(&state);
+        let number = state.opened.fetch_add(1, Ordering::Relaxed);
         let conn = async move {
             state.joined().await;
             let Some(target) = *state.target() else {
                 return;
             };
             if let Ok(far) = TcpStream::connect(target).await {
-                let there = pump(near.clone(), far.clone(), &state);
-                smol::future::zip(there, pump(far, near, &state)).await;
+                let there = pump(near.clone(), far.clone(), &state, number);
+                smol::future::zip(there, pump(far, near, &state, number)).await;
             }
         };
         ex.spawn(conn).detach();
     }
 }
 
-async fn pump(mut from: TcpStream, mut to: TcpStream, state: &State) {
+async fn pump(mut from: TcpStream, mut to: TcpStream, state: &State, number: usize) {
     let mut piece = vec![0; PIECE_BYTES];
     loop {
         let read = from.read(&mut piece).await.unwrap_or(0);
         state.joined().await;
+        if state.is_silent(number) {
+            if read == 0 {
+                // Both sockets stay open with it.
+                smol::future::pending::<()>().await;
+            }
+            continue;
+        }
         if read == 0 || to.write_all(&piece[..read]).await.is_err() {
             let _ = to.shutdown(std::net::Shutdown::Write);
             return;
--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -40,6 +40,8 @@
     Fails,
     /// It answers after a while.
     AnswersLate,
+    /// It answers after longer than a silent connection is borne.
+    AnswersVeryLate,
     /// It never answers.
     Hangs,
 }
@@ -76,6 +78,8 @@
 pub const IDLE_S: u64 = 1;
 /// How late it answers.
 const LATE: Duration = Duration::from_millis(300);
+/// How late it answers at most.
+const VERY_LATE: Duration = Duration::from_secs(3);
 /// The header that marks an answer of a backend server.
 pub const SIGNATURE: &str = "x-signature";
 
@@ -213,6 +217,10 @@
                 smol::Timer::after(LATE).await;
                 (whole, true)
             }
+            Script::AnswersVeryLate => {
+                smol::Timer::after(VERY_LATE).await;
+                (whole, true)
+            }
         };
         tcp.get_mut().write_all(bytes.as_bytes()).await?;
         Ok(goes_on)
--- a/crates/sorrelturn-bench/src/routed_fleet.rs
+++ b/crates/sorrelturn-bench/src/routed_fleet.rs
@@ -1,14 +1,16 @@
 //! A small fleet on loopback whose kinds are told by routes, beside scripted backend servers.
 
 use crate::{
-    RoutedBackend,
+    Relay, RoutedBackend,
     fleet::free_ports,
     processes::{Process, play_faults},
 };
 use bytes::Bytes;
 use hyper::{Request, Response};
 use smol::{Executor, Timer, net::TcpListener};
-use sorrelturn_daemon::{Daemon, Dialect, ListenSettings, Settings, StartError, StopSettings};
+use sorrelturn_daemon::{
+    AdvertiseSettings, Daemon, Dialect, ListenSettings, Settings, StartError, StopSettings,
+};
 use sorrelturn_platform::{Expected, Faults, Platform, StandIn, http::exchange, serve};
 use std::{
     net::SocketAddr,
@@ -40,9 +42,46 @@
     pub daemon: Option<Daemon>,
     /// The daemon as a process of its own, in the place of one that was stopped.
     pub process: Option<Process>,
+    /// The paths between this instance and all others, in a fleet that has them.
+    pub paths: Option<Paths>,
     sequence: u64,
 }
 
+/// The paths between one instance and all others.
+pub struct Paths {
+    /// By which other daemons reach it for calls.
+    pub peers: Relay,
+    /// By which other daemons reach it for control.
+    pub control: Relay,
+    /// To its backend server.
+    pub backend: Relay,
+    /// To the platform.
+    pub platform: Relay,
+}
+
+impl Paths {
+    async fn open(ex: &Arc<Executor<'static>>) -> Self {
+        Self {
+            peers: Relay::open(ex).await,
+            control: Relay::open(ex).await,
+            backend: Relay::open(ex).await,
+            platform: Relay::open(ex).await,
+        }
+    }
+
+    /// Has a daemon and its peers take these paths.
+    fn lead(&self, settings: &mut Settings) {
+        self.backend.lead_to(settings.backend.address);
+        self.platform.lead_to(settings.platform.address);
+        settings.backend.address = self.backend.addr;
+        settings.platform.address = self.platform.addr;
+        settings.advertise = AdvertiseSettings {
+            peers: Some(self.peers.addr),
+            control: Some(self.control.addr),
+        };
+    }
+}
+
 /// The fleet.
 pub struct RoutedFleet {
     /// Runs everything.
@@ -55,6 +94,8 @@
     pub stopping: StopSettings,
     /// The instances.
     pub instances: Vec<RoutedInstance>,
+    /// Whether instances reach one another over [`Paths`].
+    has_paths: bool,
 }
 
 impl RoutedFleet {
@@ -83,36 +124,72 @@
         dialect: Dialect,
         services: &[&str],
         stopping: StopSettings,
+    ) -> Self {
+        let mut fleet = Self::empty(ex, dialect, stopping).await;
+        fleet.add(services).await;
+        fleet
+    }
+
+    /// As [`RoutedFleet::start`], with [`Paths`] between an instance and all others.
+    pub async fn start_with_paths(
+        ex: Arc<Executor<'static>>,
+        dialect: Dialect,
+        services: &[&str],
+    ) -> Self {
+        let mut fleet = Self::empty(ex, dialect, StopSettings::default()).await;
+        fleet.has_paths = true;
+        fleet.add(services).await;
+        fleet
+    }
+
+    async fn empty(
+        ex: Arc<Executor<'static>>,
+        dialect: Dialect,
+        stopping: StopSettings,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let platform = listener.local_addr().expect("an address");
         ex.spawn(serve(Arc::clone(&ex), listener, StandIn::default()))
             .detach();
-        let mut fleet = Self {
+        Self {
             ex,
             platform,
             dialect,
             stopping,
             instances: Vec::new(),
-        };
+            has_paths: false,
+        }
+    }
+
+    async fn add(&mut self, services: &[&str]) {
         for (number, service) in services.iter().enumerate() {
-            let instance = fleet.start_instance(number, service).await;
-            fleet.instances.push(instance);
+            let instance = self.start_instance(number, service).await;
+            self.instances.push(instance);
         }
-        fleet
     }
 
     async fn start_instance(&self, number: usize, service: &str) -> RoutedInstance {
         let backend = RoutedBackend::new(&self.dialect.headers, &format!("b-{number}"));
         let backend_addr = backend.serve(&self.ex).await.expect("a free port");
-        let settings = self.settings(number, service, backend_addr);
+        let mut settings = self.settings(number, service, backend_addr);
+        let mut paths = None;
+        if self.has_paths {
+            let opened = Paths::open(&self.ex).await;
+            opened.lead(&mut settings);
+            paths = Some(opened);
+        }
         let daemon = self.start_daemon(settings.clone()).await;
+        if let Some(paths) = &paths {
+            paths.peers.lead_to(daemon.addresses.peers);
+            paths.control.lead_to(daemon.addresses.control);
+        }
         RoutedInstance {
             backend,
             addresses: daemon.addresses,
             settings,
             daemon: Some(daemon),
             process: None,
+            paths,
             sequence: 0,
         }
     }
