Silent connections between daemons are found by the absence of signs of life

Cause: a request over an idle connection that fell silent was ended by nothing but its own deadline, and the next request took the next silent one. The kernel's time-outs see only what isn't acknowledged.

Now a daemon that works on a peer's request says so by interim answers (102): after 100 ms, and then in pauses that double up to 1.6 s; the first request over each connection is told at once, so that whoever asks knows that signs are given, and an older daemon is not taken for silent. Who waits bears 400 ms beyond the time at which a sign was due. Then the request has broken off (it may have run), the pool drops the connections that have rested for as long, and a request that may be repeated goes, paid as a retry, over a new connection, to the same instance if need be. A connection that was used before says nothing of its instance when it falls silent, so that is not ejected; a new one does.

Ruled out: time-outs from how long answers take (breaks off work that is only slow), a probe before each request over a rested connection (a round trip for most requests of a sparse fleet).

--- a/crates/sorrelturn-bench/src/routed_fleet.rs
+++ b/crates/sorrelturn-bench/src/routed_fleet.rs
@@ -142,11 +142,7 @@
         fleet
     }
 
-    async fn empty(
-        ex: Arc<Executor<'static>>,
-        dialect: Dialect,
-        stopping: StopSettings,
-    ) -> Self {
+    async fn empty(ex: Arc<Executor<'static>>, dialect: Dialect, stopping: StopSettings) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let platform = listener.local_addr().expect("an address");
         ex.spawn(serve(Arc::clone(&ex), listener, StandIn::default()))
--- a/crates/sorrelturn-daemon/src/backend/link.rs
+++ b/crates/sorrelturn-daemon/src/backend/link.rs
@@ -1,7 +1,7 @@
 //! The connections to the own backend server, no more than the bundle says it takes.
 
 use crate::{
-    net::pool::{Lease, Opened, Pool, SendError},
+    net::pool::{Lease, OnItsWay, Opened, Pool, SendError},
     request::body::Body,
 };
 use hyper::{Request, Response, body::Incoming};
@@ -62,6 +62,9 @@
                 socket: tcp,
             })
         };
-        self.pool.send(ex, req, self.connect_time, connect).await
+        let on_its_way = OnItsWay::default();
+        self.pool
+            .send(ex, req, &on_its_way, self.connect_time, connect)
+            .await
     }
 }
--- a/crates/sorrelturn-daemon/src/fleet/peers.rs
+++ b/crates/sorrelturn-daemon/src/fleet/peers.rs
@@ -1,14 +1,24 @@
 //! Connections to other daemons, for calls. See `docs/design/between-daemons.md`.
 
 use crate::{
-    net::pool::{BUF_LIMIT_BYTES, Lease, Opened, Pool, SendError},
+    net::pool::{BUF_LIMIT_BYTES, Lease, OnItsWay, Opened, Pool, SendError},
+    net::signs,
     net::stream::FleetKeys,
+    net::timers::Timers,
     request::body::Body,
 };
 use hyper::{Request, Response, body::Incoming};
-use smol::{Executor, net::TcpStream};
+use smol::{Executor, future::FutureExt, net::TcpStream};
 use socket2::{SockRef, TcpKeepalive};
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
 
 /// The longest time for a new connection. Peers are about 1 ms apart; an opening packet that was
 /// lost is sent again after a second, and by then another instance has long answered.
@@ -33,6 +43,27 @@
     watched: Arc<Pool>,
     /// For long requests, which the peer may read slowly.
     unwatched: Arc<Pool>,
+    /// Whether the daemon was heard to give signs of life: an older one gives none.
+    gives_signs: Arc<AtomicBool>,
+}
+
+/// When a sign of life came last.
+struct Heard {
+    start: Instant,
+    after_us: AtomicU64,
+}
+
+impl Heard {
+    fn now(&self) {
+        let after_us = self.start.elapsed().as_micros() as u64;
+        self.after_us.store(after_us, Ordering::Relaxed);
+    }
+
+    /// How long after something was sent; zero if nothing came since then.
+    fn after(&self, sent: Instant) -> Duration {
+        let at = self.start + Duration::from_micros(self.after_us.load(Ordering::Relaxed));
+        at.saturating_duration_since(sent)
+    }
 }
 
 /// A connection that carries one call to a peer.
@@ -58,6 +89,7 @@
             addr,
             watched: Pool::new(MAX_CONNECTIONS),
             unwatched: Pool::new(MAX_CONNECTIONS),
+            gives_signs: Arc::default(),
         }
     }
 
@@ -67,8 +99,9 @@
     pub(crate) async fn send(
         &self,
         ex: &Executor<'static>,
+        timers: &Timers,
         keys: &FleetKeys,
-        req: Request<Body>,
+        mut req: Request<Body>,
     ) -> Result<(Response<Incoming>, PeerLease), SendError> {
         let is_watched = is_read_at_once(req.body());
         let connect = || async {
@@ -87,7 +120,14 @@
         } else {
             &self.unwatched
         };
-        let (res, lease) = pool.send(ex, req, CONNECT_TIME, connect).await?;
+        let heard = self.hear_signs(&mut req);
+        let on_its_way = OnItsWay::default();
+        let answered = pool.send(ex, req, &on_its_way, CONNECT_TIME, connect);
+        let silent = async {
+            let reused = self.silent(timers, &on_its_way, &heard, is_watched).await;
+            Err(SendError::Silent { reused })
+        };
+        let (res, lease) = answered.or(silent).await?;
         let watch_again = is_watched && !is_read_at_once(res.body());
         if watch_again && bear_silence(lease.socket()).is_err() {
             return Err(SendError::Broke);
@@ -95,6 +135,51 @@
         Ok((res, PeerLease { lease, watch_again }))
     }
 
+    fn hear_signs(&self, req: &mut Request<Body>) -> Arc<Heard> {
+        let heard = Arc::new(Heard {
+            start: Instant::now(),
+            after_us: AtomicU64::new(0),
+        });
+        let gives_signs = Arc::clone(&self.gives_signs);
+        let hears = Arc::clone(&heard);
+        signs::on_sign(req, move || {
+            gives_signs.store(true, Ordering::Relaxed);
+            hears.now();
+        });
+        heard
+    }
+
+    /// Ends when the connection that carries an exchange has been silent for too long; returns whether
+    /// it was used before. Behind a long request, signs may stand still as well.
+    async fn silent(
+        &self,
+        timers: &Timers,
+        on_its_way: &OnItsWay,
+        heard: &Heard,
+        is_watched: bool,
+    ) -> bool {
+        if !is_watched {
+            return smol::future::pending().await;
+        }
+        let mut wait = signs::borne_until(Duration::ZERO);
+        loop {
+            timers.after(wait).await;
+            let Some(sent) = on_its_way.sent() else {
+                continue;
+            };
+            let borne = signs::borne_until(heard.after(sent.at));
+            wait = borne.saturating_sub(sent.at.elapsed());
+            if !wait.is_zero() {
+                continue;
+            }
+            if self.gives_signs.load(Ordering::Relaxed) {
+                self.watched.forget_unheard_since(sent.at);
+                return sent.reused;
+            }
+            wait = signs::borne_until(Duration::ZERO);
+        }
+    }
+
     /// Drops the idle connections; the calls on others go on.
     pub(crate) fn forget(&self) {
         self.watched.forget_idle();
--- a/crates/sorrelturn-daemon/src/net/mod.rs
+++ b/crates/sorrelturn-daemon/src/net/mod.rs
@@ -3,5 +3,6 @@
 pub(crate) mod listeners;
 pub(crate) mod pool;
 pub(crate) mod serve;
+pub(crate) mod signs;
 pub(crate) mod stream;
 pub(crate) mod timers;
--- a/crates/sorrelturn-daemon/src/net/pool.rs
+++ b/crates/sorrelturn-daemon/src/net/pool.rs
@@ -33,6 +33,30 @@
 /// What one exchange may have on its way unread, in bytes; bounds the memory of a slow reader.
 pub(crate) const BUF_LIMIT_BYTES: usize = 128 << 10;
 
+/// An exchange that waits for the head of its answer.
+#[derive(Default)]
+pub(crate) struct OnItsWay(Mutex<Option<Sent>>);
+
+/// How a request was sent.
+#[derive(Clone, Copy)]
+pub(crate) struct Sent {
+    pub(crate) at: Instant,
+    /// Over a connection that carried exchanges before.
+    pub(crate) reused: bool,
+}
+
+impl OnItsWay {
+    /// How the request was sent last, if it was.
+    pub(crate) fn sent(&self) -> Option<Sent> {
+        *lock(&self.0)
+    }
+
+    fn sends(&self, reused: bool) {
+        let at = Instant::now();
+        *lock(&self.0) = Some(Sent { at, reused });
+    }
+}
+
 /// Why a request has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SendError {
@@ -42,6 +66,11 @@
     NotSent,
     /// It was sent, or a part of it was.
     Broke,
+    /// It was sent over a connection on which nothing is heard any more.
+    Silent {
+        /// The connection carried exchanges before, so its silence says nothing of the other end.
+        reused: bool,
+    },
 }
 
 /// The connections to one address.
@@ -154,6 +183,15 @@
         lock(&self.idle).clear();
     }
 
+    /// One that rested when this was sent is silent: those that have rested as long may be so too, and
+    /// are dropped. Those that carried an answer since then are heard.
+    pub(crate) fn forget_unheard_since(&self, sent: Instant) {
+        let mut idle = lock(&self.idle);
+        let heard = idle.iter().position(|idle| idle.since > sent);
+        let unheard = heard.unwrap_or(idle.len());
+        drop(idle.drain(..unheard));
+    }
+
     /// Sends a request and waits for the head of its answer; `connect` opens a new connection, and
     /// has `connect_time` for it.
     ///
@@ -163,6 +201,7 @@
         self: &Arc<Self>,
         ex: &Executor<'static>,
         mut req: Request<Body>,
+        on_its_way: &OnItsWay,
         connect_time: Duration,
         connect: impl Fn() -> F,
     ) -> Result<(Response<Incoming>, Lease), SendError>
@@ -182,6 +221,7 @@
                 }
                 return Err(SendError::NotSent);
             }
+            on_its_way.sends(was_idle);
             match conn.sender.try_send_request(req).await {
                 Ok(res) => {
                     let pool = Arc::clone(self);
--- a/crates/sorrelturn-daemon/src/net/serve.rs
+++ b/crates/sorrelturn-daemon/src/net/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     backend::announce,
+    net::signs::{Signing, Working},
     net::timers::Timers,
     node::{Carried, Node},
     request::answer::Reply,
@@ -217,11 +218,19 @@
         }
     };
     let for_service = Arc::clone(&node);
+    let timers = node.timers.clone();
+    let working = Working::default();
+    let stream = Signing::new(stream, timers.clone(), working.clone());
     let answer = move |req: Request<Incoming>| {
         let node = Arc::clone(&for_service);
-        async move { peer_call(&node, req).await }
+        let working = working.clone();
+        working.set(true);
+        async move {
+            let res = peer_call(&node, req).await;
+            working.set(false);
+            res
+        }
     };
-    let timers = node.timers.clone();
     let result = http1(timers, stream, PEER_IDLE_TIME, closing, answer).await;
     if let Err(error) = result
         && error.is_parse()
--- a/crates/sorrelturn-daemon/src/request/exchange.rs
+++ b/crates/sorrelturn-daemon/src/request/exchange.rs
@@ -25,6 +25,10 @@
     Full,
     NotSent,
     Broke,
+    /// The connection fell silent; whether it had carried exchanges before.
+    Silent {
+        reused: bool,
+    },
     TooLate,
 }
 
@@ -41,7 +45,9 @@
                 let reply = Reply::not_run(Refusal::BackendUnreachable);
                 owner::unused(reply, context.attempts)
             }
-            Self::Broke => Reply::refused(Refusal::PeerBroke, Verdict::MayHaveRun),
+            Self::Broke | Self::Silent { .. } => {
+                Reply::refused(Refusal::PeerBroke, Verdict::MayHaveRun)
+            }
             Self::TooLate => Reply::refused(Refusal::Deadline, Verdict::MayHaveRun),
         }
     }
@@ -64,11 +70,16 @@
     }
     headers::set(req.headers_mut(), CONTEXT, &call.context.encode());
     let send = async {
-        match route.link.send(&node.ex, &node.keys, req).await {
+        match route
+            .link
+            .send(&node.ex, &node.timers, &node.keys, req)
+            .await
+        {
             Ok((res, lease)) => reply_of(node, res, lease),
             Err(SendError::Full) => Err(Failure::Full),
             Err(SendError::NotSent) => Err(Failure::NotSent),
             Err(SendError::Broke) => Err(Failure::Broke),
+            Err(SendError::Silent { reused }) => Err(Failure::Silent { reused }),
         }
     };
     send.or(too_late).await
@@ -104,7 +115,8 @@
         Ok(reply) => InstanceReport::Answered {
             load: reply.context.load,
         },
-        Err(Failure::Full) => InstanceReport::Cancelled,
+        // A connection that was left to rest says nothing of the instance when it falls silent.
+        Err(Failure::Full | Failure::Silent { reused: true }) => InstanceReport::Cancelled,
         Err(Failure::NotSent) => InstanceReport::Unreachable,
         Err(_) => InstanceReport::Failed,
     }
--- a/crates/sorrelturn-daemon/src/request/forward.rs
+++ b/crates/sorrelturn-daemon/src/request/forward.rs
@@ -111,6 +111,8 @@
             vec![Field::new("member", &route.record.instance)],
         );
     }
+    // Over a new connection the same instance may answer.
+    let asked_in_vain = matches!(result, Err(Failure::Silent { reused: true }));
     let reply = match result {
         Ok(reply) => reply,
         Err(failure) => failure.reply(&call.context),
@@ -123,7 +125,7 @@
     if progress.token_asks == 0 {
         progress.attempts_left += reply.context.attempts_left.min(share);
     }
-    if call.context.token.is_none() {
+    if call.context.token.is_none() && !asked_in_vain {
         progress.tried.push(route.record.incarnation);
     }
     node.events.note(
