--- a/crates/sorrelturn-daemon/src/fleet/peers.rs
+++ b/crates/sorrelturn-daemon/src/fleet/peers.rs
@@ -3,13 +3,13 @@
 use crate::{
     net::pool::{BUF_LIMIT_BYTES, Lease, OnItsWay, Opened, Pool, SendError},
     net::signs,
-    net::stream::FleetKeys,
+    net::stream::{self, FleetKeys},
     net::timers::Timers,
     request::body::Body,
 };
 use hyper::{Request, Response, body::Incoming};
 use smol::{Executor, future::FutureExt, net::TcpStream};
-use socket2::{SockRef, TcpKeepalive};
+use socket2::SockRef;
 use std::{
     io,
     net::SocketAddr,
@@ -29,10 +29,6 @@
 /// A peer that doesn't acknowledge what was sent for so long is silent. Two losses of one packet in a
 /// row, 200 and 400 ms, still pass.
 const SILENT_TIME: Duration = Duration::from_millis(700);
-/// While an answer is waited for, the peer's kernel is asked this often whether it is there.
-const KEEPALIVE_EVERY: Duration = Duration::from_secs(1);
-/// And so many times without an answer before the connection is given up.
-const KEEPALIVE_TRIES: u32 = 2;
 /// The most connections to one daemon; its backend server has fewer slots.
 const MAX_CONNECTIONS: usize = 1_024;
 
@@ -195,13 +191,8 @@
 /// Has the kernel end a connection whose other end says nothing: a VM without power or behind a cut
 /// doesn't even refuse.
 fn notice_silence(tcp: &TcpStream) -> io::Result<()> {
-    let socket = SockRef::from(tcp);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_EVERY)
-        .with_interval(KEEPALIVE_EVERY)
-        .with_retries(KEEPALIVE_TRIES);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(SILENT_TIME))
+    stream::keep_alive(tcp)?;
+    SockRef::from(tcp).set_tcp_user_timeout(Some(SILENT_TIME))
 }
 
 /// Undoes [`notice_silence`] while a long answer is read.
