--- a/crates/sorrelturn-daemon/src/backend/link.rs
+++ b/crates/sorrelturn-daemon/src/backend/link.rs
@@ -2,12 +2,12 @@
 
 use crate::{
     net::pool::{Lease, OnItsWay, Opened, Pool, SendError},
-    net::stream,
     net::timers::Timers,
     request::body::Body,
 };
 use hyper::{Request, Response, body::Incoming};
 use smol::{Executor, future::FutureExt, net::TcpStream};
+use sorrelturn_platform::keep_alive;
 use std::{
     net::SocketAddr,
     pin::pin,
@@ -125,7 +125,7 @@
         let connect = || async {
             let tcp = TcpStream::connect(self.addr).await?;
             tcp.set_nodelay(true)?;
-            stream::keep_alive(&tcp)?;
+            keep_alive(&tcp)?;
             Ok(Opened {
                 stream: Box::new(tcp.clone()),
                 socket: tcp,
--- a/crates/sorrelturn-daemon/src/fleet/peers.rs
+++ b/crates/sorrelturn-daemon/src/fleet/peers.rs
@@ -3,13 +3,14 @@
 use crate::{
     net::pool::{BUF_LIMIT_BYTES, Lease, OnItsWay, Opened, Pool, SendError},
     net::signs,
-    net::stream::{self, FleetKeys},
+    net::stream::FleetKeys,
     net::timers::Timers,
     request::body::Body,
 };
 use hyper::{Request, Response, body::Incoming};
 use smol::{Executor, future::FutureExt, net::TcpStream};
 use socket2::SockRef;
+use sorrelturn_platform::keep_alive;
 use std::{
     io,
     net::SocketAddr,
@@ -191,7 +192,7 @@
 /// Has the kernel end a connection whose other end says nothing: a VM without power or behind a cut
 /// doesn't even refuse.
 fn notice_silence(tcp: &TcpStream) -> io::Result<()> {
-    stream::keep_alive(tcp)?;
+    keep_alive(tcp)?;
     SockRef::from(tcp).set_tcp_user_timeout(Some(SILENT_TIME))
 }
 
--- a/crates/sorrelturn-daemon/src/net/stream.rs
+++ b/crates/sorrelturn-daemon/src/net/stream.rs
@@ -12,27 +12,11 @@
     io::{AsyncRead, AsyncWrite},
     net::TcpStream,
 };
-use socket2::{SockRef, TcpKeepalive};
-use std::{io, path::Path, sync::Arc, time::Duration};
+use std::{io, path::Path, sync::Arc};
 
 /// The name that every daemon's certificate carries; who a daemon is comes from its record.
 const FLEET_NAME: &str = "sorrelturn";
 
-/// While a connection rests or an answer is waited for, the other end's kernel is asked this often
-/// whether it is there. It costs no processor time here.
-const KEEPALIVE_EVERY: Duration = Duration::from_secs(1);
-/// And so many times without an answer before the connection is given up.
-const KEEPALIVE_TRIES: u32 = 2;
-
-/// Has the kernel end a connection whose other end doesn't answer it any more.
-pub(crate) fn keep_alive(tcp: &TcpStream) -> io::Result<()> {
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_EVERY)
-        .with_interval(KEEPALIVE_EVERY)
-        .with_retries(KEEPALIVE_TRIES);
-    SockRef::from(tcp).set_tcp_keepalive(&keepalive)
-}
-
 /// A connection with or without TLS.
 pub(crate) trait Stream: AsyncRead + AsyncWrite + Send + Unpin {}
 
--- a/crates/sorrelturn-platform/src/lib.rs
+++ b/crates/sorrelturn-platform/src/lib.rs
@@ -4,10 +4,12 @@
 mod client;
 pub mod http;
 mod hyper_io;
+mod keep_alive;
 mod stand_in;
 mod store;
 
 pub use api::{Changes, Counters, Faults, Object, VmEntry, VmState, keys};
 pub use client::{Expected, OBJECTS_PATH, Platform, PlatformError};
 pub use hyper_io::{WokenWrites, hyper_io};
+pub use keep_alive::keep_alive;
 pub use stand_in::{StandIn, serve};
