A silent connection is told from a peer that stands still by a question over a new one

Without signs a request was broken off after half a second, also where the peer was paused or got no processor time: for at-most-once requests that turned an answer that comes late into a 502. Now overdue signs raise doubts only: the peer is asked over a new connection, once for all requests that doubt. If it answers there and 50 ms later nothing was heard on the old one, that is silent; a peer that answers nowhere is waited for, as before. The connection of the question is kept for the retries.

The new test (a path that is cut for two seconds) failed while the answer to the question alone counted; 50 ms let what was held up on several connections come in any order.

What is rare is boxed: with it in each request's future, the test of spans over three hops overflowed its stack of 2 MB in a debug build.

--- a/crates/sorrelturn-daemon/src/backend/link.rs
+++ b/crates/sorrelturn-daemon/src/backend/link.rs
@@ -102,7 +102,8 @@
             return first.await;
         };
         let on_its_way = OnItsWay::default();
-        let mut second = pin!(self.send_once(ex, copy, &on_its_way));
+        // Boxed, since it is rare: each request would take the memory for it.
+        let mut second = Box::pin(self.send_once(ex, copy, &on_its_way));
         let by_first = async { (first.as_mut().await, true) };
         let by_second = async { (second.as_mut().await, false) };
         let answered = match by_first.or(by_second).await {
--- a/crates/sorrelturn-daemon/src/fleet/peers.rs
+++ b/crates/sorrelturn-daemon/src/fleet/peers.rs
@@ -1,8 +1,8 @@
 //! Connections to other daemons, for calls. See `docs/design/between-daemons.md`.
 
 use crate::{
+    fleet::silence::Silence,
     net::pool::{BUF_LIMIT_BYTES, Lease, OnItsWay, Opened, Pool, SendError},
-    net::signs,
     net::stream::FleetKeys,
     net::timers::Timers,
     request::body::Body,
@@ -11,15 +11,7 @@
 use smol::{Executor, future::FutureExt, net::TcpStream};
 use socket2::SockRef;
 use sorrelturn_platform::keep_alive;
-use std::{
-    io,
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
-    },
-    time::{Duration, Instant},
-};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 /// The longest time for a new connection. Peers are about 1 ms apart; an opening packet that was
 /// lost is sent again after a second, and by then another instance has long answered.
@@ -40,27 +32,7 @@
     watched: Arc<Pool>,
     /// For long requests, which the peer may read slowly.
     unwatched: Arc<Pool>,
-    /// Whether the daemon was heard to give signs of life: an older one gives none.
-    gives_signs: Arc<AtomicBool>,
-}
-
-/// When a sign of life came last.
-struct Heard {
-    start: Instant,
-    after_us: AtomicU64,
-}
-
-impl Heard {
-    fn now(&self) {
-        let after_us = self.start.elapsed().as_micros() as u64;
-        self.after_us.store(after_us, Ordering::Relaxed);
-    }
-
-    /// How long after something was sent; zero if nothing came since then.
-    fn after(&self, sent: Instant) -> Duration {
-        let at = self.start + Duration::from_micros(self.after_us.load(Ordering::Relaxed));
-        at.saturating_duration_since(sent)
-    }
+    silence: Silence,
 }
 
 /// A connection that carries one call to a peer.
@@ -86,7 +58,7 @@
             addr,
             watched: Pool::new(MAX_CONNECTIONS),
             unwatched: Pool::new(MAX_CONNECTIONS),
-            gives_signs: Arc::default(),
+            silence: Silence::default(),
         }
     }
 
@@ -101,28 +73,24 @@
         mut req: Request<Body>,
     ) -> Result<(Response<Incoming>, PeerLease), SendError> {
         let is_watched = is_read_at_once(req.body());
-        let connect = || async {
-            let tcp = TcpStream::connect(self.addr).await?;
-            if is_watched {
-                notice_silence(&tcp)?;
-            }
-            let stream = keys.connect(tcp.clone()).await?;
-            Ok(Opened {
-                stream,
-                socket: tcp,
-            })
-        };
         let pool = if is_watched {
             &self.watched
         } else {
             &self.unwatched
         };
-        let heard = self.hear_signs(&mut req);
+        let heard = self.silence.listen(&mut req);
         let on_its_way = OnItsWay::default();
+        let connect = || self.connect(keys, is_watched);
         let answered = pool.send(ex, req, &on_its_way, CONNECT_TIME, connect);
         let silent = async {
-            let reused = self.silent(timers, &on_its_way, &heard, is_watched).await;
-            Err(SendError::Silent { reused })
+            if !is_watched {
+                // Behind a long request, signs may stand still as well.
+                return smol::future::pending().await;
+            }
+            let ask = |question| self.is_there(ex, keys, question);
+            let sent = self.silence.of(timers, &on_its_way, &heard, ask).await;
+            pool.forget_unheard_since(sent);
+            Err(SendError::Silent)
         };
         let (res, lease) = answered.or(silent).await?;
         let watch_again = is_watched && !is_read_at_once(res.body());
@@ -132,49 +100,32 @@
         Ok((res, PeerLease { lease, watch_again }))
     }
 
-    fn hear_signs(&self, req: &mut Request<Body>) -> Arc<Heard> {
-        let heard = Arc::new(Heard {
-            start: Instant::now(),
-            after_us: AtomicU64::new(0),
-        });
-        let gives_signs = Arc::clone(&self.gives_signs);
-        let hears = Arc::clone(&heard);
-        signs::on_sign(req, move || {
-            gives_signs.store(true, Ordering::Relaxed);
-            hears.now();
-        });
-        heard
+    async fn connect(&self, keys: &FleetKeys, is_watched: bool) -> io::Result<Opened> {
+        let tcp = TcpStream::connect(self.addr).await?;
+        if is_watched {
+            notice_silence(&tcp)?;
+        }
+        let stream = keys.connect(tcp.clone()).await?;
+        Ok(Opened {
+            stream,
+            socket: tcp,
+        })
     }
 
-    /// Ends when the connection that carries an exchange has been silent for too long; returns whether
-    /// it was used before. Behind a long request, signs may stand still as well.
-    async fn silent(
+    /// Whether the peer answers over a new connection, which is kept.
+    async fn is_there(
         &self,
-        timers: &Timers,
-        on_its_way: &OnItsWay,
-        heard: &Heard,
-        is_watched: bool,
+        ex: &Executor<'static>,
+        keys: &FleetKeys,
+        question: Request<Body>,
     ) -> bool {
-        if !is_watched {
-            return smol::future::pending().await;
-        }
-        let mut wait = signs::borne_until(Duration::ZERO);
-        loop {
-            timers.after(wait).await;
-            let Some(sent) = on_its_way.sent() else {
-                continue;
-            };
-            let borne = signs::borne_until(heard.after(sent.at));
-            wait = borne.saturating_sub(sent.at.elapsed());
-            if !wait.is_zero() {
-                continue;
-            }
-            if self.gives_signs.load(Ordering::Relaxed) {
-                self.watched.forget_unheard_since(sent.at);
-                return sent.reused;
-            }
-            wait = signs::borne_until(Duration::ZERO);
-        }
+        let connect = self.connect(keys, true);
+        let answered = self.watched.send_new(ex, question, CONNECT_TIME, connect);
+        let Ok((_, lease)) = answered.await else {
+            return false;
+        };
+        lease.give_back();
+        true
     }
 
     /// Drops the idle connections; the calls on others go on.
--- a/crates/sorrelturn-daemon/src/net/pool.rs
+++ b/crates/sorrelturn-daemon/src/net/pool.rs
@@ -67,10 +67,7 @@
     /// It was sent, or a part of it was.
     Broke,
     /// It was sent over a connection on which nothing is heard any more.
-    Silent {
-        /// The connection carried exchanges before, so its silence says nothing of the other end.
-        reused: bool,
-    },
+    Silent,
 }
 
 /// The connections to one address.
@@ -213,7 +210,8 @@
             let was_idle = idle.is_some();
             let mut conn = match idle {
                 Some(conn) => conn,
-                None => self.open(ex, connect_time, connect()).await?,
+                // Boxed, since it is rare: each request would take the memory for it.
+                None => Box::pin(self.open(ex, connect_time, connect())).await?,
             };
             if conn.sender.ready().await.is_err() {
                 if was_idle {
@@ -236,6 +234,23 @@
         }
     }
 
+    /// Sends a request over a new connection and waits for the head of its answer.
+    pub(crate) async fn send_new(
+        self: &Arc<Self>,
+        ex: &Executor<'static>,
+        req: Request<Body>,
+        connect_time: Duration,
+        connect: impl Future<Output = io::Result<Opened>>,
+    ) -> Result<(Response<Incoming>, Lease), SendError> {
+        let mut conn = self.open(ex, connect_time, connect).await?;
+        let ready = conn.sender.ready().await;
+        ready.map_err(|_| SendError::NotSent)?;
+        let res = conn.sender.send_request(req).await;
+        let res = res.map_err(|_| SendError::Broke)?;
+        let pool = Arc::clone(self);
+        Ok((res, Lease { pool, conn }))
+    }
+
     /// The connection that was used last: those below it grow old and are dropped.
     fn take_idle(&self) -> Option<Conn> {
         let mut idle = lock(&self.idle);
@@ -263,7 +278,8 @@
             Timer::after(connect_time).await;
             Err(io::ErrorKind::TimedOut.into())
         };
-        let opened = connect.or(too_long).await.map_err(|_| SendError::NotSent)?;
+        let opened = connect.or(too_long).await;
+        let opened = opened.map_err(|_| SendError::NotSent)?;
         let (sender, conn) = Builder::new()
             .max_buf_size(BUF_LIMIT_BYTES)
             .handshake(hyper_io(opened.stream))
--- a/crates/sorrelturn-daemon/src/net/serve.rs
+++ b/crates/sorrelturn-daemon/src/net/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     backend::announce,
-    net::signs::{Signing, Working},
+    net::signs::{HERE_PATH, Signing, Working},
     net::timers::Timers,
     node::{Carried, Node},
     request::answer::Reply,
@@ -245,6 +245,9 @@
         .remove(CONTEXT)
         .and_then(|value| CallContext::decode(value.as_bytes()).ok());
     let Some(context) = context else {
+        if req.uri().path() == HERE_PATH {
+            return status(StatusCode::NO_CONTENT);
+        }
         node.note(&events::BAD_PEER, vec![Field::new("error", "no context")]);
         return status(StatusCode::BAD_REQUEST);
     };
--- a/crates/sorrelturn-daemon/src/net/signs.rs
+++ b/crates/sorrelturn-daemon/src/net/signs.rs
@@ -29,6 +29,9 @@
 /// The sign.
 const SIGN: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
 
+/// The path, on the peers' listener, by which a daemon is asked whether it is there.
+pub(crate) const HERE_PATH: &str = "/.sorrelturn/here";
+
 /// Until when, after a request was sent, silence is borne, if the last sign came `heard` after it.
 pub(crate) fn borne_until(heard: Duration) -> Duration {
     heard + (heard + FIRST_PAUSE).min(LONGEST_PAUSE) + BORNE
--- a/crates/sorrelturn-daemon/src/request/exchange.rs
+++ b/crates/sorrelturn-daemon/src/request/exchange.rs
@@ -25,10 +25,8 @@
     Full,
     NotSent,
     Broke,
-    /// The connection fell silent; whether it had carried exchanges before.
-    Silent {
-        reused: bool,
-    },
+    /// The connection fell silent; the instance is there.
+    Silent,
     TooLate,
 }
 
@@ -45,9 +43,7 @@
                 let reply = Reply::not_run(Refusal::BackendUnreachable);
                 owner::unused(reply, context.attempts)
             }
-            Self::Broke | Self::Silent { .. } => {
-                Reply::refused(Refusal::PeerBroke, Verdict::MayHaveRun)
-            }
+            Self::Broke | Self::Silent => Reply::refused(Refusal::PeerBroke, Verdict::MayHaveRun),
             Self::TooLate => Reply::refused(Refusal::Deadline, Verdict::MayHaveRun),
         }
     }
@@ -79,7 +75,7 @@
             Err(SendError::Full) => Err(Failure::Full),
             Err(SendError::NotSent) => Err(Failure::NotSent),
             Err(SendError::Broke) => Err(Failure::Broke),
-            Err(SendError::Silent { reused }) => Err(Failure::Silent { reused }),
+            Err(SendError::Silent) => Err(Failure::Silent),
         }
     };
     send.or(too_late).await
@@ -115,8 +111,7 @@
         Ok(reply) => InstanceReport::Answered {
             load: reply.context.load,
         },
-        // A connection that was left to rest says nothing of the instance when it falls silent.
-        Err(Failure::Full | Failure::Silent { reused: true }) => InstanceReport::Cancelled,
+        Err(Failure::Full | Failure::Silent) => InstanceReport::Cancelled,
         Err(Failure::NotSent) => InstanceReport::Unreachable,
         Err(_) => InstanceReport::Failed,
     }
--- a/crates/sorrelturn-daemon/src/request/forward.rs
+++ b/crates/sorrelturn-daemon/src/request/forward.rs
@@ -111,8 +111,8 @@
             vec![Field::new("member", &route.record.instance)],
         );
     }
-    // Over a new connection the same instance may answer.
-    let asked_in_vain = matches!(result, Err(Failure::Silent { reused: true }));
+    // Over a new connection the same instance answers.
+    let asked_in_vain = matches!(result, Err(Failure::Silent));
     let reply = match result {
         Ok(reply) => reply,
         Err(failure) => failure.reply(&call.context),
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -117,7 +117,7 @@
                 let share = self.context.attempts;
                 unused(self.refused(Refusal::BackendUnreachable), share)
             }
-            Some(Err(SendError::Broke | SendError::Silent { .. })) => {
+            Some(Err(SendError::Broke | SendError::Silent)) => {
                 slot.release(Outcome::Broke);
                 self.failed(&guard, Refusal::BackendBroke)
             }
