--- a/crates/sorrelturn-bench/src/lib.rs
+++ b/crates/sorrelturn-bench/src/lib.rs
@@ -36,7 +36,7 @@
 pub use routed_backend::{
     BODY, CALL_PATH, Cancelled, IDLE_S, Reached, RoutedBackend, SIGNATURE, Script,
 };
-pub use routed_fleet::{RoutedFleet, RoutedInstance, until};
+pub use routed_fleet::{Paths, RoutedFleet, RoutedInstance, until};
 pub use scenario::{Lengths, SCENARIOS, Scenario, System, run_scenario};
 pub use summary::{Goodput, Summary};
 pub use workload::{MixPart, Workload};
--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -45,6 +45,8 @@
     AnswersSoon,
     /// It answers after a while.
     AnswersLate,
+    /// It answers after longer than a silent connection is borne.
+    AnswersVeryLate,
     /// It never answers.
     Hangs,
     /// It sends half of its answer and never the rest.
@@ -106,6 +108,8 @@
 const HANG_TIME: Duration = Duration::from_secs(60);
 /// How late it answers.
 const LATE: Duration = Duration::from_millis(300);
+/// How late it answers at most.
+const VERY_LATE: Duration = Duration::from_secs(3);
 /// The header that marks an answer of a backend server.
 pub const SIGNATURE: &str = "x-signature";
 
@@ -287,6 +291,10 @@
                 self.call(&asked).await?;
                 (whole, true)
             }
+            Script::AnswersVeryLate => {
+                smol::Timer::after(VERY_LATE).await;
+                (whole, true)
+            }
         };
         tcp.get_mut().write_all(bytes.as_bytes()).await?;
         Ok(goes_on)
