A run that has said that it is gone no longer outranks the next one

Seen now and then with fleets whose daemons were handed to processes: 'no instance of the service'. Inferred, not shown: a stopped daemon's tasks go on in a test's process, hear of the next run, take it for an earlier one and outrank it. In service the process is gone by then. No test of its own; platform/tests 54 passed.

--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -297,7 +297,9 @@
     pub(crate) fn outrank_earlier_run(&self, other: &MemberRecord) -> bool {
         let own = self.own_record.load();
         let is_earlier_run = other.instance == own.instance && other.incarnation != own.incarnation;
-        if !is_earlier_run || !other.supersedes(&own) || self.now() >= YOUNG_TIME {
+        // One that has said that it is gone has a later run, which it would outrank.
+        let is_over = own.state == MemberState::Gone;
+        if is_over || !is_earlier_run || !other.supersedes(&own) || self.now() >= YOUNG_TIME {
             return false;
         }
         let mut later = (**own).clone();
