Bench: callers that are refused and come back as told, in virtual time

`sorrelturn-bench returns` plays entries with a learnt level, three gates with few slots, three kinds and callers that honour Retry-After for up to a third of the time that they have left.

--- a/crates/sorrelturn-bench/src/commands/mod.rs
+++ b/crates/sorrelturn-bench/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod instructions;
 mod latency;
 mod overload;
+mod returns;
 
 use clap::{ArgMatches, Command};
 use std::process::ExitCode;
@@ -30,6 +31,7 @@
     exchanges::ENTRY,
     instructions::ENTRY,
     backend::ENTRY,
+    returns::ENTRY,
 ];
 
 /// The whole command line.
--- a/crates/sorrelturn-bench/src/lib.rs
+++ b/crates/sorrelturn-bench/src/lib.rs
@@ -15,6 +15,7 @@
 mod plan;
 mod processes;
 mod relay;
+mod returns;
 mod routed_backend;
 mod routed_fleet;
 mod scenario;
@@ -33,6 +34,10 @@
 pub use plan::{Fault, KindPlan, Plan, PlannedCall, plan_for};
 pub use processes::{DaemonProcess, Process, ProcessFleet, binary, cpu_time, memory};
 pub use relay::Relay;
+pub use returns::{
+    PRESSINGS, Pressing, RETURNING_KINDS, Refused, ReturnRule, Returned, ReturningKind,
+    play_returns,
+};
 pub use routed_backend::{BODY, IDLE_S, Reached, RoutedBackend, SIGNATURE, Script};
 pub use routed_fleet::{RoutedFleet, RoutedInstance, until};
 pub use scenario::{Lengths, SCENARIOS, Scenario, System, run_scenario};
