Entry: callers come back by what the entry refused, and find the room that is left

Cause: callers refused at the entry were told about a second, since only the gate beside the entry was asked, which knows nothing of a service short of slots deeper in the chain. They came back into the pressure and were shed as the lowest eighth of their rank, until the level was down to nothing.

--- a/crates/sorrelturn-bench/src/commands/returns.rs
+++ b/crates/sorrelturn-bench/src/commands/returns.rs
@@ -1,7 +1,7 @@
 //! `sorrelturn-bench returns`
 
 use super::CommandEntry;
-use crate::returns::{PRESSINGS, RETURNING_KINDS, ReturnWay, Returned, play_returns};
+use crate::returns::{PRESSINGS, PRODUCT, RETURNING_KINDS, ReturnWay, Returned, play_returns};
 use clap::{Arg, ArgMatches, Command, value_parser};
 use sorrelturn_policy::RetryAfter;
 use std::{process::ExitCode, time::Duration};
@@ -37,9 +37,33 @@
 const WAYS: &[ReturnWay] = &[
     ReturnWay {
         name: "the product's",
+        ..PRODUCT
+    },
+    ReturnWay {
+        name: "about a second, the lowest eighth of the rank",
         rule: || Box::new(|_, rng| RetryAfter::compute(None, rng)),
         order: lowest_eighth,
     },
+    ReturnWay {
+        name: "as the product, the lowest eighth",
+        order: lowest_eighth,
+        ..PRODUCT
+    },
+    ReturnWay {
+        name: "about a second, order as the product",
+        rule: || Box::new(|_, rng| RetryAfter::compute(None, rng)),
+        ..PRODUCT
+    },
+    ReturnWay {
+        name: "as the product, like first tries",
+        order: |bucket| bucket,
+        ..PRODUCT
+    },
+    ReturnWay {
+        name: "as the product, before first tries",
+        order: |bucket| 255 - bucket / 2,
+        ..PRODUCT
+    },
     ReturnWay {
         name: "at once",
         rule: || Box::new(|_, _| Duration::from_millis(100)),
--- a/crates/sorrelturn-bench/src/lib.rs
+++ b/crates/sorrelturn-bench/src/lib.rs
@@ -35,8 +35,8 @@
 pub use processes::{DaemonProcess, Process, ProcessFleet, binary, cpu_time, memory};
 pub use relay::Relay;
 pub use returns::{
-    PRESSINGS, Pressing, RETURNING_KINDS, Refused, ReturnRule, ReturnWay, Returned, ReturningKind,
-    play_returns,
+    PRESSINGS, PRODUCT, Pressing, RETURNING_KINDS, Refused, ReturnRule, ReturnWay, Returned,
+    ReturningKind, play_returns,
 };
 pub use routed_backend::{BODY, IDLE_S, Reached, RoutedBackend, SIGNATURE, Script};
 pub use routed_fleet::{RoutedFleet, RoutedInstance, until};
--- a/crates/sorrelturn-bench/src/returns.rs
+++ b/crates/sorrelturn-bench/src/returns.rs
@@ -5,7 +5,8 @@
 
 use fastrand::Rng;
 use sorrelturn_policy::{
-    Arrival, Decision, FirstTries, Gate, GateConfig, LearnedThreshold, Now, Outcome, refuses,
+    Arrival, Decision, FirstTries, Gate, GateConfig, LearnedThreshold, Now, Outcome, Refusing,
+    bucket_of_return, refuses,
 };
 use sorrelturn_protocol::{Importance, Priority};
 use std::{
@@ -152,6 +153,16 @@
     pub order: fn(u8) -> u8,
 }
 
+/// What the entries of the product do.
+pub const PRODUCT: ReturnWay = ReturnWay {
+    name: "the product's",
+    rule: || {
+        let mut refusing = Refusing::default();
+        Box::new(move |refused, rng| refusing.refused(refused.now, rng))
+    },
+    order: bucket_of_return,
+};
+
 /// What came of the requests of one kind that were first sent while the pressure lasted or in the
 /// two seconds after it.
 #[derive(Clone, Debug, Default)]
--- a/crates/sorrelturn-daemon/src/config/in_force.rs
+++ b/crates/sorrelturn-daemon/src/config/in_force.rs
@@ -2,7 +2,7 @@
 
 use crate::node::lock;
 use sorrelturn_bundle::{Bundle, CallerEntry, KindEntry, SectionBytes, SignedManifest};
-use sorrelturn_policy::{FirstTries, LearnedThreshold, Now, RateBucket, RetryBucket};
+use sorrelturn_policy::{FirstTries, LearnedThreshold, Now, RateBucket, Refusing, RetryBucket};
 use sorrelturn_protocol::{CallerId, Importance, Priority};
 use std::{
     collections::HashMap,
@@ -87,6 +87,8 @@
     was_answered: AtomicBool,
     /// How much time callers begin with.
     pub(crate) first_tries: Mutex<FirstTries>,
+    /// How long this daemon has been refusing them as the entry.
+    pub(crate) refusing: Mutex<Refusing>,
 }
 
 impl InForce {
@@ -235,6 +237,7 @@
             is_call: AtomicBool::new(false),
             was_answered: AtomicBool::new(false),
             first_tries: Mutex::default(),
+            refusing: Mutex::default(),
         })
     }
 }
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -21,7 +21,7 @@
     header::{HOST, HeaderName, HeaderValue, RETRY_AFTER},
 };
 use sorrelturn_bundle::KindEntry;
-use sorrelturn_policy::{Now, refuses};
+use sorrelturn_policy::{Now, bucket_of_return, refuses};
 use sorrelturn_protocol::{CallContext, CallerId, Refusal, RequestId, SpanId, Verdict};
 use sorrelturn_telemetry::{Field, events};
 use std::{
@@ -29,9 +29,6 @@
     time::Duration,
 };
 
-/// Requests that were tried before are shed as if they were in the lowest part of their rank.
-const TRIED_BEFORE_DIVISOR: u8 = 8;
-
 /// When the connection of a request was opened.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Arrives {
@@ -172,9 +169,7 @@
         .is_some_and(|left_ms| lock(&state.first_tries).saw(left_ms));
     let mut bucket = asked.request.keep_bucket();
     if was_tried {
-        // Who is refused anyway is refused at the second try rather than one more at the first:
-        // as many are served, and more of them at once.
-        bucket /= TRIED_BEFORE_DIVISOR;
+        bucket = bucket_of_return(bucket);
     }
     let (rank, ranks) = asked.in_force.rank_of_root(asked.kind.importance());
     if !refuses(asked.level, rank, ranks, bucket) {
@@ -192,7 +187,8 @@
             Field::new("was_tried", was_tried),
         ],
     );
-    Err(Reply::not_run(Refusal::Overload).come_back(owner::come_back(node)))
+    let come_back = lock(&state.refusing).refused(node.now(), &mut fastrand::Rng::new());
+    Err(Reply::not_run(Refusal::Overload).come_back(come_back))
 }
 
 async fn carry(node: &Arc<Node>, routed: &Routed, asked: Asked, req: Request<Incoming>) -> Reply {
--- a/crates/sorrelturn-policy/src/first_tries.rs
+++ b/crates/sorrelturn-policy/src/first_tries.rs
@@ -10,6 +10,18 @@
 /// Nothing is concluded unless so many of them had the longest time.
 const LEAST_FULL: u32 = KEPT / 3;
 
+/// Requests that were tried before are shed as if they were so many times further down in their rank.
+/// With 8, hardly one in ten of those who came back found room before the level was down to nothing,
+/// and slots stood idle; with 1, first tries are refused in their place and answers come late.
+const TRIED_BEFORE_DIVISOR: u8 = 2;
+
+/// The place in its rank (0 to 255, lowest first) by which a request is shed that was tried before:
+/// whoever is refused anyway is refused at the second try rather than one more at the first, since as
+/// many are served and more of them at once.
+pub fn bucket_of_return(bucket: u8) -> u8 {
+    bucket / TRIED_BEFORE_DIVISOR
+}
+
 /// The times that callers of one kind begin with.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FirstTries {
--- a/crates/sorrelturn-policy/src/lib.rs
+++ b/crates/sorrelturn-policy/src/lib.rs
@@ -19,7 +19,7 @@
 pub use attempts::{AttemptPool, first_share};
 pub use bucket::{RateBucket, RetryBucket};
 pub use call_graph::{CallGraph, Candidate};
-pub use first_tries::FirstTries;
+pub use first_tries::{FirstTries, bucket_of_return};
 pub use gate::{Arrival, Decision, Gate, GateConfig, Released};
 pub use learned::LearnedThreshold;
 pub use leaving::{Leaving, LeavingCause};
@@ -29,7 +29,7 @@
 pub use presence::{Heard, Presence};
 pub use pressure::Pressure;
 pub use retry::{Attempt, Step, next_step};
-pub use retry_after::RetryAfter;
+pub use retry_after::{Refusing, RetryAfter};
 pub use routing::{Instance, InstanceReport, choose};
 
 /// A point in time: what has passed of the process's monotonic clock since its start.
--- a/crates/sorrelturn-policy/src/retry_after.rs
+++ b/crates/sorrelturn-policy/src/retry_after.rs
@@ -1,5 +1,6 @@
-//! When a refused caller should come back.
+//! When a refused caller should come back. See `docs/design/returns.md`.
 
+use crate::Now;
 use std::time::Duration;
 
 /// The earliest return.
@@ -7,6 +8,36 @@
 /// The latest return: an overload that ends sooner than foreseen must not keep callers away long.
 const MOST: Duration = Duration::from_secs(30);
 
+/// Without a refusal for so long, the pressure that led to the earlier ones is over. A kind that a
+/// small entry seldom serves has a second and more between two refusals of one pressure.
+const QUIET: Duration = Duration::from_secs(2);
+
+/// How long an entry has been refusing requests of one kind.
+///
+/// The gate before the own backend server knows nothing of a service that is short of slots deeper in the
+/// chain: by its word alone callers were told about a second, however long the pressure had lasted, and
+/// came back into it. Told by what the entry itself refused, 12 instead of 7 in 100 of those who come back
+/// in five seconds of twice the load are served, with `sorrelturn-bench returns`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Refusing {
+    first: Now,
+    last: Option<Now>,
+}
+
+impl Refusing {
+    /// A request is refused; returns when its caller should come back.
+    pub fn refused(&mut self, now: Now, rng: &mut fastrand::Rng) -> Duration {
+        let goes_on = self
+            .last
+            .is_some_and(|last| now.saturating_sub(last) < QUIET);
+        if !goes_on {
+            self.first = now;
+        }
+        self.last = Some(now);
+        RetryAfter::compute(Some(now.saturating_sub(self.first)), rng)
+    }
+}
+
 /// Computes when to come back.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RetryAfter;
--- a/crates/sorrelturn-policy/tests/retries.rs
+++ b/crates/sorrelturn-policy/tests/retries.rs
@@ -219,3 +219,22 @@
     assert!(least >= Some(&Duration::from_secs(10)) && most <= Some(&Duration::from_secs(30)));
     assert!(most > least.map(|least| *least * 2).as_ref());
 }
+
+/// As seen at entries of a chain whose deepest service was short of slots: the gate beside the entry had
+/// no pressure, so callers were told about a second, however long they had been refused there.
+#[test]
+fn refused_callers_are_told_by_how_long_the_entry_has_refused() {
+    let mut rng = fastrand::Rng::with_seed(5);
+    let mut refusing = Refusing::default();
+    let at = Duration::from_millis;
+    let told: Vec<Duration> = (0..100)
+        .map(|number| refusing.refused(at(1_000 + number * 100), &mut rng))
+        .collect();
+    let mean = |told: &[Duration]| told.iter().sum::<Duration>() / told.len() as u32;
+    assert!(mean(&told[..10]) < at(1_500), "{told:?}");
+    assert!(mean(&told[90..]) > at(7_000), "{told:?}");
+    assert!(told.iter().all(|told| *told <= at(45_000)));
+    // After a quiet time another pressure begins.
+    let told = refusing.refused(at(14_000), &mut rng);
+    assert!(told <= at(1_500), "{told:?}");
+}
