--- a/crates/sorrelturn-daemon/src/config/in_force.rs
+++ b/crates/sorrelturn-daemon/src/config/in_force.rs
@@ -2,7 +2,7 @@
 
 use crate::node::{LastTime, lock};
 use sorrelturn_bundle::{Bundle, CallerEntry, KindEntry, SectionBytes, SignedManifest};
-use sorrelturn_policy::{FirstTries, LearnedThreshold, Now, RateBucket, RetryBucket};
+use sorrelturn_policy::{FirstTries, LearnedThreshold, Now, RateBucket, Refusing, RetryBucket};
 use sorrelturn_protocol::{CallerId, Importance, Priority};
 use std::{
     collections::HashMap,
@@ -94,6 +94,8 @@
     lacked_below: LastTime,
     /// How much time callers begin with.
     pub(crate) first_tries: Mutex<FirstTries>,
+    /// How long this daemon has been refusing them as the entry.
+    pub(crate) refusing: Mutex<Refusing>,
 }
 
 impl InForce {
@@ -258,6 +260,7 @@
             was_answered: AtomicBool::new(false),
             lacked_below: LastTime::default(),
             first_tries: Mutex::default(),
+            refusing: Mutex::default(),
         })
     }
 }
--- a/crates/sorrelturn-policy/src/first_tries.rs
+++ b/crates/sorrelturn-policy/src/first_tries.rs
@@ -10,6 +10,17 @@
 /// Nothing is concluded unless so many of them had the longest time.
 const LEAST_FULL: u32 = KEPT / 3;
 
+/// Requests that were tried before are shed as if they were so many times further down in their rank.
+/// With 2, more of them are served, but more calls of critical requests are refused deep in the chain.
+const TRIED_BEFORE_DIVISOR: u8 = 8;
+
+/// The place in its rank (0 to 255, lowest first) by which a request is shed that was tried before:
+/// whoever is refused anyway is refused at the second try rather than one more at the first, since as
+/// many are served and more of them at once.
+pub fn bucket_of_return(bucket: u8) -> u8 {
+    bucket / TRIED_BEFORE_DIVISOR
+}
+
 /// The times that callers of one kind begin with.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FirstTries {
