A fault soak of real daemons: plan of a seed, checker without sockets, callers and paths

Daemons run as processes of their own; signals, route tables, the store's stand-in, paths between daemons and backend servers are harmed by a plan that is drawn from a seed. The checker is fed with what callers and backend servers saw; a test feeds it a breach of each promise.

--- a/crates/sorrelturn-bench/src/client.rs
+++ b/crates/sorrelturn-bench/src/client.rs
@@ -58,7 +58,8 @@
     body.into()
 }
 
-fn is_own_and_whole(body: &[u8], expected: &Expected) -> bool {
+/// Whether a body is one of [`answer_body`], with the words that were sent.
+pub(crate) fn is_own_and_whole(body: &[u8], expected: &Expected) -> bool {
     let Some(split) = body.len().checked_sub(64) else {
         return false;
     };
--- a/crates/sorrelturn-bench/src/commands/mod.rs
+++ b/crates/sorrelturn-bench/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod instructions;
 mod latency;
 mod overload;
+pub mod soak;
 
 use clap::{ArgMatches, Command};
 use std::process::ExitCode;
--- a/crates/sorrelturn-bench/src/lib.rs
+++ b/crates/sorrelturn-bench/src/lib.rs
@@ -18,13 +18,14 @@
 mod routed_backend;
 mod routed_fleet;
 mod scenario;
+pub mod soak;
 mod summary;
 mod workload;
 
 pub use backend::{FakeBackend, serve_backend};
 pub use baseline::{Baseline, BaselineKind};
 pub use client::{Answer, Client, Expected};
-pub use commands::{COMMANDS, CommandEntry, root};
+pub use commands::{COMMANDS, CommandEntry, root, soak as soak_command};
 pub use examples::example_bundle;
 pub use exchanges::{ExchangeCounts, Exchanges, exchange_many};
 pub use exec::run_on;
--- a/crates/sorrelturn-bench/src/processes.rs
+++ b/crates/sorrelturn-bench/src/processes.rs
@@ -12,7 +12,8 @@
 use sorrelturn_platform::{Faults, Platform, VmEntry, http::exchange};
 use sorrelturn_protocol::MemberRecord;
 use std::{
-    io::{BufRead, BufReader},
+    fs::File,
+    io::{self, BufRead, BufReader},
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
@@ -45,13 +46,7 @@
 impl Process {
     /// Starts a program and waits for its first line.
     pub fn start(name: &str, args: &[&str]) -> Self {
-        let mut child = Command::new(binary(name))
-            .args(args)
-            .env(
-                "RUST_LOG",
-                std::env::var("RUST_LOG").unwrap_or("error".to_owned()),
-            )
-            .stdin(Stdio::null())
+        let mut child = command(name, args, "error")
             .stdout(Stdio::piped())
             .spawn()
             .expect("the program starts");
@@ -66,6 +61,24 @@
         }
     }
 
+    /// Starts a program whose output goes to a file, its log among it; doesn't wait for a line.
+    pub(crate) fn start_logged(name: &str, args: &[&str], log: &Path) -> io::Result<Self> {
+        let log = File::create(log)?;
+        let child = command(name, args, "sorrelturn=info")
+            .stderr(log.try_clone()?)
+            .stdout(log)
+            .spawn()?;
+        Ok(Self {
+            child,
+            first_line: String::new(),
+        })
+    }
+
+    /// Its end, if it has ended.
+    pub(crate) fn has_ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
     /// Its process id.
     pub fn pid(&self) -> u32 {
         self.child.id()
@@ -98,6 +111,18 @@
     }
 }
 
+fn command(name: &str, args: &[&str], log: &str) -> Command {
+    let mut command = Command::new(binary(name));
+    command
+        .args(args)
+        .env(
+            "RUST_LOG",
+            std::env::var("RUST_LOG").unwrap_or(log.to_owned()),
+        )
+        .stdin(Stdio::null());
+    command
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -3,6 +3,7 @@
 //! It writes its answers byte by byte, because most of what it has to play can't be said through a
 //! library that keeps to the protocol.
 
+use crate::client::answer_body;
 use smol::{
     Executor,
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
@@ -42,6 +43,13 @@
     AnswersLate,
     /// It never answers.
     Hangs,
+    /// It begins its answer, and ends it after a while; the body belongs to the request's id.
+    Works {
+        /// How long it takes, in milliseconds.
+        ms: u64,
+        /// The least length of the body, without its checksum.
+        bytes: usize,
+    },
 }
 
 /// A request as it reached the backend server.
@@ -55,11 +63,16 @@
     pub body: Vec<u8>,
 }
 
+/// Is told of each request that is meant for this run of the backend server, and what is done with it, before
+/// it is answered.
+pub(crate) type Watcher = Arc<dyn Fn(&Reached, Script) + Send + Sync>;
+
 /// The fake.
 #[derive(Clone)]
 pub struct RoutedBackend {
     names: HeaderNames,
     state: Arc<Mutex<State>>,
+    watcher: Option<Watcher>,
 }
 
 struct State {
@@ -92,6 +105,15 @@
         Self {
             names: names.clone(),
             state: Arc::new(Mutex::new(state)),
+            watcher: None,
+        }
+    }
+
+    /// A backend server that tells `watcher` of all requests and keeps none, so that it can run for long.
+    pub(crate) fn watched(names: &HeaderNames, id: &str, watcher: Watcher) -> Self {
+        Self {
+            watcher: Some(watcher),
+            ..Self::new(names, id)
         }
     }
 
@@ -155,7 +177,9 @@
         while let Some(req) = read(&mut tcp).await? {
             let (script, id) = {
                 let mut state = self.lock();
-                state.reached.push(req.clone());
+                if self.watcher.is_none() {
+                    state.reached.push(req.clone());
+                }
                 (state.script, state.id.clone())
             };
             let expected = req.headers.get(self.names.expected_backend.as_str());
@@ -165,7 +189,9 @@
                 tcp.get_mut().write_all(answer.as_bytes()).await?;
                 continue;
             }
-            if script != Script::SaysNotRun {
+            if let Some(watcher) = &self.watcher {
+                watcher(&req, script);
+            } else if script != Script::SaysNotRun {
                 self.lock().ran.push(req.clone());
             }
             if !self.answer(&mut tcp, &req, script).await? {
@@ -186,7 +212,13 @@
         let asked = req.headers.get(name.as_str()).cloned().unwrap_or_default();
         let back =
             format!("{name}: {asked}\r\n{SIGNATURE}: {asked}\r\nkeep-alive: timeout={IDLE_S}\r\n");
-        let whole = head(200, "OK", &back, Some(BODY.len())) + BODY;
+        let whole = match &self.watcher {
+            Some(_) => {
+                let body = answer_body(&asked, 0);
+                head(200, "OK", &back, Some(body.len())) + &String::from_utf8_lossy(&body)
+            }
+            None => head(200, "OK", &back, Some(BODY.len())) + BODY,
+        };
         let (bytes, goes_on) = match script {
             Script::Answers => (whole, true),
             Script::SaysNotRun => {
@@ -213,6 +245,16 @@
                 smol::Timer::after(LATE).await;
                 (whole, true)
             }
+            Script::Works { ms, bytes } => {
+                let body = answer_body(&asked, bytes);
+                let (first, rest) = body.split_at(body.len() / 2);
+                let head = head(200, "OK", &back, Some(body.len()));
+                tcp.get_mut().write_all(head.as_bytes()).await?;
+                tcp.get_mut().write_all(first).await?;
+                smol::Timer::after(Duration::from_millis(ms)).await;
+                tcp.get_mut().write_all(rest).await?;
+                return Ok(true);
+            }
         };
         tcp.get_mut().write_all(bytes.as_bytes()).await?;
         Ok(goes_on)
--- /dev/null
+++ b/crates/sorrelturn-bench/src/soak/mod.rs
@@ -0,0 +1,12 @@
+//! A fault soak: daemons as processes of their own under faults from outside, and a check of what is promised
+//! by what callers and backend servers see.
+
+mod caller;
+mod checker;
+mod path;
+mod plan;
+mod site;
+
+pub use checker::{Breach, Checker, Counts, Ending, Kind, Place, Promise};
+pub use plan::{Act, Harm, SoakPlan, TimedAct, Trouble};
+pub use site::{SoakReport, SoakWords, soak};
--- /dev/null
+++ b/crates/sorrelturn-bench/tests/soak.rs
@@ -0,0 +1,373 @@
+//! The soak's plan and checker, without sockets: each promise is fed a breach, and what the promises except.
+
+use sorrelturn_bench::{
+    root,
+    soak::{Act, Checker, Ending, Kind, Place, Promise, SoakPlan},
+    soak_command,
+};
+use std::time::Duration;
+
+const MOST: Duration = Duration::from_secs(3);
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+const fn answer(status: u16) -> Ending {
+    Ending::Answer {
+        status,
+        own: true,
+        foreign: false,
+    }
+}
+
+const fn runs_at(daemon: usize) -> Place {
+    Place {
+        daemon,
+        runs: true,
+        misbehaves: false,
+    }
+}
+
+/// Two daemons that run.
+fn two() -> Checker {
+    let mut checker = Checker::new(2, MOST);
+    checker.started(0);
+    checker.started(1);
+    checker
+}
+
+/// As [`two`], and daemon 0 was sent request `x` at 10 s.
+fn asked(kind: Kind) -> Checker {
+    let mut checker = two();
+    checker.asked(ms(10_000), "x", kind, 0, 0);
+    checker
+}
+
+fn broken(checker: &Checker) -> Vec<Promise> {
+    let breaches = checker.breaches().iter();
+    breaches.map(|breach| breach.promise).collect()
+}
+
+#[test]
+fn a_refused_request_that_ran_before_or_runs_later_is_found() {
+    for status in [408, 421, 429, 503] {
+        let mut checker = asked(Kind::Safe);
+        checker.reached(ms(10_010), "x", runs_at(1));
+        checker.ended(ms(10_020), "x", answer(status));
+        assert_eq!(broken(&checker), [Promise::Refused]);
+        let mut checker = asked(Kind::Once);
+        checker.ended(ms(10_020), "x", answer(status));
+        checker.reached(ms(10_030), "x", runs_at(1));
+        assert_eq!(broken(&checker), [Promise::Refused]);
+    }
+}
+
+#[test]
+fn a_refused_request_that_was_turned_away_is_no_breach() {
+    let mut checker = asked(Kind::Once);
+    let turned_away = Place {
+        runs: false,
+        ..runs_at(1)
+    };
+    checker.reached(ms(10_010), "x", turned_away);
+    checker.ended(ms(10_020), "x", answer(503));
+    assert_eq!(broken(&checker), []);
+}
+
+#[test]
+fn a_request_that_runs_twice_is_found_where_it_must_run_once() {
+    for (kind, expected) in [
+        (Kind::Once, vec![Promise::AtMostOnce]),
+        (Kind::Safe, vec![]),
+    ] {
+        let mut checker = asked(kind);
+        checker.reached(ms(10_010), "x", runs_at(1));
+        checker.reached(ms(10_020), "x", runs_at(0));
+        checker.ended(ms(10_030), "x", answer(200));
+        assert_eq!(broken(&checker), expected);
+    }
+}
+
+#[test]
+fn what_runs_without_being_asked_for_is_found() {
+    let mut checker = two();
+    checker.reached(ms(10), "y", runs_at(1));
+    assert_eq!(broken(&checker), [Promise::Asked]);
+}
+
+#[test]
+fn a_success_that_is_not_whole_and_an_answer_of_another_request_are_found() {
+    let not_whole = Ending::Answer {
+        status: 200,
+        own: false,
+        foreign: false,
+    };
+    let foreign = Ending::Answer {
+        status: 502,
+        own: false,
+        foreign: true,
+    };
+    for ending in [not_whole, foreign] {
+        let mut checker = asked(Kind::Safe);
+        checker.reached(ms(10_010), "x", runs_at(1));
+        checker.ended(ms(10_020), "x", ending);
+        assert_eq!(broken(&checker), [Promise::OwnWhole]);
+    }
+}
+
+#[test]
+fn a_proper_request_that_is_denied_is_found() {
+    for status in [400, 403, 404, 413] {
+        let mut checker = asked(Kind::Once);
+        checker.ended(ms(10_020), "x", answer(status));
+        assert_eq!(broken(&checker), [Promise::Denied]);
+    }
+}
+
+#[test]
+fn a_connection_that_ends_without_an_answer_after_the_request_was_passed_on_is_found() {
+    for ending in [Ending::Closed, Ending::Cut] {
+        for told in [false, true] {
+            let mut checker = two();
+            if told {
+                checker.told(ms(9_000), 0);
+            }
+            checker.asked(ms(10_000), "x", Kind::Once, 0, 0);
+            checker.reached(ms(10_010), "x", runs_at(1));
+            checker.ended(ms(11_900), "x", ending);
+            assert_eq!(broken(&checker), [Promise::Answered], "{ending:?} {told}");
+        }
+    }
+}
+
+#[test]
+fn a_request_that_is_neither_passed_on_nor_answered_for_long_is_found() {
+    let mut checker = asked(Kind::Once);
+    checker.ended(ms(12_500), "x", Ending::Closed);
+    assert_eq!(broken(&checker), [Promise::Answered]);
+    let mut checker = asked(Kind::Once);
+    checker.ended(ms(18_000), "x", Ending::Silent);
+    assert_eq!(broken(&checker), [Promise::Answered]);
+}
+
+#[test]
+fn a_request_that_crosses_the_close_or_whose_entry_was_disturbed_is_no_breach() {
+    let mut checker = asked(Kind::Once);
+    checker.ended(ms(10_100), "x", Ending::Closed);
+    assert_eq!(broken(&checker), []);
+    let mut checker = asked(Kind::Once);
+    checker.reached(ms(10_010), "x", runs_at(1));
+    checker.killed(ms(10_020), 0);
+    checker.ended(ms(10_030), "x", Ending::Closed);
+    assert_eq!(broken(&checker), []);
+}
+
+#[test]
+fn an_answer_that_is_cut_where_its_daemon_was_killed_or_its_path_harmed_is_no_breach_but_a_closed_one_is()
+ {
+    let disturb: [fn(&mut Checker); 3] = [
+        |checker| checker.killed(ms(10_020), 1),
+        |checker| checker.paused(ms(10_020), 1),
+        |checker| checker.harmed(ms(10_020), ms(10_025), 1),
+    ];
+    for disturb in disturb {
+        for (ending, expected) in [
+            (Ending::Cut, vec![]),
+            (Ending::Closed, vec![Promise::Answered]),
+        ] {
+            let mut checker = asked(Kind::Safe);
+            checker.reached(ms(10_010), "x", runs_at(1));
+            disturb(&mut checker);
+            checker.ended(ms(10_030), "x", ending);
+            assert_eq!(broken(&checker), expected, "{ending:?}");
+        }
+    }
+}
+
+#[test]
+fn a_daemon_that_still_runs_after_the_longest_time_of_its_stop_is_found_once() {
+    let mut checker = two();
+    checker.told(ms(10_000), 0);
+    assert!(!checker.check_time(ms(13_900), 0));
+    assert!(checker.check_time(ms(14_100), 0));
+    assert!(!checker.check_time(ms(14_200), 0));
+    assert_eq!(broken(&checker), [Promise::ExitsInTime]);
+}
+
+#[test]
+fn the_time_of_a_stop_is_longer_by_that_for_which_the_daemon_stood_still_or_the_soak_was_late() {
+    let mut checker = two();
+    checker.told(ms(10_000), 0);
+    checker.paused(ms(11_000), 0);
+    checker.resumed(ms(12_000), 0);
+    checker.lags(ms(500));
+    assert!(!checker.check_time(ms(15_400), 0));
+    assert!(checker.check_time(ms(15_600), 0));
+}
+
+#[test]
+fn a_stop_that_says_that_it_cut_something_is_found() {
+    let mut checker = two();
+    checker.told(ms(10_000), 0);
+    checker.exited(ms(11_000), 0, Some(4));
+    assert_eq!(broken(&checker), [Promise::ExitsInTime]);
+}
+
+#[test]
+fn a_daemon_that_ends_by_itself_is_found_and_one_that_was_ended_is_not() {
+    let mut checker = two();
+    checker.exited(ms(11_000), 0, Some(0));
+    assert_eq!(broken(&checker), [Promise::GoesOn]);
+    let mut checker = two();
+    checker.killed(ms(10_000), 0);
+    checker.exited(ms(10_010), 0, None);
+    checker.told(ms(10_000), 1);
+    checker.exited(ms(12_000), 1, Some(0));
+    assert_eq!(broken(&checker), []);
+}
+
+#[test]
+fn a_daemon_that_says_that_it_is_ready_long_after_it_was_told_to_stop_or_again_is_found() {
+    let mut checker = two();
+    checker.told(ms(10_000), 0);
+    checker.said_ready(ms(10_100), 0, 0, true);
+    assert_eq!(broken(&checker), []);
+    checker.said_ready(ms(11_100), 0, 0, true);
+    assert_eq!(broken(&checker), [Promise::NotReady]);
+    let mut checker = two();
+    checker.told(ms(10_000), 0);
+    checker.said_ready(ms(10_100), 0, 0, false);
+    checker.said_ready(ms(10_200), 0, 0, true);
+    assert_eq!(broken(&checker), [Promise::NotReady]);
+}
+
+#[test]
+fn what_reaches_a_backend_server_whose_leave_was_acknowledged_is_found_until_another_run_joins() {
+    let mut checker = two();
+    checker.leave_acknowledged(ms(9_000), 1);
+    checker.asked(ms(10_000), "x", Kind::Once, 0, 0);
+    checker.reached(ms(10_010), "x", runs_at(1));
+    assert_eq!(broken(&checker), [Promise::Leaves]);
+    checker.joins(1);
+    checker.reached(ms(10_020), "x", runs_at(1));
+    assert_eq!(broken(&checker)[1..], [Promise::AtMostOnce]);
+    // What was sent before may be on its way.
+    let mut checker = asked(Kind::Once);
+    checker.leave_acknowledged(ms(10_005), 1);
+    checker.reached(ms(10_010), "x", runs_at(1));
+    assert_eq!(broken(&checker), []);
+}
+
+/// Daemon 0 answers these statuses to requests for these versions, one after another; 1 to 3 were published.
+fn versions(answers: &[(u64, u16)]) -> Checker {
+    let mut checker = two();
+    for version in 1..=3 {
+        checker.published(version);
+    }
+    for (number, (version, status)) in answers.iter().enumerate() {
+        let at = ms(1_000 * (number as u64 + 1));
+        let id = number.to_string();
+        checker.asked(at, &id, Kind::Version(*version), 0, 0);
+        checker.ended(at + ms(10), &id, answer(*status));
+    }
+    checker
+}
+
+#[test]
+fn a_route_table_that_goes_back_is_found() {
+    let goes_back = versions(&[(2, 200), (3, 200), (2, 200)]);
+    assert_eq!(broken(&goes_back), [Promise::Newest]);
+    let is_lost = versions(&[(3, 200), (3, 404)]);
+    assert_eq!(broken(&is_lost), [Promise::Newest]);
+    let goes_on = versions(&[(2, 404), (1, 200), (2, 200), (2, 404), (3, 200), (2, 404)]);
+    assert_eq!(broken(&goes_on), []);
+}
+
+#[test]
+fn a_later_run_may_begin_with_an_older_route_table() {
+    let mut checker = versions(&[(3, 200)]);
+    checker.killed(ms(5_000), 0);
+    checker.exited(ms(5_010), 0, None);
+    checker.started(0);
+    checker.asked(ms(6_000), "x", Kind::Version(2), 0, 1);
+    checker.ended(ms(6_010), "x", answer(200));
+    assert_eq!(broken(&checker), []);
+}
+
+#[test]
+fn service_that_never_returns_is_found() {
+    let mut checker = two();
+    checker.never_recovers(ms(90_000), "daemon 0 doesn't serve".to_owned());
+    assert_eq!(broken(&checker), [Promise::Recovers]);
+}
+
+#[test]
+fn the_plan_of_a_seed_is_always_the_same_and_of_each_seed_another() {
+    let plan = SoakPlan::of(7, 60, 6);
+    assert_eq!(plan, SoakPlan::of(7, 60, 6));
+    assert_ne!(plan.acts, SoakPlan::of(8, 60, 6).acts);
+    assert!(plan.to_string().starts_with("seed 7: 6 daemons, 60 s"));
+    assert!(plan.acts.is_sorted_by_key(|timed| timed.at_ms));
+}
+
+#[test]
+fn plans_hold_every_sort_of_act_and_stops_in_series_twice_and_cut_short() {
+    let plans: Vec<SoakPlan> = (0..50).map(|seed| SoakPlan::of(seed, 30, 6)).collect();
+    let acts: Vec<Act> = plans
+        .iter()
+        .flat_map(|plan| plan.acts.iter().map(|timed| timed.act))
+        .collect();
+    let holds = |what: fn(&Act) -> bool| assert!(acts.iter().any(what));
+    holds(|act| {
+        matches!(
+            act,
+            Act::Stop {
+                again_ms: Some(_),
+                ..
+            }
+        )
+    });
+    holds(|act| {
+        matches!(
+            act,
+            Act::Stop {
+                kill_ms: Some(_),
+                ..
+            }
+        )
+    });
+    holds(|act| matches!(act, Act::Kill { .. }));
+    holds(|act| matches!(act, Act::Pause { .. }));
+    holds(|act| matches!(act, Act::Reread { .. }));
+    holds(|act| matches!(act, Act::Publish { older: true }));
+    holds(|act| matches!(act, Act::Store { .. }));
+    holds(|act| matches!(act, Act::Path { .. }));
+    holds(|act| matches!(act, Act::Leave { .. }));
+    holds(|act| matches!(act, Act::Misbehave { .. }));
+    let in_series = |plan: &SoakPlan| {
+        let stops = plan.acts.windows(6).any(|acts| {
+            let mut daemons = acts.iter().enumerate();
+            daemons.all(|(at, timed)| matches!(timed.act, Act::Stop { daemon, .. } if daemon == at))
+        });
+        stops
+    };
+    assert!(plans.iter().any(in_series));
+}
+
+#[test]
+fn every_example_in_the_help_is_a_call_that_the_command_takes() {
+    let help = soak_command::signature()
+        .get_after_help()
+        .expect("it has examples")
+        .to_string();
+    let lines = help.lines().map(str::trim);
+    let examples: Vec<&str> = lines.filter(|line| line.starts_with("soak ")).collect();
+    assert_eq!(examples.len(), 3);
+    for example in examples {
+        let parsed = soak_command::signature().try_get_matches_from(example.split_whitespace());
+        assert!(parsed.is_ok(), "{example}: {parsed:?}");
+    }
+    // The daemons that it starts speak a dialect that the bench's own program doesn't know.
+    assert!(root().find_subcommand("soak").is_none());
+}
