Soak: answers that stall are told from none; a head that was broken before it was written

An entry whose owner's connection is reset between head and body may close before it has written the head.

--- a/crates/sorrelturn-bench/src/soak/caller.rs
+++ b/crates/sorrelturn-bench/src/soak/caller.rs
@@ -68,12 +68,21 @@
     pub(super) async fn hear(&mut self, question: &Question<'_>, patience: Duration) -> Heard {
         let silent = async {
             Timer::after(patience).await;
-            Heard {
-                ending: Ending::Silent,
-                goes_on: false,
-            }
+            None
         };
-        self.read(question).or(silent).await
+        let heard = async { Some(self.read(question).await) };
+        if let Some(heard) = heard.or(silent).await {
+            return heard;
+        }
+        let begun = !self.unread.is_empty();
+        Heard {
+            ending: if begun {
+                Ending::Stalled
+            } else {
+                Ending::Silent
+            },
+            goes_on: false,
+        }
     }
 
     async fn read(&mut self, question: &Question<'_>) -> Heard {
