--- a/crates/sorrelturn-bench/src/soak/plan.rs
+++ b/crates/sorrelturn-bench/src/soak/plan.rs
@@ -34,6 +34,15 @@
     Deaf,
 }
 
+const TROUBLES: [Trouble; 6] = [
+    Trouble::Down,
+    Trouble::Busy,
+    Trouble::Silent,
+    Trouble::Slow,
+    Trouble::LosesAnswers,
+    Trouble::Deaf,
+];
+
 /// What is done to the path on which the others reach a daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Harm {
@@ -49,6 +58,24 @@
     Silence,
 }
 
+const HARMS: [Harm; 5] = [
+    Harm::Delay,
+    Harm::CutThere,
+    Harm::CutBack,
+    Harm::Reset,
+    Harm::Silence,
+];
+/// How backend servers misbehave.
+const SCRIPTS: [Script; 7] = [
+    Script::SaysNotRun,
+    Script::AnswersAnother,
+    Script::BreaksOff,
+    Script::CutsBody,
+    Script::AnswersTwice,
+    Script::Fails,
+    Script::Hangs,
+];
+
 /// One act.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Act {
@@ -145,7 +172,7 @@
     /// The plan of a seed.
     pub fn of(seed: u64, seconds: u64, instances: usize) -> Self {
         let mut rng = Rng::with_seed(seed);
-        let most_ms = STOP_MOST_MS[rng.usize(..STOP_MOST_MS.len())];
+        let most_ms = one_of(&mut rng, &STOP_MOST_MS);
         let mut acts = Vec::new();
         let mut at_ms = FIRST_MS;
         while at_ms < seconds * 1_000 {
@@ -194,18 +221,18 @@
             older: rng.u8(..4) == 0,
         },
         13..15 => Act::Store {
-            trouble: trouble(rng),
+            trouble: one_of(rng, &TROUBLES),
             ms,
         },
         15..17 => Act::Path {
             daemon,
-            harm: harm(rng),
+            harm: one_of(rng, &HARMS),
             ms,
         },
         17 => Act::Leave { daemon, ms },
         _ => Act::Misbehave {
             daemon,
-            script: script(rng),
+            script: one_of(rng, &SCRIPTS),
             ms,
         },
     }
@@ -220,37 +247,8 @@
     }
 }
 
-fn trouble(rng: &mut Rng) -> Trouble {
-    [
-        Trouble::Down,
-        Trouble::Busy,
-        Trouble::Silent,
-        Trouble::Slow,
-        Trouble::LosesAnswers,
-        Trouble::Deaf,
-    ][rng.usize(..6)]
-}
-
-fn harm(rng: &mut Rng) -> Harm {
-    [
-        Harm::Delay,
-        Harm::CutThere,
-        Harm::CutBack,
-        Harm::Reset,
-        Harm::Silence,
-    ][rng.usize(..5)]
-}
-
-fn script(rng: &mut Rng) -> Script {
-    [
-        Script::SaysNotRun,
-        Script::AnswersAnother,
-        Script::BreaksOff,
-        Script::CutsBody,
-        Script::AnswersTwice,
-        Script::Fails,
-        Script::Hangs,
-    ][rng.usize(..7)]
+fn one_of<T: Copy>(rng: &mut Rng, all: &[T]) -> T {
+    all[rng.usize(..all.len())]
 }
 
 impl fmt::Display for SoakPlan {
--- a/crates/sorrelturn-bench/tests/soak.rs
+++ b/crates/sorrelturn-bench/tests/soak.rs
@@ -2,7 +2,7 @@
 
 use sorrelturn_bench::{
     root,
-    soak::{Act, Checker, Ending, Kind, Place, Promise, SoakPlan},
+    soak::{Act, Checker, Ending, Kind, Place, Promise, SoakPlan, TimedAct},
     soak_command,
 };
 use std::time::Duration;
@@ -354,13 +354,11 @@
     holds(|act| matches!(act, Act::Path { .. }));
     holds(|act| matches!(act, Act::Leave { .. }));
     holds(|act| matches!(act, Act::Misbehave { .. }));
-    let in_series = |plan: &SoakPlan| {
-        let stops = plan.acts.windows(6).any(|acts| {
-            let mut daemons = acts.iter().enumerate();
-            daemons.all(|(at, timed)| matches!(timed.act, Act::Stop { daemon, .. } if daemon == at))
-        });
-        stops
+    let in_order = |acts: &[TimedAct]| {
+        let mut daemons = acts.iter().enumerate();
+        daemons.all(|(at, timed)| matches!(timed.act, Act::Stop { daemon, .. } if daemon == at))
     };
+    let in_series = |plan: &SoakPlan| plan.acts.windows(6).any(in_order);
     assert!(plans.iter().any(in_series));
 }
 
