Soak: a stop that had to cut an answer whose rest lay behind a fault may say so

What it cut was an answer that had begun and whose other daemon stood still, which the checker excepts where the caller sees it. The exit code is judged at the end, with what the caller saw.

--- a/crates/sorrelturn-bench/src/soak/checker.rs
+++ b/crates/sorrelturn-bench/src/soak/checker.rs
@@ -144,6 +144,10 @@
     /// The newest route table that was seen, and when.
     newest: Option<(u64, Duration)>,
     late: bool,
+    /// When and how it ended, if it says that it cut something off.
+    cut: Option<(Duration, Option<i32>)>,
+    /// Whether something that it carried was cut for a reason that the promises except.
+    had_to_cut: bool,
 }
 
 #[derive(Default)]
@@ -270,12 +274,24 @@
         if killed {
             return;
         }
-        let Some(told) = told else {
+        if told.is_none() {
             let what = format!("daemon {daemon} ended by itself with {code:?}");
             return self.breach(at, Promise::GoesOn, what);
-        };
+        }
         self.counts.stops += 1;
         if code != Some(0) && !disturbed && !late {
+            self.last(daemon).cut = Some((at, code));
+        }
+    }
+
+    /// All has been seen: checks what could be judged only now.
+    pub fn finish(&mut self) {
+        let mut cuts = Vec::new();
+        for (daemon, seen) in self.daemons.iter().enumerate() {
+            let runs = seen.runs.iter().filter(|run| !run.had_to_cut);
+            cuts.extend(runs.filter_map(|run| Some((daemon, run.told?, run.cut?))));
+        }
+        for (daemon, told, (at, code)) in cuts {
             let what = format!("daemon {daemon}, told at {told:?}, exits with {code:?}");
             self.breach(at, Promise::ExitsInTime, what);
         }
@@ -462,6 +478,10 @@
             let broken_head = !entry_disturbed && !crosses && ending == Ending::Closed;
             self.daemons[daemon].broken_heads += u32::from(broken_head);
             self.counts.lost += 1;
+            let number = request.run;
+            if let Some(run) = self.daemons[daemon].runs.get_mut(number) {
+                run.had_to_cut |= !crosses;
+            }
             return;
         }
         let what = format!(
