--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -43,9 +43,10 @@
     AnswersLate,
     /// It never answers.
     Hangs,
-    /// It begins its answer, and ends it after a while; the body belongs to the request's id.
+    /// It begins its answer after a while, and ends it after as long again; the body belongs to the request's
+    /// id.
     Works {
-        /// How long it takes, in milliseconds.
+        /// How long it takes in all, in milliseconds.
         ms: u64,
         /// The least length of the body, without its checksum.
         bytes: usize,
@@ -249,9 +250,11 @@
                 let body = answer_body(&asked, bytes);
                 let (first, rest) = body.split_at(body.len() / 2);
                 let head = head(200, "OK", &back, Some(body.len()));
+                let half = Duration::from_millis(ms / 2);
+                smol::Timer::after(half).await;
                 tcp.get_mut().write_all(head.as_bytes()).await?;
                 tcp.get_mut().write_all(first).await?;
-                smol::Timer::after(Duration::from_millis(ms)).await;
+                smol::Timer::after(half).await;
                 tcp.get_mut().write_all(rest).await?;
                 return Ok(true);
             }
