--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -33,6 +33,8 @@
     BreaksOff,
     /// It ends its answer after half of the body.
     CutsBody,
+    /// It stands still after half of the body.
+    StallsBody,
     /// It answers without a length, and closes the connection behind the body.
     AnswersUnframed,
     /// It sends a second answer behind the first.
@@ -90,6 +92,8 @@
 pub const IDLE_S: u64 = 1;
 /// How late it answers.
 const LATE: Duration = Duration::from_millis(300);
+/// How long it stands still; longer than any test waits.
+const HANG: Duration = Duration::from_secs(60);
 /// The header that marks an answer of a backend server.
 pub const SIGNATURE: &str = "x-signature";
 
@@ -235,11 +239,18 @@
                 let half = &BODY[..BODY.len() / 2];
                 (head(200, "OK", &back, Some(BODY.len())) + half, false)
             }
+            Script::StallsBody => {
+                let half = &BODY[..BODY.len() / 2];
+                let begun = head(200, "OK", &back, Some(BODY.len())) + half;
+                tcp.get_mut().write_all(begun.as_bytes()).await?;
+                smol::Timer::after(HANG).await;
+                return Ok(false);
+            }
             Script::AnswersUnframed => (head(200, "OK", &back, None) + BODY, false),
             Script::AnswersTwice => (whole.clone() + &whole, true),
             Script::Fails => (head(500, "Internal Server Error", &back, Some(0)), true),
             Script::Hangs => {
-                smol::Timer::after(Duration::from_secs(60)).await;
+                smol::Timer::after(HANG).await;
                 return Ok(false);
             }
             Script::AnswersLate => {
