--- a/crates/sorrelturn-bench/src/processes.rs
+++ b/crates/sorrelturn-bench/src/processes.rs
@@ -12,6 +12,7 @@
 use sorrelturn_platform::{Faults, Platform, VmEntry, http::exchange};
 use sorrelturn_protocol::MemberRecord;
 use std::{
+    ffi::OsStr,
     fs::File,
     io::{self, BufRead, BufReader},
     net::SocketAddr,
@@ -46,7 +47,18 @@
 impl Process {
     /// Starts a program and waits for its first line.
     pub fn start(name: &str, args: &[&str]) -> Self {
-        let mut child = command(name, args, "error")
+        Self::start_command(&mut command(binary(name), args, "error"))
+    }
+
+    /// As [`Process::start`], with no more than so many file descriptors.
+    pub fn start_with_descriptors(descriptors: u32, name: &str, args: &[&str]) -> Self {
+        let run = format!(r#"ulimit -n {descriptors} && exec "$0" "$@""#);
+        let mut command = command("sh", &["-c", &run], "error");
+        Self::start_command(command.arg(binary(name)).args(args))
+    }
+
+    fn start_command(command: &mut Command) -> Self {
+        let mut child = command
             .stdout(Stdio::piped())
             .spawn()
             .expect("the program starts");
@@ -64,7 +76,7 @@
     /// Starts a program whose output goes to a file, its log among it; doesn't wait for a line.
     pub(crate) fn start_logged(name: &str, args: &[&str], log: &Path) -> io::Result<Self> {
         let log = File::create(log)?;
-        let child = command(name, args, "sorrelturn=info")
+        let child = command(binary(name), args, "sorrelturn=info")
             .stderr(log.try_clone()?)
             .stdout(log)
             .spawn()?;
@@ -111,8 +123,8 @@
     }
 }
 
-fn command(name: &str, args: &[&str], log: &str) -> Command {
-    let mut command = Command::new(binary(name));
+fn command(program: impl AsRef<OsStr>, args: &[&str], log: &str) -> Command {
+    let mut command = Command::new(program);
     command
         .args(args)
         .env(
--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -6,6 +6,7 @@
 use crate::client::answer_body;
 use smol::{
     Executor,
+    future::FutureExt,
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
 };
@@ -16,7 +17,7 @@
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// What it does with the next requests.
@@ -33,14 +34,16 @@
     BreaksOff,
     /// It ends its answer after half of the body.
     CutsBody,
-    /// It stands still after half of the body.
-    StallsBody,
     /// It answers without a length, and closes the connection behind the body.
     AnswersUnframed,
     /// It sends a second answer behind the first.
     AnswersTwice,
     /// It fails.
     Fails,
+    /// It answers when the time that it was given is over, or at once without a time.
+    AnswersInTheEnd,
+    /// It works as long as a call of its own would take.
+    AnswersSoon,
     /// It answers after a while.
     AnswersLate,
     /// It never answers.
@@ -53,6 +56,21 @@
         /// The least length of the body, without its checksum.
         bytes: usize,
     },
+    /// It sends half of its answer and never the rest.
+    Rests,
+    /// It sends a body that is larger than what sockets and daemons hold of it.
+    AnswersLarge,
+    /// It asks its own daemon for [`CALL_PATH`], and answers when that is over.
+    Calls,
+}
+
+/// A request that was dropped because its connection was closed.
+#[derive(Clone, Debug)]
+pub struct Cancelled {
+    /// Method, target and protocol.
+    pub line: String,
+    /// When the close was seen.
+    pub at: Instant,
 }
 
 /// A request as it reached the backend server.
@@ -83,17 +101,25 @@
     script: Script,
     reached: Vec<Reached>,
     ran: Vec<Reached>,
+    cancelled: Vec<Cancelled>,
     connections: usize,
+    daemon: Option<SocketAddr>,
 }
 
 /// The body of each answer.
 pub const BODY: &str = "the whole answer of the backend server";
 /// How long it says that connections may rest, in seconds.
 pub const IDLE_S: u64 = 1;
+/// How long it works where a test makes calls for it meanwhile.
+const SOON: Duration = Duration::from_millis(100);
+/// What it asks of its daemon while it works on a request.
+pub const CALL_PATH: &str = "/call/1";
+/// The size of a large answer.
+const LARGE_BYTES: usize = 50_000_000;
+/// How long it stays silent where it never answers.
+const HANG_TIME: Duration = Duration::from_secs(60);
 /// How late it answers.
 const LATE: Duration = Duration::from_millis(300);
-/// How long it stands still; longer than any test waits.
-const HANG: Duration = Duration::from_secs(60);
 /// The header that marks an answer of a backend server.
 pub const SIGNATURE: &str = "x-signature";
 
@@ -105,7 +131,9 @@
             script: Script::default(),
             reached: Vec::new(),
             ran: Vec::new(),
+            cancelled: Vec::new(),
             connections: 0,
+            daemon: None,
         };
         Self {
             names: names.clone(),
@@ -148,6 +176,11 @@
         self.lock().script = script;
     }
 
+    /// Its own calls go through this daemon from now on.
+    pub fn call_through(&self, daemon: SocketAddr) {
+        self.lock().daemon = Some(daemon);
+    }
+
     /// The backend server is another run from now on.
     pub fn restart_as(&self, id: &str) {
         self.lock().id = id.to_owned();
@@ -173,6 +206,11 @@
         self.lock().ran.clone()
     }
 
+    /// The requests that it dropped since their connections were closed.
+    pub fn cancelled(&self) -> Vec<Cancelled> {
+        self.lock().cancelled.clone()
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -199,8 +237,17 @@
             } else if script != Script::SaysNotRun {
                 self.lock().ran.push(req.clone());
             }
-            if !self.answer(&mut tcp, &req, script).await? {
-                return Ok(());
+            let sender = tcp.get_ref().clone();
+            let answer = self.answer(&mut tcp, &req, script);
+            match answer.or(closed(&sender)).await {
+                Ok(true) => {}
+                Ok(false) => return Ok(()),
+                Err(_) if self.watcher.is_some() => return Ok(()),
+                Err(_) => {
+                    let (line, at) = (req.line, Instant::now());
+                    self.lock().cancelled.push(Cancelled { line, at });
+                    return Ok(());
+                }
             }
         }
         Ok(())
@@ -239,20 +286,23 @@
                 let half = &BODY[..BODY.len() / 2];
                 (head(200, "OK", &back, Some(BODY.len())) + half, false)
             }
-            Script::StallsBody => {
-                let half = &BODY[..BODY.len() / 2];
-                let begun = head(200, "OK", &back, Some(BODY.len())) + half;
-                tcp.get_mut().write_all(begun.as_bytes()).await?;
-                smol::Timer::after(HANG).await;
-                return Ok(false);
-            }
             Script::AnswersUnframed => (head(200, "OK", &back, None) + BODY, false),
             Script::AnswersTwice => (whole.clone() + &whole, true),
             Script::Fails => (head(500, "Internal Server Error", &back, Some(0)), true),
             Script::Hangs => {
-                smol::Timer::after(HANG).await;
+                smol::Timer::after(HANG_TIME).await;
                 return Ok(false);
             }
+            Script::AnswersInTheEnd => {
+                let told = req.headers.get(self.names.time_left_ms.as_str());
+                let told_ms = told.and_then(|ms| ms.parse().ok()).unwrap_or_default();
+                smol::Timer::after(Duration::from_millis(told_ms)).await;
+                (whole, true)
+            }
+            Script::AnswersSoon => {
+                smol::Timer::after(SOON).await;
+                (whole, true)
+            }
             Script::AnswersLate => {
                 smol::Timer::after(LATE).await;
                 (whole, true)
@@ -269,10 +319,46 @@
                 tcp.get_mut().write_all(rest).await?;
                 return Ok(true);
             }
+            Script::Rests => {
+                let half = head(200, "OK", &back, Some(BODY.len())) + &BODY[..BODY.len() / 2];
+                tcp.get_mut().write_all(half.as_bytes()).await?;
+                smol::Timer::after(HANG_TIME).await;
+                return Ok(false);
+            }
+            Script::AnswersLarge => {
+                let large = head(200, "OK", &back, Some(LARGE_BYTES));
+                (large + &"x".repeat(LARGE_BYTES), true)
+            }
+            Script::Calls => {
+                self.call(&asked).await?;
+                (whole, true)
+            }
         };
         tcp.get_mut().write_all(bytes.as_bytes()).await?;
         Ok(goes_on)
     }
+
+    /// Makes a call for the request `parent`; whoever drops it closes its connection.
+    async fn call(&self, parent: &str) -> io::Result<()> {
+        let daemon = self.lock().daemon.ok_or(io::ErrorKind::NotConnected)?;
+        let mut tcp = TcpStream::connect(daemon).await?;
+        let id = &self.names.request_id;
+        let req = format!(
+            "GET {CALL_PATH} HTTP/1.1\r\nhost: h.example\r\n{id}: {parent}-call\r\n\
+             connection: close\r\n\r\n"
+        );
+        tcp.write_all(req.as_bytes()).await?;
+        tcp.read_to_end(&mut Vec::new()).await?;
+        Ok(())
+    }
+}
+
+/// Fails when the other end closes the connection; until then it isn't expected to send anything.
+async fn closed(tcp: &TcpStream) -> io::Result<bool> {
+    match tcp.peek(&mut [0]).await? {
+        0 => Err(io::ErrorKind::ConnectionAborted.into()),
+        _ => std::future::pending().await,
+    }
 }
 
 fn head(status: u16, reason: &str, headers: &str, length: Option<usize>) -> String {
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -28,13 +28,20 @@
     headers::{DEADLINE_MS, IMPORTANCE, PARENT, REQUEST_ID, TRACEPARENT},
 };
 use sorrelturn_telemetry::{EventKind, Field, Span, SpanKind, TraceContext, events, metrics};
-use std::sync::{Arc, atomic::Ordering};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 /// An answer up to this size counts as one piece of work: its slot is held to the last byte.
 /// A larger one waits for its reader most of the time, so its slot is free after the head; only
 /// the connection is held. See `docs/design/streaming.md`.
 const ONE_PIECE_BYTES: u64 = 64 << 10;
 
+/// A backend server that stops at the deadline that it was told says so in this time; without it, half of such
+/// answers were given up in the moment in which they came.
+const LAST_WORD: Duration = Duration::from_millis(50);
+
 /// One call at its owner.
 pub(crate) struct Hop {
     pub(crate) node: Arc<Node>,
@@ -57,12 +64,32 @@
         if self.node.is_leaving() {
             return unused(self.refused(Refusal::Leaving), share);
         }
+        if self.lacks_service() {
+            return unused(self.refused(Refusal::NoInstanceBelow), share);
+        }
         match self.enter().await {
             Ok(slot) => self.forward(slot, req).await,
             Err(refusal) => unused(self.refused(refusal), share),
         }
     }
 
+    /// Whether a service without any instance is needed for it, here or further down. What would be run in
+    /// vain can still be refused as not run, so that its caller may come back.
+    fn lacks_service(&self) -> bool {
+        let Some(routed) = &self.node.routed else {
+            return false;
+        };
+        let routes = self.node.routes.load();
+        let now = self.node.now();
+        let graph = lock(&routed.graph);
+        graph.needs(&self.kind.name).any(|call| {
+            let kind = self.in_force.bundle.kind(call);
+            let state = self.in_force.state_of(call);
+            kind.is_some_and(|kind| routes.of_service(&kind.service).is_empty())
+                || state.is_some_and(|state| state.still_lacks_below(now))
+        })
+    }
+
     pub(crate) async fn enter(&self) -> Result<Slot, Refusal> {
         let priority = self.context.priority();
         let holds_work = self.context.depth > 0;
@@ -93,7 +120,8 @@
         let node = Arc::clone(&self.node);
         let exchange = async { Some(node.backend.send(&node.ex, req).await) };
         let too_late = async {
-            node.timers.at(self.deadline).await;
+            let deadline = node.timers.at(self.deadline + LAST_WORD);
+            deadline.or(node.ending.over()).await;
             None
         };
         match exchange.or(too_late).await {
