--- a/crates/sorrelturn-bench/src/commands/mod.rs
+++ b/crates/sorrelturn-bench/src/commands/mod.rs
@@ -8,6 +8,7 @@
 mod latency;
 mod overload;
 mod returns;
+pub mod soak;
 
 use clap::{ArgMatches, Command};
 use std::process::ExitCode;
--- a/crates/sorrelturn-bench/src/processes.rs
+++ b/crates/sorrelturn-bench/src/processes.rs
@@ -12,7 +12,9 @@
 use sorrelturn_platform::{Faults, Platform, VmEntry, http::exchange};
 use sorrelturn_protocol::MemberRecord;
 use std::{
-    io::{BufRead, BufReader},
+    ffi::OsStr,
+    fs::File,
+    io::{self, BufRead, BufReader},
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
@@ -45,23 +47,18 @@
 impl Process {
     /// Starts a program and waits for its first line.
     pub fn start(name: &str, args: &[&str]) -> Self {
-        Self::start_command(Command::new(binary(name)).args(args))
+        Self::start_command(&mut command(binary(name), args, "error"))
     }
 
     /// As [`Process::start`], with no more than so many file descriptors.
     pub fn start_with_descriptors(descriptors: u32, name: &str, args: &[&str]) -> Self {
         let run = format!(r#"ulimit -n {descriptors} && exec "$0" "$@""#);
-        let mut command = Command::new("sh");
-        Self::start_command(command.args(["-c", &run]).arg(binary(name)).args(args))
+        let mut command = command("sh", &["-c", &run], "error");
+        Self::start_command(command.arg(binary(name)).args(args))
     }
 
     fn start_command(command: &mut Command) -> Self {
         let mut child = command
-            .env(
-                "RUST_LOG",
-                std::env::var("RUST_LOG").unwrap_or("error".to_owned()),
-            )
-            .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()
             .expect("the program starts");
@@ -76,6 +73,24 @@
         }
     }
 
+    /// Starts a program whose output goes to a file, its log among it; doesn't wait for a line.
+    pub(crate) fn start_logged(name: &str, args: &[&str], log: &Path) -> io::Result<Self> {
+        let log = File::create(log)?;
+        let child = command(binary(name), args, "sorrelturn=info")
+            .stderr(log.try_clone()?)
+            .stdout(log)
+            .spawn()?;
+        Ok(Self {
+            child,
+            first_line: String::new(),
+        })
+    }
+
+    /// Its end, if it has ended.
+    pub(crate) fn has_ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
     /// Its process id.
     pub fn pid(&self) -> u32 {
         self.child.id()
@@ -108,6 +123,18 @@
     }
 }
 
+fn command(program: impl AsRef<OsStr>, args: &[&str], log: &str) -> Command {
+    let mut command = Command::new(program);
+    command
+        .args(args)
+        .env(
+            "RUST_LOG",
+            std::env::var("RUST_LOG").unwrap_or(log.to_owned()),
+        )
+        .stdin(Stdio::null());
+    command
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -3,6 +3,7 @@
 //! It writes its answers byte by byte, because most of what it has to play can't be said through a
 //! library that keeps to the protocol.
 
+use crate::client::answer_body;
 use smol::{
     Executor,
     future::FutureExt,
@@ -49,6 +50,14 @@
     AnswersVeryLate,
     /// It never answers.
     Hangs,
+    /// It begins its answer after a while, and ends it after as long again; the body belongs to the request's
+    /// id.
+    Works {
+        /// How long it takes in all, in milliseconds.
+        ms: u64,
+        /// The least length of the body, without its checksum.
+        bytes: usize,
+    },
     /// It sends half of its answer and never the rest.
     Rests,
     /// It sends a body that is larger than what sockets and daemons hold of it.
@@ -77,11 +86,16 @@
     pub body: Vec<u8>,
 }
 
+/// Is told of each request that is meant for this run of the backend server, and what is done with it, before
+/// it is answered.
+pub(crate) type Watcher = Arc<dyn Fn(&Reached, Script) + Send + Sync>;
+
 /// The fake.
 #[derive(Clone)]
 pub struct RoutedBackend {
     names: HeaderNames,
     state: Arc<Mutex<State>>,
+    watcher: Option<Watcher>,
 }
 
 struct State {
@@ -128,6 +142,15 @@
         Self {
             names: names.clone(),
             state: Arc::new(Mutex::new(state)),
+            watcher: None,
+        }
+    }
+
+    /// A backend server that tells `watcher` of all requests and keeps none, so that it can run for long.
+    pub(crate) fn watched(names: &HeaderNames, id: &str, watcher: Watcher) -> Self {
+        Self {
+            watcher: Some(watcher),
+            ..Self::new(names, id)
         }
     }
 
@@ -201,7 +224,9 @@
         while let Some(req) = read(&mut tcp).await? {
             let (script, id) = {
                 let mut state = self.lock();
-                state.reached.push(req.clone());
+                if self.watcher.is_none() {
+                    state.reached.push(req.clone());
+                }
                 (state.script, state.id.clone())
             };
             let expected = req.headers.get(self.names.expected_backend.as_str());
@@ -211,7 +236,9 @@
                 tcp.get_mut().write_all(answer.as_bytes()).await?;
                 continue;
             }
-            if script != Script::SaysNotRun {
+            if let Some(watcher) = &self.watcher {
+                watcher(&req, script);
+            } else if script != Script::SaysNotRun {
                 self.lock().ran.push(req.clone());
             }
             let sender = tcp.get_ref().clone();
@@ -219,6 +246,7 @@
             match answer.or(closed(&sender)).await {
                 Ok(true) => {}
                 Ok(false) => return Ok(()),
+                Err(_) if self.watcher.is_some() => return Ok(()),
                 Err(_) => {
                     let (line, at) = (req.line, Instant::now());
                     self.lock().cancelled.push(Cancelled { line, at });
@@ -240,7 +268,13 @@
         let asked = req.headers.get(name.as_str()).cloned().unwrap_or_default();
         let back =
             format!("{name}: {asked}\r\n{SIGNATURE}: {asked}\r\nkeep-alive: timeout={IDLE_S}\r\n");
-        let whole = head(200, "OK", &back, Some(BODY.len())) + BODY;
+        let whole = match &self.watcher {
+            Some(_) => {
+                let body = answer_body(&asked, 0);
+                head(200, "OK", &back, Some(body.len())) + &String::from_utf8_lossy(&body)
+            }
+            None => head(200, "OK", &back, Some(BODY.len())) + BODY,
+        };
         let (bytes, goes_on) = match script {
             Script::Answers => (whole, true),
             Script::SaysNotRun => {
@@ -277,6 +311,18 @@
                 smol::Timer::after(LATE).await;
                 (whole, true)
             }
+            Script::Works { ms, bytes } => {
+                let body = answer_body(&asked, bytes);
+                let (first, rest) = body.split_at(body.len() / 2);
+                let head = head(200, "OK", &back, Some(body.len()));
+                let half = Duration::from_millis(ms / 2);
+                smol::Timer::after(half).await;
+                tcp.get_mut().write_all(head.as_bytes()).await?;
+                tcp.get_mut().write_all(first).await?;
+                smol::Timer::after(half).await;
+                tcp.get_mut().write_all(rest).await?;
+                return Ok(true);
+            }
             Script::Rests => {
                 let half = head(200, "OK", &back, Some(BODY.len())) + &BODY[..BODY.len() / 2];
                 tcp.get_mut().write_all(half.as_bytes()).await?;
