--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -231,7 +231,6 @@
         while carried() > 0 && node.now() < until {
             Timer::after(STOP_STEP).await;
         }
-        let whole = carried() == 0;
         if node.routed.is_none() {
             let in_time = node.timers.at(last);
             outcomes::close(node).or(in_time).await;
@@ -244,6 +243,7 @@
         while node.counts.connections.load(Ordering::Relaxed) > 0 && node.now() < until {
             Timer::after(STOP_STEP).await;
         }
+        let whole = carried() == 0;
         node.note(
             if whole {
                 &events::STOPPED
