--- a/crates/sorrelturn-daemon/src/backend/link.rs
+++ b/crates/sorrelturn-daemon/src/backend/link.rs
@@ -2,11 +2,17 @@
 
 use crate::{
     net::pool::{Lease, Opened, Pool, SendError},
+    net::timers::Timers,
     request::body::Body,
 };
 use hyper::{Request, Response, body::Incoming};
-use smol::{Executor, net::TcpStream};
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use smol::{Executor, future::FutureExt, net::TcpStream};
+use std::{
+    net::SocketAddr,
+    pin::pin,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 /// Before a bundle says how many connections the backend server takes, none is needed.
 const CONNECTIONS_BEFORE_BUNDLE: usize = 0;
@@ -18,6 +24,14 @@
     pool: Arc<Pool>,
 }
 
+/// The head of an answer.
+pub(crate) struct Answered {
+    pub(crate) res: Response<Incoming>,
+    pub(crate) lease: Lease,
+    /// The request was sent over two connections, so what one of them says isn't said of both.
+    pub(crate) sent_twice: bool,
+}
+
 impl Backend {
     pub(crate) fn new(addr: SocketAddr, connect_time: Duration) -> Self {
         Self {
@@ -49,11 +63,56 @@
     }
 
     /// Sends a request and waits for the head of its answer.
+    ///
+    /// If that is overdue on a connection that had rested, and none as old brings an answer, the path may be
+    /// silent: the request is sent once more, if `again` gives a copy, and the first answer counts. The first
+    /// sending goes on, since it may be slow only. See `docs/design/silent-connections.md`.
     pub(crate) async fn send(
+        &self,
+        ex: &Executor<'static>,
+        timers: &Timers,
+        req: Request<Body>,
+        again: impl FnOnce() -> Option<Request<Body>>,
+    ) -> Result<Answered, SendError> {
+        let rests = self.pool.rests();
+        let sent = Instant::now();
+        let mut first = pin!(self.send_once(ex, req));
+        if !rests {
+            // It goes over a new connection.
+            return first.await;
+        }
+        let in_doubt = async {
+            self.pool.in_doubt(timers, sent).await;
+            None
+        };
+        let in_time = async { Some(first.as_mut().await) };
+        if let Some(result) = in_time.or(in_doubt).await {
+            return result;
+        }
+        self.pool.forget_unheard_since(sent);
+        let Some(copy) = again() else {
+            return first.await;
+        };
+        // Boxed, since it is rare: each request would take the memory for it.
+        let mut second = Box::pin(self.send_once(ex, copy));
+        let by_first = async { (first.as_mut().await, true) };
+        let by_second = async { (second.as_mut().await, false) };
+        let answered = match by_first.or(by_second).await {
+            (Ok(answered), _) => Ok(answered),
+            (Err(_), true) => second.await,
+            (Err(_), false) => first.await,
+        };
+        // Whatever became of the one, the other may have run.
+        let mut answered = answered.map_err(|_| SendError::Broke)?;
+        answered.sent_twice = true;
+        Ok(answered)
+    }
+
+    async fn send_once(
         &self,
         ex: &Executor<'static>,
         req: Request<Body>,
-    ) -> Result<(Response<Incoming>, Lease), SendError> {
+    ) -> Result<Answered, SendError> {
         let connect = || async {
             let tcp = TcpStream::connect(self.addr).await?;
             tcp.set_nodelay(true)?;
@@ -62,6 +121,11 @@
                 socket: tcp,
             })
         };
-        self.pool.send(ex, req, self.connect_time, connect).await
+        let (res, lease) = self.pool.send(ex, req, self.connect_time, connect).await?;
+        Ok(Answered {
+            res,
+            lease,
+            sent_twice: false,
+        })
     }
 }
--- a/crates/sorrelturn-daemon/src/fleet/peers.rs
+++ b/crates/sorrelturn-daemon/src/fleet/peers.rs
@@ -3,12 +3,20 @@
 use crate::{
     net::pool::{BUF_LIMIT_BYTES, Lease, Opened, Pool, SendError},
     net::stream::FleetKeys,
-    request::body::Body,
+    net::timers::Timers,
+    request::body::{self, Body},
+    request::headers,
 };
 use hyper::{Request, Response, body::Incoming};
-use smol::{Executor, net::TcpStream};
+use smol::{Executor, future::FutureExt, net::TcpStream};
 use socket2::{SockRef, TcpKeepalive};
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use sorrelturn_protocol::{AttemptId, Fate, FateQuestion, Incarnation, headers::FATE};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 /// The longest time for a new connection. Peers are about 1 ms apart; an opening packet that was
 /// lost is sent again after a second, and by then another instance has long answered.
@@ -23,6 +31,15 @@
 const KEEPALIVE_EVERY: Duration = Duration::from_secs(1);
 /// And so many times without an answer before the connection is given up.
 const KEEPALIVE_TRIES: u32 = 2;
+/// The longest time for a peer's word what became of an attempt; one that is there and not busy beyond
+/// measure takes a hundredth of it.
+const ASK_TIME: Duration = Duration::from_millis(500);
+/// When it is asked again: the attempt is at work, or the peer stands still. The pause doubles, up to what the
+/// peer's memory of attempts is made for.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
+const ASK_AGAIN_MOST: Duration = Duration::from_secs(2);
+/// An answer that is on its way comes within this time.
+const ANSWER_TRAVELS: Duration = Duration::from_millis(50);
 /// The most connections to one daemon; its backend server has fewer slots.
 const MAX_CONNECTIONS: usize = 1_024;
 
@@ -35,6 +52,20 @@
     unwatched: Arc<Pool>,
 }
 
+/// What sending to a peer needs of the daemon.
+pub(crate) struct Path<'a> {
+    pub(crate) ex: &'a Executor<'static>,
+    pub(crate) timers: &'a Timers,
+    pub(crate) keys: &'a FleetKeys,
+}
+
+/// An attempt, and the run of the daemon that it is sent to.
+#[derive(Clone, Copy)]
+pub(crate) struct SentAttempt {
+    pub(crate) owner: Incarnation,
+    pub(crate) id: AttemptId,
+}
+
 /// A connection that carries one call to a peer.
 pub(crate) struct PeerLease {
     lease: Lease,
@@ -64,30 +95,36 @@
     /// Sends a call and waits for the head of its answer.
     ///
     /// The peer's silence is noticed until then; a long answer is as slow as its reader.
+    ///
+    /// Where the kernels don't notice it, since something between them takes what it loses, the owner is asked
+    /// what became of the attempt.
     pub(crate) async fn send(
         &self,
-        ex: &Executor<'static>,
-        keys: &FleetKeys,
+        path: &Path<'_>,
         req: Request<Body>,
+        attempt: SentAttempt,
     ) -> Result<(Response<Incoming>, PeerLease), SendError> {
         let is_watched = is_read_at_once(req.body());
-        let connect = || async {
-            let tcp = TcpStream::connect(self.addr).await?;
-            if is_watched {
-                notice_silence(&tcp)?;
-            }
-            let stream = keys.connect(tcp.clone()).await?;
-            Ok(Opened {
-                stream,
-                socket: tcp,
-            })
-        };
+        let connect = || self.connect(path.keys, is_watched);
         let pool = if is_watched {
             &self.watched
         } else {
             &self.unwatched
         };
-        let (res, lease) = pool.send(ex, req, CONNECT_TIME, connect).await?;
+        let sent = Instant::now();
+        let answered = pool.send(path.ex, req, CONNECT_TIME, connect);
+        let silent = async {
+            if !is_watched {
+                // Behind a long request, its answer may take as long as it is.
+                return smol::future::pending().await;
+            }
+            pool.in_doubt(path.timers, sent).await;
+            // Boxed, since it is rare: each request would take the memory for it.
+            let error = Box::pin(self.fate_of(path, attempt, sent)).await;
+            pool.forget_unheard_since(sent);
+            Err(error)
+        };
+        let (res, lease) = answered.or(silent).await?;
         let watch_again = is_watched && !is_read_at_once(res.body());
         if watch_again && bear_silence(lease.socket()).is_err() {
             return Err(SendError::Broke);
@@ -95,6 +132,57 @@
         Ok((res, PeerLease { lease, watch_again }))
     }
 
+    async fn connect(&self, keys: &FleetKeys, is_watched: bool) -> io::Result<Opened> {
+        let tcp = TcpStream::connect(self.addr).await?;
+        if is_watched {
+            notice_silence(&tcp)?;
+        }
+        let stream = keys.connect(tcp.clone()).await?;
+        Ok(Opened {
+            stream,
+            socket: tcp,
+        })
+    }
+
+    /// Asks what became of an attempt until it is known that its answer won't come.
+    async fn fate_of(&self, path: &Path<'_>, attempt: SentAttempt, sent: Instant) -> SendError {
+        let mut pause = ASK_AGAIN;
+        loop {
+            let too_late = async {
+                path.timers.after(ASK_TIME).await;
+                None
+            };
+            match self.ask(path, attempt, sent).or(too_late).await {
+                Some(Fate::NeverCame) => return SendError::NeverCame,
+                Some(Fate::Over) => {
+                    path.timers.after(ANSWER_TRAVELS).await;
+                    return SendError::AnswerLost;
+                }
+                // Of a peer that answers nowhere nothing is known.
+                Some(Fate::AtWork) | None => {}
+            }
+            path.timers.after(pause).await;
+            pause = (pause * 2).min(ASK_AGAIN_MOST);
+        }
+    }
+
+    /// Asks over a new connection, which is kept.
+    async fn ask(&self, path: &Path<'_>, attempt: SentAttempt, sent: Instant) -> Option<Fate> {
+        let question = FateQuestion {
+            owner: attempt.owner,
+            attempt: attempt.id,
+            sent_ms_ago: sent.elapsed().as_millis() as u32,
+        };
+        let mut req = Request::new(body::full(""));
+        headers::set(req.headers_mut(), FATE, &question.encode());
+        let connect = self.connect(path.keys, true);
+        let answered = self.watched.send_new(path.ex, req, CONNECT_TIME, connect);
+        let (res, lease) = answered.await.ok()?;
+        lease.give_back();
+        let fate = res.headers().get(FATE)?;
+        Fate::decode(fate.as_bytes()).ok()
+    }
+
     /// Drops the idle connections; the calls on others go on.
     pub(crate) fn forget(&self) {
         self.watched.forget_idle();
--- a/crates/sorrelturn-daemon/src/fleet/watch.rs
+++ b/crates/sorrelturn-daemon/src/fleet/watch.rs
@@ -8,7 +8,11 @@
     node::{Node, lock},
     store::member_record,
 };
-use smol::{Timer, future::FutureExt};
+use smol::{
+    Timer,
+    channel::{self, Receiver},
+    future::FutureExt,
+};
 use sorrelturn_bundle::SignedManifest;
 use sorrelturn_fleet::{Source, VmAdvice, WATCHERS, advise, longest_silence, predecessors, ranked};
 use sorrelturn_platform::{Changes, Expected, PlatformError, VmState, keys};
@@ -17,7 +21,10 @@
 use sorrelturn_telemetry::{Field, events};
 use std::{
     collections::BTreeMap,
-    sync::{Arc, atomic::Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -96,15 +103,36 @@
 }
 
 async fn watch_all(node: &Arc<Node>) {
-    let follow = watch_head(node).or(read_head(node)).or(watch_members(node));
+    let told = Told::default();
+    let (head_is_silent, restart_head) = channel::bounded(1);
+    let (members_are_silent, restart_members) = channel::bounded(1);
+    let silent = || {
+        // One that is there already says the same.
+        let _ = head_is_silent.try_send(());
+        let _ = members_are_silent.try_send(());
+    };
+    let follow = watch_head(node, &told, &restart_head)
+        .or(read_head(node, &told, silent))
+        .or(watch_members(node, &restart_members));
     if node.settings.routes.is_some() {
         return follow.or(sweep(node)).await;
     }
     follow.or(read_vm_list(node)).or(write_status(node)).await;
 }
 
-/// Waits for changes under a prefix, for ever.
-async fn follow(node: &Arc<Node>, prefix: &str, pause_after: Duration, changed: impl Fn(Changes)) {
+/// The revision of the store up to which a watch has told what changed.
+#[derive(Default)]
+struct Told(AtomicU64);
+
+/// Waits for changes under a prefix, for ever. When `silent` says so, the watch that waits isn't heard any
+/// more and is left.
+async fn follow(
+    node: &Arc<Node>,
+    prefix: &str,
+    pause_after: Duration,
+    silent: &Receiver<()>,
+    changed: impl Fn(Changes),
+) {
     let mut since = None;
     let mut lost = false;
     let wait = match node.settings.routes {
@@ -114,7 +142,13 @@
     loop {
         let result = match since {
             None => node.platform.list(prefix).await,
-            Some(since) => node.platform.watch(prefix, since, wait).await,
+            Some(since) => {
+                let left = async {
+                    let _ = silent.recv().await;
+                    Err(PlatformError::Silent)
+                };
+                node.platform.watch(prefix, since, wait).or(left).await
+            }
         };
         note_platform(node, &mut lost, result.as_ref().err());
         match result {
@@ -146,9 +180,10 @@
     *lost = error.is_some();
 }
 
-async fn watch_head(node: &Arc<Node>) {
+async fn watch_head(node: &Arc<Node>, told: &Told, silent: &Receiver<()>) {
     let head = head_key(node).to_owned();
-    follow(node, &head, Duration::ZERO, |changes| {
+    follow(node, &head, Duration::ZERO, silent, |changes| {
+        told.0.store(changes.revision, Ordering::Relaxed);
         for object in changes.objects {
             heard_head(node, &object.value);
         }
@@ -156,7 +191,9 @@
     .await;
 }
 
-async fn read_head(node: &Arc<Node>) {
+/// Reads the head now and then. If it is newer than what the watch has told, the watch is silent, and the
+/// others on their way to the store are likely to be.
+async fn read_head(node: &Arc<Node>, told: &Told, silent: impl Fn()) {
     let pause = match node.settings.routes {
         Some(_) => PRICED_READ_EVERY,
         None => READ_EVERY,
@@ -164,6 +201,9 @@
     loop {
         Timer::after(pause.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
         if let Ok(Some(object)) = node.platform.get(head_key(node)).await {
+            if object.version > told.0.load(Ordering::Relaxed) {
+                silent();
+            }
             heard_head(node, &object.value);
         }
     }
@@ -197,12 +237,12 @@
     }
 }
 
-async fn watch_members(node: &Arc<Node>) {
+async fn watch_members(node: &Arc<Node>, silent: &Receiver<()>) {
     let pause_after = match node.settings.routes {
         Some(_) => PRICED_NEWS_PAUSE,
         None => Duration::ZERO,
     };
-    follow(node, keys::MEMBERS, pause_after, |changes| {
+    follow(node, keys::MEMBERS, pause_after, silent, |changes| {
         for object in changes.objects {
             if let Ok(record) = serde_json::from_str(&object.value) {
                 gossip::heard_member(node, record);
--- a/crates/sorrelturn-daemon/src/net/pool.rs
+++ b/crates/sorrelturn-daemon/src/net/pool.rs
@@ -1,7 +1,7 @@
 //! Pooled HTTP/1.1 connections to one address, each carrying one exchange at a time.
 //! See `docs/design/between-daemons.md`.
 
-use crate::{net::stream::BoxStream, node::lock, request::body::Body};
+use crate::{net::stream::BoxStream, net::timers::Timers, node::lock, request::body::Body};
 use hyper::{
     Request, Response,
     body::Incoming,
@@ -33,6 +33,15 @@
 /// What one exchange may have on its way unread, in bytes; bounds the memory of a slow reader.
 pub(crate) const BUF_LIMIT_BYTES: usize = 128 << 10;
 
+/// An answer is overdue after so many times of what answers take: one that is only slow must seldom raise
+/// doubts. See `docs/design/silent-connections.md`.
+const OVERDUE_TIMES: u32 = 8;
+/// And not before this time: it lets a packet be lost once (200 ms) and a process stand still for a tenth of
+/// a second, and few answers take longer by themselves.
+const LEAST_OVERDUE: Duration = Duration::from_millis(400);
+/// Each answer counts for one part in so many of what answers take.
+const SMOOTHED_OVER: u64 = 16;
+
 /// Why a request has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SendError {
@@ -42,6 +51,10 @@
     NotSent,
     /// It was sent, or a part of it was.
     Broke,
+    /// It was sent over a connection that is silent, and its other end never had it nor ever will.
+    NeverCame,
+    /// It came, and its answer was lost on a connection that is silent.
+    AnswerLost,
 }
 
 /// The connections to one address.
@@ -51,6 +64,50 @@
     open: Arc<AtomicUsize>,
     /// The one that was used last is at the back.
     idle: Mutex<VecDeque<Idle>>,
+    heard: Heard,
+}
+
+/// What answers tell of the path to the other end.
+struct Heard {
+    start: Instant,
+    /// What answers take to their heads.
+    typical_us: AtomicU64,
+    /// When an answer came last over a connection that had been open for as long as makes one overdue.
+    over_old_ms: AtomicU64,
+}
+
+impl Heard {
+    fn new() -> Self {
+        Self {
+            start: Instant::now(),
+            typical_us: AtomicU64::new(0),
+            over_old_ms: AtomicU64::new(0),
+        }
+    }
+
+    /// Two answers at once may lose one of them, which the next ones make good.
+    fn answer(&self, sent: Instant, opened: Instant) {
+        let now = Instant::now();
+        let took_us = (now - sent).as_micros() as u64;
+        let before = self.typical_us.load(Ordering::Relaxed);
+        let after = (before * (SMOOTHED_OVER - 1) + took_us) / SMOOTHED_OVER;
+        self.typical_us.store(after, Ordering::Relaxed);
+        if now - opened >= self.overdue_after() {
+            let now_ms = (now - self.start).as_millis() as u64;
+            self.over_old_ms.store(now_ms, Ordering::Relaxed);
+        }
+    }
+
+    fn overdue_after(&self) -> Duration {
+        let typical = Duration::from_micros(self.typical_us.load(Ordering::Relaxed));
+        (typical * OVERDUE_TIMES).max(LEAST_OVERDUE)
+    }
+
+    /// Whether an old connection brought an answer since then.
+    fn over_old_since(&self, since: Instant) -> bool {
+        let over_old = Duration::from_millis(self.over_old_ms.load(Ordering::Relaxed));
+        self.start + over_old > since
+    }
 }
 
 struct Idle {
@@ -63,6 +120,7 @@
 struct Conn {
     sender: SendRequest<Body>,
     socket: TcpStream,
+    opened: Instant,
     _open: Open,
 }
 
@@ -129,6 +187,7 @@
             idle_ms: AtomicU64::new(IDLE_TIME.as_millis() as u64),
             open: Arc::default(),
             idle: Mutex::default(),
+            heard: Heard::new(),
         })
     }
 
@@ -154,6 +213,37 @@
         lock(&self.idle).clear();
     }
 
+    /// Whether a connection rests.
+    pub(crate) fn rests(&self) -> bool {
+        !lock(&self.idle).is_empty()
+    }
+
+    /// One that rested when this was sent is silent: those that have rested as long may be so too, and
+    /// are dropped. Those that carried an answer since then are heard.
+    pub(crate) fn forget_unheard_since(&self, sent: Instant) {
+        let mut idle = lock(&self.idle);
+        let heard = idle.iter().position(|idle| idle.since > sent);
+        let unheard = heard.unwrap_or(idle.len());
+        drop(idle.drain(..unheard));
+    }
+
+    /// Ends when the answer to what was sent is overdue, and connections that are as old bring none either. A
+    /// slow other end answers over the others meanwhile, and raises no doubts.
+    pub(crate) async fn in_doubt(&self, timers: &Timers, sent: Instant) {
+        let mut since = sent;
+        loop {
+            let left = self.heard.overdue_after().saturating_sub(since.elapsed());
+            if !left.is_zero() {
+                timers.after(left).await;
+                continue;
+            }
+            if !self.heard.over_old_since(since) {
+                return;
+            }
+            since = Instant::now();
+        }
+    }
+
     /// Sends a request and waits for the head of its answer; `connect` opens a new connection, and
     /// has `connect_time` for it.
     ///
@@ -174,7 +264,8 @@
             let was_idle = idle.is_some();
             let mut conn = match idle {
                 Some(conn) => conn,
-                None => self.open(ex, connect_time, connect()).await?,
+                // Boxed, since it is rare: each request would take the memory for it.
+                None => Box::pin(self.open(ex, connect_time, connect())).await?,
             };
             if conn.sender.ready().await.is_err() {
                 if was_idle {
@@ -182,8 +273,10 @@
                 }
                 return Err(SendError::NotSent);
             }
+            let sent = Instant::now();
             match conn.sender.try_send_request(req).await {
                 Ok(res) => {
+                    self.heard.answer(sent, conn.opened);
                     let pool = Arc::clone(self);
                     return Ok((res, Lease { pool, conn }));
                 }
@@ -196,6 +289,23 @@
         }
     }
 
+    /// Sends a request over a new connection and waits for the head of its answer.
+    pub(crate) async fn send_new(
+        self: &Arc<Self>,
+        ex: &Executor<'static>,
+        req: Request<Body>,
+        connect_time: Duration,
+        connect: impl Future<Output = io::Result<Opened>>,
+    ) -> Result<(Response<Incoming>, Lease), SendError> {
+        let mut conn = self.open(ex, connect_time, connect).await?;
+        let ready = conn.sender.ready().await;
+        ready.map_err(|_| SendError::NotSent)?;
+        let res = conn.sender.send_request(req).await;
+        let res = res.map_err(|_| SendError::Broke)?;
+        let pool = Arc::clone(self);
+        Ok((res, Lease { pool, conn }))
+    }
+
     /// The connection that was used last: those below it grow old and are dropped.
     fn take_idle(&self) -> Option<Conn> {
         let mut idle = lock(&self.idle);
@@ -237,6 +347,7 @@
         Ok(Conn {
             sender,
             socket: opened.socket,
+            opened: Instant::now(),
             _open: open,
         })
     }
--- a/crates/sorrelturn-daemon/src/net/serve.rs
+++ b/crates/sorrelturn-daemon/src/net/serve.rs
@@ -4,17 +4,19 @@
     backend::announce,
     net::connections::Connection,
     net::timers::Timers,
-    node::{Carried, Node},
+    node::{Carried, Node, lock},
     request::answer::Reply,
     request::body::{self, Body},
     request::entry,
+    request::exchange::attempt_id,
     request::headers,
     request::nested,
     request::owner,
     request::routed::{self, Arrives},
 };
 use hyper::{
-    Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+    HeaderMap, Request, Response, StatusCode, body::Incoming, server::conn::http1,
+    service::service_fn,
 };
 use smol::{
     Timer,
@@ -24,7 +26,10 @@
     net::{TcpListener, TcpStream},
 };
 use sorrelturn_platform::hyper_server_io;
-use sorrelturn_protocol::{CallContext, Refusal, headers::CONTEXT};
+use sorrelturn_protocol::{
+    AttemptId, CallContext, Fate, FateQuestion, Refusal,
+    headers::{CONTEXT, FATE},
+};
 use sorrelturn_telemetry::{Field, events};
 use std::{
     convert::Infallible,
@@ -285,14 +290,65 @@
         .remove(CONTEXT)
         .and_then(|value| CallContext::decode(value.as_bytes()).ok());
     let Some(context) = context else {
+        if let Some(fate) = fate(node, req.headers()) {
+            return fate;
+        }
         node.note(&events::BAD_PEER, vec![Field::new("error", "no context")]);
         return status(StatusCode::BAD_REQUEST);
     };
     headers::strip_internal(req.headers_mut());
     let req = req.map(|body| body::guarded(&node.timers, body, |_| {}));
+    let Some(_at_work) = AtWork::begin(node, attempt_id(&context)) else {
+        // Its sender was told that it never came and hears nothing of this.
+        return Reply::not_run(Refusal::BackendUnreachable).into_peer_response();
+    };
     owner::serve(node, context, req).await.into_peer_response()
 }
 
+/// The answer to a peer that asks what became of an attempt; `None` if it doesn't ask.
+fn fate(node: &Node, headers: &HeaderMap) -> Option<Response<Body>> {
+    let question = headers.get(FATE)?;
+    let question = FateQuestion::decode(question.as_bytes()).ok()?;
+    let fate = if question.owner == node.incarnation {
+        let sent_ago = Duration::from_millis(question.sent_ms_ago.into());
+        lock(&node.attempts).fate(node.now(), question.attempt, sent_ago)
+    } else {
+        // An earlier run had it, or not.
+        Fate::Over
+    };
+    node.events.note(
+        &events::FATE_ASKED,
+        Some(question.attempt.request),
+        vec![
+            Field::new("sent_ms_ago", question.sent_ms_ago),
+            Field::new("fate", format!("{fate:?}").to_lowercase()),
+        ],
+    );
+    let mut res = status(StatusCode::NO_CONTENT);
+    headers::set(res.headers_mut(), FATE, &fate.encode());
+    Some(res)
+}
+
+/// Counts an attempt of a peer as at work while it lives.
+struct AtWork<'a> {
+    node: &'a Node,
+    attempt: AttemptId,
+}
+
+impl<'a> AtWork<'a> {
+    /// `None` if the attempt may not run any more.
+    fn begin(node: &'a Node, attempt: AttemptId) -> Option<Self> {
+        let may_run = lock(&node.attempts).begin(node.now(), attempt);
+        may_run.then_some(Self { node, attempt })
+    }
+}
+
+impl Drop for AtWork<'_> {
+    fn drop(&mut self) {
+        lock(&self.node.attempts).end(self.node.now(), self.attempt);
+    }
+}
+
 /// Two ways to tell where a body ends are a way to smuggle a request behind another one.
 pub(crate) fn ambiguous(req: &Request<Incoming>) -> bool {
     let headers = req.headers();
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -22,7 +22,7 @@
 use smol::{Executor, lock::Mutex as AsyncMutex};
 use sorrelturn_bundle::{Bundle, Service, TrustedKeys};
 use sorrelturn_fleet::{DomainView, Membership, Spread};
-use sorrelturn_once::Ledger;
+use sorrelturn_once::{AttemptRegister, Ledger};
 use sorrelturn_platform::Platform;
 use sorrelturn_policy::{GateConfig, Leaving, LeavingCause, Now};
 use sorrelturn_protocol::{Announcement, Incarnation, MemberRecord, MemberState};
@@ -66,6 +66,8 @@
     pub(crate) in_force: ArcSwapOption<InForce>,
     pub(crate) routes: ArcSwap<Routes>,
     pub(crate) ledger: Mutex<Ledger>,
+    /// The attempts of other daemons here.
+    pub(crate) attempts: Mutex<AttemptRegister>,
     pub(crate) segment_versions: AsyncMutex<SegmentVersions>,
     pub(crate) membership: Mutex<Membership>,
     pub(crate) spread: Mutex<Spread>,
--- a/crates/sorrelturn-daemon/src/request/exchange.rs
+++ b/crates/sorrelturn-daemon/src/request/exchange.rs
@@ -1,7 +1,7 @@
 //! One exchange with one instance, and what its failure means.
 
 use crate::{
-    fleet::peers::PeerLease,
+    fleet::peers::{Path, PeerLease, SentAttempt},
     fleet::routes::Route,
     net::pool::SendError,
     node::Node,
@@ -15,7 +15,7 @@
 use smol::future::FutureExt;
 use sorrelturn_policy::InstanceReport;
 use sorrelturn_protocol::{
-    AnswerContext, CallContext, Refusal, Verdict,
+    AnswerContext, AttemptId, CallContext, Refusal, Verdict,
     headers::{ANSWER, CONTEXT},
 };
 use std::sync::Arc;
@@ -25,6 +25,10 @@
     Full,
     NotSent,
     Broke,
+    /// The connection is silent and the owner never had the call.
+    NeverCame,
+    /// The connection is silent and the answer was lost on it.
+    AnswerLost,
     TooLate,
 }
 
@@ -33,15 +37,17 @@
     pub(crate) fn reply(&self, context: &CallContext) -> Reply {
         let unknown = context.token.is_some();
         match self {
-            Self::Full | Self::NotSent if unknown => {
+            Self::Full | Self::NotSent | Self::NeverCame if unknown => {
                 Reply::refused(Refusal::OutcomeUnknown, Verdict::MayHaveRun)
             }
             Self::Full => owner::unused(Reply::not_run(Refusal::Overload), context.attempts),
-            Self::NotSent => {
+            Self::NotSent | Self::NeverCame => {
                 let reply = Reply::not_run(Refusal::BackendUnreachable);
                 owner::unused(reply, context.attempts)
             }
-            Self::Broke => Reply::refused(Refusal::PeerBroke, Verdict::MayHaveRun),
+            Self::Broke | Self::AnswerLost => {
+                Reply::refused(Refusal::PeerBroke, Verdict::MayHaveRun)
+            }
             Self::TooLate => Reply::refused(Refusal::Deadline, Verdict::MayHaveRun),
         }
     }
@@ -65,17 +71,36 @@
         return serve.or(too_late).await;
     }
     headers::set(req.headers_mut(), CONTEXT, &call.context.encode());
+    let path = Path {
+        ex: &node.ex,
+        timers: &node.timers,
+        keys: &node.keys,
+    };
+    let attempt = SentAttempt {
+        owner: route.record.incarnation,
+        id: attempt_id(&call.context),
+    };
     let send = async {
-        match route.link.send(&node.ex, &node.keys, req).await {
+        match route.link.send(&path, req, attempt).await {
             Ok((res, lease)) => reply_of(node, call, res, lease),
             Err(SendError::Full) => Err(Failure::Full),
             Err(SendError::NotSent) => Err(Failure::NotSent),
             Err(SendError::Broke) => Err(Failure::Broke),
+            Err(SendError::NeverCame) => Err(Failure::NeverCame),
+            Err(SendError::AnswerLost) => Err(Failure::AnswerLost),
         }
     };
     send.or(too_late).await
 }
 
+/// How an owner knows an attempt.
+pub(crate) fn attempt_id(context: &CallContext) -> AttemptId {
+    AttemptId {
+        request: context.request,
+        span: context.parent,
+    }
+}
+
 fn reply_of(
     node: &Node,
     call: &Call,
@@ -111,7 +136,8 @@
         Ok(reply) => InstanceReport::Answered {
             load: reply.context.load,
         },
-        Err(Failure::Full) => InstanceReport::Cancelled,
+        // The instance itself is there.
+        Err(Failure::Full | Failure::NeverCame | Failure::AnswerLost) => InstanceReport::Cancelled,
         Err(Failure::NotSent) => InstanceReport::Unreachable,
         Err(_) => InstanceReport::Failed,
     }
--- a/crates/sorrelturn-daemon/src/request/forward.rs
+++ b/crates/sorrelturn-daemon/src/request/forward.rs
@@ -87,7 +87,7 @@
     reply.context.verdict = reply.context.verdict.and(progress.verdict);
     reply.context.attempts_left = progress.attempts_left;
     call.context.attempts = progress.attempts_left;
-    call.context.parent = caused_by;
+    let span = std::mem::replace(&mut call.context.parent, caused_by);
     if node.spans.is_on() {
         node.spans
             .add(client_span(call, span, caused_by, start_ns, &reply));
@@ -119,6 +119,7 @@
     if matches!(result, Err(Failure::TooLate)) {
         kind_state.threshold.no_answer(node.now());
     }
+    let was_silent = matches!(result, Err(Failure::NeverCame | Failure::AnswerLost));
     if on_its_way.finish(report(&result)) {
         route.link.forget();
         node.note(
@@ -138,7 +139,10 @@
     if progress.token_asks == 0 {
         progress.attempts_left += reply.context.attempts_left.min(share);
     }
-    if call.context.token.is_none() {
+    if was_silent {
+        // The instance is there and may be asked again, by another attempt than the one that it refuses now.
+        call.context.parent = SpanId::random(&mut fastrand::Rng::new());
+    } else if call.context.token.is_none() {
         progress.tried.push(route.record.incarnation);
     }
     node.events.note(
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -1,6 +1,7 @@
 //! One call at its owner: the exchange with the backend server, and what follows from it.
 
 use crate::{
+    backend::link::Answered,
     backend::state::{self, Routed, Word},
     clock::unix_ns,
     config::in_force::InForce,
@@ -15,6 +16,7 @@
     request::parents::{Parent, ParentGuard},
     request::room::Slot,
 };
+use bytes::Bytes;
 use hyper::{
     Request, Response,
     body::{Body as _, Incoming},
@@ -118,16 +120,19 @@
             return unused(self.refused(Refusal::Leaving), share);
         };
         let node = Arc::clone(&self.node);
-        let exchange = async { Some(node.backend.send(&node.ex, req).await) };
+        let copy = self.copy(&req);
+        let again = || copy.filter(|_| self.pays_second_sending());
+        let sent = node.backend.send(&node.ex, &node.timers, req, again);
+        let exchange = async { Some(sent.await) };
         let too_late = async {
             let deadline = node.timers.at(self.deadline + LAST_WORD);
             deadline.or(node.ending.over()).await;
             None
         };
         match exchange.or(too_late).await {
-            Some(Ok((res, lease))) => {
+            Some(Ok(answered)) => {
                 node.backend_reached(true);
-                self.answered(slot, guard, res, lease)
+                self.answered(slot, guard, answered)
             }
             Some(Err(SendError::Full)) => {
                 slot.release(Outcome::Cancelled);
@@ -140,7 +145,7 @@
                 let share = self.context.attempts;
                 unused(self.refused(Refusal::BackendUnreachable), share)
             }
-            Some(Err(SendError::Broke)) => {
+            Some(Err(SendError::Broke | SendError::NeverCame | SendError::AnswerLost)) => {
                 slot.release(Outcome::Broke);
                 self.failed(&guard, Refusal::BackendBroke)
             }
@@ -151,6 +156,33 @@
         }
     }
 
+    /// A copy of a request that may run twice, for a connection that turns out to be silent.
+    fn copy(&self, req: &Request<Body>) -> Option<Request<Body>> {
+        if self.kind.at_most_once() || !req.body().is_end_stream() {
+            return None;
+        }
+        let mut copy = Request::new(body::full(Bytes::new()));
+        copy.method_mut().clone_from(req.method());
+        copy.uri_mut().clone_from(req.uri());
+        copy.headers_mut().clone_from(req.headers());
+        Some(copy)
+    }
+
+    /// A second sending may run as a retry does, and is paid for as one.
+    fn pays_second_sending(&self) -> bool {
+        let state = self.in_force.kind_state(&self.kind);
+        let paid = lock(&state.retries).take();
+        if paid {
+            self.note(
+                &events::SENT_AGAIN,
+                vec![Field::new("kind", &self.kind.name)],
+            );
+            let labels = [("kind", self.kind.name.as_str())];
+            export::count(&self.node, &metrics::RETRIES, &labels);
+        }
+        paid
+    }
+
     /// The request for the backend server that takes work now; `None` if there is none.
     fn routed_request(&self, routed: &Routed, mut req: Request<Body>) -> Option<Request<Body>> {
         let names = &routed.dialect.headers;
@@ -184,13 +216,12 @@
     }
 
     /// The head of an answer is here.
-    fn answered(
-        self,
-        slot: Slot,
-        guard: ParentGuard,
-        mut res: Response<Incoming>,
-        lease: Lease,
-    ) -> Reply {
+    fn answered(self, slot: Slot, guard: ParentGuard, answered: Answered) -> Reply {
+        let Answered {
+            mut res,
+            lease,
+            sent_twice,
+        } = answered;
         if let Some(keep_alive) = headers::text(res.headers(), "keep-alive") {
             self.node.backend.heard_keep_alive(keep_alive);
         }
@@ -222,6 +253,10 @@
                 lease.give_back();
             }
             slot.release(Outcome::Overloaded);
+            if sent_twice {
+                // The other sending may have run.
+                return self.failed(&guard, Refusal::BackendBroke);
+            }
             let share = self.context.attempts;
             return unused(self.refused(Refusal::BackendRefused), share);
         }
@@ -244,7 +279,13 @@
             ],
         );
         self.span(failed, status);
-        let res = Some(Box::new(self.stream(slot, guard, res, lease)));
+        // Most of the time of a request that was sent twice is that of a silent connection.
+        let outcome = if sent_twice {
+            Outcome::Cancelled
+        } else {
+            Outcome::Answered
+        };
+        let res = Some(Box::new(self.stream(slot, outcome, guard, res, lease)));
         Reply { context, res }
     }
 
@@ -280,6 +321,7 @@
     fn stream(
         self,
         slot: Slot,
+        outcome: Outcome,
         guard: ParentGuard,
         res: Response<Incoming>,
         lease: Lease,
@@ -292,7 +334,7 @@
         let slot = if one_piece {
             Some(slot)
         } else {
-            slot.release(Outcome::Answered);
+            slot.release(outcome);
             None
         };
         let timers = self.node.timers.clone();
@@ -304,11 +346,7 @@
                     lease.give_back();
                 }
                 if let Some(slot) = slot {
-                    slot.release(if whole {
-                        Outcome::Answered
-                    } else {
-                        Outcome::Cancelled
-                    });
+                    slot.release(if whole { outcome } else { Outcome::Cancelled });
                 }
                 drop((guard, hop));
             })
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -327,6 +327,7 @@
         in_force: ArcSwapOption::empty(),
         routes: ArcSwap::from_pointee(Routes::default()),
         ledger: Mutex::new(Ledger::new(incarnation, ledger, seal_key)),
+        attempts: Mutex::default(),
         segment_versions: AsyncMutex::default(),
         membership: Mutex::new(Membership::default()),
         spread: Mutex::new(Spread::default()),
--- a/crates/sorrelturn-once/src/lib.rs
+++ b/crates/sorrelturn-once/src/lib.rs
@@ -1,10 +1,12 @@
 #![doc = include_str!("../README.md")]
 
+mod attempts;
 mod binding;
 mod ledger;
 mod nested;
 mod record;
 
+pub use attempts::AttemptRegister;
 pub use binding::{Binding, BindingError};
 pub use ledger::{Begin, Fingerprint, Ledger, LedgerConfig, Outcome};
 pub use nested::{CallKey, NestedTokens};
--- a/crates/sorrelturn-platform/src/client.rs
+++ b/crates/sorrelturn-platform/src/client.rs
@@ -41,6 +41,8 @@
     Conflict(u64),
     /// the object doesn't exist
     Absent,
+    /// news came another way that a watch should have told: its connection is silent
+    Silent,
     /// the platform no longer has the history that the watch asks for
     HistoryGone,
     /// the platform refused the call with status {0}
--- a/crates/sorrelturn-protocol/src/context.rs
+++ b/crates/sorrelturn-protocol/src/context.rs
@@ -84,12 +84,12 @@
 
 impl std::error::Error for HeaderError {}
 
-fn encode(value: &impl Serialize) -> String {
+pub(crate) fn encode(value: &impl Serialize) -> String {
     let bytes = postcard::to_stdvec(value).unwrap_or_default();
     BASE64URL_NOPAD.encode(&bytes)
 }
 
-fn decode<T: DeserializeOwned>(text: &[u8]) -> Result<T, HeaderError> {
+pub(crate) fn decode<T: DeserializeOwned>(text: &[u8]) -> Result<T, HeaderError> {
     let bytes = BASE64URL_NOPAD
         .decode(text)
         .map_err(|_| HeaderError::Encoding)?;
--- a/crates/sorrelturn-protocol/src/headers.rs
+++ b/crates/sorrelturn-protocol/src/headers.rs
@@ -6,6 +6,9 @@
 pub const CONTEXT: &str = "sorrelturn-context";
 /// Between daemons: the encoded [`AnswerContext`](crate::AnswerContext).
 pub const ANSWER: &str = "sorrelturn-answer";
+/// Between daemons: the encoded [`FateQuestion`](crate::FateQuestion), and the
+/// [`Fate`](crate::Fate) in its answer.
+pub const FATE: &str = "sorrelturn-fate";
 /// To callers and backend servers: whether the request may have run.
 pub const VERDICT: &str = "sorrelturn-verdict";
 /// To callers and backend servers: the root request's id.
--- a/crates/sorrelturn-protocol/src/lib.rs
+++ b/crates/sorrelturn-protocol/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod backend;
 mod context;
+mod fate;
 pub mod headers;
 mod ids;
 mod importance;
@@ -12,6 +13,7 @@
 
 pub use backend::{Announcement, BackendState};
 pub use context::{AnswerContext, CallContext, HeaderError};
+pub use fate::{AttemptId, Fate, FateQuestion};
 pub use ids::{CallerId, Incarnation, RequestId, SpanId};
 pub use importance::{Importance, Priority};
 pub use member::{MemberRecord, MemberState};
--- a/crates/sorrelturn-telemetry/src/events.rs
+++ b/crates/sorrelturn-telemetry/src/events.rs
@@ -41,6 +41,9 @@
     NOT_RETRIED = 113 "not-retried" Debug "The failure was passed on and not retried.";
     CANCELLED = 114 "cancelled" Debug "The caller went away, and the call was cancelled.";
     RECORDED_ANSWER = 115 "recorded-answer" Debug "The answer of an earlier execution was given again.";
+    SENT_AGAIN = 116 "sent-again" Debug "The backend server was sent a request once more over another connection, because its answer is overdue and the first may be silent.";
+
+    FATE_ASKED = 117 "fate-asked" Debug "A daemon asked what became of a call that it sent here, because the answer is overdue and its connection may be silent.";
 
     BACKEND_LOST = 200 "backend-lost" Warn "The backend server can't be reached.";
     BACKEND_BACK = 201 "backend-back" Info "The backend server can be reached again and starts cold.";
