Bench: experiments on call graphs in virtual time, on the product's own decisions

Thin first: kinds with calls of any depth, gates, levels, returns, choice and retries of the product; load in stretches and clumps; five faults.

--- a/crates/sorrelturn-bench/src/commands/mod.rs
+++ b/crates/sorrelturn-bench/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod backend;
 mod demo;
 mod exchanges;
+mod experiment;
 mod fleet;
 mod instructions;
 mod latency;
@@ -33,6 +34,7 @@
     instructions::ENTRY,
     backend::ENTRY,
     returns::ENTRY,
+    experiment::ENTRY,
 ];
 
 /// The whole command line.
--- /dev/null
+++ b/crates/sorrelturn-bench/src/experiment/daemon.rs
@@ -0,0 +1,230 @@
+//! One daemon of an experiment: what it has learnt, on the product's own policy code.
+
+use super::file::{Experiment, Mechanism};
+use fastrand::Rng;
+use sorrelturn_policy::{
+    FirstTries, Gate, GateConfig, Instance, InstanceReport, LearnedThreshold, Now, Refusing,
+    RetryAfter, RetryBucket, bucket_of_return, choose, refuses,
+};
+use sorrelturn_protocol::{Importance, Incarnation, Priority};
+use std::{collections::HashMap, time::Duration};
+
+/// The waits of the product's gates, where calls have a wait of their own.
+const QUEUE_WAIT: Duration = Duration::from_millis(100);
+const CALL_WAIT: Duration = Duration::from_millis(250);
+/// The product's share of the bound on retries, and the least number of daemons that share the slack.
+const RATIO_USED: f64 = 0.6;
+const SLACK_USED: f64 = 0.5;
+const LEAST_SHARERS: usize = 12;
+
+/// What a daemon has learnt about one kind.
+struct KindState {
+    threshold: LearnedThreshold,
+    gate_level: LearnedThreshold,
+    first_tries: FirstTries,
+    refusing: Refusing,
+}
+
+/// A daemon with the gate before its backend server.
+pub(super) struct Daemon {
+    kinds: Vec<KindState>,
+    /// For each service, what is known of its instances.
+    stats: Vec<Vec<Instance>>,
+    /// For each service.
+    retries: Vec<RetryBucket>,
+    pub(super) gate: Gate,
+    /// When its processor is free.
+    free_at: Now,
+}
+
+/// Where the instances of the services stand.
+pub(super) struct Site {
+    /// For each service, the failure domain of each instance.
+    pub(super) domains: Vec<Vec<usize>>,
+    pub(super) slots: Vec<u32>,
+    pub(super) daemons: usize,
+}
+
+/// What an answer tells besides the answer.
+#[derive(Clone, Copy)]
+pub(super) struct Told {
+    pub(super) threshold: Priority,
+    pub(super) gate_level: u16,
+    pub(super) load: u16,
+}
+
+impl Daemon {
+    pub(super) fn new(
+        experiment: &Experiment,
+        site: &Site,
+        service: usize,
+        domain: usize,
+        now: Now,
+    ) -> Self {
+        let near_first = experiment.is_on(Mechanism::NearFirst);
+        let stats = site.domains.iter().enumerate().map(|(service, domains)| {
+            let instances = domains.iter().enumerate().map(|(at, its)| {
+                let near = !near_first || *its == domain;
+                Instance::new(incarnation(service, at), near, Duration::ZERO, now)
+            });
+            instances.collect()
+        });
+        let sharers = site.daemons.max(LEAST_SHARERS) as f64;
+        let fraction = experiment.retries.ratio * RATIO_USED;
+        let burst = experiment.retries.slack * SLACK_USED / sharers;
+        let cfg = GateConfig {
+            slots: site.slots[service],
+            queue_len: site.slots[service],
+            queue_wait: QUEUE_WAIT,
+            cold_start: Duration::ZERO,
+            call_wait: Some(CALL_WAIT),
+        };
+        Self {
+            kinds: experiment.kinds.iter().map(|_| KindState::new()).collect(),
+            stats: stats.collect(),
+            retries: site
+                .domains
+                .iter()
+                .map(|_| RetryBucket::with_burst(fraction, burst))
+                .collect(),
+            gate: Gate::new(cfg, now),
+            free_at: now,
+        }
+    }
+
+    /// The processor takes so long for a side of a hop; returns when it is done.
+    pub(super) fn works(&mut self, now: Now, takes: Duration) -> Now {
+        let lag = self.free_at.saturating_sub(now);
+        if !takes.is_zero() {
+            self.gate.lags(lag);
+        }
+        self.free_at = now.max(self.free_at) + takes;
+        self.free_at
+    }
+
+    /// The level that was learnt for a kind with all that it calls, and that of its own gates.
+    pub(super) fn levels(&self, now: Now, kind: usize) -> (u16, u16) {
+        let state = &self.kinds[kind];
+        (
+            state.threshold.current(now).0,
+            state.gate_level.current(now).0,
+        )
+    }
+
+    /// The highest level of some kinds.
+    pub(super) fn level_of(&self, now: Now, kinds: &[usize]) -> Priority {
+        let levels = kinds
+            .iter()
+            .map(|kind| self.kinds[*kind].threshold.current(now));
+        levels.max().unwrap_or_default()
+    }
+
+    /// Whether a root request is refused; `left` is what its caller says that it will still wait.
+    pub(super) fn refuses(
+        &mut self,
+        experiment: &Experiment,
+        now: Now,
+        kind: usize,
+        rank: (usize, usize),
+        bucket: u8,
+        left: Duration,
+    ) -> bool {
+        if !experiment.is_on(Mechanism::EntryAdmission) {
+            return false;
+        }
+        let (level, _) = self.levels(now, kind);
+        let was_tried = self.kinds[kind].first_tries.saw(left.as_millis() as u32);
+        let bucket = if was_tried && experiment.is_on(Mechanism::ReturnOrder) {
+            bucket_of_return(bucket)
+        } else {
+            bucket
+        };
+        refuses(level, rank.0, rank.1, bucket)
+    }
+
+    /// When a refused caller is told to come back.
+    pub(super) fn come_back(
+        &mut self,
+        experiment: &Experiment,
+        now: Now,
+        kind: usize,
+        rng: &mut Rng,
+    ) -> Duration {
+        if experiment.is_on(Mechanism::ReturnTime) {
+            return self.kinds[kind].refusing.refused(now, rng);
+        }
+        RetryAfter::compute(None, rng)
+    }
+
+    /// Picks an instance of a service.
+    pub(super) fn pick(
+        &self,
+        experiment: &Experiment,
+        now: Now,
+        service: usize,
+        tried: &[Incarnation],
+        rng: &mut Rng,
+    ) -> Option<usize> {
+        let instances = &self.stats[service];
+        if experiment.is_on(Mechanism::ChoiceByLoad) {
+            return choose(instances.iter(), now, tried, rng);
+        }
+        let open: Vec<usize> = (0..instances.len())
+            .filter(|at| !tried.contains(&instances[*at].incarnation))
+            .collect();
+        rng.choice(open)
+    }
+
+    /// A call goes out to an instance.
+    pub(super) fn starts(&self, service: usize, at: usize) {
+        self.stats[service][at].started();
+    }
+
+    /// A call is over.
+    pub(super) fn ends(&self, now: Now, service: usize, at: usize, report: InstanceReport) {
+        self.stats[service][at].finished(now, report);
+    }
+
+    /// Learns what an answer tells.
+    pub(super) fn learns(&mut self, now: Now, kind: usize, told: &Told) {
+        let state = &self.kinds[kind];
+        state.threshold.observe(now, told.threshold);
+        state.gate_level.observe(now, Priority(told.gate_level));
+    }
+
+    /// A call to a service was answered.
+    pub(super) fn succeeded(&mut self, service: usize) {
+        self.retries[service].succeeded();
+    }
+
+    /// Takes the price of another sending to a service, if it is there.
+    pub(super) fn pays_retry(&mut self, _now: Now, service: usize) -> bool {
+        self.retries[service].take()
+    }
+}
+
+impl KindState {
+    fn new() -> Self {
+        Self {
+            threshold: LearnedThreshold::of_level(),
+            gate_level: LearnedThreshold::of_level(),
+            first_tries: FirstTries::default(),
+            refusing: Refusing::default(),
+        }
+    }
+}
+
+/// An instance's name for the choice.
+pub(super) fn incarnation(service: usize, at: usize) -> Incarnation {
+    Incarnation((service as u64) << 32 | (at as u64 + 1))
+}
+
+/// How many lower importances root requests have, and how many in all.
+pub(super) fn rank_of(importance: Importance, of_roots: &[Importance]) -> (usize, usize) {
+    let mut known: HashMap<Importance, ()> = HashMap::new();
+    for root in of_roots {
+        known.insert(*root, ());
+    }
+    let lower = known.keys().filter(|other| **other < importance).count();
+    (lower, known.len())
+}
--- /dev/null
+++ b/crates/sorrelturn-bench/src/experiment/plot.rs
@@ -0,0 +1,76 @@
+//! A picture of an experiment: what came of each kind, second by second.
+
+use super::outcome::{Counts, Outcome};
+
+const WIDTH: usize = 720;
+const HEIGHT: usize = 120;
+const MARGIN: usize = 30;
+/// What is stacked, from below, with its colour.
+const PARTS: [(&str, &str, Part); 4] = [
+    ("in time", "#2a7", |counts| counts.good),
+    ("late", "#fb3", |counts| counts.late),
+    ("refused", "#99b", |counts| counts.refused),
+    ("failed", "#d43", |counts| counts.failed),
+];
+
+/// The count that one part of a column shows.
+type Part = fn(&Counts) -> u32;
+
+/// An SVG with one row for each kind of each outcome.
+pub fn plot(outcomes: &[(&str, &Outcome)]) -> String {
+    let rows: usize = outcomes
+        .iter()
+        .map(|(_, outcome)| outcome.kinds.len())
+        .sum();
+    let height = rows * (HEIGHT + MARGIN) + MARGIN;
+    let width = WIDTH + 2 * MARGIN;
+    let mut svg = format!(
+        "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{width}\" height=\"{height}\" \
+         font-family=\"sans-serif\" font-size=\"11\">\n"
+    );
+    let mut x = MARGIN;
+    for (name, colour, _) in PARTS {
+        svg += &format!(
+            "<rect x=\"{x}\" y=\"6\" width=\"10\" height=\"10\" fill=\"{colour}\"/>\
+             <text x=\"{}\" y=\"15\">{name}</text>\n",
+            x + 14
+        );
+        x += 80;
+    }
+    let mut top = MARGIN;
+    for (name, outcome) in outcomes {
+        for kind in &outcome.kinds {
+            let title = escape(&format!("{name}: {}", kind.kind));
+            svg += &format!("<text x=\"{MARGIN}\" y=\"{}\">{title}</text>\n", top + 10);
+            svg += &columns(&kind.by_second, top + 14);
+            top += HEIGHT + MARGIN;
+        }
+    }
+    svg + "</svg>\n"
+}
+
+fn columns(by_second: &[Counts], top: usize) -> String {
+    let most = by_second.iter().map(|counts| counts.asked).max();
+    let most = f64::from(most.unwrap_or(0).max(1));
+    let wide = WIDTH as f64 / by_second.len().max(1) as f64;
+    let mut svg = String::new();
+    for (second, counts) in by_second.iter().enumerate() {
+        let mut foot = (top + HEIGHT) as f64;
+        for (_, colour, part) in PARTS {
+            let high = f64::from(part(counts)) * HEIGHT as f64 / most;
+            foot -= high;
+            if high > 0.0 {
+                let x = MARGIN as f64 + second as f64 * wide;
+                svg += &format!(
+                    "<rect x=\"{x:.1}\" y=\"{foot:.1}\" width=\"{wide:.1}\" height=\"{high:.1}\" \
+                     fill=\"{colour}\"/>\n"
+                );
+            }
+        }
+    }
+    svg
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;")
+}
--- /dev/null
+++ b/crates/sorrelturn-bench/src/experiment/table.rs
@@ -0,0 +1,78 @@
+//! The tables of an experiment.
+
+use super::outcome::{Counts, Outcome};
+
+/// One table of the kinds and one of the services, as Markdown. `stretches` are lines of seconds besides the
+/// whole; each outcome has the name of what was played.
+pub fn table(outcomes: &[(&str, &Outcome)], stretches: &[(usize, usize)]) -> String {
+    let mut lines = vec![
+        "| played | seconds | kind | asked | good % | late % | refused % | again % | failed % | \
+         worth |"
+            .to_owned(),
+        "|---|---|---|---|---|---|---|---|---|---|".to_owned(),
+    ];
+    for (name, outcome) in outcomes {
+        let whole = outcome.kinds.first().map_or(0, |kind| kind.by_second.len());
+        let all = std::iter::once((0, whole)).chain(stretches.iter().copied());
+        for (from, to) in all {
+            for kind in &outcome.kinds {
+                let counts = kind.between(from, to);
+                lines.push(format!(
+                    "| {name} | {from} to {to} | {} | {} | {} | |",
+                    kind.kind,
+                    counts.asked,
+                    shares(&counts)
+                ));
+            }
+            let worth = outcome.worth_between(from, to);
+            lines.push(format!(
+                "| {name} | {from} to {to} | **all** | | | | | | | **{worth:.3}** |"
+            ));
+        }
+    }
+    lines.push(String::new());
+    lines.push(
+        "| played | service | seconds | slots at work % | of half seconds, p10 to p90 apart % | \
+         arrived | again % |"
+            .to_owned(),
+    );
+    lines.push("|---|---|---|---|---|---|---|".to_owned());
+    for (name, outcome) in outcomes {
+        let whole = outcome.kinds.first().map_or(0, |kind| kind.by_second.len());
+        let all = std::iter::once((0, whole)).chain(stretches.iter().copied());
+        for (from, to) in all {
+            for service in &outcome.services {
+                let (mean, apart) = outcome.slots_between(&service.service, from, to);
+                lines.push(format!(
+                    "| {name} | {} | {from} to {to} | {:.1} | {:.1} | {} | {} |",
+                    service.service,
+                    mean * 100.0,
+                    apart * 100.0,
+                    service.arrived,
+                    percent(service.repeated as f64, service.arrived as f64),
+                ));
+            }
+        }
+    }
+    lines.push(String::new());
+    lines.join("\n")
+}
+
+fn shares(counts: &Counts) -> String {
+    let of = |part: u32| percent(f64::from(part), f64::from(counts.asked));
+    [
+        of(counts.good),
+        of(counts.late),
+        of(counts.refused),
+        of(counts.refused_again),
+        of(counts.failed),
+    ]
+    .join(" | ")
+}
+
+fn percent(part: f64, whole: f64) -> String {
+    if whole == 0.0 {
+        return "-".to_owned();
+    }
+    format!("{:.1}", part * 100.0 / whole)
+}
--- a/crates/sorrelturn-bench/src/lib.rs
+++ b/crates/sorrelturn-bench/src/lib.rs
@@ -9,6 +9,7 @@
 mod examples;
 mod exchanges;
 mod exec;
+pub mod experiment;
 mod fleet;
 mod idle_fleet;
 mod load;
