--- a/crates/sorrelturn-bench/src/returns.rs
+++ b/crates/sorrelturn-bench/src/returns.rs
@@ -6,7 +6,7 @@
 use fastrand::Rng;
 use sorrelturn_policy::{
     Arrival, Decision, FirstTries, Gate, GateConfig, LearnedThreshold, Now, Outcome, Refusing,
-    bucket_of_return, refused_of_rank, refuses,
+    bucket_of_return, refuses,
 };
 use sorrelturn_protocol::{Importance, Priority};
 use std::{
@@ -379,7 +379,7 @@
         let level = entry.level.current(self.now).0;
         req.level = level;
         req.sent = self.now;
-        if refuses(refused_of_rank(level, kind.rank, 2), bucket) {
+        if refuses(level, kind.rank, 2, bucket) {
             return self.refused(req, left);
         }
         self.count(&req, |counts| counts.taken += 1);
--- a/crates/sorrelturn-daemon/src/config/in_force.rs
+++ b/crates/sorrelturn-daemon/src/config/in_force.rs
@@ -3,8 +3,7 @@
 use crate::node::{LastTime, lock};
 use sorrelturn_bundle::{Bundle, CallerEntry, KindEntry, SectionBytes, SignedManifest};
 use sorrelturn_policy::{
-    FirstTries, KindLoad, LearnedThreshold, Now, RateBucket, Refusing, RetryBucket, RetryWindow,
-    refused_share,
+    FirstTries, LearnedThreshold, Now, RateBucket, Refusing, RetryBucket, RetryWindow,
 };
 use sorrelturn_protocol::{CallerId, Importance, Priority};
 use std::{
@@ -89,8 +88,6 @@
 pub(crate) struct KindState {
     /// The threshold that answers announced.
     pub(crate) threshold: LearnedThreshold,
-    /// What arrives of it here, and what one request takes of the slots that bind.
-    pub(crate) load: Mutex<KindLoad>,
     /// What was sent and sent again: of the kind, or of its service where routes tell kinds.
     pub(crate) retries: Arc<Mutex<RetryWindow>>,
     /// Whether requests of this kind are calls of backend servers, as those who answer them learnt.
@@ -179,25 +176,6 @@
         (rank as usize, bits.count_ones() as usize)
     }
 
-    /// The share of a kind that is refused, where so much has to be of what the kinds of its importance take of the
-    /// slots that bind.
-    pub(crate) fn refused_share(&self, kind: &KindEntry, of_load: f64, now: Now) -> f64 {
-        let state = self.kind_state(kind);
-        lock(&state.load).arrived(now);
-        if of_load <= 0.0 {
-            return 0.0;
-        }
-        let mut loads = vec![*lock(&state.load)];
-        for other in self.bundle.route_kinds() {
-            let alike = other.name != kind.name && other.importance() == kind.importance();
-            let state = self.kinds.get(&other.name).filter(|_| alike);
-            let pressed = state
-                .filter(|state| state.is_root() && state.threshold.current(now) > Priority::LOWEST);
-            loads.extend(pressed.map(|state| *lock(&state.load)));
-        }
-        refused_share(&loads, 0, of_load, now)
-    }
-
     /// The sections that it was put together from; none for a route table.
     pub(crate) fn sections(&self) -> &[SectionBytes] {
         match &self.origin {
@@ -285,7 +263,6 @@
             was_answered: AtomicBool::new(false),
             lacked_below: LastTime::default(),
             first_tries: Mutex::default(),
-            load: Mutex::default(),
             refusing: Mutex::default(),
         })
     }
--- a/crates/sorrelturn-daemon/src/request/forward.rs
+++ b/crates/sorrelturn-daemon/src/request/forward.rs
@@ -293,9 +293,6 @@
     }
     if answer.refusal.is_none_or(Refusal::tells_load) {
         kind_state.threshold.observe(node.now(), answer.threshold);
-        if answer.cost_us > 0 {
-            lock(&kind_state.load).costs(answer.cost_us.into());
-        }
     }
     call.in_force.heard_of_kind(kind_state, answer.is_call);
     fetch::heard_version(
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -266,13 +266,11 @@
         }
         let failed = res.status().is_server_error();
         let parent = guard.parent();
-        let (threshold, cost_us) = self.below();
         let context = AnswerContext {
             verdict: Verdict::Ran,
             attempts_left: lock(&parent.attempts).close(),
             already_retried: failed && self.a_call_failed(parent),
-            threshold,
-            cost_us,
+            threshold: self.threshold_below(),
             ..AnswerContext::default()
         };
         self.note(
@@ -304,12 +302,11 @@
         }
     }
 
-    /// The threshold over everything that this kind calls, as far as it is known here, and what its calls take of
-    /// the slots for which that is told, in microseconds.
-    fn below(&self) -> (Priority, u32) {
+    /// The threshold over everything that this kind calls, as far as it is known here.
+    fn threshold_below(&self) -> Priority {
         let now = self.node.now();
         let Some(routed) = &self.node.routed else {
-            return (self.in_force.threshold_below(&self.kind, now), 0);
+            return self.in_force.threshold_below(&self.kind, now);
         };
         let mut graph = lock(&routed.graph);
         if let Some(calls) = graph.ended(&self.kind.name, now - self.started) {
@@ -320,19 +317,8 @@
             self.node.events.note(&events::CALLS_LEARNT, None, fields);
         }
         let calls = graph.calls(&self.kind.name);
-        let threshold = self
-            .in_force
-            .threshold_of(calls.iter().map(String::as_str), now);
-        if threshold == Priority::LOWEST {
-            return (threshold, 0);
-        }
-        let cost_us = |call: &String| {
-            let state = self.in_force.state_of(call)?;
-            let part = f64::from(state.threshold.current(now).0) / f64::from(threshold.0);
-            Some(graph.rate(&self.kind.name, call) * lock(&state.load).cost() * part)
-        };
-        let cost_us: f64 = calls.iter().filter_map(cost_us).sum();
-        (threshold, cost_us as u32)
+        self.in_force
+            .threshold_of(calls.iter().map(String::as_str), now)
     }
 
     /// Passes the body on while it comes; slot, connection and registration end with it.
--- a/crates/sorrelturn-daemon/src/request/owner.rs
+++ b/crates/sorrelturn-daemon/src/request/owner.rs
@@ -14,7 +14,7 @@
 use sorrelturn_bundle::{Execution, Kind, KindEntry};
 use sorrelturn_once::{Begin, Fingerprint};
 use sorrelturn_policy::RetryAfter;
-use sorrelturn_protocol::{CallContext, Priority, Refusal, SpanId, Verdict};
+use sorrelturn_protocol::{CallContext, Refusal, SpanId, Verdict};
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 /// Runs a call at this daemon's backend server, or refuses it.
@@ -29,22 +29,16 @@
         admit(node, context, req).await
     };
     let answer = &mut reply.context;
-    if let Some((routed, kind)) = &asked {
-        answer.is_call = is_call(node, routed, kind);
+    if let Some((routed, kind)) = asked {
+        answer.is_call = is_call(node, routed, &kind);
     }
     answer.bundle_version = node.bundle_version();
     answer.incarnation = node.incarnation;
     answer.leaving = node.is_leaving();
-    let own = node.room.with_gate(|gate, now| {
+    node.room.with_gate(|gate, now| {
         answer.load = gate.load_percent(now);
-        gate.threshold(now)
+        answer.threshold = answer.threshold.max(gate.threshold(now));
     });
-    let below = answer.threshold;
-    answer.threshold = own.max(below);
-    if let (Some((routed, kind)), None) = (&asked, answer.refusal) {
-        let own_s = lock(&routed.graph).mean_time_s(kind);
-        answer.cost_us = cost_us((own_s, own), (answer.cost_us, below));
-    }
     if let Some(refusal) = answer.refusal
         && answer.retry_after_ms == 0
         && !matches!(refusal, Refusal::TokenRejected | Refusal::UnknownKind)
@@ -54,18 +48,6 @@
     reply
 }
 
-/// What a request takes of the slots that bind: the own time and that of the calls below, in seconds and microseconds,
-/// each as far as its level is the one that counts.
-fn cost_us(own: (f64, Priority), below: (u32, Priority)) -> u32 {
-    let highest = own.1.max(below.1).0;
-    if highest == 0 {
-        return 0;
-    }
-    let part = |level: Priority| f64::from(level.0) / f64::from(highest);
-    let us = own.0 * 1e6 * part(own.1) + f64::from(below.0) * part(below.1);
-    us as u32
-}
-
 /// A request that can't be passed on any more because this run of the daemon is over.
 pub(crate) async fn refused_at_the_end(node: &Node) -> Reply {
     node.ending.over().await;
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -22,7 +22,7 @@
 };
 use smol::future::FutureExt;
 use sorrelturn_bundle::KindEntry;
-use sorrelturn_policy::{Now, bucket_of_return, refused_of_rank, refuses};
+use sorrelturn_policy::{Now, bucket_of_return, refuses};
 use sorrelturn_protocol::{CallContext, CallerId, Refusal, RequestId, SpanId, Verdict};
 use sorrelturn_telemetry::{Field, events};
 use std::{
@@ -170,11 +170,7 @@
         bucket = bucket_of_return(bucket);
     }
     let (rank, ranks) = asked.in_force.rank_of_root(asked.kind.importance());
-    let of_load = refused_of_rank(asked.level, rank, ranks);
-    let share = asked
-        .in_force
-        .refused_share(&asked.kind, of_load, node.now());
-    if !refuses(share, bucket) {
+    if !refuses(asked.level, rank, ranks, bucket) {
         return Ok(());
     }
     node.events.note(
@@ -185,7 +181,6 @@
             Field::new("reason", Refusal::Overload.name()),
             Field::new("level", asked.level),
             Field::new("rank", rank),
-            Field::new("share_percent", (share * 100.0) as u32),
             Field::new("bucket", bucket),
             Field::new("was_tried", was_tried),
         ],
--- a/crates/sorrelturn-policy/src/call_graph.rs
+++ b/crates/sorrelturn-policy/src/call_graph.rs
@@ -91,8 +91,7 @@
         rate / self.mean_time_s(&candidate.kind) * f64::from(candidate.count) * likelier
     }
 
-    /// The mean time that the backend server takes for a request of a kind, waits included, in seconds.
-    pub fn mean_time_s(&self, kind: &str) -> f64 {
+    fn mean_time_s(&self, kind: &str) -> f64 {
         let (ended, took_s) = self
             .callers
             .get(kind)
--- a/crates/sorrelturn-policy/src/lib.rs
+++ b/crates/sorrelturn-policy/src/lib.rs
@@ -16,7 +16,6 @@
 mod retry_after;
 mod retry_window;
 mod routing;
-mod shed_share;
 mod worked_on;
 
 pub use attempts::{AttemptPool, first_share};
@@ -27,7 +26,7 @@
 pub use learned::LearnedThreshold;
 pub use leaving::{Leaving, LeavingCause};
 pub use limit::{AdaptiveLimit, Outcome};
-pub use load_level::{LEVEL_STEPS, LoadLevel, refused_of_rank, refuses};
+pub use load_level::{LEVEL_STEPS, LoadLevel, refuses};
 pub use origins::Origins;
 pub use presence::{Heard, Presence};
 pub use pressure::Pressure;
@@ -35,7 +34,6 @@
 pub use retry_after::{Refusing, RetryAfter};
 pub use retry_window::RetryWindow;
 pub use routing::{Instance, InstanceReport, choose};
-pub use shed_share::{KindLoad, refused_share};
 pub use worked_on::WorkedOn;
 
 /// A point in time: what has passed of the process's monotonic clock since its start.
--- a/crates/sorrelturn-policy/src/load_level.rs
+++ b/crates/sorrelturn-policy/src/load_level.rs
@@ -9,7 +9,7 @@
 const WINDOW: Duration = Duration::from_millis(50);
 /// The part of its slots that a backend server may be asked for: above it, waits begin to grow and
 /// some backend servers slow down (their knee is at 0.95).
-const TARGET: f64 = 0.95;
+const TARGET: f64 = 0.92;
 /// The load is smoothed over about so many windows. It doesn't depend on what the level refuses, so smoothing it
 /// adds nothing to the delay of the loop; in half a second, a backend server of 36 slots sees some 400 requests.
 const LOAD_WINDOWS: f64 = 12.0;
@@ -35,9 +35,9 @@
 /// The largest share of a rank that is refused for the sake of others: no kind may be starved. What is
 /// left of the lowest rank, a quarter, is a floor that the users' days have for each kind where one of
 /// three instances of the smallest service is left (0.24).
-const MOST_REFUSED: f64 = 0.87;
+const MOST_REFUSED: f64 = 0.75;
 /// What may be refused besides once all ranks have given that up.
-const MORE_REFUSED_OF_ALL: f64 = 0.09;
+const MORE_REFUSED_OF_ALL: f64 = 0.21;
 /// The highest level: the two ranks that the users' route tables have, and one for all alike. Higher,
 /// it would only take longer to come down.
 const MOST_LEVEL: f64 = 3.0;
@@ -166,16 +166,12 @@
     (level - rank as f64).clamp(0.0, 1.0) * MOST_REFUSED
 }
 
-/// The share of a rank that a level refuses: 0 is the lowest of the `ranks` that root requests have. Beyond the
-/// highest rank more is refused of all alike, so that a service that has lost nearly all of its instances isn't
-/// buried.
-pub fn refused_of_rank(level: u16, rank: usize, ranks: usize) -> f64 {
+/// Whether a level refuses a root request that is in the given bucket (0 to 255, lowest first) of
+/// a rank: 0 for the lowest of the `ranks` that root requests have. Beyond the highest rank more is
+/// refused of all alike, so that a service that has lost nearly all of its instances isn't buried.
+pub fn refuses(level: u16, rank: usize, ranks: usize, bucket: u8) -> bool {
     let level = f64::from(level) / f64::from(LEVEL_STEPS);
+    let of_rank = refused_of(level, rank);
     let of_all = (level - ranks as f64).clamp(0.0, 1.0) * MORE_REFUSED_OF_ALL;
-    refused_of(level, rank) + of_all
-}
-
-/// Whether a share is refused that a root request of the given bucket (0 to 255, lowest first) belongs to.
-pub fn refuses(share: f64, bucket: u8) -> bool {
-    f64::from(bucket) < share * 256.0
+    f64::from(bucket) < (of_rank + of_all) * 256.0
 }
--- a/crates/sorrelturn-protocol/src/context.rs
+++ b/crates/sorrelturn-protocol/src/context.rs
@@ -61,9 +61,6 @@
     pub already_retried: bool,
     /// Requests below this priority are shed somewhere in the subtree.
     pub threshold: Priority,
-    /// What a request of this kind takes of the slots for which the threshold is told, in microseconds; 0 if that
-    /// isn't known.
-    pub cost_us: u32,
     /// Calls in flight and queued, in percent of the limit.
     pub load: u16,
     /// The version of the bundle in force at the owner.
