--- a/crates/sorrelturn-bench/src/experiment/play.rs
+++ b/crates/sorrelturn-bench/src/experiment/play.rs
@@ -23,6 +23,8 @@
 const TURNS_AWAY_IN: Duration = Duration::from_micros(500);
 /// A connection to a VM that is gone takes so long to fail.
 const FAILS_IN: Duration = Duration::from_millis(1);
+/// The executions that a call may cost.
+const ATTEMPTS: u32 = 3;
 /// After the last arrival, so long is played on.
 const PLAYED_ON: Duration = Duration::from_secs(10);
 
@@ -70,6 +72,12 @@
     /// The part of those that may make it that runs once more.
     for_repeat: f64,
     deadline: Now,
+    tries: Tries,
+}
+
+/// What the tries of a call have come to so far.
+#[derive(Clone)]
+struct Tries {
     tried: Vec<Incarnation>,
     reroutes: u32,
     turned_away: u32,
@@ -81,6 +89,21 @@
     arrival: Option<Arrival>,
 }
 
+impl Default for Tries {
+    fn default() -> Self {
+        Self {
+            tried: Vec::new(),
+            reroutes: 0,
+            turned_away: 0,
+            turned_away_by: None,
+            attempts_left: ATTEMPTS,
+            sends: 0,
+            at: 0,
+            arrival: None,
+        }
+    }
+}
+
 /// What is known of a root request's caller.
 #[derive(Clone, Copy)]
 struct Caller {
@@ -403,14 +426,7 @@
             repeated: false,
             for_repeat: 0.0,
             deadline: self.now + left,
-            tried: Vec::new(),
-            reroutes: 0,
-            turned_away: 0,
-            turned_away_by: None,
-            attempts_left: 3,
-            sends: 0,
-            at: 0,
-            arrival: None,
+            tries: Tries::default(),
         };
         self.forward(call);
     }
@@ -444,19 +460,19 @@
     fn forward(&mut self, mut call: Call) {
         let service = self.kinds[call.kind].service;
         let daemon = &mut self.daemons[call.from];
-        if call.sends == 0 {
+        if call.tries.sends == 0 {
             daemon.sends(self.now, service, call.for_repeat);
         }
         let (experiment, now) = (self.experiment, self.now);
-        let mut others = call.tried.clone();
-        others.extend(call.turned_away_by);
+        let mut others = call.tries.tried.clone();
+        others.extend(call.tries.turned_away_by);
         let picked = daemon.pick(experiment, now, service, &others, &mut self.rng);
         let Some(at) = picked else {
             return self.over(call, Ended::NotRun(Refusal::NoInstance));
         };
         daemon.starts(service, at);
-        call.at = at;
-        call.sends += 1;
+        call.tries.at = at;
+        call.tries.sends += 1;
         let id = self.id();
         let hop = ms(self.experiment.hop_ms);
         let sent = self.works(call.from);
@@ -534,12 +550,12 @@
             return;
         };
         let kind = &self.kinds[call.kind];
-        let owner = self.first[kind.service] + call.at;
+        let owner = self.first[kind.service] + call.tries.at;
         let crosses = self.domain_of(call.from) != self.domain_of(owner);
         let services = &mut self.outcome.services[kind.service];
         services.crossed += u64::from(crosses);
         services.arrived += 1;
-        services.repeated += u64::from(call.sends > 1 || call.repeated);
+        services.repeated += u64::from(call.tries.sends > 1 || call.repeated);
         let arrival = Arrival {
             id,
             priority: Priority::new(kind.importance, call.bucket),
@@ -548,7 +564,7 @@
             level: call.level,
         };
         if let Some(call) = self.calls.get_mut(&id) {
-            call.arrival = Some(arrival);
+            call.tries.arrival = Some(arrival);
         }
         self.works(owner);
         let gate = &mut self.daemons[owner].gate;
@@ -575,8 +591,8 @@
 
     fn at_gate(&self, id: u64) -> Option<(usize, Arrival)> {
         let call = self.calls.get(&id)?;
-        let owner = self.first[self.kinds[call.kind].service] + call.at;
-        Some((owner, call.arrival?))
+        let owner = self.first[self.kinds[call.kind].service] + call.tries.at;
+        Some((owner, call.tries.arrival?))
     }
 
     /// The backend server is handed a call.
@@ -674,14 +690,7 @@
             repeated: run.repeated,
             for_repeat: self.daemons[run.daemon].worked_on.repeated_part(),
             deadline: call.deadline.min(self.now + self.kinds[next].deadline),
-            tried: Vec::new(),
-            reroutes: 0,
-            turned_away: 0,
-            turned_away_by: None,
-            attempts_left: 3,
-            sends: 0,
-            at: 0,
-            arrival: None,
+            tries: Tries::default(),
         };
         self.forward(nested);
     }
@@ -735,16 +744,16 @@
             Ended::TooLate => InstanceReport::Failed,
             _ => InstanceReport::Answered { load },
         };
-        daemon.ends(self.now, service, call.at, report);
+        daemon.ends(self.now, service, call.tries.at, report);
         if let Some(told) = told {
             daemon.learns(self.now, call.kind, &told);
         }
-        let asked = incarnation(service, call.at);
+        let asked = incarnation(service, call.tries.at);
         if matches!(ended, Ended::NotRun(Refusal::BackendRefused)) {
-            call.turned_away += 1;
-            call.turned_away_by = Some(asked);
+            call.tries.turned_away += 1;
+            call.tries.turned_away_by = Some(asked);
         } else {
-            call.tried.push(asked);
+            call.tries.tried.push(asked);
         }
         if self.goes_on(&mut call, ended) {
             return self.forward(call);
@@ -769,13 +778,13 @@
             refusal,
             already_retried: matches!(ended, Ended::FailedBelow),
             repeatable: self.kinds[call.kind].repeatable,
-            reroutes: call.reroutes,
-            attempts_left: call.attempts_left,
+            reroutes: call.tries.reroutes,
+            attempts_left: call.tries.attempts_left,
             need: 1,
             time_left,
         });
         let step = if reached {
-            after_turned_away(call.turned_away, time_left)
+            after_turned_away(call.tries.turned_away, time_left)
         } else {
             decided
         };
@@ -785,10 +794,10 @@
         let service = self.kinds[call.kind].service;
         let mut paid = || self.daemons[call.from].pays_retry(self.now, service);
         match step {
-            Step::Reroute if !reached => call.reroutes += 1,
+            Step::Reroute if !reached => call.tries.reroutes += 1,
             Step::Reroute if paid() => {}
             Step::Retry if paid() => {
-                call.attempts_left = call.attempts_left.saturating_sub(1);
+                call.tries.attempts_left = call.tries.attempts_left.saturating_sub(1);
                 call.repeated = true;
             }
             _ => return false,
--- a/crates/sorrelturn-daemon/src/backend/link.rs
+++ b/crates/sorrelturn-daemon/src/backend/link.rs
@@ -65,22 +65,23 @@
     /// Sends a request and waits for the head of its answer.
     ///
     /// If that is overdue on a connection that had rested, and none as old brings an answer, the path may be
-    /// silent: the request is sent once more, if `again` gives a copy, and the first answer counts. The first
-    /// sending goes on, since it may be slow only. See `docs/design/silent-connections.md`.
+    /// silent: the request is sent once more, if `again` gave a copy and `pays` allows it, and the first answer counts.
+    /// The first sending goes on, since it may be slow only. See `docs/design/silent-connections.md`.
     pub(crate) async fn send(
         &self,
         ex: &Executor<'static>,
         timers: &Timers,
         req: Request<Body>,
-        again: impl FnOnce() -> Option<Request<Body>>,
+        again: impl FnOnce(&Request<Body>) -> Option<Request<Body>>,
+        pays: impl FnOnce() -> bool,
     ) -> Result<Answered, SendError> {
-        let rests = self.pool.rests();
-        let sent = Instant::now();
-        let mut first = pin!(self.send_once(ex, req));
-        if !rests {
+        if !self.pool.rests() {
             // It goes over a new connection.
-            return first.await;
+            return self.send_once(ex, req).await;
         }
+        let copy = again(&req);
+        let sent = Instant::now();
+        let mut first = pin!(self.send_once(ex, req));
         let in_doubt = async {
             self.pool.in_doubt(timers, sent).await;
             None
@@ -90,7 +91,7 @@
             return result;
         }
         self.pool.forget_unheard_since(sent);
-        let Some(copy) = again() else {
+        let Some(copy) = copy.filter(|_| pays()) else {
             return first.await;
         };
         // Boxed, since it is rare: each request would take the memory for it.
--- a/crates/sorrelturn-daemon/src/config/settings.rs
+++ b/crates/sorrelturn-daemon/src/config/settings.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use sorrelturn_bundle::{Diagnostic, SourceMap, TrustedKeys, parse_settings};
 use sorrelturn_platform::OBJECTS_PATH;
-use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf};
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
 
 /// The settings of one daemon.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -136,9 +136,23 @@
     /// The retries that all daemons together may make besides, in each window of the operator's.
     #[serde(default = "default_retry_slack")]
     pub retry_slack: f64,
-    /// The window in which both are counted, in seconds.
-    #[serde(default = "default_retry_window_s")]
-    pub retry_window_s: f64,
+    /// The window in which both are counted, as text with its unit: `10s` or `1500ms`.
+    #[serde(default = "default_retry_window")]
+    pub retry_window: String,
+}
+
+impl RouteSettings {
+    /// The window of retries; `None` if the text isn't one.
+    pub(crate) fn window(&self) -> Option<Duration> {
+        let text = self.retry_window.trim();
+        let (number, unit_s) = match text.strip_suffix("ms") {
+            Some(number) => (number, 0.001),
+            None => (text.strip_suffix('s')?, 1.0),
+        };
+        let seconds = number.trim().parse::<f64>().ok()? * unit_s;
+        let known = (LEAST_RETRY_WINDOW_S..=MOST_RETRY_WINDOW_S).contains(&seconds);
+        known.then(|| Duration::from_secs_f64(seconds))
+    }
 }
 
 /// The events that are kept for explanations.
@@ -259,8 +273,8 @@
     10.0
 }
 
-fn default_retry_window_s() -> f64 {
-    10.0
+fn default_retry_window() -> String {
+    "10s".to_owned()
 }
 
 fn default_span_buffer() -> usize {
@@ -273,6 +287,11 @@
 /// The most tokens that can be out: about 41 bytes each, and the store's values end at a megabyte.
 const MAX_TOKENS: usize = 20_000;
 
+/// The windows in which retries can be counted, in seconds: a shorter one holds hardly a request of a rare kind, and
+/// of a longer one operators would notice nothing.
+const LEAST_RETRY_WINDOW_S: f64 = 0.1;
+const MOST_RETRY_WINDOW_S: f64 = 3_600.0;
+
 /// What is left for requests after the linger time has to be worth something, in milliseconds: most
 /// requests end within a second.
 const LEAST_AFTER_LINGER_MS: u64 = 1_000;
@@ -336,6 +355,16 @@
             let help = format!("write a number from 1 to {MAX_THREADS}");
             at(&["threads"], &format!("threads is {}", self.threads), &help);
         }
+        if let Some(routes) = &self.routes
+            && routes.window().is_none()
+        {
+            let most = format!("{LEAST_RETRY_WINDOW_S} to {MOST_RETRY_WINDOW_S} seconds");
+            at(
+                &["routes", "retry_window"],
+                &format!("routes.retry_window is {:?}", routes.retry_window),
+                &format!("write a time with its unit, as in 10s or 1500ms, from {most}"),
+            );
+        }
         if self.operators.is_empty() && self.routes.is_none() {
             at(
                 &["operators"],
--- a/crates/sorrelturn-daemon/src/fleet/peers.rs
+++ b/crates/sorrelturn-daemon/src/fleet/peers.rs
@@ -53,7 +53,7 @@
 }
 
 /// What sending to a peer needs of the daemon.
-pub(crate) struct Path<'a> {
+pub(crate) struct Runtime<'a> {
     pub(crate) ex: &'a Executor<'static>,
     pub(crate) timers: &'a Timers,
     pub(crate) keys: &'a FleetKeys,
@@ -100,27 +100,27 @@
     /// what became of the attempt.
     pub(crate) async fn send(
         &self,
-        path: &Path<'_>,
+        runtime: &Runtime<'_>,
         req: Request<Body>,
         attempt: SentAttempt,
     ) -> Result<(Response<Incoming>, PeerLease), SendError> {
         let is_watched = is_read_at_once(req.body());
-        let connect = || self.connect(path.keys, is_watched);
+        let connect = || self.connect(runtime.keys, is_watched);
         let pool = if is_watched {
             &self.watched
         } else {
             &self.unwatched
         };
         let sent = Instant::now();
-        let answered = pool.send(path.ex, req, CONNECT_TIME, connect);
+        let answered = pool.send(runtime.ex, req, CONNECT_TIME, connect);
         let silent = async {
             if !is_watched {
                 // Behind a long request, its answer may take as long as it is.
                 return smol::future::pending().await;
             }
-            pool.in_doubt(path.timers, sent).await;
+            pool.in_doubt(runtime.timers, sent).await;
             // Boxed, since it is rare: each request would take the memory for it.
-            let error = Box::pin(self.fate_of(path, attempt, sent)).await;
+            let error = Box::pin(self.fate_of(runtime, attempt, sent)).await;
             pool.forget_unheard_since(sent);
             Err(error)
         };
@@ -145,29 +145,39 @@
     }
 
     /// Asks what became of an attempt until it is known that its answer won't come.
-    async fn fate_of(&self, path: &Path<'_>, attempt: SentAttempt, sent: Instant) -> SendError {
+    async fn fate_of(
+        &self,
+        runtime: &Runtime<'_>,
+        attempt: SentAttempt,
+        sent: Instant,
+    ) -> SendError {
         let mut pause = ASK_AGAIN;
         loop {
             let too_late = async {
-                path.timers.after(ASK_TIME).await;
+                runtime.timers.after(ASK_TIME).await;
                 None
             };
-            match self.ask(path, attempt, sent).or(too_late).await {
+            match self.ask(runtime, attempt, sent).or(too_late).await {
                 Some(Fate::NeverCame) => return SendError::NeverCame,
                 Some(Fate::Over) => {
-                    path.timers.after(ANSWER_TRAVELS).await;
+                    runtime.timers.after(ANSWER_TRAVELS).await;
                     return SendError::AnswerLost;
                 }
                 // Of a peer that answers nowhere nothing is known.
                 Some(Fate::AtWork) | None => {}
             }
-            path.timers.after(pause).await;
+            runtime.timers.after(pause).await;
             pause = (pause * 2).min(ASK_AGAIN_MOST);
         }
     }
 
     /// Asks over a new connection, which is kept.
-    async fn ask(&self, path: &Path<'_>, attempt: SentAttempt, sent: Instant) -> Option<Fate> {
+    async fn ask(
+        &self,
+        runtime: &Runtime<'_>,
+        attempt: SentAttempt,
+        sent: Instant,
+    ) -> Option<Fate> {
         let question = FateQuestion {
             owner: attempt.owner,
             attempt: attempt.id,
@@ -175,8 +185,10 @@
         };
         let mut req = Request::new(body::full(""));
         headers::set(req.headers_mut(), FATE, &question.encode());
-        let connect = self.connect(path.keys, true);
-        let answered = self.watched.send_new(path.ex, req, CONNECT_TIME, connect);
+        let connect = self.connect(runtime.keys, true);
+        let answered = self
+            .watched
+            .send_new(runtime.ex, req, CONNECT_TIME, connect);
         let (res, lease) = answered.await.ok()?;
         lease.give_back();
         let fate = res.headers().get(FATE)?;
--- a/crates/sorrelturn-daemon/src/request/exchange.rs
+++ b/crates/sorrelturn-daemon/src/request/exchange.rs
@@ -1,7 +1,7 @@
 //! One exchange with one instance, and what its failure means.
 
 use crate::{
-    fleet::peers::{Path, PeerLease, SentAttempt},
+    fleet::peers::{PeerLease, Runtime, SentAttempt},
     fleet::routes::Route,
     net::pool::SendError,
     node::Node,
@@ -71,7 +71,7 @@
         return serve.or(too_late).await;
     }
     headers::set(req.headers_mut(), CONTEXT, &call.context.encode());
-    let path = Path {
+    let runtime = Runtime {
         ex: &node.ex,
         timers: &node.timers,
         keys: &node.keys,
@@ -81,7 +81,7 @@
         id: attempt_id(&call.context),
     };
     let send = async {
-        match route.link.send(&path, req, attempt).await {
+        match route.link.send(&runtime, req, attempt).await {
             Ok((res, lease)) => reply_of(node, call, res, lease),
             Err(SendError::Full) => Err(Failure::Full),
             Err(SendError::NotSent) => Err(Failure::NotSent),
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -120,9 +120,9 @@
             return unused(self.refused(Refusal::Leaving), share);
         };
         let node = Arc::clone(&self.node);
-        let copy = self.copy(&req);
-        let again = || copy.filter(|_| self.pays_second_sending());
-        let sent = node.backend.send(&node.ex, &node.timers, req, again);
+        let again = |req: &Request<Body>| self.copy(req);
+        let pays = || self.pays_second_sending();
+        let sent = node.backend.send(&node.ex, &node.timers, req, again, pays);
         let exchange = async { Some(sent.await) };
         let too_late = async {
             let deadline = node.timers.at(self.deadline + LAST_WORD);
--- a/crates/sorrelturn-daemon/tests/settings.rs
+++ b/crates/sorrelturn-daemon/tests/settings.rs
@@ -150,3 +150,21 @@
     assert_eq!(missing.status.code(), Some(2));
     assert!(String::from_utf8_lossy(&missing.stderr).contains("help:"));
 }
+
+#[test]
+fn the_window_of_retries_is_a_time_with_its_unit() {
+    let with = |window: &str| {
+        let routes =
+            format!(r#""routes": {{ "object": "config/main", "retry_window": "{window}" }},"#);
+        let text = default_text().replacen(r#""threads""#, &format!("{routes} \"threads\""), 1);
+        Settings::parse("it.jsonc", &text)
+    };
+    for right in ["10s", "1500ms", "0.5s"] {
+        assert!(with(right).is_ok(), "{right}");
+    }
+    for wrong in ["10", "", "-3s", "0ms", "NaNs", "9999s"] {
+        let findings = with(wrong).expect_err(wrong);
+        let shown = findings.iter().map(ToString::to_string).collect::<String>();
+        assert!(shown.contains("as in 10s or 1500ms"), "{wrong}: {shown}");
+    }
+}
