--- a/crates/sorrelturn-daemon/src/config/settings.rs
+++ b/crates/sorrelturn-daemon/src/config/settings.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use sorrelturn_bundle::{Diagnostic, SourceMap, TrustedKeys, parse_settings};
 use sorrelturn_platform::OBJECTS_PATH;
-use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf};
 
 /// The settings of one daemon.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -136,23 +136,9 @@
     /// The retries that all daemons together may make besides, in each window of the operator's.
     #[serde(default = "default_retry_slack")]
     pub retry_slack: f64,
-    /// The window in which both are counted, as text with its unit: `10s` or `1500ms`.
-    #[serde(default = "default_retry_window")]
-    pub retry_window: String,
-}
-
-impl RouteSettings {
-    /// The window of retries; `None` if the text isn't one.
-    pub(crate) fn window(&self) -> Option<Duration> {
-        let text = self.retry_window.trim();
-        let (number, unit_s) = match text.strip_suffix("ms") {
-            Some(number) => (number, 0.001),
-            None => (text.strip_suffix('s')?, 1.0),
-        };
-        let seconds = number.trim().parse::<f64>().ok()? * unit_s;
-        let known = (LEAST_RETRY_WINDOW_S..=MOST_RETRY_WINDOW_S).contains(&seconds);
-        known.then(|| Duration::from_secs_f64(seconds))
-    }
+    /// The window in which both are counted, in seconds.
+    #[serde(default = "default_retry_window_s")]
+    pub retry_window_s: f64,
 }
 
 /// The events that are kept for explanations.
@@ -273,8 +259,8 @@
     10.0
 }
 
-fn default_retry_window() -> String {
-    "10s".to_owned()
+fn default_retry_window_s() -> f64 {
+    10.0
 }
 
 fn default_span_buffer() -> usize {
@@ -356,13 +342,12 @@
             at(&["threads"], &format!("threads is {}", self.threads), &help);
         }
         if let Some(routes) = &self.routes
-            && routes.window().is_none()
+            && !(LEAST_RETRY_WINDOW_S..=MOST_RETRY_WINDOW_S).contains(&routes.retry_window_s)
         {
-            let most = format!("{LEAST_RETRY_WINDOW_S} to {MOST_RETRY_WINDOW_S} seconds");
             at(
-                &["routes", "retry_window"],
-                &format!("routes.retry_window is {:?}", routes.retry_window),
-                &format!("write a time with its unit, as in 10s or 1500ms, from {most}"),
+                &["routes", "retry_window_s"],
+                &format!("routes.retry_window_s is {}", routes.retry_window_s),
+                &format!("write seconds from {LEAST_RETRY_WINDOW_S} to {MOST_RETRY_WINDOW_S}"),
             );
         }
         if self.operators.is_empty() && self.routes.is_none() {
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -236,7 +236,7 @@
         RetryTerms {
             ratio: routes.retry_ratio,
             slack: routes.retry_slack * RETRY_SLACK_USED / members.max(LEAST_SHARERS) as f64,
-            window: routes.window().unwrap_or(RetryTerms::default().window),
+            window: Duration::from_secs_f64(routes.retry_window_s),
         }
     }
 
