--- a/crates/sorrelturn-bench/src/experiment/daemon.rs
+++ b/crates/sorrelturn-bench/src/experiment/daemon.rs
@@ -25,11 +25,16 @@
     refusing: Refusing,
 }
 
+/// What a daemon knows of one instance.
+struct Route {
+    stats: Instance,
+}
+
 /// A daemon with the gate before its backend server.
 pub(super) struct Daemon {
     kinds: Vec<KindState>,
-    /// For each service, what is known of its instances.
-    stats: Vec<Vec<Instance>>,
+    /// For each service, its instances.
+    routes: Vec<Vec<Route>>,
     /// For each service.
     retries: Vec<RetryWindow>,
     pub(super) gate: Gate,
@@ -63,10 +68,12 @@
         now: Now,
     ) -> Self {
         let near_first = experiment.is_on(Mechanism::NearFirst);
-        let stats = site.domains.iter().enumerate().map(|(service, domains)| {
+        let routes = site.domains.iter().enumerate().map(|(service, domains)| {
             let instances = domains.iter().enumerate().map(|(at, its)| {
                 let near = !near_first || *its == domain;
-                Instance::new(incarnation(service, at), near, Duration::ZERO, now)
+                Route {
+                    stats: Instance::new(incarnation(service, at), near, Duration::ZERO, now),
+                }
             });
             instances.collect()
         });
@@ -82,7 +89,7 @@
         };
         Self {
             kinds: experiment.kinds.iter().map(|_| KindState::new()).collect(),
-            stats: stats.collect(),
+            routes: routes.collect(),
             retries: site
                 .domains
                 .iter()
@@ -163,24 +170,25 @@
         tried: &[Incarnation],
         rng: &mut Rng,
     ) -> Option<usize> {
-        let instances = &self.stats[service];
+        let instances = &self.routes[service];
         if experiment.is_on(Mechanism::ChoiceByLoad) {
-            return choose(instances.iter(), now, tried, rng);
+            let stats = instances.iter().map(|route| &route.stats);
+            return choose(stats, now, tried, rng);
         }
         let open: Vec<usize> = (0..instances.len())
-            .filter(|at| !tried.contains(&instances[*at].incarnation))
+            .filter(|at| !tried.contains(&instances[*at].stats.incarnation))
             .collect();
         rng.choice(open)
     }
 
     /// A call goes out to an instance.
     pub(super) fn starts(&self, service: usize, at: usize) {
-        self.stats[service][at].started();
+        self.routes[service][at].stats.started();
     }
 
     /// A call is over.
     pub(super) fn ends(&self, now: Now, service: usize, at: usize, report: InstanceReport) {
-        self.stats[service][at].finished(now, report);
+        self.routes[service][at].stats.finished(now, report);
     }
 
     /// Learns what an answer tells.
