An attempt that was fenced off by a question given up meanwhile is sent again

After: the owner's word on such an attempt says that it never came, and the sender sends another one. The test stays unchanged.

--- a/crates/sorrelturn-daemon/src/net/serve.rs
+++ b/crates/sorrelturn-daemon/src/net/serve.rs
@@ -301,8 +301,9 @@
     headers::strip_internal(req.headers_mut());
     let req = req.map(|body| body::guarded(&node.timers, body, |_| {}));
     let Some(_guard) = AttemptGuard::begin(node, attempt_id(&context)) else {
-        // Its sender was told that it never came and hears nothing of this.
-        return Reply::not_run(Refusal::BackendUnreachable).into_peer_response();
+        // Its sender was told that it never came, or had given the question up before this word was out: then it
+        // hears it now, and may send another attempt.
+        return told(Fate::NeverCame);
     };
     owner::serve(node, context, req).await.into_peer_response()
 }
@@ -326,9 +327,14 @@
             Field::new("fate", format!("{fate:?}").to_lowercase()),
         ],
     );
+    Some(told(fate))
+}
+
+/// The word on what became of an attempt.
+fn told(fate: Fate) -> Response<Body> {
     let mut res = status(StatusCode::NO_CONTENT);
     headers::set(res.headers_mut(), FATE, &fate.encode());
-    Some(res)
+    res
 }
 
 /// Counts an attempt of a peer as at work while it lives.
--- a/crates/sorrelturn-daemon/src/request/exchange.rs
+++ b/crates/sorrelturn-daemon/src/request/exchange.rs
@@ -15,8 +15,8 @@
 use smol::future::FutureExt;
 use sorrelturn_policy::InstanceReport;
 use sorrelturn_protocol::{
-    AnswerContext, AttemptId, CallContext, Refusal, Verdict,
-    headers::{ANSWER, CONTEXT},
+    AnswerContext, AttemptId, CallContext, Fate, Refusal, Verdict,
+    headers::{ANSWER, CONTEXT, FATE},
 };
 use std::sync::Arc;
 
@@ -25,7 +25,7 @@
     Full,
     NotSent,
     Broke,
-    /// The connection is silent and the owner never had the call.
+    /// The owner never had the call, since its connection is silent, or refuses it as one that never came.
     NeverCame,
     /// The connection is silent and the answer was lost on it.
     AnswerLost,
@@ -107,6 +107,14 @@
     mut res: Response<Incoming>,
     lease: PeerLease,
 ) -> Result<Reply, Failure> {
+    if let Some(fate) = res.headers().get(FATE) {
+        lease.give_back();
+        let never_came = Fate::decode(fate.as_bytes()) == Ok(Fate::NeverCame);
+        return Err(match never_came {
+            true => Failure::NeverCame,
+            false => Failure::Broke,
+        });
+    }
     let context = res
         .headers_mut()
         .remove(ANSWER)
