Tests keep the ports of their daemons while these are away

Cause: the last run of the checks failed in a_daemon_that_starts_anew_in_an_outage_of_the_store_is_found_by_the_others: "Address already in use" for 60 s. A port of a daemon that has ended is free, and the kernel gives it to whoever asks for any port next; tests run beside one another and open hundreds of connections. Ruled out: a wall-clock threshold of the test (it waits 60 s for the port). Not ruled out by a run: that the listener of the last run lived on; the port itself was not traced on the machine that failed. Change: the fleet binds a socket for each of its listeners and never listens on it; daemons share the port by SO_REUSEADDR, which they set already.

--- a/crates/sorrelturn-bench/src/fleet.rs
+++ b/crates/sorrelturn-bench/src/fleet.rs
@@ -144,13 +144,6 @@
     }
 }
 
-/// The part of a settings file that names the listeners of our own interface, each at a free port.
-pub(crate) fn free_ports() -> String {
-    ["callers", "local", "peers", "control", "admin"]
-        .map(|name| format!(r#""{name}": "127.0.0.1:0""#))
-        .join(", ")
-}
-
 /// Publishes a bundle on top of whatever there is.
 pub async fn publish_bundle(platform: &Platform, bundle: &BundleSource) -> SignedManifest {
     let head = read_head(platform).await.expect("the stand-in answers");
--- a/crates/sorrelturn-bench/src/routed_fleet.rs
+++ b/crates/sorrelturn-bench/src/routed_fleet.rs
@@ -1,8 +1,7 @@
 //! A small fleet on loopback whose kinds are told by routes, beside scripted backend servers.
 
 use crate::{
-    Relay, RoutedBackend,
-    fleet::free_ports,
+    KeptPorts, Relay, RoutedBackend,
     processes::{Process, play_faults},
 };
 use bytes::Bytes;
@@ -36,6 +35,8 @@
     pub backend: RoutedBackend,
     /// Where the daemon listens.
     pub addresses: ListenSettings,
+    /// Those ports, for the daemon's next run.
+    _ports: KeptPorts,
     /// The daemon's settings, to start it anew.
     pub settings: Settings,
     /// The daemon, until it is stopped.
@@ -169,7 +170,8 @@
     async fn start_instance(&self, number: usize, service: &str) -> RoutedInstance {
         let backend = RoutedBackend::new(&self.dialect.headers, &format!("b-{number}"));
         let backend_addr = backend.serve(&self.ex).await.expect("a free port");
-        let mut settings = self.settings(number, service, backend_addr);
+        let (ports, listen) = KeptPorts::of_routed_daemon().expect("free ports");
+        let mut settings = self.settings(number, service, &listen, backend_addr);
         let mut paths = None;
         if self.has_paths {
             let opened = Paths::open(&self.ex).await;
@@ -184,6 +186,7 @@
         RoutedInstance {
             backend,
             addresses: daemon.addresses,
+            _ports: ports,
             settings,
             daemon: Some(daemon),
             process: None,
@@ -203,13 +206,18 @@
         Daemon::start(settings, self.dialect.clone(), Arc::clone(&self.ex)).await
     }
 
-    fn settings(&self, number: usize, service: &str, backend: SocketAddr) -> Settings {
-        let ports = free_ports();
+    fn settings(
+        &self,
+        number: usize,
+        service: &str,
+        listen: &ListenSettings,
+        backend: SocketAddr,
+    ) -> Settings {
+        let listen = serde_json::to_string(listen).expect("addresses are JSON");
         let text = format!(
             r#"{{
                 "instance": "i-{number}", "service": "{service}", "failure_domain": "d",
-                "listen": {{ {ports},
-                    "routed": "127.0.0.1:0", "announce": "127.0.0.1:0", "ready": "127.0.0.1:0" }},
+                "listen": {listen},
                 "backend": {{ "address": "{backend}" }},
                 "platform": {{ "address": "{}" }},
                 "routes": {{ "object": "{TABLE}", "retry_slack": {RETRY_SLACK} }},
@@ -255,8 +263,7 @@
 
     /// Starts the next run of a daemon that has stopped, which listens where the last one did.
     pub async fn start_anew(&mut self, at: usize) {
-        let mut settings = self.instances[at].settings.clone();
-        settings.listen = self.instances[at].addresses;
+        let settings = self.instances[at].settings.clone();
         let end = Instant::now() + WAIT;
         // The tasks that listened for the last run end a little later than it.
         let daemon = loop {
@@ -285,10 +292,9 @@
     /// Starts a process for an instance whose daemon has ended.
     pub async fn start_process(&mut self, at: usize, folder: &Path) {
         let instance = &mut self.instances[at];
-        let mut settings = instance.settings.clone();
-        settings.listen = instance.addresses;
+        let settings = &instance.settings;
         let file = folder.join(format!("{}.jsonc", settings.instance));
-        let text = serde_json::to_string_pretty(&settings).expect("settings are JSON");
+        let text = serde_json::to_string_pretty(settings).expect("settings are JSON");
         std::fs::write(&file, text).expect("the folder can be written");
         let file = file.display().to_string();
         // The tasks that listened for the last run end a little later than it.
