Plays: each try of a caller has its own place in the order of shedding

Cause: in the plays of callers that come back a request kept its bucket at its second try, so whoever was refused by it was refused by it again. The daemons take the bucket from the id, and each try of a caller has an id of its own (the platform's protocol page, and request.keep_bucket() in routed.rs). The plays were wrong, not the product; no check is changed.

--- a/crates/sorrelturn-bench/src/experiment/play.rs
+++ b/crates/sorrelturn-bench/src/experiment/play.rs
@@ -136,7 +136,7 @@
 
 enum Event {
     NextDue(usize),
-    Root(usize, Caller, u8),
+    Root(usize, Caller),
     Arrives(u64),
     WaitOver(u64),
     TurnedAway(u64),
@@ -317,7 +317,7 @@
     fn happens(&mut self, event: Event) {
         match event {
             Event::NextDue(kind) => self.arrives_from_callers(kind),
-            Event::Root(kind, caller, bucket) => self.root(kind, caller, bucket),
+            Event::Root(kind, caller) => self.root(kind, caller),
             Event::Arrives(call) => self.arrives(call),
             Event::WaitOver(call) => self.wait_over(call),
             Event::TurnedAway(call) => self.turned_away(call),
@@ -366,9 +366,8 @@
                 most_tries: 1 + self.kinds[kind].returns + more,
                 impatient,
             };
-            let bucket = self.rng.u8(..);
             self.count(kind, &caller, |counts| counts.asked += 1);
-            self.root(kind, caller, bucket);
+            self.root(kind, caller);
         }
     }
 
@@ -395,8 +394,10 @@
     }
 
     /// A try of a caller reaches a daemon.
-    fn root(&mut self, kind: usize, mut caller: Caller, bucket: u8) {
+    fn root(&mut self, kind: usize, mut caller: Caller) {
         caller.tries += 1;
+        // Each try has an id of its own, and with it its own place in the order of shedding.
+        let bucket = self.rng.u8(..);
         let left = (caller.first_sent + self.kinds[kind].deadline).saturating_sub(self.now);
         if left.is_zero() {
             return self.count(kind, &caller, |counts| counts.failed += 1);
@@ -405,16 +406,16 @@
             .filter(|daemon| !self.is_lost(*daemon))
             .collect();
         let Some(from) = self.rng.choice(live) else {
-            return self.failed(kind, caller, bucket);
+            return self.failed(kind, caller);
         };
         if self.now < self.taken_from {
-            return self.failed(kind, caller, bucket);
+            return self.failed(kind, caller);
         }
         let rank = self.kinds[kind].rank;
         let (experiment, now) = (self.experiment, self.now);
         if self.daemons[from].refuses(experiment, now, kind, rank, bucket, left) {
             let told = self.daemons[from].come_back(experiment, now, kind, &mut self.rng);
-            return self.refused(kind, caller, bucket, told);
+            return self.refused(kind, caller, told);
         }
         let call = Call {
             kind,
@@ -432,7 +433,7 @@
     }
 
     /// A caller is refused: it comes back as told, if it still may.
-    fn refused(&mut self, kind: usize, caller: Caller, bucket: u8, told: Duration) {
+    fn refused(&mut self, kind: usize, caller: Caller, told: Duration) {
         if caller.tries >= caller.most_tries {
             return self.count(kind, &caller, |counts| {
                 counts.refused += 1;
@@ -445,15 +446,15 @@
         } else {
             told.min(left / PATIENCE)
         };
-        self.after(wait, Event::Root(kind, caller, bucket));
+        self.after(wait, Event::Root(kind, caller));
     }
 
     /// A caller's request failed: it tries again where that harms nobody.
-    fn failed(&mut self, kind: usize, caller: Caller, bucket: u8) {
+    fn failed(&mut self, kind: usize, caller: Caller) {
         if caller.tries >= caller.most_tries || !self.kinds[kind].repeatable {
             return self.count(kind, &caller, |counts| counts.failed += 1);
         }
-        self.after(ms(50.0), Event::Root(kind, caller, bucket));
+        self.after(ms(50.0), Event::Root(kind, caller));
     }
 
     /// Sends a call to the better of two instances.
@@ -836,9 +837,9 @@
                 let (experiment, now) = (self.experiment, self.now);
                 let daemon = &mut self.daemons[call.from];
                 let told = daemon.come_back(experiment, now, kind, &mut self.rng);
-                self.refused(kind, caller, call.bucket, told);
+                self.refused(kind, caller, told);
             }
-            Ended::FailedBelow | Ended::TooLate => self.failed(kind, caller, call.bucket),
+            Ended::FailedBelow | Ended::TooLate => self.failed(kind, caller),
         }
     }
 
@@ -876,7 +877,7 @@
         // A map's order isn't the same in every run.
         roots.sort_unstable_by_key(|(id, _)| *id);
         for (_, call) in roots {
-            self.failed(call.kind, call.caller, call.bucket);
+            self.failed(call.kind, call.caller);
         }
         self.start_daemons();
     }
--- a/crates/sorrelturn-bench/src/returns.rs
+++ b/crates/sorrelturn-bench/src/returns.rs
@@ -401,6 +401,8 @@
         });
         if req.tries == 1 {
             req.tries = 2;
+            // Each try has an id of its own, and with it its own place in the order.
+            req.bucket = self.rng.u8(..);
             req.as_told = told <= left / PATIENCE;
             self.after(told.min(left / PATIENCE), Event::Arrives(req));
         }
