Reads wait for the reactor's word; signals have a task of their own

Cause: one request cost each daemon on its way 26.4 system calls (strace -c, two daemons with one thread, 500 requests/s): 12 reads, 10 of which found nothing, since hyper looks for more whenever its task is woken; and one read of the signals' socket at each wake-up of the main thread. Hypothesis: without them a daemon whose processor binds serves more. Change: ReadySocket reads only once the reactor has seen the socket readable, and after a short read waits for the next word. Signals are passed on by a task that is woken by them alone. What lies behind a request is taken in by 1 KB, not 8 KB: each look set that memory to zero, 2.2 % of the processor time.

--- a/crates/sorrelturn-daemon/src/backend/link.rs
+++ b/crates/sorrelturn-daemon/src/backend/link.rs
@@ -7,6 +7,7 @@
 };
 use hyper::{Request, Response, body::Incoming};
 use smol::{Executor, future::FutureExt, net::TcpStream};
+use sorrelturn_platform::ReadySocket;
 use std::{
     net::SocketAddr,
     pin::pin,
@@ -118,7 +119,7 @@
             let tcp = TcpStream::connect(self.addr).await?;
             tcp.set_nodelay(true)?;
             Ok(Opened {
-                stream: Box::new(tcp.clone()),
+                stream: Box::new(ReadySocket::new(tcp.clone())),
                 socket: tcp,
             })
         };
--- a/crates/sorrelturn-daemon/src/net/serve.rs
+++ b/crates/sorrelturn-daemon/src/net/serve.rs
@@ -25,7 +25,7 @@
     io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream},
 };
-use sorrelturn_platform::hyper_server_io;
+use sorrelturn_platform::{ReadySocket, hyper_server_io};
 use sorrelturn_protocol::{
     AttemptId, CallContext, Fate, FateQuestion, Refusal,
     headers::{CONTEXT, FATE},
@@ -150,7 +150,8 @@
             entry::serve(&node, ip, req).await
         }
     };
-    let _ = http1(timers, tcp, Some(&conn), HEAD_TIME, closing, answer).await;
+    let stream = ReadySocket::new(tcp);
+    let _ = http1(timers, stream, Some(&conn), HEAD_TIME, closing, answer).await;
 }
 
 /// A connection for requests that are told by routes.
@@ -200,7 +201,8 @@
     let Accepted { tcp, conn } = accepted;
     let timers = node.timers.clone();
     let answer = async |req| serve(&node, req).await;
-    let _ = http1(timers, tcp, Some(&conn), head_time, closing, answer).await;
+    let stream = ReadySocket::new(tcp);
+    let _ = http1(timers, stream, Some(&conn), head_time, closing, answer).await;
 }
 
 /// Serves a connection; `head_time` is the longest time for the head of each request, the wait for
--- a/crates/sorrelturn-daemon/src/net/stream.rs
+++ b/crates/sorrelturn-daemon/src/net/stream.rs
@@ -12,6 +12,7 @@
     io::{AsyncRead, AsyncWrite},
     net::TcpStream,
 };
+use sorrelturn_platform::ReadySocket;
 use std::{io, path::Path, sync::Arc};
 
 /// The name that every daemon's certificate carries; who a daemon is comes from its record.
@@ -74,19 +75,21 @@
         tcp.set_nodelay(true)?;
         let pair = self.current.load_full();
         let Some(pair) = pair.as_ref() else {
-            return Ok(Box::new(tcp));
+            return Ok(Box::new(ReadySocket::new(tcp)));
         };
         let name = ServerName::try_from(FLEET_NAME).map_err(io::Error::other)?;
-        Ok(Box::new(pair.connector.connect(name, tcp).await?))
+        Ok(Box::new(
+            pair.connector.connect(name, ReadySocket::new(tcp)).await?,
+        ))
     }
 
     /// The server's side of a new connection; fails for a stranger.
     pub(crate) async fn accept(&self, tcp: TcpStream) -> io::Result<BoxStream> {
         let pair = self.current.load_full();
         let Some(pair) = pair.as_ref() else {
-            return Ok(Box::new(tcp));
+            return Ok(Box::new(ReadySocket::new(tcp)));
         };
-        Ok(Box::new(pair.acceptor.accept(tcp).await?))
+        Ok(Box::new(pair.acceptor.accept(ReadySocket::new(tcp)).await?))
     }
 }
 
--- a/crates/sorrelturn-daemon/src/process.rs
+++ b/crates/sorrelturn-daemon/src/process.rs
@@ -107,7 +107,7 @@
     dialect: Dialect,
     ex: Arc<Executor<'static>>,
 ) -> ExitCode {
-    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
+    let signals = signals(&ex);
     let daemon = match Daemon::start(settings, dialect, ex).await {
         Ok(daemon) => daemon,
         Err(error) => {
@@ -119,13 +119,8 @@
         "{}",
         serde_json::to_string(&daemon.addresses).unwrap_or_default()
     );
-    match signals {
-        Ok(mut signals) => {
-            while let Some(Ok(Signal::Hup)) = signals.next().await {
-                daemon.settings_changed(read(file));
-            }
-        }
-        Err(error) => log::error!(target: "sorrelturn", "can't wait for signals: {error}"),
+    while let Ok(Signal::Hup) = signals.recv().await {
+        daemon.settings_changed(read(file));
     }
     if daemon.stop().await {
         ExitCode::SUCCESS
@@ -133,3 +128,25 @@
         ExitCode::from(EXIT_CUT)
     }
 }
+
+/// The signals of the process, as they come. The main thread looks for them whenever it wakes, and a look at the
+/// signals themselves would be a system call; a task of their own looks only when there are some.
+fn signals(ex: &Arc<Executor<'static>>) -> channel::Receiver<Signal> {
+    let (tx, rx) = channel::unbounded();
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
+    let pass_on = async move {
+        let failed = match signals {
+            Ok(mut signals) => loop {
+                match signals.next().await {
+                    Some(Ok(signal)) if tx.send(signal).await.is_ok() => {}
+                    Some(Err(error)) => break error,
+                    _ => return,
+                }
+            },
+            Err(error) => error,
+        };
+        log::error!(target: "sorrelturn", "can't wait for signals: {failed}");
+    };
+    ex.spawn(pass_on).detach();
+    rx
+}
--- a/crates/sorrelturn-platform/src/lib.rs
+++ b/crates/sorrelturn-platform/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod http;
 mod hyper_io;
 mod read_ahead;
+mod ready_socket;
 mod stand_in;
 mod store;
 
@@ -12,4 +13,5 @@
 pub use client::{Expected, OBJECTS_PATH, Platform, PlatformError};
 pub use hyper_io::{WokenWrites, hyper_io, hyper_server_io};
 pub use read_ahead::ReadAhead;
+pub use ready_socket::ReadySocket;
 pub use stand_in::{StandIn, serve};
--- a/crates/sorrelturn-platform/src/read_ahead.rs
+++ b/crates/sorrelturn-platform/src/read_ahead.rs
@@ -18,7 +18,7 @@
 /// request. Of a client that has sent more, the close often can't arrive before that is read.
 const AHEAD_BYTES: usize = 64 << 10;
 /// The most that is taken in at once, in bytes; most of what lies behind a request is shorter.
-const PIECE_BYTES: usize = 8 << 10;
+const PIECE_BYTES: usize = 1 << 10;
 
 /// The server's end of a connection, which fails as soon as the client has closed it.
 pub struct ReadAhead<S> {
