A call that was turned away asks each instance once on our own interface; one lock for the requests at work

Parents held the requests at the backend server and their sums behind two locks, taken one after the other for each request; one now. RetryBucket::with_burst had one user and is gone.

--- a/crates/sorrelturn-bench/src/backend.rs
+++ b/crates/sorrelturn-bench/src/backend.rs
@@ -35,6 +35,7 @@
 pub struct FakeBackend {
     state: Arc<Mutex<State>>,
     executions: Arc<AtomicU64>,
+    refused: Arc<AtomicU64>,
     cancelled: Arc<AtomicU64>,
 }
 
@@ -118,6 +119,11 @@
         self.executions.load(Ordering::Relaxed)
     }
 
+    /// How many requests were refused before any work.
+    pub fn refused(&self) -> u64 {
+        self.refused.load(Ordering::Relaxed)
+    }
+
     /// How many requests were dropped by their caller.
     pub fn cancelled(&self) -> u64 {
         self.cancelled.load(Ordering::Relaxed)
@@ -183,6 +189,7 @@
             )
         };
         if plan.fault == Fault::Refuses {
+            self.refused.fetch_add(1, Ordering::Relaxed);
             return whole(StatusCode::SERVICE_UNAVAILABLE, "busy");
         }
         let mut running = Running {
--- a/crates/sorrelturn-daemon/src/request/forward.rs
+++ b/crates/sorrelturn-daemon/src/request/forward.rs
@@ -153,7 +153,7 @@
     if was_silent {
         // The instance is there and may be asked again, by another attempt than the one that it refuses now.
         call.context.parent = SpanId::random(&mut fastrand::Rng::new());
-    } else if turned_away(&reply) {
+    } else if reached_and_turned_away(node, &reply) {
         // Its daemon had a slot, so it may well take the call the next time.
         progress.turned_away += 1;
         progress.turned_away_by = Some(route.record.incarnation);
@@ -247,9 +247,10 @@
     choose(stats, now, &left_out, &mut rng).map(|at| Arc::clone(&instances[at]))
 }
 
-/// Whether the backend server turned the call away though its daemon had a slot for it.
-fn turned_away(reply: &Reply) -> bool {
-    reply.context.refusal == Some(Refusal::BackendRefused)
+/// Whether the backend server turned the call away though its daemon had a slot for it, where that counts as having
+/// reached it, as a retry does: where routes tell kinds.
+fn reached_and_turned_away(node: &Node, reply: &Reply) -> bool {
+    node.routed.is_some() && reply.context.refusal == Some(Refusal::BackendRefused)
 }
 
 fn request(node: &Node, call: &mut Call, progress: &mut Progress) -> Option<Request<Body>> {
@@ -329,8 +330,7 @@
         need: call.kind.need,
         time_left,
     };
-    // A request that a backend server turned away has reached it, as a retry does.
-    let reached = turned_away(reply) && node.routed.is_some();
+    let reached = reached_and_turned_away(node, reply);
     let step = if reached {
         after_turned_away(progress.turned_away, time_left)
     } else {
--- a/crates/sorrelturn-daemon/src/request/parents.rs
+++ b/crates/sorrelturn-daemon/src/request/parents.rs
@@ -49,8 +49,27 @@
 /// All requests at the backend server.
 #[derive(Default)]
 pub(crate) struct Parents {
-    by_span: Mutex<HashMap<SpanId, Arc<Parent>>>,
-    sums: Mutex<WorkedOn>,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    by_span: HashMap<SpanId, Arc<Parent>>,
+    sums: WorkedOn,
+}
+
+impl Inner {
+    fn begin(&mut self, parent: &Arc<Parent>) {
+        let context = &parent.context;
+        self.sums.begin(context.level, context.repeated);
+        self.by_span.insert(parent.span, Arc::clone(parent));
+    }
+
+    fn end(&mut self, parent: &Parent) {
+        let context = &parent.context;
+        self.sums.end(context.level, context.repeated);
+        self.by_span.remove(&parent.span);
+    }
 }
 
 /// Keeps a parent registered; when it is dropped, its nested calls are cancelled.
@@ -79,9 +98,7 @@
             deadline,
             cancelled,
         });
-        parents.lock().insert(span, Arc::clone(&parent));
-        let (level, repeated) = (parent.context.level, parent.context.repeated);
-        lock(&parents.sums).begin(level, repeated);
+        lock(&parents.inner).begin(&parent);
         Self {
             parents: Arc::clone(parents),
             parent,
@@ -97,9 +114,7 @@
 
 impl Drop for ParentGuard {
     fn drop(&mut self) {
-        self.parents.lock().remove(&self.parent.span);
-        let context = &self.parent.context;
-        lock(&self.parents.sums).end(context.level, context.repeated);
+        lock(&self.parents.inner).end(&self.parent);
     }
 }
 
@@ -108,12 +123,13 @@
     /// request of that trace is here. Backend servers that make spans of their own pass only the
     /// trace on.
     pub(crate) fn find(&self, span: Option<SpanId>, trace: Option<u128>) -> Option<Arc<Parent>> {
-        let by_span = self.lock();
-        if let Some(parent) = span.and_then(|span| by_span.get(&span)) {
+        let inner = lock(&self.inner);
+        if let Some(parent) = span.and_then(|span| inner.by_span.get(&span)) {
             return Some(Arc::clone(parent));
         }
         let trace = trace?;
-        let mut of_trace = by_span
+        let mut of_trace = inner
+            .by_span
             .values()
             .filter(|parent| parent.context.trace == trace);
         let only = of_trace.next()?;
@@ -122,13 +138,13 @@
 
     /// What is known of all together.
     pub(crate) fn sums(&self) -> WorkedOn {
-        *lock(&self.sums)
+        lock(&self.inner).sums
     }
 
     /// The requests that may have made a call that ends at `end`, in groups.
     pub(crate) fn may_call_until(&self, end: Now) -> Vec<Candidate> {
         let mut groups: Vec<Candidate> = Vec::new();
-        for parent in self.lock().values() {
+        for parent in lock(&self.inner).by_span.values() {
             if parent.deadline + END_TOLERANCE < end {
                 continue;
             }
@@ -148,8 +164,4 @@
         }
         groups
     }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SpanId, Arc<Parent>>> {
-        lock(&self.by_span)
-    }
 }
--- a/crates/sorrelturn-policy/src/bucket.rs
+++ b/crates/sorrelturn-policy/src/bucket.rs
@@ -40,28 +40,21 @@
 #[derive(Clone, Debug)]
 pub struct RetryBucket {
     fraction: f64,
-    burst: f64,
     tokens: f64,
 }
 
 impl RetryBucket {
     /// A full bucket; each success pays for `fraction` of a retry.
     pub fn new(fraction: f64) -> Self {
-        Self::with_burst(fraction, RETRY_BURST)
-    }
-
-    /// As [`RetryBucket::new`], with a burst of this many retries paid for in advance.
-    pub fn with_burst(fraction: f64, burst: f64) -> Self {
         Self {
             fraction,
-            burst,
-            tokens: burst,
+            tokens: RETRY_BURST,
         }
     }
 
     /// A call succeeded.
     pub fn succeeded(&mut self) {
-        self.tokens = (self.tokens + self.fraction).min(self.burst);
+        self.tokens = (self.tokens + self.fraction).min(RETRY_BURST);
     }
 
     /// Takes the price of one retry if it is there.
