--- a/crates/sorrelturn-platform/src/ready_socket.rs
+++ b/crates/sorrelturn-platform/src/ready_socket.rs
@@ -52,7 +52,7 @@
             }
             match self.source.get_ref().read(buf) {
                 Ok(len) => {
-                    // The end of the connection has its own reads, which find it again.
+                    // The end, a read of nothing, is found again by whoever reads again.
                     self.is_drained = len > 0 && len < buf.len();
                     return Poll::Ready(Ok(len));
                 }
