--- a/crates/sorrelturn-daemon/src/request/parents.rs
+++ b/crates/sorrelturn-daemon/src/request/parents.rs
@@ -89,7 +89,9 @@
         if let Some(place) = place {
             let ends = &mut self.by_kind[place].ends;
             let gone = ends.iter().position(|(span, _)| *span == parent.span);
-            gone.map(|at| ends.swap_remove(at));
+            if let Some(at) = gone {
+                ends.swap_remove(at);
+            }
             if ends.is_empty() {
                 self.by_kind.swap_remove(place);
             }
--- a/crates/sorrelturn-platform/src/ready_socket.rs
+++ b/crates/sorrelturn-platform/src/ready_socket.rs
@@ -16,7 +16,7 @@
     task::{Context, Poll, ready},
 };
 
-/// A TCP connection whose reads wait for the reactor's word.
+/// A TCP connection whose reads wait until the reactor has seen the socket readable.
 ///
 /// With the daemon's settings on the users' platform, one request cost each daemon on its way 26 system calls,
 /// 10 of them reads that found nothing; it saves these. Counted by `strace -c` of two daemons under 500 requests/s.
--- a/crates/sorrelturn-platform/tests/ready_socket.rs
+++ b/crates/sorrelturn-platform/tests/ready_socket.rs
@@ -1,4 +1,4 @@
-//! What is read over a socket that waits for the reactor's word is what was sent, up to its end.
+//! What is read over a socket that waits until the reactor has seen it readable is what was sent, up to its end.
 //!
 //! The pattern: a sender writes in pieces of any size with pauses, a reader takes them in through buffers of any
 //! size, and so meets a drained socket at each point of the stream, its end and its reset included.
