Runs of one id: a backend server that starts again under its id is told by its start

Cause: Presence kept Gone with the highest sequence for an id and called all later news of that id late, so a backend server that starts again under its id got no work until its daemon restarted; slots were taken from news that was then found to be late; reports of other services, or without a sequence or slots, were taken, and one bad entry in a list of the store made the whole list unreadable. Change: a run is its id and its start. Of two runs of one id the later start decides; where clocks step back, the run that seems earlier is taken once the known one has been silent for 4 s, and until then what leaves under it isn't acknowledged. Where runs tell their start, news without one names none: 400, one line in ten seconds (S208). Records of members that can't be read, or lie under another's key, name no member (S504), and all others hold. Ruled out: to take a lower start at once (a held-up announcement would take the place of a living run for good), or never (after a step back of the clock, what the living run says of its leaving would be called late).

--- a/crates/sorrelturn-bench/src/routed_fleet.rs
+++ b/crates/sorrelturn-bench/src/routed_fleet.rs
@@ -321,12 +321,26 @@
         let instance = &mut self.instances[at];
         instance.sequence += 1;
         let sequence = instance.sequence;
-        let body = format!(r#"{{"state":"{state}","sequence":{sequence},"slots":8}}"#);
+        let body = instance.heartbeat(state, sequence, 8);
         instance.call_announce("heartbeat", body).await
     }
 }
 
 impl RoutedInstance {
+    /// What the backend server says of itself in a heartbeat.
+    pub fn heartbeat(&self, state: &str, sequence: u64, slots: u32) -> String {
+        let service = &self.settings.service;
+        format!(
+            r#"{{"service":"{service}","state":"{state}","sequence":{sequence},"slots":{slots}}}"#
+        )
+    }
+
+    /// The same of a run that tells when it started.
+    pub fn heartbeat_of_run(&self, born: u64, state: &str, sequence: u64) -> String {
+        let text = self.heartbeat(state, sequence, 8);
+        format!(r#"{{"born":{born},{}"#, &text[1..])
+    }
+
     /// Makes a call of the backend server to its daemon.
     pub async fn call_announce(&self, call: &str, body: String) -> u16 {
         let path = format!("/backend/{}/{call}", self.backend.id());
--- a/crates/sorrelturn-bench/src/soak/site.rs
+++ b/crates/sorrelturn-bench/src/soak/site.rs
@@ -632,7 +632,10 @@
     async fn announce(&self, leaves: bool) -> Result<u16, io::Error> {
         let state = if leaves { "draining" } else { "ready" };
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-        let body = format!(r#"{{"state":"{state}","sequence":{sequence},"slots":{SLOTS}}}"#);
+        let service = &self.settings.service;
+        let body = format!(
+            r#"{{"service":"{service}","state":"{state}","sequence":{sequence},"slots":{SLOTS}}}"#
+        );
         let path = format!("/backend/{}/heartbeat", self.backend.id());
         let req = Request::post(path).body(Bytes::from(body));
         let addr = self.addresses.announce.expect("it listens");
--- a/crates/sorrelturn-daemon/src/backend/announce.rs
+++ b/crates/sorrelturn-daemon/src/backend/announce.rs
@@ -4,6 +4,7 @@
 //! is acknowledged only once the next run of this daemon would know it, too.
 
 use crate::{
+    backend::report::{read_deregistration, read_heartbeat},
     backend::state::{self, Routed, answered_by, heard, heard_slots, slots_of},
     net::serve::status,
     node::Node,
@@ -13,7 +14,6 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
-use serde::Deserialize;
 use smol::Timer;
 use sorrelturn_platform::http::exchange;
 use sorrelturn_policy::Heard;
@@ -32,15 +32,6 @@
 /// The most probes of one start: they are priced, and an announcement comes within seconds.
 const MOST_PROBES: u32 = 3;
 
-/// What a backend server sends; other fields are of no use here.
-#[derive(Deserialize)]
-struct Heartbeat {
-    state: BackendState,
-    sequence: u64,
-    #[serde(default)]
-    slots: u32,
-}
-
 /// Answers `POST /backend/ID/heartbeat` and `POST /backend/ID/deregister`.
 pub(crate) async fn serve(node: &Arc<Node>, req: Request<Incoming>) -> Response<Body> {
     let Some(routed) = &node.routed else {
@@ -56,37 +47,82 @@
         return status(StatusCode::METHOD_NOT_ALLOWED);
     }
     let id = id.to_owned();
-    let news = match call {
-        "heartbeat" => match read(req).await {
-            Some(heartbeat) => {
-                heard_slots(node, routed, heartbeat.slots);
-                Announcement {
-                    id,
-                    state: heartbeat.state,
-                    sequence: heartbeat.sequence,
-                }
-            }
-            None => return status(StatusCode::BAD_REQUEST),
-        },
-        "deregister" => Announcement {
-            id,
-            state: BackendState::Gone,
-            sequence: u64::MAX,
-        },
-        _ => return status(StatusCode::NOT_FOUND),
+    if !matches!(call, "heartbeat" | "deregister") {
+        return status(StatusCode::NOT_FOUND);
+    }
+    let call = call.to_owned();
+    let report = match read(req).await {
+        Some(bytes) if call == "heartbeat" => of_heartbeat(node, id, &bytes),
+        Some(bytes) => of_deregistration(id, &bytes),
+        None => Err("it is too large or was cut".to_owned()),
+    };
+    match report {
+        Ok((news, slots)) => take(node, routed, news, slots).await,
+        Err(reason) => refused(node, routed, &reason),
+    }
+}
+
+/// What a heartbeat says: the news, and the slots.
+fn of_heartbeat(node: &Node, id: String, bytes: &[u8]) -> Result<(Announcement, u32), String> {
+    let heartbeat = read_heartbeat(bytes)?;
+    if heartbeat.service != node.settings.service {
+        return Err(format!(
+            "it is of service {:?}, and this is {:?}",
+            heartbeat.service, node.settings.service
+        ));
+    }
+    let news = Announcement {
+        id,
+        born: heartbeat.born,
+        state: heartbeat.state,
+        sequence: heartbeat.sequence,
     };
+    Ok((news, heartbeat.slots))
+}
+
+fn of_deregistration(id: String, bytes: &[u8]) -> Result<(Announcement, u32), String> {
+    let news = Announcement {
+        id,
+        born: read_deregistration(bytes)?.born,
+        state: BackendState::Gone,
+        sequence: u64::MAX,
+    };
+    Ok((news, 0))
+}
+
+/// Takes an announcement. Only what leaves is acknowledged late, and only once it is known to those who must know.
+async fn take(node: &Arc<Node>, routed: &Routed, news: Announcement, slots: u32) -> Response<Body> {
     let leaves = news.state != BackendState::Ready;
-    if heard(node, routed, news) != Heard::Late && leaves {
+    match heard(node, routed, news) {
+        Heard::Foreign => return status(StatusCode::BAD_REQUEST),
+        // An acknowledgement would bind a run that nothing follows for.
+        Heard::Doubtful if leaves => return status(StatusCode::SERVICE_UNAVAILABLE),
+        Heard::Late | Heard::Doubtful => return accepted(),
+        Heard::Known | Heard::NowReady | Heard::NowLeaving => {}
+    }
+    heard_slots(node, routed, slots);
+    if leaves {
         let save = state::save(node, routed);
         member_record::within(node, ACKNOWLEDGE_TIME, save).await;
     }
+    accepted()
+}
+
+fn accepted() -> Response<Body> {
     Response::new(body::full("{}"))
 }
 
-async fn read(req: Request<Incoming>) -> Option<Heartbeat> {
+/// Malformed news changes nothing.
+fn refused(node: &Node, routed: &Routed, reason: &str) -> Response<Body> {
+    state::note_foreign(node, routed, reason);
+    let mut res = Response::new(body::full(format!("{reason}\n")));
+    *res.status_mut() = StatusCode::BAD_REQUEST;
+    res
+}
+
+async fn read(req: Request<Incoming>) -> Option<Bytes> {
     let body = Limited::new(req.into_body(), ANNOUNCEMENT_LIMIT_BYTES);
-    let bytes = body.collect().await.ok()?.to_bytes();
-    serde_json::from_slice(&bytes).ok()
+    Some(body.collect().await.ok()?.to_bytes())
 }
 
 /// Answers whether this daemon is ready for callers' requests.
--- a/crates/sorrelturn-daemon/src/backend/mod.rs
+++ b/crates/sorrelturn-daemon/src/backend/mod.rs
@@ -2,4 +2,5 @@
 
 pub(crate) mod announce;
 pub(crate) mod link;
+pub(crate) mod report;
 pub(crate) mod state;
--- a/crates/sorrelturn-daemon/src/backend/state.rs
+++ b/crates/sorrelturn-daemon/src/backend/state.rs
@@ -30,6 +30,9 @@
 /// the shortest deadline of one is 700 ms.
 const CALL_WAIT: Duration = Duration::from_millis(250);
 
+/// How often the log says at the most that somebody else's reports come in.
+const FOREIGN_NOTED_EVERY: Duration = Duration::from_secs(10);
+
 /// The backend server beside this daemon, and the dialect that it speaks.
 pub(crate) struct Routed {
     pub(crate) dialect: Dialect,
@@ -41,6 +44,8 @@
     pub(crate) call_failed: LastTime,
     /// Where the requests for the backend server come from.
     pub(crate) origins: Mutex<Origins>,
+    /// When the log said last that a report names no backend server.
+    foreign_noted: LastTime,
     /// Whether the platform's store has the newest state, for the next run of this daemon.
     saved: AtomicBool,
 }
@@ -65,6 +70,7 @@
             graph: Mutex::default(),
             call_failed: LastTime::default(),
             origins: Mutex::default(),
+            foreign_noted: LastTime::default(),
             saved: AtomicBool::new(false),
         }
     }
@@ -130,14 +136,28 @@
     }
 }
 
+/// Says in the log that a report about a backend server names none, and why; once in a while, whoever writes them.
+pub(crate) fn note_foreign(node: &Node, routed: &Routed, reason: &str) {
+    let now = node.now();
+    if routed.foreign_noted.elapsed_since(now) < FOREIGN_NOTED_EVERY {
+        return;
+    }
+    routed.foreign_noted.set(now);
+    node.note(
+        &events::BACKEND_REPORT_REFUSED,
+        vec![Field::new("reason", reason)],
+    );
+}
+
 /// Takes an announcement; returns what followed from it.
 pub(crate) fn heard(node: &Arc<Node>, routed: &Routed, news: Announcement) -> Heard {
     let fields = vec![
         Field::new("backend", &news.id),
+        Field::new("born", news.born.unwrap_or_default()),
         Field::new("state", format!("{:?}", news.state).to_lowercase()),
         Field::new("sequence", news.sequence),
     ];
-    let heard = lock(&routed.presence).hear(news);
+    let heard = lock(&routed.presence).hear(node.now(), news);
     match heard {
         Heard::NowReady => {
             node.note(&events::BACKEND_READY, fields);
@@ -147,7 +167,8 @@
             node.note(&events::BACKEND_LEAVING, fields);
             takes_no_work(node, routed);
         }
-        Heard::Known | Heard::Late => {}
+        Heard::Known | Heard::Late | Heard::Doubtful => {}
+        Heard::Foreign => note_foreign(node, routed, "it doesn't tell when its run started"),
     }
     heard
 }
@@ -158,7 +179,7 @@
     let Some(id) = id.and_then(|id| id.to_str().ok()) else {
         return;
     };
-    if lock(&routed.presence).answered_as(id) {
+    if lock(&routed.presence).answered_as(node.now(), id) {
         let fields = vec![Field::new("backend", id), Field::new("state", "answered")];
         node.note(&events::BACKEND_READY, fields);
         takes_work(node, routed);
--- a/crates/sorrelturn-daemon/src/fleet/join.rs
+++ b/crates/sorrelturn-daemon/src/fleet/join.rs
@@ -25,7 +25,7 @@
         let records: Vec<MemberRecord> = changes
             .objects
             .iter()
-            .filter_map(|object| serde_json::from_str(&object.value).ok())
+            .filter_map(|object| member_record::read(node, object))
             .collect();
         is_new = records
             .iter()
--- a/crates/sorrelturn-daemon/src/fleet/watch.rs
+++ b/crates/sorrelturn-daemon/src/fleet/watch.rs
@@ -244,7 +244,7 @@
     };
     follow(node, keys::MEMBERS, pause_after, silent, |changes| {
         for object in changes.objects {
-            if let Ok(record) = serde_json::from_str(&object.value) {
+            if let Some(record) = member_record::read(node, &object) {
                 gossip::heard_member(node, record);
             }
         }
--- a/crates/sorrelturn-daemon/src/lib.rs
+++ b/crates/sorrelturn-daemon/src/lib.rs
@@ -13,6 +13,7 @@
 mod run;
 mod store;
 
+pub use backend::report::{Deregistration, Heartbeat, read_deregistration, read_heartbeat};
 pub use config::settings::{
     AdvertiseSettings, BackendSettings, EventSettings, FleetKeySettings, ListenSettings,
     MetricsSettings, OnceSettings, PlatformSettings, RouteSettings, Settings, StopSettings,
--- a/crates/sorrelturn-daemon/src/store/member_record.rs
+++ b/crates/sorrelturn-daemon/src/store/member_record.rs
@@ -3,11 +3,30 @@
 
 use crate::node::Node;
 use smol::{Timer, future::FutureExt};
-use sorrelturn_platform::{Expected, keys};
+use sorrelturn_platform::{Expected, Object, keys};
 use sorrelturn_protocol::MemberRecord;
 use sorrelturn_telemetry::{Field, events};
 use std::time::Duration;
 
+/// Reads a member's record. What somebody else wrote under these keys, or what can't be read, names no member: a line
+/// in the log says so, and the other records hold.
+pub(crate) fn read(node: &Node, object: &Object) -> Option<MemberRecord> {
+    let record = serde_json::from_str::<MemberRecord>(&object.value)
+        .map_err(|error| error.to_string())
+        .and_then(
+            |record| match keys::member(&record.instance) == object.key {
+                true => Ok(record),
+                false => Err(format!("it is of instance {:?}", record.instance)),
+            },
+        );
+    record
+        .map_err(|error| {
+            let fields = vec![Field::new("key", &object.key), Field::new("error", error)];
+            node.note(&events::RECORD_UNREADABLE, fields);
+        })
+        .ok()
+}
+
 /// Writes a member's record.
 pub(crate) async fn put(
     node: &Node,
--- /dev/null
+++ b/crates/sorrelturn-daemon/tests/reports.rs
@@ -0,0 +1,96 @@
+//! Reports about backend servers as anybody may write them: what can't be read names none, and nothing panics.
+
+use proptest::prelude::*;
+use serde_json::{Value, json};
+use sorrelturn_daemon::{read_deregistration, read_heartbeat};
+
+fn whole() -> Value {
+    json!({
+        "service": "a", "address": "10.1.0.8:80", "zone": "z", "version": "v1", "slots": 36, "state": "ready",
+        "cold_remaining": 0, "sequence": 4, "born": 1_793_099_597_338_u64,
+    })
+}
+
+/// Reports that were found to be read wrongly, or might be; each names no backend server.
+const KEPT: [&str; 12] = [
+    "",
+    "null",
+    "[]",
+    "\u{0}",
+    "{\"service\":\"a\",\"state\":\"ready\",\"sequence\":4}",
+    "{\"service\":\"a\",\"state\":\"ready\",\"sequence\":-1,\"slots\":3}",
+    "{\"service\":\"a\",\"state\":\"asleep\",\"sequence\":4,\"slots\":3}",
+    "{\"service\":7,\"state\":\"ready\",\"sequence\":4,\"slots\":3}",
+    "{\"service\":\"a\",\"state\":\"ready\",\"sequence\":4,\"slots\":3,\"born\":1.5}",
+    "{\"service\":\"a\",\"state\":\"ready\",\"sequence\":4,\"slots\":3,\"born\":\"1793099597338\"}",
+    "{\"service\":\"a\",\"state\":\"ready\",\"sequence\":4,\"slots\":3,\"born\":-1}",
+    "{\"service\":\"a\",\"state\":\"ready\",\"sequence\":4,\"slots\":3",
+];
+
+#[test]
+fn a_whole_report_is_read_and_fields_of_no_use_are_passed_over() {
+    let heartbeat = read_heartbeat(whole().to_string().as_bytes()).expect("it is whole");
+    assert_eq!(heartbeat.born, Some(1_793_099_597_338));
+    assert_eq!(heartbeat.slots, 36);
+}
+
+#[test]
+fn reports_that_were_kept_name_no_backend_server() {
+    for text in KEPT {
+        assert!(read_heartbeat(text.as_bytes()).is_err(), "{text}");
+    }
+    assert!(read_heartbeat(&[0xff, 0xfe, b'{']).is_err());
+    assert_eq!(
+        read_deregistration(b"").expect("it says nothing").born,
+        None
+    );
+    assert!(read_deregistration(b"{\"born\":\"x\"}").is_err());
+}
+
+fn any_value() -> impl Strategy<Value = Value> {
+    prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        ".{0,20}".prop_map(Value::from),
+        Just(json!([1])),
+        Just(json!({"a": 1})),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn bytes_of_any_sort_are_read_or_refused(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
+        let _ = read_heartbeat(&bytes);
+        let _ = read_deregistration(&bytes);
+    }
+
+    /// One field at a time is missing or holds something else: what is read then holds what was written.
+    #[test]
+    fn a_field_that_is_missing_or_of_another_type_is_never_made_up(
+        field in prop::sample::select(vec!["service", "state", "sequence", "slots", "born"]),
+        other in prop::option::of(any_value()),
+    ) {
+        let mut report = whole();
+        let fields = report.as_object_mut().expect("an object");
+        match &other {
+            None => { fields.remove(field); }
+            Some(value) => { fields.insert(field.to_owned(), value.clone()); }
+        }
+        match (read_heartbeat(report.to_string().as_bytes()), &other) {
+            (Err(_), _) => {}
+            (Ok(heartbeat), None | Some(Value::Null)) => {
+                prop_assert_eq!(field, "born");
+                prop_assert_eq!(heartbeat.born, None);
+            }
+            (Ok(heartbeat), Some(value)) => match field {
+                "service" => prop_assert_eq!(Some(heartbeat.service.as_str()), value.as_str()),
+                "sequence" => prop_assert_eq!(Some(heartbeat.sequence), value.as_u64()),
+                "slots" => prop_assert_eq!(Some(u64::from(heartbeat.slots)), value.as_u64()),
+                "born" => prop_assert_eq!(heartbeat.born, value.as_u64()),
+                _ => prop_assert!(["ready", "draining", "gone"].map(Some).contains(&value.as_str())),
+            },
+        }
+    }
+}
--- a/crates/sorrelturn-platform/src/api.rs
+++ b/crates/sorrelturn-platform/src/api.rs
@@ -1,6 +1,6 @@
 //! The object API's messages. `docs/design/platform.md` describes the calls.
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, de::DeserializeOwned};
 use serde_json::Value;
 
 /// One object as the crate's users see it: a text under a key, at a version.
@@ -59,6 +59,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct WireList {
     /// The objects, in the order of their names.
+    #[serde(deserialize_with = "readable")]
     pub items: Vec<WireObject>,
     /// Whether the list goes on after the last name.
     #[serde(default)]
@@ -80,11 +81,20 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct WireEvents {
     /// What changed, oldest first; empty where the wait is over.
+    #[serde(deserialize_with = "readable")]
     pub events: Vec<WireEvent>,
     /// From where the next watch goes on.
     pub store_revision: u64,
 }
 
+/// The entries that can be read. Others than this client write to the store as well: one bad entry must not take the
+/// good ones with it.
+fn readable<'de, T: DeserializeOwned, D: Deserializer<'de>>(input: D) -> Result<Vec<T>, D::Error> {
+    let entries = Vec::<Value>::deserialize(input)?;
+    let read = entries.into_iter().map(serde_json::from_value);
+    Ok(read.filter_map(Result::ok).collect())
+}
+
 fn is_zero(revision: &u64) -> bool {
     *revision == 0
 }
--- a/crates/sorrelturn-protocol/src/backend.rs
+++ b/crates/sorrelturn-protocol/src/backend.rs
@@ -17,8 +17,12 @@
 /// What a backend server says about itself.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Announcement {
-    /// The run of the backend server.
+    /// The name of the backend server; a restart may keep it.
     pub id: String,
+    /// When this run started, in milliseconds since the Unix epoch by its own clock: with the id, it names the run.
+    /// Absent where backend servers don't tell it; then each run has an id of its own.
+    #[serde(default)]
+    pub born: Option<u64>,
     /// Whether it takes work.
     pub state: BackendState,
     /// Rises with each announcement of a run; a lower one was sent earlier and came late.
--- a/crates/sorrelturn-telemetry/src/events.rs
+++ b/crates/sorrelturn-telemetry/src/events.rs
@@ -56,6 +56,8 @@
     UNDER_LOAD = 206 "under-load" Debug "The slots of the backend server are asked for too much; noted once a second.";
     CALLS_LEARNT = 207 "calls-learnt" Debug "What requests of a kind call was learnt anew at their backend server.";
 
+    BACKEND_REPORT_REFUSED = 208 "backend-report-refused" Warn "A report about a backend server names none that could be used, and changed nothing; noted once in ten seconds.";
+
     BUNDLE_IN_FORCE = 300 "bundle-in-force" Info "A higher bundle version is in force here.";
     BUNDLE_REFUSED = 301 "bundle-refused" Error "A bundle was not taken.";
     BUNDLE_FETCH_FAILED = 302 "bundle-fetch-failed" Warn "A higher bundle is known but could not be fetched.";
@@ -75,6 +77,7 @@
     OUTCOMES_UNSAVED = 502 "outcomes-unsaved" Warn "The outcomes of tokens could not be written to the platform.";
 
     RECORD_UNSAVED = 503 "record-unsaved" Warn "A member record, most often the own one, could not be written to the platform.";
+    RECORD_UNREADABLE = 504 "record-unreadable" Warn "A member record in the platform's store can't be read; it names no member, and all others hold.";
 
     BAD_PEER = 600 "bad-peer" Warn "Somebody on the peer or control port sent what no daemon sends.";
     BAD_REQUEST = 601 "bad-request" Debug "A request was malformed or too large.";
