--- a/crates/sorrelturn-bench/src/soak/site.rs
+++ b/crates/sorrelturn-bench/src/soak/site.rs
@@ -60,6 +60,18 @@
 const LAG_EVERY: Duration = Duration::from_millis(20);
 /// The extra time of each call of a slow store: near the daemons' time-out of a second.
 const SLOW_MS: u64 = 900;
+/// When the first run of each backend server started, in milliseconds since the Unix epoch; each further one starts
+/// a second later by its own clock.
+const FIRST_BORN_MS: u64 = 1_793_099_500_000;
+/// Every so many restarts the backend server has a new id; at all others it keeps the one that it had.
+const NEW_ID_EVERY: u64 = 3;
+/// What somebody else writes to the announce port and under the members of the store.
+const FOREIGN: [&str; 4] = [
+    "{",
+    "[]",
+    r#"{"service":"nobody","state":"ready","sequence":1,"slots":4,"born":1793099500000}"#,
+    r#"{"service":"a","state":"asleep","sequence":"1","born":1.5}"#,
+];
 /// Where the route table lies.
 const TABLE: &str = "config/main";
 /// The services; the first answers what is safe and tells versions, the second what runs once.
@@ -125,10 +137,19 @@
     process: Mutex<Option<Process>>,
     /// Whether the backend server is about to go.
     leaves: AtomicBool,
+    /// Held while an announcement is written and while the backend server becomes another run, so that no run is told
+    /// with what another one does.
+    telling: Mutex<()>,
     sequence: AtomicU64,
     backend_runs: AtomicU64,
 }
 
+/// One run of a backend server.
+struct BackendRun {
+    id: String,
+    born_ms: u64,
+}
+
 /// Plays a plan; `folder` takes the settings and logs of daemons.
 pub async fn soak(
     ex: Arc<Executor<'static>>,
@@ -184,6 +205,7 @@
             ex,
         };
         site.publish(false).await;
+        site.write_foreign_records().await;
         for number in 0..plan.instances {
             let member = site.start_member(number, plan.most_ms, folder).await;
             site.daemons.push(member);
@@ -191,6 +213,17 @@
         site
     }
 
+    /// Others write to the store as well; what can't be read names no member.
+    async fn write_foreign_records(&self) {
+        let platform = Platform::new(self.platform, WAIT);
+        for (number, value) in FOREIGN.iter().enumerate() {
+            let key = format!("sorrelturn/members/foreign-{number}");
+            if let Err(error) = platform.put(&key, value, Expected::Absent).await {
+                log::error!("{key} can't be written: {error}");
+            }
+        }
+    }
+
     async fn start_member(&self, number: usize, most_ms: u64, folder: &Path) -> Member {
         let checker = Arc::clone(&self.checker);
         let begun = self.begun;
@@ -216,6 +249,7 @@
             backend,
             process: Mutex::default(),
             leaves: AtomicBool::new(false),
+            telling: Mutex::default(),
             sequence: AtomicU64::new(0),
             backend_runs: AtomicU64::new(0),
         };
@@ -366,9 +400,8 @@
     async fn announce_often(&self, number: usize) {
         let member = &self.daemons[number];
         while !self.is_over() {
-            let leaves = member.leaves.load(Ordering::Relaxed);
             // A daemon that is down hears it the next time.
-            let _ = member.announce(leaves).await;
+            let _ = member.announce().await;
             Timer::after(ANNOUNCE_EVERY).await;
         }
     }
@@ -542,19 +575,30 @@
             return;
         }
         let away = Instant::now() + Duration::from_millis(ms);
-        while !member
-            .announce(true)
-            .await
-            .is_ok_and(|status| status == 200)
-        {
+        while !member.announce().await.is_ok_and(|status| status == 200) {
             Timer::after(LOOK).await;
         }
         self.checker().leave_acknowledged(self.now(), daemon);
         Timer::at(away).await;
-        let run = member.backend_runs.fetch_add(1, Ordering::Relaxed) + 1;
         self.checker().joins(daemon);
-        member.backend.restart_as(&format!("b-{daemon}-{run}"));
-        member.leaves.store(false, Ordering::Relaxed);
+        let before = member.start_next_run(daemon);
+        self.held_up_news(member, &before).await;
+    }
+
+    /// What the run before said last comes late, with what others write.
+    async fn held_up_news(&self, member: &Member, before: &BackendRun) {
+        while !member.announce().await.is_ok_and(|status| status == 200) {
+            Timer::after(LOOK).await;
+        }
+        // Whatever the answers are: the checker sees whether the new run gets work.
+        let leaves = member.heartbeat(before.born_ms, "draining", u64::from(u32::MAX));
+        let _ = member.post(&before.id, "heartbeat", leaves).await;
+        let ends = format!(r#"{{"born":{}}}"#, before.born_ms);
+        let _ = member.post(&before.id, "deregister", ends).await;
+        for foreign in FOREIGN {
+            let id = member.backend.id();
+            let _ = member.post(&id, "heartbeat", foreign.to_owned()).await;
+        }
     }
 
     /// Waits until every daemon serves every kind.
@@ -628,15 +672,51 @@
         None
     }
 
+    /// The backend server ends and starts again; returns the run that ended.
+    fn start_next_run(&self, daemon: usize) -> BackendRun {
+        let _telling = lock(&self.telling);
+        let before = self.run();
+        let restarts = self.backend_runs.fetch_add(1, Ordering::Relaxed) + 1;
+        let id = format!("b-{daemon}-{}", restarts / NEW_ID_EVERY);
+        self.backend.restart_as(&id);
+        self.sequence.store(0, Ordering::Relaxed);
+        self.leaves.store(false, Ordering::Relaxed);
+        before
+    }
+
+    /// The run of the backend server that is there now.
+    fn run(&self) -> BackendRun {
+        let restarts = self.backend_runs.load(Ordering::Relaxed);
+        BackendRun {
+            id: self.backend.id(),
+            born_ms: FIRST_BORN_MS + 1_000 * restarts,
+        }
+    }
+
     /// Makes an announcement of the backend server; the status of the answer.
-    async fn announce(&self, leaves: bool) -> Result<u16, io::Error> {
-        let state = if leaves { "draining" } else { "ready" };
-        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+    async fn announce(&self) -> Result<u16, io::Error> {
+        let (run, body) = {
+            let _telling = lock(&self.telling);
+            let leaves = self.leaves.load(Ordering::Relaxed);
+            let state = if leaves { "draining" } else { "ready" };
+            let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+            let run = self.run();
+            let body = self.heartbeat(run.born_ms, state, sequence);
+            (run, body)
+        };
+        self.post(&run.id, "heartbeat", body).await
+    }
+
+    fn heartbeat(&self, born_ms: u64, state: &str, sequence: u64) -> String {
         let service = &self.settings.service;
-        let body = format!(
-            r#"{{"service":"{service}","state":"{state}","sequence":{sequence},"slots":{SLOTS}}}"#
-        );
-        let path = format!("/backend/{}/heartbeat", self.backend.id());
+        format!(
+            r#"{{"service":"{service}","state":"{state}","sequence":{sequence},"slots":{SLOTS},"born":{born_ms}}}"#
+        )
+    }
+
+    /// Makes a call of a backend server to the daemon; the status of the answer.
+    async fn post(&self, id: &str, call: &str, body: String) -> Result<u16, io::Error> {
+        let path = format!("/backend/{id}/{call}");
         let req = Request::post(path).body(Bytes::from(body));
         let addr = self.addresses.announce.expect("it listens");
         let res = exchange(addr, req.expect("a request"), PATIENCE).await;
