--- a/crates/sorrelturn-bench/src/experiment/file.rs
+++ b/crates/sorrelturn-bench/src/experiment/file.rs
@@ -228,17 +228,20 @@
     ChoiceByLoad,
     /// Choosing near instances first.
     NearFirst,
+    /// Finding how many of its slots a backend server works best with.
+    BestSlots,
 }
 
 impl Mechanism {
     /// All of them, with their words.
-    pub const ALL: [(&'static str, Self); 6] = [
+    pub const ALL: [(&'static str, Self); 7] = [
         ("entry-admission", Self::EntryAdmission),
         ("return-order", Self::ReturnOrder),
         ("return-time", Self::ReturnTime),
         ("sending-again", Self::SendingAgain),
         ("choice-by-load", Self::ChoiceByLoad),
         ("near-first", Self::NearFirst),
+        ("best-slots", Self::BestSlots),
     ];
 }
 
--- a/crates/sorrelturn-bench/src/experiment/play.rs
+++ b/crates/sorrelturn-bench/src/experiment/play.rs
@@ -7,7 +7,7 @@
 };
 use fastrand::Rng;
 use sorrelturn_policy::{
-    Arrival, Attempt, Decision, InstanceReport, Now, Outcome as GateOutcome, Step,
+    Arrival, Attempt, Began, Decision, InstanceReport, Now, Outcome as GateOutcome, Step,
     after_turned_away, next_step,
 };
 use sorrelturn_protocol::{Importance, Incarnation, Priority, Refusal, Verdict};
@@ -122,6 +122,7 @@
     next_call: usize,
     level: u16,
     repeated: bool,
+    began: Began,
 }
 
 /// How a call ended at its instance.
@@ -575,7 +576,10 @@
             self.ends_at_owner(id, Ended::NotRun(Refusal::Overload));
         }
         match decision {
-            Decision::Admit => self.begins(id),
+            Decision::Admit => {
+                let began = self.daemons[owner].gate.began();
+                self.begins(id, began);
+            }
             Decision::Wait => self.after(wait, Event::WaitOver(id)),
             Decision::Refuse(refusal) => self.ends_at_owner(id, Ended::NotRun(refusal)),
         }
@@ -597,7 +601,7 @@
     }
 
     /// The backend server is handed a call.
-    fn begins(&mut self, id: u64) {
+    fn begins(&mut self, id: u64, began: Began) {
         let Some((daemon, _)) = self.at_gate(id) else {
             return;
         };
@@ -614,8 +618,8 @@
             0 => 1.0,
             count => speeds[at % count],
         };
-        let gate = &self.daemons[daemon].gate;
-        let taken = f64::from(gate.in_flight()) / f64::from(gate.limit(self.now));
+        let taken = f64::from(self.daemons[daemon].gate.in_flight())
+            / f64::from(self.site.slots[kind.service]);
         let beyond = spec.filter(|spec| taken > spec.knee);
         let knee = beyond.map_or(1.0, |spec| spec.knee_times);
         // The part that varies is distributed exponentially.
@@ -635,6 +639,7 @@
                 next_call: 0,
                 level,
                 repeated,
+                began,
             },
         );
         self.daemons[daemon].worked_on.begin(level, repeated);
@@ -652,8 +657,8 @@
     fn slot_free(&mut self, owner: usize, outcome: GateOutcome, took: Duration) {
         let gate = &mut self.daemons[owner].gate;
         let released = gate.finish(self.now, outcome, took);
-        for id in released.admitted {
-            self.begins(id);
+        for (id, began) in released.admitted.into_iter().zip(released.began) {
+            self.begins(id, began);
         }
         for (id, refusal) in released.refused {
             self.ends_at_owner(id, Ended::NotRun(refusal));
@@ -705,6 +710,12 @@
             .worked_on
             .end(run.level, run.repeated);
         let took = self.now - run.started;
+        let kind = self.calls.get(&run.call).map(|call| call.kind);
+        let leaf = kind.filter(|kind| self.kinds[*kind].calls.is_empty());
+        if self.experiment.is_on(Mechanism::BestSlots) {
+            let gate = &mut self.daemons[run.daemon].gate;
+            gate.worked(self.now, run.began, leaf.map(|kind| kind as u64), took);
+        }
         self.slot_free(run.daemon, GateOutcome::Answered, took);
         self.ends_at_owner(run.call, ended);
     }
--- a/crates/sorrelturn-daemon/src/backend/state.rs
+++ b/crates/sorrelturn-daemon/src/backend/state.rs
@@ -195,6 +195,7 @@
 fn takes_work(node: &Arc<Node>, routed: &Routed) {
     routed.saved.store(false, Ordering::Relaxed);
     node.set_own_backend(routed.current());
+    node.room.with_gate(|gate, _| gate.another_run());
     node.backend.forget_idle();
     let no_longer_leaving = node.stop_leaving(LeavingCause::Backend);
     // A daemon that leaves for another reason tells so already.
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -95,10 +95,15 @@
     pub(crate) async fn enter(&self) -> Result<Slot, Refusal> {
         let priority = self.context.priority();
         let holds_work = self.context.depth > 0;
-        self.node
-            .room
+        let room = &self.node.room;
+        let mut slot = room
             .enter(priority, holds_work, self.deadline, self.context.level)
-            .await
+            .await?;
+        let graph = self.node.routed.as_ref().map(|routed| &routed.graph);
+        if graph.is_some_and(|graph| lock(graph).calls_nothing(&self.kind.name)) {
+            slot.is_of_leaf(&self.kind.name);
+        }
+        Ok(slot)
     }
 
     /// Sends the call to the backend server. From here on it may have run.
--- a/crates/sorrelturn-daemon/src/request/room.rs
+++ b/crates/sorrelturn-daemon/src/request/room.rs
@@ -5,19 +5,20 @@
     channel::{self, Receiver, Sender},
     future::FutureExt,
 };
-use sorrelturn_policy::{Arrival, Decision, Gate, Now, Outcome, Released};
+use sorrelturn_policy::{Arrival, Began, Decision, Gate, Now, Outcome, Released};
 use sorrelturn_protocol::{Priority, Refusal};
 use std::{
     collections::HashMap,
+    hash::{DefaultHasher, Hash, Hasher},
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
-type Word = Result<(), Refusal>;
+type Word = Result<Began, Refusal>;
 
 /// What becomes of an arrival; only one that waits needs to hear a word.
 enum Arrived {
-    Admitted,
+    Admitted(Began),
     Refused(Refusal),
     /// It waits for a word, and no longer than this.
     Waits(Receiver<Word>, Duration),
@@ -40,10 +41,20 @@
 pub(crate) struct Slot {
     room: Arc<Room>,
     since: Now,
+    began: Began,
+    /// The kind of a request that calls nothing, by a hash of its name.
+    leaf: Option<u64>,
     outcome: Outcome,
 }
 
 impl Slot {
+    /// The request calls nothing, so that its time is the backend server's own.
+    pub(crate) fn is_of_leaf(&mut self, kind: &str) {
+        let mut hasher = DefaultHasher::new();
+        kind.hash(&mut hasher);
+        self.leaf = Some(hasher.finish());
+    }
+
     /// Gives the slot back with what was learnt.
     pub(crate) fn release(mut self, outcome: Outcome) {
         self.outcome = outcome;
@@ -53,7 +64,8 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         let took = self.room.clock.now().saturating_sub(self.since);
-        self.room.finish(self.outcome, took);
+        let leaf = self.leaf.filter(|_| self.outcome == Outcome::Answered);
+        self.room.finish(self.began, leaf, self.outcome, took);
     }
 }
 
@@ -82,7 +94,7 @@
         let now = self.clock.now();
         let (arrival, decision) = self.arrive(now, priority, holds_work, deadline, level);
         match decision {
-            Arrived::Admitted => Ok(self.slot()),
+            Arrived::Admitted(began) => Ok(self.slot(began)),
             Arrived::Refused(refusal) => Err(refusal),
             Arrived::Waits(rx, longest) => {
                 let until = deadline.min(now + longest);
@@ -125,7 +137,7 @@
             let _ = tx.try_send(Err(Refusal::Overload));
         }
         let arrived = match decision {
-            Decision::Admit => Arrived::Admitted,
+            Decision::Admit => Arrived::Admitted(inner.gate.began()),
             Decision::Refuse(refusal) => Arrived::Refused(refusal),
             Decision::Wait => {
                 let (tx, rx) = channel::bounded(1);
@@ -136,23 +148,28 @@
         (arrival, arrived)
     }
 
-    fn slot(self: &Arc<Self>) -> Slot {
+    fn slot(self: &Arc<Self>, began: Began) -> Slot {
         Slot {
             room: Arc::clone(self),
             since: self.clock.now(),
+            began,
+            leaf: None,
             outcome: Outcome::Cancelled,
         }
     }
 
-    fn finish(&self, outcome: Outcome, took: Duration) {
+    fn finish(&self, began: Began, leaf: Option<u64>, outcome: Outcome, took: Duration) {
         let now = self.clock.now();
         let mut inner = self.lock();
+        inner.gate.worked(now, began, leaf, took);
         let mut released = inner.gate.finish(now, outcome, took);
         while let Some(unclaimed) = inner.pass_on(&released) {
             released = Released::default();
-            for _ in 0..unclaimed {
+            for began in unclaimed {
+                inner.gate.worked(now, began, None, Duration::ZERO);
                 let more = inner.gate.finish(now, Outcome::Cancelled, Duration::ZERO);
                 released.admitted.extend(more.admitted);
+                released.began.extend(more.began);
                 released.refused.extend(more.refused);
             }
         }
@@ -164,22 +181,22 @@
 }
 
 impl Inner {
-    /// Tells those that wait; returns how many slots found their waiter gone, if any did.
-    fn pass_on(&mut self, released: &Released) -> Option<usize> {
+    /// Tells those that wait; returns how those began whose waiters are gone, if any are.
+    fn pass_on(&mut self, released: &Released) -> Option<Vec<Began>> {
         for (id, refusal) in &released.refused {
             if let Some(tx) = self.waiters.remove(id) {
                 let _ = tx.try_send(Err(*refusal));
             }
         }
-        let unclaimed = released
-            .admitted
-            .iter()
-            .filter(|id| {
+        let admitted = released.admitted.iter().zip(&released.began);
+        let unclaimed: Vec<Began> = admitted
+            .filter(|(id, began)| {
                 let tx = self.waiters.remove(id);
-                tx.is_none_or(|tx| tx.try_send(Ok(())).is_err())
+                tx.is_none_or(|tx| tx.try_send(Ok(**began)).is_err())
             })
-            .count();
-        (unclaimed > 0).then_some(unclaimed)
+            .map(|(_, began)| *began)
+            .collect();
+        (!unclaimed.is_empty()).then_some(unclaimed)
     }
 }
 
@@ -199,9 +216,9 @@
         };
         let word = async { self.rx.recv().await.ok() };
         match word.or(timer).await {
-            Some(Ok(())) => {
+            Some(Ok(began)) => {
                 self.over = true;
-                Ok(self.room.slot())
+                Ok(self.room.slot(began))
             }
             Some(Err(refusal)) => {
                 self.over = true;
@@ -227,7 +244,7 @@
         self.rx
             .try_recv()
             .unwrap_or(Err(Refusal::Overload))
-            .map(|()| self.room.slot())
+            .map(|began| self.room.slot(began))
     }
 }
 
@@ -240,8 +257,9 @@
         inner.waiters.remove(&self.arrival.id);
         let waited = inner.gate.give_up(&self.arrival, false);
         drop(inner);
-        if !waited && matches!(self.rx.try_recv(), Ok(Ok(()))) {
-            self.room.finish(Outcome::Cancelled, Duration::ZERO);
+        if !waited && let Ok(Ok(began)) = self.rx.try_recv() {
+            let unused = Duration::ZERO;
+            self.room.finish(began, None, Outcome::Cancelled, unused);
         }
     }
 }
--- a/crates/sorrelturn-policy/src/call_graph.rs
+++ b/crates/sorrelturn-policy/src/call_graph.rs
@@ -150,6 +150,14 @@
         caller.map_or(&[], |caller| &caller.calls)
     }
 
+    /// Whether requests of a kind are known to call nothing.
+    pub fn calls_nothing(&self, kind: &str) -> bool {
+        let caller = self.callers.get(kind);
+        caller.is_some_and(|caller| {
+            caller.ended >= f64::from(WORKED_OUT_EVERY) && caller.calls.is_empty()
+        })
+    }
+
     /// The kinds that nearly every request of a kind calls.
     pub fn needs<'a>(&'a self, parent: &'a str) -> impl Iterator<Item = &'a str> {
         let calls = self.calls(parent).iter().map(String::as_str);
--- a/crates/sorrelturn-policy/src/gate.rs
+++ b/crates/sorrelturn-policy/src/gate.rs
@@ -1,7 +1,7 @@
 //! Admission to one backend server: a limit and a short queue in the order of shedding.
 //! See `docs/design/admission.md`.
 
-use crate::{AdaptiveLimit, LoadLevel, Now, Outcome, Pressure};
+use crate::{AdaptiveLimit, Began, BestSlots, LoadLevel, Now, Outcome, Pressure};
 use sorrelturn_protocol::{Importance, Priority, Refusal};
 use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
@@ -66,6 +66,8 @@
 pub struct Released {
     /// Forward these now.
     pub admitted: Vec<u64>,
+    /// How each of them began.
+    pub began: Vec<Began>,
     /// Refuse these now.
     pub refused: Vec<(u64, Refusal)>,
 }
@@ -97,6 +99,8 @@
 pub struct Gate {
     cfg: GateConfig,
     limit: AdaptiveLimit,
+    best: BestSlots,
+    began: Began,
     pressure: Pressure,
     level: LoadLevel,
     in_flight: u32,
@@ -109,6 +113,8 @@
         Self {
             cfg,
             limit: AdaptiveLimit::new(cfg.slots, cfg.cold_start, now),
+            best: BestSlots::new(cfg.slots),
+            began: Began::default(),
             pressure: Pressure::new(now),
             level: LoadLevel::new(now),
             in_flight: 0,
@@ -119,6 +125,9 @@
     /// Takes over what a new bundle says; nothing in flight or waiting is lost.
     pub fn reconfigure(&mut self, cfg: GateConfig) {
         if cfg != self.cfg {
+            if cfg.slots != self.cfg.slots {
+                self.best.forget(cfg.slots);
+            }
             self.cfg = cfg;
             self.limit.reconfigure(cfg.slots, cfg.cold_start);
         }
@@ -170,6 +179,22 @@
         self.release(now)
     }
 
+    /// How the request began that [`Gate::arrive`] admitted just now; those that are released say it themselves.
+    pub fn began(&self) -> Began {
+        self.began
+    }
+
+    /// An admitted request is over, as [`Gate::finish`] is told next; `kind` is that of one that was answered and calls
+    /// nothing.
+    pub fn worked(&mut self, now: Now, began: Began, kind: Option<u64>, took: Duration) {
+        self.best.ends(now, began, kind, took);
+    }
+
+    /// Another run of the backend server is there: how it works under load is to be found anew.
+    pub fn another_run(&mut self) {
+        self.best.forget(self.cfg.slots);
+    }
+
     /// Tells the level of a request that is over; returns what the limit may learn from it.
     fn finish_by_level(&mut self, now: Now, outcome: Outcome, took: Duration) -> Outcome {
         self.pass(now);
@@ -230,13 +255,18 @@
 
     /// The limit now.
     pub fn limit(&self, now: Now) -> u32 {
-        self.limit.get(now).max(1)
+        self.limit.get(now).min(self.best.limit()).max(1)
+    }
+
+    /// The limit that holds for long, which is what others go by.
+    fn steady_limit(&self, now: Now) -> u32 {
+        self.limit.get(now).min(self.best.best()).max(1)
     }
 
     /// Requests in flight and waiting, in percent of the limit.
     pub fn load_percent(&self, now: Now) -> u16 {
         let load = (u64::from(self.in_flight) + self.queue.len() as u64) * 100;
-        (load / u64::from(self.limit(now))).min(u64::from(u16::MAX)) as u16
+        (load / u64::from(self.steady_limit(now))).min(u64::from(u16::MAX)) as u16
     }
 
     /// Requests below this priority are being shed; where pressure is told by level, that.
@@ -249,7 +279,7 @@
     }
 
     fn pass(&mut self, now: Now) {
-        let limit = self.limit(now);
+        let limit = self.steady_limit(now);
         self.level.passed(now, self.queue.len(), limit);
     }
 
@@ -279,6 +309,7 @@
 
     fn admit(&mut self, now: Now, wait: Duration) {
         self.in_flight += 1;
+        self.began = self.best.begins(now, self.in_flight);
         self.pressure.admitted(wait);
         if f64::from(self.in_flight) >= f64::from(self.limit(now)) * BUSY_SHARE {
             self.pressure.busy();
@@ -298,6 +329,7 @@
             }
             self.admit(now, now.saturating_sub(since));
             released.admitted.push(key.id.0);
+            released.began.push(self.began);
         }
         released
     }
--- a/crates/sorrelturn-policy/src/lib.rs
+++ b/crates/sorrelturn-policy/src/lib.rs
@@ -1,6 +1,7 @@
 #![doc = include_str!("../README.md")]
 
 mod attempts;
+mod best_slots;
 mod bucket;
 mod call_graph;
 mod first_tries;
@@ -19,6 +20,7 @@
 mod worked_on;
 
 pub use attempts::{AttemptPool, first_share};
+pub use best_slots::{Began, BestSlots};
 pub use bucket::{RateBucket, RetryBucket};
 pub use call_graph::{CallGraph, Candidate};
 pub use first_tries::{FirstTries, bucket_of_return};
