--- a/crates/sorrelturn-bench/src/experiment/play.rs
+++ b/crates/sorrelturn-bench/src/experiment/play.rs
@@ -944,15 +944,19 @@
         }
     }
 
+    /// Notes which part of the slots that a service works best with is at work, of the instances that are there.
     fn sample(&mut self) {
-        for (service, outcome) in self.outcome.services.iter_mut().enumerate() {
+        for service in 0..self.services.len() {
             let (mut taken, mut slots) = (0.0, 0.0);
-            for at in 0..self.site.domains[service].len() {
-                let gate = &self.daemons[self.first[service] + at].gate;
+            let daemons =
+                self.first[service]..self.first[service] + self.site.domains[service].len();
+            for daemon in daemons.filter(|daemon| !self.is_lost(*daemon)) {
+                let gate = &self.daemons[daemon].gate;
                 taken += f64::from(gate.in_flight());
-                slots += f64::from(gate.limit(self.now));
+                slots += f64::from(gate.steady_limit(self.now));
             }
-            outcome.at_work.push(taken / f64::max(slots, 1.0));
+            let at_work = taken / f64::max(slots, 1.0);
+            self.outcome.services[service].at_work.push(at_work);
         }
         if self.now < seconds(self.experiment.seconds) {
             self.after(ms(1_000.0 / SAMPLES_A_SECOND as f64), Event::Sample);
--- a/crates/sorrelturn-bench/tests/experiment.rs
+++ b/crates/sorrelturn-bench/tests/experiment.rs
@@ -4,7 +4,10 @@
 //! it, nearer to the first (16 seeds; here 4).
 
 use sorrelturn_bench::experiment::{Experiment, Mechanism, Outcome, play_experiment, plot, table};
-use std::path::{Path, PathBuf};
+use std::{
+    path::{Path, PathBuf},
+    sync::OnceLock,
+};
 
 const SEEDS: u64 = 4;
 
@@ -64,18 +67,18 @@
 }
 
 /// One of three instances of the smallest service is lost. An integral level swung: half-second means of the slots at
-/// work lay 30 points of those that are left apart, at 88 in 100 on the mean.
+/// work lay 30 points of those that are left apart, at 88 in 100 on the mean. Counted are the slots that the two others
+/// work best with: since gates find that out, these are no longer two thirds of what is announced.
 #[test]
 fn the_slots_that_are_left_stay_at_work_after_an_instance_is_lost() {
     let outcome = play(&experiment("lost-instance.jsonc"));
     let (at_work, apart) = outcome.slots_between("devices", 34, 50);
-    let left = 2.0 / 3.0;
-    assert!(at_work / left > 0.88, "{}", at_work / left);
-    assert!(apart / left < 0.26, "{}", apart / left);
+    assert!(at_work > 0.88, "{at_work}");
+    assert!(apart < 0.26, "{apart}");
     // In a burst on top of it, which presses steadily.
     let (at_work, apart) = outcome.slots_between("devices", 23, 28);
-    assert!(at_work / left > 0.92, "{}", at_work / left);
-    assert!(apart / left < 0.2, "{}", apart / left);
+    assert!(at_work > 0.92, "{at_work}");
+    assert!(apart < 0.2, "{apart}");
 }
 
 /// All daemons end under a burst and start anew, knowing nothing: the level follows within a second or two.
@@ -176,3 +179,71 @@
             .starts_with("nowhere.jsonc can't be read")
     );
 }
+
+/// The play of the large fleet, once for all tests: it takes seconds. Two seeds lie within 0.01 of sixteen.
+fn large_fleet() -> &'static Outcome {
+    static PLAYED: OnceLock<Outcome> = OnceLock::new();
+    PLAYED.get_or_init(|| play_twice(&experiment("large-fleet.jsonc")))
+}
+
+fn play_twice(experiment: &Experiment) -> Outcome {
+    let mut sum = play_experiment(experiment, 0);
+    sum.add(&play_experiment(experiment, 1));
+    sum
+}
+
+/// A fleet of 95 VMs whose smallest service works 1.3 times slower with its last two slots taken, held under pressure for
+/// 40 s: 0.71 of the worth, 0.61 where all announced slots are filled.
+#[test]
+fn a_service_that_binds_is_not_held_where_it_slows_down() {
+    let worth = large_fleet().worth();
+    let mut bare = experiment("large-fleet.jsonc");
+    bare.without.push(Mechanism::BestSlots);
+    let bare = play_twice(&bare).worth();
+    assert!(worth > 0.69, "{worth}");
+    assert!(worth > bare + 0.04, "{worth} with, {bare} without");
+}
+
+/// The same fleet where nothing slows down: looking for a better limit costs about a hundredth (0.770 and 0.776).
+#[test]
+fn looking_for_a_better_limit_costs_little_where_there_is_none() {
+    let mut experiment = experiment("large-fleet.jsonc");
+    for service in experiment.services.values_mut() {
+        service.knee_times = 1.0;
+    }
+    let worth = play_twice(&experiment).worth();
+    experiment.without.push(Mechanism::BestSlots);
+    let bare = play_twice(&experiment).worth();
+    assert!(worth > bare - 0.02, "{worth} with, {bare} without");
+}
+
+/// It starts under load, knowing neither what is a call nor who makes it. With forty requests to know a call and twenty
+/// to know who makes it, 23 in 100 critical requests failed deep in its seconds 2 to 4, now 1.
+#[test]
+fn a_fleet_that_starts_under_load_knows_within_two_seconds_who_calls_whom() {
+    let outcome = large_fleet();
+    let critical = outcome.kinds.iter().find(|kind| kind.kind == "certify");
+    let counts = critical.expect("a kind").between(2, 4);
+    let failed = f64::from(counts.failed) / f64::from(counts.asked);
+    assert!(failed < 0.06, "{failed}");
+}
+
+/// While levels fell between two answers, 9 in 100 critical requests failed deep after work was done for them; holding for
+/// a second, 5 in 100. Bookings, which the service that binds answers itself, are served at least as often as reads of
+/// their importance.
+#[test]
+fn most_is_refused_where_it_begins_and_bookings_after_reads() {
+    let outcome = large_fleet();
+    let critical = outcome.kinds.iter().find(|kind| kind.kind == "certify");
+    let counts = critical.expect("a kind").total();
+    let failed = f64::from(counts.failed) / f64::from(counts.asked);
+    assert!(failed < 0.07, "{failed}");
+    let (books, reads) = (
+        served(&outcome, "book", 0, 40),
+        served(&outcome, "read", 0, 40),
+    );
+    assert!(
+        books > reads,
+        "{books} of the bookings, {reads} of the reads"
+    );
+}
--- a/crates/sorrelturn-policy/src/gate.rs
+++ b/crates/sorrelturn-policy/src/gate.rs
@@ -259,7 +259,7 @@
     }
 
     /// The limit that holds for long, which is what others go by.
-    fn steady_limit(&self, now: Now) -> u32 {
+    pub fn steady_limit(&self, now: Now) -> u32 {
         self.limit.get(now).min(self.best.best()).max(1)
     }
 
