--- a/crates/sorrelturn-daemon/src/operators/export.rs
+++ b/crates/sorrelturn-daemon/src/operators/export.rs
@@ -102,7 +102,7 @@
 }
 
 fn note_limit(node: &Node, last: &mut Option<u32>) {
-    let limit = node.room.with_gate(|gate, now| gate.limit(now));
+    let limit = node.room.with_gate(|gate, now| gate.steady_limit(now));
     if let Some(before) = last.replace(limit)
         && before != limit
     {
@@ -114,7 +114,7 @@
 fn note_load(node: &Node) {
     let (in_flight, waiting, limit, threshold) = node.room.with_gate(|gate, now| {
         let threshold = gate.threshold(now);
-        (gate.in_flight(), gate.waiting(), gate.limit(now), threshold)
+        (gate.in_flight(), gate.waiting(), gate.steady_limit(now), threshold)
     });
     if threshold > Priority::LOWEST {
         let fields = vec![
@@ -133,7 +133,7 @@
     }
     let (in_flight, waiting, limit) = node
         .room
-        .with_gate(|gate, now| (gate.in_flight(), gate.waiting(), gate.limit(now)));
+        .with_gate(|gate, now| (gate.in_flight(), gate.waiting(), gate.steady_limit(now)));
     let members = lock(&node.membership).present().count();
     let tokens = lock(&node.ledger).outstanding();
     let version = lock(&node.spread).in_force();
