--- /dev/null
+++ b/crates/sorrelturn-bench/src/experiment/play/faults.rs
@@ -0,0 +1,103 @@
+//! What goes wrong, as the file says, and how much arrives.
+
+use super::{Call, Play, seconds};
+use crate::experiment::file::FaultSpec;
+
+impl Play<'_> {
+    /// How much arrives now, as a multiple of the usual, and in clumps of how many.
+    pub(super) fn load(&self) -> (f64, u32) {
+        let now = self.now.as_secs_f64();
+        let mut load = (1.0, 1);
+        for stretch in &self.experiment.load {
+            if (stretch.from_s..stretch.to_s).contains(&now) {
+                load.0 *= stretch.times;
+                load.1 = load.1.max(stretch.clumps_of);
+            }
+        }
+        load
+    }
+
+    pub(super) fn repeats(&self) -> Option<(f64, u32)> {
+        let now = self.now.as_secs_f64();
+        self.experiment.faults.iter().find_map(|fault| match fault {
+            FaultSpec::Repeats {
+                share,
+                tries,
+                from_s,
+                to_s,
+            } if (*from_s..*to_s).contains(&now) => Some((*share, *tries)),
+            _ => None,
+        })
+    }
+
+    pub(super) fn is_lost(&self, daemon: usize) -> bool {
+        let service = self.service_of[daemon];
+        let at = daemon - self.first[service];
+        let name = &self.outcome.services[service].service;
+        let now = self.now.as_secs_f64();
+        self.experiment.faults.iter().any(|fault| {
+            matches!(fault, FaultSpec::Lost { service, instances, from_s, to_s }
+                if service == name && at < *instances && (*from_s..*to_s).contains(&now))
+        })
+    }
+
+    /// How much slower an instance works, and which share it turns away.
+    pub(super) fn faults_of(&self, daemon: usize) -> (f64, f64) {
+        let service = self.service_of[daemon];
+        let at = daemon - self.first[service];
+        let name = &self.outcome.services[service].service;
+        let now = self.now.as_secs_f64();
+        let (mut slower, mut turned_away) = (1.0, 0.0);
+        for fault in &self.experiment.faults {
+            match fault {
+                FaultSpec::Slow {
+                    service,
+                    instances,
+                    times,
+                    from_s,
+                    to_s,
+                } if service == name && at < *instances && (*from_s..*to_s).contains(&now) => {
+                    slower *= times;
+                }
+                FaultSpec::TurnsAway {
+                    service,
+                    share,
+                    from_s,
+                    to_s,
+                } if service == name && (*from_s..*to_s).contains(&now) => turned_away = *share,
+                FaultSpec::RestartAll {
+                    at_s,
+                    for_s,
+                    cold_s,
+                    cold_times,
+                } if (*at_s..at_s + for_s + cold_s).contains(&now) => slower *= cold_times,
+                _ => {}
+            }
+        }
+        (slower, turned_away)
+    }
+
+    /// All daemons end, with whatever they carry, and know nothing when they are back.
+    pub(super) fn restart(&mut self) {
+        let now = self.now.as_secs_f64();
+        for fault in &self.experiment.faults {
+            if let FaultSpec::RestartAll { at_s, for_s, .. } = fault
+                && *at_s <= now
+            {
+                self.taken_from = self.taken_from.max(seconds(at_s + for_s));
+            }
+        }
+        self.runs.clear();
+        let calls = std::mem::take(&mut self.calls);
+        let mut roots: Vec<(u64, Call)> = calls
+            .into_iter()
+            .filter(|(_, call)| call.parent.is_none())
+            .collect();
+        // A map's order isn't the same in every run.
+        roots.sort_unstable_by_key(|(id, _)| *id);
+        for (_, call) in roots {
+            self.failed(call.kind, call.caller);
+        }
+        self.start_daemons();
+    }
+}
--- a/crates/sorrelturn-bench/tests/experiment.rs
+++ b/crates/sorrelturn-bench/tests/experiment.rs
@@ -239,8 +239,8 @@
     let failed = f64::from(counts.failed) / f64::from(counts.asked);
     assert!(failed < 0.07, "{failed}");
     let (books, reads) = (
-        served(&outcome, "book", 0, 40),
-        served(&outcome, "read", 0, 40),
+        served(outcome, "book", 0, 40),
+        served(outcome, "read", 0, 40),
     );
     assert!(
         books > reads,
--- a/crates/sorrelturn-daemon/src/operators/export.rs
+++ b/crates/sorrelturn-daemon/src/operators/export.rs
@@ -114,7 +114,12 @@
 fn note_load(node: &Node) {
     let (in_flight, waiting, limit, threshold) = node.room.with_gate(|gate, now| {
         let threshold = gate.threshold(now);
-        (gate.in_flight(), gate.waiting(), gate.steady_limit(now), threshold)
+        (
+            gate.in_flight(),
+            gate.waiting(),
+            gate.steady_limit(now),
+            threshold,
+        )
     });
     if threshold > Priority::LOWEST {
         let fields = vec![
