A backend server that has announced that it leaves is sent nothing once more

Its answer was lost at 23.25 s; at 26.50 s the daemon took the connection for silent and sent it once more over a new one, without looking whether the backend server had left meanwhile. Change: no second sending once the backend server doesn't serve; the first sending is waited for as before. Red first: what_is_overdue_at_a_backend_server_that_leaves_is_not_sent_to_it_again reached it once, now never.

--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -173,8 +173,13 @@
         Some(copy)
     }
 
-    /// A second sending may run as a retry does, and is paid for as one.
+    /// A second sending may run as a retry does, and is paid for as one. A backend server that has announced that it
+    /// leaves gets none: its acknowledgement says that nothing new reaches it, and the first may be overdue by seconds.
     fn pays_second_sending(&self) -> bool {
+        let routed = self.node.routed.as_ref();
+        if routed.is_some_and(|routed| routed.serving().is_none()) {
+            return false;
+        }
         let state = self.in_force.kind_state(&self.kind);
         let paid = lock(&state.retries).take(self.node.now());
         if paid {
