--- a/crates/sorrelturn-bench/src/kept_ports.rs
+++ b/crates/sorrelturn-bench/src/kept_ports.rs
@@ -39,7 +39,8 @@
         Ok((ports, listen))
     }
 
-    fn keep_one(&mut self) -> io::Result<SocketAddr> {
+    /// Keeps one port on loopback; says where it is.
+    pub(crate) fn keep_one(&mut self) -> io::Result<SocketAddr> {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
         socket.set_reuse_address(true)?;
--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -3,9 +3,10 @@
 //! It writes its answers byte by byte, because most of what it has to play can't be said through a
 //! library that keeps to the protocol.
 
-use crate::client::answer_body;
+use crate::{KeptPorts, client::answer_body};
 use smol::{
     Executor,
+    channel::{self, Sender},
     future::FutureExt,
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
@@ -100,6 +101,14 @@
 
 struct State {
     id: String,
+    /// Its port, which stays its own while it is down.
+    ports: KeptPorts,
+    addr: Option<SocketAddr>,
+    /// Dropped when it crashes: its listener and its connections end.
+    running: Option<Sender<()>>,
+    /// It crashes when it has run a request whose first line or body holds this.
+    crashes_by: Option<String>,
+    crashes: usize,
     script: Script,
     reached: Vec<Reached>,
     ran: Vec<Reached>,
@@ -116,6 +125,8 @@
 const SOON: Duration = Duration::from_millis(100);
 /// What it asks of its daemon while it works on a request.
 pub const CALL_PATH: &str = "/call/1";
+/// How long it runs a request that crashes it: as long as one that it answers soon.
+const CRASHES_AFTER: Duration = Duration::from_millis(60);
 /// The size of a large answer.
 const LARGE_BYTES: usize = 50_000_000;
 /// How long it stays silent where it never answers.
@@ -132,6 +143,11 @@
     pub fn new(names: &HeaderNames, id: &str) -> Self {
         let state = State {
             id: id.to_owned(),
+            ports: KeptPorts::default(),
+            addr: None,
+            running: None,
+            crashes_by: None,
+            crashes: 0,
             script: Script::default(),
             reached: Vec::new(),
             ran: Vec::new(),
@@ -154,25 +170,79 @@
         }
     }
 
-    /// Serves on a free port until the executor ends.
+    /// Serves on a free port until the executor ends or it crashes.
     pub async fn serve(&self, ex: &Arc<Executor<'static>>) -> io::Result<SocketAddr> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let addr = listener.local_addr()?;
-        let (backend, inner) = (self.clone(), Arc::clone(ex));
+        let addr = self.lock().ports.keep_one()?;
+        self.lock().addr = Some(addr);
+        self.listen(ex, addr).await?;
+        Ok(addr)
+    }
+
+    /// Is there again after a crash, as another run under this id.
+    pub async fn rise(&self, ex: &Arc<Executor<'static>>, id: &str) -> io::Result<()> {
+        let addr = self.lock().addr.ok_or(io::ErrorKind::NotConnected)?;
+        self.restart_as(id);
+        self.listen(ex, addr).await
+    }
+
+    async fn listen(&self, ex: &Arc<Executor<'static>>, addr: SocketAddr) -> io::Result<()> {
+        let listener = TcpListener::bind(addr).await?;
+        let (running, ends) = channel::bounded::<()>(1);
+        self.lock().running = Some(running);
+        let (backend, inner, crash) = (self.clone(), Arc::clone(ex), ends.clone());
         let accept = async move {
             while let Ok((tcp, _)) = listener.accept().await {
-                let backend = backend.clone();
+                let (backend, crash) = (backend.clone(), crash.clone());
                 // A connection that breaks is what the tests are about.
                 let conn = async move {
                     backend.lock().connections += 1;
-                    backend.connection(tcp).await.unwrap_or_default();
+                    let crashed = async {
+                        let _ = crash.recv().await;
+                        Ok(())
+                    };
+                    let served = backend.connection(tcp).or(crashed).await;
+                    served.unwrap_or_default();
                     backend.lock().connections -= 1;
                 };
                 inner.spawn(conn).detach();
             }
         };
-        ex.spawn(accept).detach();
-        Ok(addr)
+        let crashed = async move {
+            let _ = ends.recv().await;
+        };
+        ex.spawn(accept.or(crashed)).detach();
+        Ok(())
+    }
+
+    /// It ends at once: nothing listens at its port, and its connections close without a word.
+    pub fn crash(&self) {
+        let mut state = self.lock();
+        if state.running.take().is_some() {
+            state.crashes += 1;
+        }
+    }
+
+    /// From now on it crashes whenever it has run a request whose first line or body holds `mark`.
+    pub fn crash_by(&self, mark: &str) {
+        self.lock().crashes_by = Some(mark.to_owned());
+    }
+
+    /// How often it has crashed.
+    pub fn crashes(&self) -> usize {
+        self.lock().crashes
+    }
+
+    /// Whether it is there.
+    pub fn is_up(&self) -> bool {
+        self.lock().running.is_some()
+    }
+
+    fn crashes_by(&self, req: &Reached) -> bool {
+        let state = self.lock();
+        let mark = state.crashes_by.as_deref();
+        mark.is_some_and(|mark| {
+            req.line.contains(mark) || String::from_utf8_lossy(&req.body).contains(mark)
+        })
     }
 
     /// Plays a script from now on.
@@ -241,6 +311,11 @@
             } else if script != Script::SaysNotRun {
                 self.lock().ran.push(req.clone());
             }
+            if self.crashes_by(&req) {
+                smol::Timer::after(CRASHES_AFTER).await;
+                self.crash();
+                return Ok(());
+            }
             let sender = tcp.get_ref().clone();
             let answer = self.answer(&mut tcp, &req, script);
             match answer.or(closed(&sender)).await {
