A request that crashes backend servers is held by the whole fleet

Cause: an exchange that broke off was counted against the instance alone, and nothing named what a request asks for, so each return of it was new to everybody. Hypothesis: what was at work in two crashes, and never ran to its end anywhere, is the cause; if all daemons know what was at work in each crash, all can refuse it without talk. Ruled out: retries without bound within one sending (attempts bound them, 62 of 62 lines), a crash taken for not run (reroutes came of refused connections only). Sight: crashes are told apart from other broken exchanges (S209), refusals carry the fingerprint of the request, S210 and S211 tell what is held and cleared.

--- /dev/null
+++ b/crates/sorrelturn-daemon/src/backend/crash.rs
@@ -0,0 +1,119 @@
+//! Whether the backend server crashed, and what it was working on. See `docs/design/quarantine.md`.
+//!
+//! When a backend server's process ends, all its connections break at once, and nobody listens at its port. A
+//! connection that breaks while others last, or while a new one can be opened, is a fault of the network or of one answer.
+
+use crate::{
+    fleet::suspects,
+    node::{Node, lock},
+};
+use smol::{Timer, future::FutureExt, lock::OnceCell, net::TcpStream};
+use sorrelturn_protocol::{CrashId, CrashReport, RequestFingerprint, RequestNames};
+use sorrelturn_telemetry::{Field, events};
+use std::{
+    io,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+/// The other connections of a process that ended are seen to be closed within this time; one that is still open after
+/// it spares a new connection, which backend servers pay for.
+const OTHERS_CLOSE: Duration = Duration::from_millis(5);
+/// A port on the own VM refuses or takes a connection within a fraction of this; one that is silent says nothing of a
+/// crash.
+const ASK_TIME: Duration = Duration::from_millis(100);
+/// What else was at work is heard of within this time, also by a daemon that has its share of a core used up for a tenth
+/// of a second twice as often as not. What comes later is reported as well, under the same crash.
+const COLLECT_TIME: Duration = Duration::from_millis(30);
+
+/// What broke off at the backend server beside this daemon.
+#[derive(Default)]
+pub(crate) struct Crashes(Mutex<State>);
+
+#[derive(Default)]
+struct State {
+    /// The look at the backend server that is going on.
+    look: Option<Arc<Look>>,
+    last: Option<LastCrash>,
+}
+
+/// The last crash, and how many connections had been opened to the backend server by then.
+struct LastCrash {
+    id: CrashId,
+    opened: u64,
+}
+
+/// One look whether the backend server is there, on behalf of all exchanges that broke off with it.
+#[derive(Default)]
+struct Look {
+    broke: Mutex<Vec<RequestFingerprint>>,
+    is_gone: OnceCell<bool>,
+}
+
+/// An exchange broke off while the backend server may have been running its request. Returns whether it crashed.
+pub(crate) async fn broke_off(node: &Arc<Node>, request: RequestNames) -> bool {
+    let look = {
+        let mut state = lock(&node.crashes.0);
+        let look = state.look.get_or_insert_default();
+        lock(&look.broke).extend(request.each());
+        Arc::clone(look)
+    };
+    *look.is_gone.get_or_init(|| look_at(node)).await
+}
+
+/// Looks at the backend server, and has what broke off reported if it is gone.
+async fn look_at(node: &Arc<Node>) -> bool {
+    let is_gone = is_gone(node).await;
+    if is_gone {
+        let (node, ex) = (Arc::clone(node), Arc::clone(&node.ex));
+        let report = async move {
+            Timer::after(COLLECT_TIME).await;
+            report(&node);
+        };
+        ex.spawn(report).detach();
+    } else {
+        lock(&node.crashes.0).look = None;
+    }
+    is_gone
+}
+
+async fn is_gone(node: &Node) -> bool {
+    Timer::after(OTHERS_CLOSE).await;
+    if node.backend.has_open_connection() {
+        return false;
+    }
+    let connect = TcpStream::connect(node.settings.backend.address);
+    let too_long = async {
+        Timer::after(ASK_TIME).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    let connected = connect.or(too_long).await;
+    connected.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
+/// Tells the fleet of the crash. Until a connection could be opened again, it is the one that was told of before.
+fn report(node: &Arc<Node>) {
+    let opened = node.backend.connections_opened();
+    let (id, look) = {
+        let mut state = lock(&node.crashes.0);
+        let same = state.last.as_ref().filter(|last| last.opened == opened);
+        let id = same.map_or_else(|| CrashId(fastrand::u64(..)), |last| last.id);
+        state.last = Some(LastCrash { id, opened });
+        (id, state.look.take())
+    };
+    let Some(look) = look else {
+        return;
+    };
+    let running = std::mem::take(&mut *lock(&look.broke));
+    let fields = vec![
+        Field::new("crash", format!("{:016x}", id.0)),
+        Field::new("names", running.len()),
+    ];
+    node.note(&events::BACKEND_CRASHED, fields);
+    let report = CrashReport {
+        id,
+        age_ms: COLLECT_TIME.as_millis() as u64,
+        running,
+    };
+    suspects::crashed_here(node, report);
+}
--- a/crates/sorrelturn-daemon/src/backend/link.rs
+++ b/crates/sorrelturn-daemon/src/backend/link.rs
@@ -11,7 +11,10 @@
 use std::{
     net::SocketAddr,
     pin::pin,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -23,6 +26,7 @@
     addr: SocketAddr,
     connect_time: Duration,
     pool: Arc<Pool>,
+    opened: AtomicU64,
 }
 
 /// The head of an answer.
@@ -39,6 +43,7 @@
             addr,
             connect_time,
             pool: Pool::new(CONNECTIONS_BEFORE_BUNDLE),
+            opened: AtomicU64::new(0),
         }
     }
 
@@ -58,6 +63,16 @@
         }
     }
 
+    /// Whether a connection that rests is open, as far as this end knows.
+    pub(crate) fn has_open_connection(&self) -> bool {
+        self.pool.has_open()
+    }
+
+    /// How many connections could be opened so far.
+    pub(crate) fn connections_opened(&self) -> u64 {
+        self.opened.load(Ordering::Relaxed)
+    }
+
     /// Drops the idle connections: they lead to a backend server that has ended.
     pub(crate) fn forget_idle(&self) {
         self.pool.forget_idle();
@@ -118,6 +133,7 @@
         let connect = || async {
             let tcp = TcpStream::connect(self.addr).await?;
             tcp.set_nodelay(true)?;
+            self.opened.fetch_add(1, Ordering::Relaxed);
             Ok(Opened {
                 stream: Box::new(ReadySocket::new(tcp.clone())),
                 socket: tcp,
--- a/crates/sorrelturn-daemon/src/fleet/control.rs
+++ b/crates/sorrelturn-daemon/src/fleet/control.rs
@@ -5,6 +5,7 @@
     config::in_force::Origin,
     fleet::gossip,
     fleet::metered::Metered,
+    fleet::suspects,
     net::serve::{Accepted, Closing},
     net::stream::BoxStream,
     node::{Node, lock},
@@ -16,7 +17,7 @@
 use sorrelturn_bundle::{ContentHash, SectionBytes, SignedManifest};
 use sorrelturn_fleet::{Digest, DigestReply, Report};
 use sorrelturn_policy::LeavingCause;
-use sorrelturn_protocol::{Incarnation, MemberRecord};
+use sorrelturn_protocol::{CrashNews, Incarnation, MemberRecord};
 use sorrelturn_telemetry::{EventRecord, Field, events};
 use std::sync::Arc;
 use tarpc::{
@@ -46,6 +47,8 @@
         async fn news(records: Vec<MemberRecord>);
         /// The sender has this version in force; answers with the version here.
         async fn announce(from: String, version: u64) -> u64;
+        /// What the sender knows of crashes of backend servers.
+        async fn crashes(news: CrashNews);
         /// The manifest in force.
         async fn manifest() -> Option<SignedManifest>;
         /// The route table in force, as operators wrote it.
@@ -82,9 +85,12 @@
         );
         let members = lock(&self.node.membership).digest();
         let differs = members.total() != digest.members;
+        let suspects = &self.node.suspects;
+        let crashes_differ = suspects.sum(self.node.now()) != digest.crashes;
         DigestReply {
             version: lock(&self.node.spread).in_force(),
             members: differs.then_some(members),
+            crashes: crashes_differ.then(|| suspects.news(self.node.now())),
         }
     }
 
@@ -103,6 +109,10 @@
         lock(&self.node.spread).in_force()
     }
 
+    async fn crashes(self, _: context::Context, news: CrashNews) {
+        suspects::heard(&self.node, &news);
+    }
+
     async fn manifest(self, _: context::Context) -> Option<SignedManifest> {
         let in_force = self.node.in_force.load_full()?;
         match &in_force.origin {
--- a/crates/sorrelturn-daemon/src/fleet/gossip.rs
+++ b/crates/sorrelturn-daemon/src/fleet/gossip.rs
@@ -8,12 +8,13 @@
     fleet::control_client::{self as control, ControlError},
     fleet::next_run,
     fleet::reports,
+    fleet::suspects,
     node::{Node, lock},
 };
 use smol::Timer;
 use sorrelturn_fleet::{Digest, PUSH_FAN_OUT, Source, push_targets};
 use sorrelturn_policy::LeavingCause;
-use sorrelturn_protocol::{MemberRecord, MemberState};
+use sorrelturn_protocol::{CrashNews, MemberRecord, MemberState};
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 use tarpc::{client::RpcError, context::Context};
 
@@ -110,6 +111,13 @@
     });
 }
 
+/// Tells some peers what was learnt of crashes of backend servers.
+pub(crate) fn tell_of_crashes(node: &Arc<Node>, news: CrashNews) {
+    tell_neighbours(node, move |client, cx| async move {
+        client.crashes(cx, news).await
+    });
+}
+
 /// Makes one control call to each of those who are told of news, and waits for none of them.
 fn tell_neighbours<T, F>(
     node: &Arc<Node>,
@@ -128,22 +136,22 @@
     }
 }
 
-/// Compares notes with neighbours, one after another.
+/// Compares notes with neighbours, one after another; with the first one at once, since a run that has just started
+/// knows nothing of requests that crash backend servers.
 pub(crate) async fn run_exchanges(node: Arc<Node>) {
     let mut exchanges = 0;
     loop {
+        if let Some(record) = next_neighbour(&node) {
+            exchanges += 1;
+            let answered = exchange(&node, &record).await.is_ok();
+            if !answered || exchanges % EXCHANGES_PER_NEIGHBOUR == 0 {
+                lock(&node.neighbours).retain(|instance| *instance != record.instance);
+            }
+        }
         let jitter = 0.75 + fastrand::f64() / 2.0;
         Timer::after(EXCHANGE_EVERY.mul_f64(jitter)).await;
         lock(&node.membership).forget_gone(node.now());
         node.control_links.close_idle();
-        let Some(record) = next_neighbour(&node) else {
-            continue;
-        };
-        exchanges += 1;
-        let answered = exchange(&node, &record).await.is_ok();
-        if !answered || exchanges % EXCHANGES_PER_NEIGHBOUR == 0 {
-            lock(&node.neighbours).retain(|instance| *instance != record.instance);
-        }
     }
 }
 
@@ -179,12 +187,21 @@
         from: (**node.own_record.load()).clone(),
         version: lock(&node.spread).in_force(),
         members: own.total(),
+        crashes: node.suspects.sum(node.now()),
     };
     let reply = control::call(node, peer, |client, cx| async move {
         client.exchange(cx, digest).await
     })
     .await?;
     fetch::heard_version(node, reply.version, Source::Peer(peer.instance.clone()));
+    if let Some(theirs) = reply.crashes {
+        suspects::heard(node, &theirs);
+        let ours = node.suspects.news(node.now());
+        control::call(node, peer, |client, cx| async move {
+            client.crashes(cx, ours).await
+        })
+        .await?;
+    }
     let Some(theirs) = reply.members else {
         return Ok(());
     };
--- a/crates/sorrelturn-daemon/src/fleet/mod.rs
+++ b/crates/sorrelturn-daemon/src/fleet/mod.rs
@@ -9,4 +9,5 @@
 pub(crate) mod peers;
 pub(crate) mod reports;
 pub(crate) mod routes;
+pub(crate) mod suspects;
 pub(crate) mod watch;
--- a/crates/sorrelturn-daemon/src/net/pool.rs
+++ b/crates/sorrelturn-daemon/src/net/pool.rs
@@ -213,6 +213,12 @@
         lock(&self.idle).clear();
     }
 
+    /// Whether a connection that rests hasn't been closed by the other end.
+    pub(crate) fn has_open(&self) -> bool {
+        let idle = lock(&self.idle);
+        idle.iter().any(|idle| !idle.conn.sender.is_closed())
+    }
+
     /// Whether a connection rests.
     pub(crate) fn rests(&self) -> bool {
         !lock(&self.idle).is_empty()
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -1,6 +1,7 @@
 //! What all tasks of a daemon share.
 
 use crate::{
+    backend::crash::Crashes,
     backend::link::Backend,
     backend::state::Routed,
     clock::Clock,
@@ -9,6 +10,7 @@
     ending::Ending,
     fleet::control_client::ControlLinks,
     fleet::routes::Routes,
+    fleet::suspects::Suspects,
     net::connections::Connections,
     net::stream::FleetKeys,
     net::timers::Timers,
@@ -56,6 +58,10 @@
     pub(crate) keys: FleetKeys,
     pub(crate) platform: Platform,
     pub(crate) backend: Backend,
+    /// What broke off at the backend server.
+    pub(crate) crashes: Crashes,
+    /// Requests that may crash backend servers.
+    pub(crate) suspects: Suspects,
     /// Present where kinds are told by routes and the backend server announces itself.
     pub(crate) routed: Option<Routed>,
     pub(crate) room: Arc<Room>,
--- a/crates/sorrelturn-daemon/src/request/entry.rs
+++ b/crates/sorrelturn-daemon/src/request/entry.rs
@@ -6,6 +6,7 @@
     operators::export,
     request::answer::Reply,
     request::body::{self, Body},
+    request::fingerprint,
     request::forward::{self, Call},
     request::headers,
     request::owner,
@@ -19,7 +20,7 @@
 use serde::Deserialize;
 use sorrelturn_bundle::{CallerEntry, KindEntry};
 use sorrelturn_protocol::{
-    CallContext, ExecutionToken, Refusal, RequestId, SpanId, Verdict,
+    CallContext, ExecutionToken, Refusal, RequestId, RequestNames, SpanId, Verdict,
     headers::{IDEMPOTENCY_KEY, TOKEN, TRACEPARENT},
 };
 use sorrelturn_telemetry::{Field, TraceContext, events};
@@ -109,13 +110,19 @@
     let payload = Payload::read(&node.timers, incoming).await?;
     let deadline = node.now() + Duration::from_millis(root.kind.kind.deadline_ms.into());
     headers::strip_for_peer(&mut parts.headers);
+    let target = target(&parts.uri);
+    let caller = root.context.caller;
+    let names = fingerprint::names_of(&parts.method, &target, &parts.headers, caller, &payload);
     let mut call = Call {
         in_force: Arc::clone(&root.in_force),
         kind: Arc::clone(&root.kind),
-        context: root.context.clone(),
+        context: CallContext {
+            names,
+            ..root.context.clone()
+        },
         deadline,
         method: parts.method,
-        target: target(&parts.uri),
+        target,
         headers: parts.headers,
         payload,
         for_repeat: 0.0,
@@ -201,6 +208,7 @@
         caller: caller.id,
         level: 0,
         repeated: false,
+        names: RequestNames::default(),
     };
     Ok(Root {
         kind: Arc::clone(kind),
--- a/crates/sorrelturn-daemon/src/request/exchange.rs
+++ b/crates/sorrelturn-daemon/src/request/exchange.rs
@@ -164,6 +164,11 @@
 fn is_instance_failure(reply: &Reply) -> bool {
     matches!(
         reply.context.refusal,
-        Some(Refusal::BackendUnreachable | Refusal::BackendBroke | Refusal::NoBundle)
+        Some(
+            Refusal::BackendUnreachable
+                | Refusal::BackendBroke
+                | Refusal::BackendCrashed
+                | Refusal::NoBundle
+        )
     )
 }
--- a/crates/sorrelturn-daemon/src/request/forward.rs
+++ b/crates/sorrelturn-daemon/src/request/forward.rs
@@ -19,7 +19,8 @@
 use sorrelturn_bundle::KindEntry;
 use sorrelturn_fleet::Source;
 use sorrelturn_policy::{
-    Attempt, InstanceReport, Now, Step, after_turned_away, choose, first_share, next_step,
+    Attempt, CRASHES_TO_HOLD, InstanceReport, Now, Step, after_turned_away, choose, first_share,
+    next_step,
 };
 use sorrelturn_protocol::{
     AnswerContext, CallContext, Incarnation, Refusal, RequestId, SpanId, Verdict,
@@ -62,6 +63,8 @@
     turned_away: u32,
     turned_away_by: Option<Incarnation>,
     token_asks: u32,
+    /// How many backend servers crashed while they ran it.
+    crashes: usize,
 }
 
 /// Forwards a call until there is a final answer.
@@ -70,6 +73,10 @@
         let refused = Reply::not_run(Refusal::Leaving).come_back(owner::come_back(node));
         return owner::unused(refused, call.context.attempts);
     }
+    if let Some(held_for) = held_for(node, call) {
+        let refused = Reply::not_run(Refusal::Quarantined).come_back(held_for);
+        return owner::unused(refused, call.context.attempts);
+    }
     let kind_state = call.in_force.kind_state(&call.kind);
     let span = SpanId::random(&mut fastrand::Rng::new());
     let share = call.context.attempts;
@@ -84,6 +91,7 @@
         turned_away: 0,
         turned_away_by: None,
         token_asks: 0,
+        crashes: 0,
     };
     lock(&kind_state.retries).sent_for_repeat(node.now(), call.for_repeat);
     let mut reply = loop {
@@ -115,6 +123,26 @@
     call.context.token.is_none() && node.ending.bound(answered) < answered
 }
 
+/// For how long a request is kept from backend servers since it crashes them, if it is. Only its owner knows what
+/// became of a token.
+fn held_for(node: &Node, call: &Call) -> Option<Duration> {
+    if call.context.token.is_some() {
+        return None;
+    }
+    let held_for = node.suspects.held_for(node.now(), call.context.names)?;
+    node.events.note(
+        &events::REFUSED,
+        Some(call.context.request),
+        vec![
+            Field::new("kind", &call.kind.name),
+            Field::new("reason", Refusal::Quarantined.name()),
+            Field::new("fingerprint", call.context.names.path),
+            Field::new("held_for_ms", held_for.as_millis()),
+        ],
+    );
+    Some(held_for)
+}
+
 /// Asks one instance. `None` if there is none left to ask.
 async fn one_try(
     node: &Arc<Node>,
@@ -330,8 +358,13 @@
         need: call.kind.need,
         time_left,
     };
-    let reached = reached_and_turned_away(node, reply);
-    let step = if reached {
+    progress.crashes += usize::from(reply.context.refusal == Some(Refusal::BackendCrashed));
+    // Two of its tries may crash backend servers before the fleet has heard of the first.
+    let crashes_them = progress.crashes >= CRASHES_TO_HOLD || held_for(node, call).is_some();
+    let reached = !crashes_them && reached_and_turned_away(node, reply);
+    let step = if crashes_them {
+        Step::Answer
+    } else if reached {
         after_turned_away(progress.turned_away, time_left)
     } else {
         next_step(&attempt)
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -1,11 +1,12 @@
 //! One call at its owner: the exchange with the backend server, and what follows from it.
 
 use crate::{
+    backend::crash,
     backend::link::Answered,
     backend::state::{self, Routed, Word},
     clock::unix_ns,
     config::in_force::InForce,
-    fleet::gossip,
+    fleet::{gossip, suspects},
     net::pool::{Lease, SendError},
     node::{Carried, Node, lock},
     operators::export,
@@ -92,6 +93,13 @@
         })
     }
 
+    /// Whether it is kept from backend servers, since it crashes them.
+    fn is_held(&self) -> bool {
+        let suspects = &self.node.suspects;
+        let held_for = suspects.held_for(self.node.now(), self.context.names);
+        held_for.is_some()
+    }
+
     pub(crate) async fn enter(&self) -> Result<Slot, Refusal> {
         let priority = self.context.priority();
         let holds_work = self.context.depth > 0;
@@ -99,6 +107,11 @@
         let mut slot = room
             .enter(priority, holds_work, self.deadline, self.context.level)
             .await?;
+        // What it waited for may have told of it meanwhile.
+        if self.is_held() {
+            slot.release(Outcome::Cancelled);
+            return Err(Refusal::Quarantined);
+        }
         let graph = self.node.routed.as_ref().map(|routed| &routed.graph);
         if graph.is_some_and(|graph| lock(graph).calls_nothing(&self.kind.name)) {
             slot.is_of_leaf(&self.kind.name);
@@ -150,7 +163,15 @@
                 let share = self.context.attempts;
                 unused(self.refused(Refusal::BackendUnreachable), share)
             }
-            Some(Err(SendError::Broke | SendError::NeverCame | SendError::AnswerLost)) => {
+            Some(Err(SendError::Broke)) => {
+                slot.release(Outcome::Broke);
+                let refusal = match crash::broke_off(&node, self.context.names).await {
+                    true => Refusal::BackendCrashed,
+                    false => Refusal::BackendBroke,
+                };
+                self.failed(&guard, refusal)
+            }
+            Some(Err(SendError::NeverCame | SendError::AnswerLost)) => {
                 slot.release(Outcome::Broke);
                 self.failed(&guard, Refusal::BackendBroke)
             }
@@ -358,6 +379,7 @@
             body::guarded_answer(&timers, incoming, deadline, move |whole| {
                 if whole {
                     lease.give_back();
+                    suspects::ran_whole(&hop.node, hop.context.names);
                 }
                 if let Some(slot) = slot {
                     slot.release(if whole { outcome } else { Outcome::Cancelled });
@@ -392,6 +414,7 @@
                 Field::new("priority", self.context.priority().0),
                 Field::new("threshold", threshold.0),
                 Field::new("load_percent", load),
+                Field::new("fingerprint", self.context.names.path),
             ],
         );
         export::count(
--- a/crates/sorrelturn-daemon/src/request/nested.rs
+++ b/crates/sorrelturn-daemon/src/request/nested.rs
@@ -6,6 +6,7 @@
     request::answer::Reply,
     request::body::Body,
     request::entry,
+    request::fingerprint,
     request::forward::{self, Call},
     request::headers,
     request::owner,
@@ -18,7 +19,7 @@
 use sorrelturn_bundle::KindEntry;
 use sorrelturn_once::CallKey;
 use sorrelturn_protocol::{
-    CallContext, CallerId, ExecutionToken, Refusal, RequestId, SpanId, Verdict,
+    CallContext, CallerId, ExecutionToken, Refusal, RequestId, RequestNames, SpanId, Verdict,
     headers::{IDEMPOTENCY_KEY, PARENT, TRACEPARENT},
 };
 use sorrelturn_telemetry::TraceContext;
@@ -120,6 +121,7 @@
         caller: parent.map_or(CallerId::default(), |parent| parent.context.caller),
         level: 0,
         repeated: parent.is_some_and(|parent| parent.context.repeated),
+        names: RequestNames::default(),
     }
 }
 
@@ -141,13 +143,16 @@
     };
     headers::strip_for_peer(&mut parts.headers);
     let for_repeat = f64::from(u8::from(context.repeated));
+    let target = entry::target(&parts.uri);
+    let caller = context.caller;
+    let names = fingerprint::names_of(&parts.method, &target, &parts.headers, caller, &payload);
     let mut call = Call {
         in_force: Arc::clone(in_force),
         kind,
-        context,
+        context: CallContext { names, ..context },
         deadline,
         method: parts.method,
-        target: entry::target(&parts.uri),
+        target,
         headers: parts.headers,
         payload,
         for_repeat,
--- a/crates/sorrelturn-daemon/src/request/payload.rs
+++ b/crates/sorrelturn-daemon/src/request/payload.rs
@@ -23,7 +23,12 @@
     /// Here as a whole, so the request can be sent again.
     Whole(Bytes),
     /// Still coming from its sender; can be sent once.
-    Stream(Option<Body>),
+    Stream {
+        /// It, until it is sent.
+        body: Option<Body>,
+        /// Its length, if its sender told it.
+        bytes: Option<u64>,
+    },
 }
 
 impl Payload {
@@ -34,7 +39,8 @@
         }
         let upper = incoming.size_hint().upper();
         if upper.is_none_or(|len| len > WHOLE_BODY_BYTES) {
-            return Ok(Self::Stream(Some(body::guarded(timers, incoming, |_| {}))));
+            let body = Some(body::guarded(timers, incoming, |_| {}));
+            return Ok(Self::Stream { body, bytes: upper });
         }
         let read = async {
             let body = Limited::new(incoming, WHOLE_BODY_BYTES as usize);
@@ -54,14 +60,14 @@
     pub(crate) fn take(&mut self) -> Option<Body> {
         match self {
             Self::Whole(bytes) => Some(body::full(bytes.clone())),
-            Self::Stream(body) => body.take(),
+            Self::Stream { body, .. } => body.take(),
         }
     }
 
     pub(crate) fn can_be_sent_again(&self) -> bool {
         match self {
             Self::Whole(_) => true,
-            Self::Stream(body) => body.is_some(),
+            Self::Stream { body, .. } => body.is_some(),
         }
     }
 }
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -10,6 +10,7 @@
     request::answer::Reply,
     request::body::{self, Body},
     request::entry::target,
+    request::fingerprint,
     request::forward::{self, Call},
     request::headers,
     request::owner,
@@ -201,6 +202,9 @@
         Err(refused) => return refused,
     };
     prepare_headers(node, routed, &mut parts.headers);
+    let target = target(&parts.uri);
+    let caller = CallerId::default();
+    let names = fingerprint::names_of(&parts.method, &target, &parts.headers, caller, &payload);
     let worked_on = node.parents.sums();
     let (level, for_repeat) = match asked.is_call {
         true => (worked_on.mean_level(), worked_on.repeated_part()),
@@ -217,9 +221,10 @@
         deadline_ms: asked.kind.kind.deadline_ms,
         attempts: asked.kind.kind.attempts,
         token: None,
-        caller: CallerId::default(),
+        caller,
         level,
         repeated: for_repeat > 0.5,
+        names,
     };
     let mut call = Call {
         in_force: asked.in_force,
@@ -227,7 +232,7 @@
         context,
         deadline: asked.deadline,
         method: parts.method,
-        target: target(&parts.uri),
+        target,
         headers: parts.headers,
         payload,
         for_repeat,
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     backend::announce,
+    backend::crash::Crashes,
     backend::link::Backend,
     backend::state::Routed,
     clock::{Clock, unix_ms},
@@ -12,6 +13,7 @@
     fleet::join,
     fleet::reports,
     fleet::routes::Routes,
+    fleet::suspects::Suspects,
     fleet::watch,
     net::connections::Connections,
     net::listeners::Listeners,
@@ -318,6 +320,8 @@
             .with_objects_path(&settings.platform.objects_path),
         routed: settings.routes.as_ref().map(|_| Routed::new(dialect)),
         backend: Backend::new(settings.backend.address, connect_time),
+        crashes: Crashes::default(),
+        suspects: Suspects::default(),
         room: Arc::new(Room::new(
             clock,
             timers.clone(),
--- a/crates/sorrelturn-fleet/src/messages.rs
+++ b/crates/sorrelturn-fleet/src/messages.rs
@@ -2,7 +2,7 @@
 
 use crate::MembershipDigest;
 use serde::{Deserialize, Serialize};
-use sorrelturn_protocol::{MemberRecord, MemberState};
+use sorrelturn_protocol::{CrashNews, MemberRecord, MemberState};
 
 /// One daemon's side of a periodic exchange.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -13,6 +13,8 @@
     pub version: u64,
     /// What it knows of the members, as one sum over all groups.
     pub members: u64,
+    /// What it knows of crashes of backend servers, as one sum.
+    pub crashes: u64,
 }
 
 /// The other side. Equal sums end the exchange here.
@@ -22,6 +24,8 @@
     pub version: u64,
     /// The groups' sums, if the sum over all of them differs.
     pub members: Option<MembershipDigest>,
+    /// What is known there of crashes, if their sum differs.
+    pub crashes: Option<CrashNews>,
 }
 
 impl MembershipDigest {
--- a/crates/sorrelturn-protocol/src/context.rs
+++ b/crates/sorrelturn-protocol/src/context.rs
@@ -1,8 +1,8 @@
 //! What daemons tell one another about a call and its answer, each in one header.
 
 use crate::{
-    CallerId, ExecutionToken, Importance, Incarnation, Priority, Refusal, RequestId, SpanId,
-    Verdict,
+    CallerId, ExecutionToken, Importance, Incarnation, Priority, Refusal, RequestId, RequestNames,
+    SpanId, Verdict,
 };
 use data_encoding::BASE64URL_NOPAD;
 use displaydoc::Display;
@@ -37,6 +37,8 @@
     pub level: u16,
     /// Whether it may have run before, so that its calls are repeats.
     pub repeated: bool,
+    /// What it asks for.
+    pub names: RequestNames,
 }
 
 impl CallContext {
--- a/crates/sorrelturn-protocol/src/lib.rs
+++ b/crates/sorrelturn-protocol/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod backend;
 mod context;
+mod crash;
 mod fate;
 pub mod headers;
 mod ids;
@@ -13,6 +14,7 @@
 
 pub use backend::{Announcement, BackendState};
 pub use context::{AnswerContext, CallContext, HeaderError};
+pub use crash::{Cleared, CrashId, CrashNews, CrashReport, RequestFingerprint, RequestNames};
 pub use fate::{AttemptId, Fate, FateQuestion};
 pub use ids::{CallerId, Incarnation, RequestId, SpanId};
 pub use importance::{Importance, Priority};
--- a/crates/sorrelturn-protocol/src/refusal.rs
+++ b/crates/sorrelturn-protocol/src/refusal.rs
@@ -54,6 +54,10 @@
     BackendRefused,
     /// a service that the request would call has no instance
     NoInstanceBelow,
+    /// the backend server crashed while it ran the request
+    BackendCrashed,
+    /// backend servers crashed while they ran this request, and it is kept from all others
+    Quarantined,
 }
 
 impl Refusal {
@@ -69,7 +73,9 @@
             Self::TokenRejected => 422,
             Self::TokenRequired => 428,
             Self::CallerRate => 429,
-            Self::BackendBroke | Self::PeerBroke | Self::OutcomeUnknown => 502,
+            Self::BackendBroke | Self::BackendCrashed | Self::PeerBroke | Self::OutcomeUnknown => {
+                502
+            }
             Self::Deadline => 504,
             _ => 503,
         }
@@ -102,6 +108,8 @@
             Self::TooLarge => "too-large",
             Self::BackendRefused => "backend-refused",
             Self::NoInstanceBelow => "no-instance-below",
+            Self::BackendCrashed => "backend-crashed",
+            Self::Quarantined => "quarantined",
         }
     }
 
@@ -110,7 +118,11 @@
     pub fn tells_load(self) -> bool {
         !matches!(
             self,
-            Self::Leaving | Self::OtherService | Self::NoBundle | Self::BackendUnreachable
+            Self::Leaving
+                | Self::OtherService
+                | Self::NoBundle
+                | Self::BackendUnreachable
+                | Self::BackendCrashed
         )
     }
 
--- a/crates/sorrelturn-telemetry/src/events.rs
+++ b/crates/sorrelturn-telemetry/src/events.rs
@@ -58,6 +58,10 @@
 
     BACKEND_REPORT_REFUSED = 208 "backend-report-refused" Warn "A report about a backend server names none that could be used, and changed nothing; noted once in ten seconds.";
 
+    BACKEND_CRASHED = 209 "backend-crashed" Warn "The backend server ended while it ran requests, and their exchanges broke off with it.";
+    REQUESTS_HELD = 210 "requests-held" Warn "Requests were at work in crashes of several backend servers and are kept from all of them.";
+    REQUESTS_CLEARED = 211 "requests-cleared" Info "Requests that were held have run to their end somewhere, and are let through again.";
+
     BUNDLE_IN_FORCE = 300 "bundle-in-force" Info "A higher bundle version is in force here.";
     BUNDLE_REFUSED = 301 "bundle-refused" Error "A bundle was not taken.";
     BUNDLE_FETCH_FAILED = 302 "bundle-fetch-failed" Warn "A higher bundle is known but could not be fetched.";
