Requests that are held outlive all daemons, and more tests of what is held and what isn't

The daemon beside a crash that made a request held writes the proof into the store; each daemon reads it once at its start.

--- a/crates/sorrelturn-daemon/src/backend/crash.rs
+++ b/crates/sorrelturn-daemon/src/backend/crash.rs
@@ -22,8 +22,8 @@
 /// A port on the own VM refuses or takes a connection within a fraction of this; one that is silent says nothing of a
 /// crash.
 const ASK_TIME: Duration = Duration::from_millis(100);
-/// What else was at work is heard of within this time, also by a daemon that has its share of a core used up for a tenth
-/// of a second twice as often as not. What comes later is reported as well, under the same crash.
+/// What else was at work breaks off within this time, in which a daemon handles hundreds of closed connections. It is
+/// told of in a second message; what comes later still in a third, after another look.
 const COLLECT_TIME: Duration = Duration::from_millis(30);
 
 /// What broke off at the backend server beside this daemon.
@@ -66,11 +66,12 @@
     let is_gone = is_gone(node).await;
     if is_gone {
         let (node, ex) = (Arc::clone(node), Arc::clone(&node.ex));
-        let report = async move {
+        report(&node, false);
+        let rest = async move {
             Timer::after(COLLECT_TIME).await;
-            report(&node);
+            report(&node, true);
         };
-        ex.spawn(report).detach();
+        ex.spawn(rest).detach();
     } else {
         lock(&node.crashes.0).look = None;
     }
@@ -92,19 +93,25 @@
 }
 
 /// Tells the fleet of the crash. Until a connection could be opened again, it is the one that was told of before.
-fn report(node: &Arc<Node>) {
+/// With `ends`, what breaks off from now on is looked into anew.
+fn report(node: &Arc<Node>, ends: bool) {
     let opened = node.backend.connections_opened();
-    let (id, look) = {
+    let (id, running) = {
         let mut state = lock(&node.crashes.0);
+        let look = if ends {
+            state.look.take()
+        } else {
+            state.look.clone()
+        };
+        let running = look.map(|look| std::mem::take(&mut *lock(&look.broke)));
         let same = state.last.as_ref().filter(|last| last.opened == opened);
         let id = same.map_or_else(|| CrashId(fastrand::u64(..)), |last| last.id);
         state.last = Some(LastCrash { id, opened });
-        (id, state.look.take())
+        (id, running.unwrap_or_default())
     };
-    let Some(look) = look else {
+    if running.is_empty() {
         return;
-    };
-    let running = std::mem::take(&mut *lock(&look.broke));
+    }
     let fields = vec![
         Field::new("crash", format!("{:016x}", id.0)),
         Field::new("names", running.len()),
@@ -112,7 +119,7 @@
     node.note(&events::BACKEND_CRASHED, fields);
     let report = CrashReport {
         id,
-        age_ms: COLLECT_TIME.as_millis() as u64,
+        age_ms: 0,
         running,
     };
     suspects::crashed_here(node, report);
--- a/crates/sorrelturn-daemon/src/fleet/suspects.rs
+++ b/crates/sorrelturn-daemon/src/fleet/suspects.rs
@@ -3,9 +3,12 @@
 use crate::{
     fleet::gossip,
     node::{Node, lock},
+    store::quarantine,
+};
+use sorrelturn_policy::{Learnt, Now, Quarantine};
+use sorrelturn_protocol::{
+    Cleared, CrashId, CrashNews, CrashReport, RequestFingerprint, RequestNames,
 };
-use sorrelturn_policy::{Now, Quarantine};
-use sorrelturn_protocol::{Cleared, CrashNews, CrashReport, RequestFingerprint, RequestNames};
 use sorrelturn_telemetry::{EventKind, Field, events};
 use std::{
     array,
@@ -27,6 +30,8 @@
     quarantine: Mutex<Quarantine>,
     /// Whether any request is suspected, which is rare: else requests take no lock for it.
     any: AtomicBool,
+    /// The last crash of the own backend server.
+    own_crash: Mutex<Option<CrashId>>,
     /// Requests that ran to their end here, each at a place of its own; a later one takes the place.
     proven: Box<[AtomicU64; PROVEN]>,
 }
@@ -36,6 +41,7 @@
         Self {
             quarantine: Mutex::default(),
             any: AtomicBool::new(false),
+            own_crash: Mutex::default(),
             proven: Box::new(array::from_fn(|_| AtomicU64::new(0))),
         }
     }
@@ -78,6 +84,7 @@
 
 /// The backend server beside this daemon crashed.
 pub(crate) fn crashed_here(node: &Arc<Node>, report: CrashReport) {
+    *lock(&node.suspects.own_crash) = Some(report.id);
     let news = CrashNews {
         crashes: vec![report],
         cleared: Vec::new(),
@@ -90,23 +97,23 @@
     let now = node.now();
     let suspects = &node.suspects;
     let mut quarantine = lock(&suspects.quarantine);
-    let mut unknown = quarantine.hear(now, news);
+    let Learnt {
+        mut unknown,
+        mut held,
+    } = quarantine.hear(now, news);
     suspects
         .any
         .store(!quarantine.is_empty(), Ordering::Relaxed);
-    let running = unknown.crashes.iter().flat_map(|crash| &crash.running);
-    let mut held: Vec<RequestFingerprint> = running
-        .copied()
-        .filter(|request| quarantine.holds(*request))
-        .collect();
     // Who has seen it run knows better than those who have seen it at work in crashes.
     let innocent: Vec<RequestFingerprint> = held
         .extract_if(.., |request| suspects.has_run(*request))
         .filter(|request| quarantine.clear(now, *request))
         .collect();
+    let proof = quarantine.proof(now, &held);
     drop(quarantine);
     note(node, &events::REQUESTS_HELD, &held);
     note(node, &events::REQUESTS_CLEARED, &innocent);
+    save_if_own(node, proof);
     unknown
         .cleared
         .extend(innocent.into_iter().map(just_cleared));
@@ -115,6 +122,16 @@
     }
 }
 
+/// The daemons beside the backend servers that crashed write down what that proved, and no others.
+fn save_if_own(node: &Arc<Node>, proof: Vec<CrashReport>) {
+    let own = *lock(&node.suspects.own_crash);
+    let Some(own) = own.filter(|own| proof.iter().any(|crash| crash.id == *own)) else {
+        return;
+    };
+    let save = quarantine::save(Arc::clone(node), own, proof);
+    node.ex.spawn(save).detach();
+}
+
 /// A request ran to its end here, whatever its answer was: it isn't what crashes backend servers.
 pub(crate) fn ran_whole(node: &Arc<Node>, request: RequestNames) {
     let suspects = &node.suspects;
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -25,7 +25,7 @@
     request::dialect::Dialect,
     request::parents::Parents,
     request::room::Room,
-    store::{member_record, outcomes},
+    store::{member_record, outcomes, quarantine},
 };
 use arc_swap::{ArcSwap, ArcSwapOption};
 use displaydoc::Display;
@@ -161,6 +161,7 @@
         let spawn = |task: smol::future::Boxed<()>| node.ex.spawn(task).detach();
         spawn(Box::pin(join::find_bundle(Arc::clone(node))));
         spawn(Box::pin(gossip::run_exchanges(Arc::clone(node))));
+        spawn(Box::pin(quarantine::read(Arc::clone(node))));
         if node.routed.is_some() {
             spawn(Box::pin(announce::find_backend(Arc::clone(node))));
         } else {
--- a/crates/sorrelturn-daemon/src/store/mod.rs
+++ b/crates/sorrelturn-daemon/src/store/mod.rs
@@ -2,3 +2,4 @@
 
 pub(crate) mod member_record;
 pub(crate) mod outcomes;
+pub(crate) mod quarantine;
--- a/crates/sorrelturn-platform/src/api.rs
+++ b/crates/sorrelturn-platform/src/api.rs
@@ -187,13 +187,16 @@
 
 /// Where objects of sorrelturn's own kinds lie.
 pub mod keys {
-    use sorrelturn_protocol::{CallerId, Incarnation};
+    use sorrelturn_protocol::{CallerId, CrashId, Incarnation};
 
     /// The signed manifest of the bundle that was accepted last.
     pub const BUNDLE_HEAD: &str = "sorrelturn/bundle/head";
     /// The members' own records.
     pub const MEMBERS: &str = "sorrelturn/members/";
 
+    /// Proofs against requests that crash backend servers.
+    pub const QUARANTINE: &str = "sorrelturn/quarantine/";
+
     /// The states of the failure domains.
     pub const STATUS: &str = "sorrelturn/status/";
 
@@ -219,6 +222,11 @@
         format!("{STATUS}{failure_domain}")
     }
 
+    /// What one crash proved.
+    pub fn quarantine(by: CrashId) -> String {
+        format!("{QUARANTINE}{:016x}", by.0)
+    }
+
     /// A section of a bundle, by its content.
     pub fn section(hash: &str) -> String {
         format!("sorrelturn/bundle/sections/{hash}")
--- a/crates/sorrelturn-policy/src/lib.rs
+++ b/crates/sorrelturn-policy/src/lib.rs
@@ -33,7 +33,7 @@
 pub use origins::Origins;
 pub use presence::{Heard, Presence};
 pub use pressure::Pressure;
-pub use quarantine::{CRASHES_TO_HOLD, Quarantine};
+pub use quarantine::{CRASHES_TO_HOLD, Learnt, Quarantine};
 pub use retry::{Attempt, MOST_TURNED_AWAY, Step, after_turned_away, next_step};
 pub use retry_after::{Refusing, RetryAfter};
 pub use retry_window::RetryWindow;
--- a/crates/sorrelturn-policy/src/quarantine.rs
+++ b/crates/sorrelturn-policy/src/quarantine.rs
@@ -31,6 +31,15 @@
     cleared: HashMap<RequestFingerprint, Now>,
 }
 
+/// What followed from what was heard.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Learnt {
+    /// What of it was unknown here, which others have to hear.
+    pub unknown: CrashNews,
+    /// The requests that are held from now on.
+    pub held: Vec<RequestFingerprint>,
+}
+
 #[derive(Clone, Debug)]
 struct Crash {
     id: CrashId,
@@ -39,10 +48,11 @@
 }
 
 impl Quarantine {
-    /// Takes what somebody learnt; returns what of it was unknown here, which others have to hear.
-    pub fn hear(&mut self, now: Now, news: &CrashNews) -> CrashNews {
+    /// Takes what somebody learnt.
+    pub fn hear(&mut self, now: Now, news: &CrashNews) -> Learnt {
         self.forget_old(now);
         let mut unknown = CrashNews::default();
+        let mut held = Vec::new();
         for cleared in &news.cleared {
             let age = Duration::from_millis(cleared.age_ms);
             if age < KEPT_FOR && self.clear(now.saturating_sub(age), cleared.request) {
@@ -51,6 +61,10 @@
         }
         for report in &news.crashes {
             let running = self.crashed(now, report);
+            let now_held = running
+                .iter()
+                .filter(|request| self.is_held_by_last(**request));
+            held.extend(now_held);
             if !running.is_empty() {
                 unknown.crashes.push(CrashReport {
                     running,
@@ -58,7 +72,22 @@
                 });
             }
         }
-        unknown
+        Learnt { unknown, held }
+    }
+
+    /// The crashes in which any of these requests was at work, and of what was at work only these.
+    pub fn proof(&self, now: Now, requests: &[RequestFingerprint]) -> Vec<CrashReport> {
+        let mut crashes = self.news(now).crashes;
+        for crash in &mut crashes {
+            crash.running.retain(|request| requests.contains(request));
+        }
+        crashes.retain(|crash| !crash.running.is_empty());
+        crashes
+    }
+
+    /// Whether the crash that was heard of last is the one by which a request is held.
+    fn is_held_by_last(&self, request: RequestFingerprint) -> bool {
+        self.suspects.get(&request) == Some(&CRASHES_TO_HOLD) && self.holds(request)
     }
 
     /// A request ran to its end, and so isn't the cause of a crash. Returns whether that is news.
--- a/crates/sorrelturn-policy/tests/quarantine.rs
+++ b/crates/sorrelturn-policy/tests/quarantine.rs
@@ -87,12 +87,33 @@
 fn only_what_was_unknown_goes_on_so_that_news_comes_to_rest() {
     let mut quarantine = Quarantine::default();
     let news = crash(1, 0, &[7, 8]);
-    assert_eq!(quarantine.hear(NOW, &news), news);
-    assert!(quarantine.hear(NOW, &news).is_empty());
+    assert_eq!(quarantine.hear(NOW, &news).unknown, news);
+    assert!(quarantine.hear(NOW, &news).unknown.is_empty());
     let more = quarantine.hear(NOW, &crash(1, 0, &[8, 9]));
-    assert_eq!(more, crash(1, 0, &[9]));
-    assert_eq!(quarantine.hear(NOW, &cleared(7)), cleared(7));
-    assert!(quarantine.hear(NOW, &cleared(7)).is_empty());
+    assert_eq!(more.unknown, crash(1, 0, &[9]));
+    assert_eq!(quarantine.hear(NOW, &cleared(7)).unknown, cleared(7));
+    assert!(quarantine.hear(NOW, &cleared(7)).unknown.is_empty());
+}
+
+#[test]
+fn whoever_hears_the_proof_alone_holds_the_same_requests_and_no_others() {
+    let mut quarantine = after(&[crash(1, 0, &[7, 8, 9]), crash(3, 0, &[11])]);
+    let held = quarantine.hear(NOW, &crash(2, 0, &[7, 8, 10])).held;
+    assert_eq!(held, [request(7), request(8)]);
+    assert!(quarantine.hear(NOW, &crash(4, 0, &[7])).held.is_empty());
+    let crashes = quarantine.proof(NOW, &held);
+    assert!(crashes.iter().all(|crash| crash.id != CrashId(3)));
+    let proof = CrashNews {
+        crashes,
+        cleared: Vec::new(),
+    };
+    let other = after(&[proof]);
+    assert!(other.holds(request(7)) && other.holds(request(8)));
+    let crash_of_others = [9, 10, 11].map(|number| crash(5, 0, &[number]));
+    let mut other = other;
+    for news in &crash_of_others {
+        assert!(other.hear(NOW, news).held.is_empty());
+    }
 }
 
 #[test]
--- a/crates/sorrelturn-telemetry/src/events.rs
+++ b/crates/sorrelturn-telemetry/src/events.rs
@@ -81,7 +81,8 @@
     OUTCOMES_UNSAVED = 502 "outcomes-unsaved" Warn "The outcomes of tokens could not be written to the platform.";
 
     RECORD_UNSAVED = 503 "record-unsaved" Warn "A member record, most often the own one, could not be written to the platform.";
-    RECORD_UNREADABLE = 504 "record-unreadable" Warn "A member record in the platform's store can't be read; it names no member, and all others hold.";
+    RECORD_UNREADABLE = 504 "record-unreadable" Warn "A record in the platform's store can't be read; it says nothing, and all others hold.";
+    QUARANTINE_UNSAVED = 505 "quarantine-unsaved" Warn "A proof against requests that crash backend servers could not be written to the platform or removed there.";
 
     BAD_PEER = 600 "bad-peer" Warn "Somebody on the peer or control port sent what no daemon sends.";
     BAD_REQUEST = 601 "bad-request" Debug "A request was malformed or too large.";
