Daemons measure time by a clock that goes on while their VM is suspended

A sender asks the owner what became of a call and tells its age; too young, a call that had run is taken for one that never came, is called not run, and runs once more. Hypothesis: with CLOCK_BOOTTIME a suspended VM is what a frozen one is, whose cases are tested. Ruled out: a clock of the pools alone, since owners and senders compare ages.

--- a/crates/sorrelturn-bench/src/routed_fleet.rs
+++ b/crates/sorrelturn-bench/src/routed_fleet.rs
@@ -8,7 +8,8 @@
 use hyper::{Request, Response};
 use smol::{Executor, Timer, net::TcpListener};
 use sorrelturn_daemon::{
-    AdvertiseSettings, Daemon, Dialect, ListenSettings, Settings, StartError, StopSettings,
+    AdvertiseSettings, Clock, Daemon, Dialect, ListenSettings, Settings, StartError, StopSettings,
+    since_boot,
 };
 use sorrelturn_platform::{Expected, Faults, Platform, StandIn, http::exchange, serve};
 use std::{
@@ -99,6 +100,8 @@
     pub instances: Vec<RoutedInstance>,
     /// Whether instances reach one another over [`Paths`].
     has_paths: bool,
+    /// How daemons read the time.
+    read_time: fn() -> Duration,
 }
 
 impl RoutedFleet {
@@ -145,6 +148,20 @@
         fleet
     }
 
+    /// As [`RoutedFleet::start_with_paths`], with daemons that read the time like this; their timers don't.
+    pub async fn start_by_time(
+        ex: Arc<Executor<'static>>,
+        dialect: Dialect,
+        services: &[&str],
+        read_time: fn() -> Duration,
+    ) -> Self {
+        let mut fleet = Self::empty(ex, dialect, StopSettings::default()).await;
+        fleet.has_paths = true;
+        fleet.read_time = read_time;
+        fleet.add(services).await;
+        fleet
+    }
+
     async fn empty(ex: Arc<Executor<'static>>, dialect: Dialect, stopping: StopSettings) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let platform = listener.local_addr().expect("an address");
@@ -157,6 +174,7 @@
             stopping,
             instances: Vec::new(),
             has_paths: false,
+            read_time: since_boot,
         }
     }
 
@@ -203,7 +221,8 @@
     }
 
     async fn try_start(&self, settings: Settings) -> Result<Daemon, StartError> {
-        Daemon::start(settings, self.dialect.clone(), Arc::clone(&self.ex)).await
+        let clock = Clock::read_by(self.read_time);
+        Daemon::start_by_clock(settings, self.dialect.clone(), Arc::clone(&self.ex), clock).await
     }
 
     fn settings(
--- a/crates/sorrelturn-daemon/src/backend/link.rs
+++ b/crates/sorrelturn-daemon/src/backend/link.rs
@@ -1,6 +1,7 @@
 //! The connections to the own backend server, no more than the bundle says it takes.
 
 use crate::{
+    clock::Clock,
     net::pool::{Lease, Opened, Pool, SendError},
     net::timers::Timers,
     request::body::Body,
@@ -15,7 +16,7 @@
         Arc,
         atomic::{AtomicU64, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 /// Before a bundle says how many connections the backend server takes, none is needed.
@@ -23,6 +24,7 @@
 
 /// The connections to the backend server.
 pub(crate) struct Backend {
+    clock: Clock,
     addr: SocketAddr,
     connect_time: Duration,
     pool: Arc<Pool>,
@@ -38,11 +40,12 @@
 }
 
 impl Backend {
-    pub(crate) fn new(addr: SocketAddr, connect_time: Duration) -> Self {
+    pub(crate) fn new(addr: SocketAddr, connect_time: Duration, clock: Clock) -> Self {
         Self {
+            clock,
             addr,
             connect_time,
-            pool: Pool::new(CONNECTIONS_BEFORE_BUNDLE),
+            pool: Pool::new(CONNECTIONS_BEFORE_BUNDLE, clock),
             opened: AtomicU64::new(0),
         }
     }
@@ -96,7 +99,7 @@
             return self.send_once(ex, req).await;
         }
         let copy = again(&req);
-        let sent = Instant::now();
+        let sent = self.clock.now();
         let mut first = pin!(self.send_once(ex, req));
         let in_doubt = async {
             self.pool.in_doubt(timers, sent).await;
--- a/crates/sorrelturn-daemon/src/clock.rs
+++ b/crates/sorrelturn-daemon/src/clock.rs
@@ -1,26 +1,50 @@
-//! The clocks: one monotonic for every decision, one of the wall for people.
+//! The clocks: one for every decision, one of the wall for people.
 
+use nix::time::{ClockId, clock_gettime};
 use sorrelturn_policy::Now;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// Time since the process started; never goes back, and goes on while the process is paused.
+/// The time since the process started; never goes back, and goes on while the process is paused or its VM suspended.
+///
+/// The runtime's timers and [`std::time::Instant`] stand still while a VM is suspended. What others do goes on
+/// meanwhile: they give up, close connections, and forget. So nothing that is compared with what others know is measured by them.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Clock {
-    start: Instant,
+pub struct Clock {
+    read: fn() -> Duration,
+    start: Duration,
 }
 
 impl Clock {
-    pub(crate) fn start() -> Self {
+    /// The system's clock, from now on.
+    pub fn of_system() -> Self {
+        Self::read_by(since_boot)
+    }
+
+    /// A clock that is read like this, from now on.
+    pub fn read_by(read: fn() -> Duration) -> Self {
         Self {
-            start: Instant::now(),
+            read,
+            start: read(),
         }
     }
 
-    pub(crate) fn now(&self) -> Now {
-        self.start.elapsed()
+    /// What has passed since the start.
+    pub fn now(&self) -> Now {
+        (self.read)().saturating_sub(self.start)
+    }
+
+    /// What has passed since a point in time.
+    pub(crate) fn since(&self, then: Now) -> Duration {
+        self.now().saturating_sub(then)
     }
 }
 
+/// What has passed since the VM started, the time that it was suspended included.
+pub fn since_boot() -> Duration {
+    // It fails for a clock that the kernel doesn't have, and every kernel since 2.6.39 has this one.
+    clock_gettime(ClockId::CLOCK_BOOTTIME).map_or(Duration::ZERO, Duration::from)
+}
+
 pub(crate) fn unix_time() -> Duration {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- a/crates/sorrelturn-daemon/src/fleet/control_client.rs
+++ b/crates/sorrelturn-daemon/src/fleet/control_client.rs
@@ -7,6 +7,7 @@
 use async_compat::Compat;
 use displaydoc::Display;
 use smol::{Timer, future::FutureExt, net::TcpStream};
+use sorrelturn_policy::Now;
 use sorrelturn_protocol::{Incarnation, MemberRecord};
 use std::{
     collections::HashMap,
@@ -33,25 +34,25 @@
 /// The connections to other daemons' control ports.
 #[derive(Default)]
 pub(crate) struct ControlLinks {
-    open: Mutex<HashMap<Incarnation, (ControlClient, Instant)>>,
+    open: Mutex<HashMap<Incarnation, (ControlClient, Now)>>,
 }
 
 impl ControlLinks {
-    fn get(&self, incarnation: Incarnation) -> Option<ControlClient> {
+    fn get(&self, now: Now, incarnation: Incarnation) -> Option<ControlClient> {
         let mut open = lock(&self.open);
         let (client, used) = open.get_mut(&incarnation)?;
-        *used = Instant::now();
+        *used = now;
         Some(client.clone())
     }
 
-    fn keep(&self, incarnation: Incarnation, client: &ControlClient) {
+    fn keep(&self, now: Now, incarnation: Incarnation, client: &ControlClient) {
         let mut open = lock(&self.open);
-        open.insert(incarnation, (client.clone(), Instant::now()));
+        open.insert(incarnation, (client.clone(), now));
     }
 
     /// Closes connections that nobody used for a while.
-    pub(crate) fn close_idle(&self) {
-        lock(&self.open).retain(|_, (_, used)| used.elapsed() < IDLE_TIME);
+    pub(crate) fn close_idle(&self, now: Now) {
+        lock(&self.open).retain(|_, (_, used)| now.saturating_sub(*used) < IDLE_TIME);
     }
 
     fn drop_link(&self, incarnation: Incarnation) {
@@ -73,7 +74,7 @@
         Err(ControlError::TooLate)
     };
     let result = async {
-        let client = match node.control_links.get(to.incarnation) {
+        let client = match node.control_links.get(node.now(), to.incarnation) {
             Some(client) => client,
             None => connect(node, to).await?,
         };
@@ -105,6 +106,7 @@
         let _ = Compat::new(new.dispatch).await;
     };
     node.ex.spawn(dispatch).detach();
-    node.control_links.keep(to.incarnation, &new.client);
+    let now = node.now();
+    node.control_links.keep(now, to.incarnation, &new.client);
     Ok(new.client)
 }
--- a/crates/sorrelturn-daemon/src/fleet/gossip.rs
+++ b/crates/sorrelturn-daemon/src/fleet/gossip.rs
@@ -151,7 +151,7 @@
         let jitter = 0.75 + fastrand::f64() / 2.0;
         Timer::after(EXCHANGE_EVERY.mul_f64(jitter)).await;
         lock(&node.membership).forget_gone(node.now());
-        node.control_links.close_idle();
+        node.control_links.close_idle(node.now());
     }
 }
 
--- a/crates/sorrelturn-daemon/src/fleet/peers.rs
+++ b/crates/sorrelturn-daemon/src/fleet/peers.rs
@@ -1,6 +1,7 @@
 //! Connections to other daemons, for calls. See `docs/design/between-daemons.md`.
 
 use crate::{
+    clock::Clock,
     net::pool::{BUF_LIMIT_BYTES, Lease, Opened, Pool, SendError},
     net::stream::FleetKeys,
     net::timers::Timers,
@@ -10,13 +11,9 @@
 use hyper::{Request, Response, body::Incoming};
 use smol::{Executor, future::FutureExt, net::TcpStream};
 use socket2::{SockRef, TcpKeepalive};
+use sorrelturn_policy::Now;
 use sorrelturn_protocol::{AttemptId, Fate, FateQuestion, Incarnation, headers::FATE};
-use std::{
-    io,
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 /// The longest time for a new connection. Peers are about 1 ms apart; an opening packet that was
 /// lost is sent again after a second, and by then another instance has long answered.
@@ -45,6 +42,7 @@
 
 /// The connections to one daemon, opened when they are needed.
 pub(crate) struct PeerLink {
+    clock: Clock,
     addr: SocketAddr,
     /// Their kernels end them when the peer is silent.
     watched: Arc<Pool>,
@@ -84,11 +82,12 @@
 }
 
 impl PeerLink {
-    pub(crate) fn new(addr: SocketAddr) -> Self {
+    pub(crate) fn new(addr: SocketAddr, clock: Clock) -> Self {
         Self {
+            clock,
             addr,
-            watched: Pool::new(MAX_CONNECTIONS),
-            unwatched: Pool::new(MAX_CONNECTIONS),
+            watched: Pool::new(MAX_CONNECTIONS, clock),
+            unwatched: Pool::new(MAX_CONNECTIONS, clock),
         }
     }
 
@@ -111,7 +110,7 @@
         } else {
             &self.unwatched
         };
-        let sent = Instant::now();
+        let sent = self.clock.now();
         let answered = pool.send(runtime.ex, req, CONNECT_TIME, connect);
         let silent = async {
             if !is_watched {
@@ -145,12 +144,7 @@
     }
 
     /// Asks what became of an attempt until it is known that its answer won't come.
-    async fn fate_of(
-        &self,
-        runtime: &Runtime<'_>,
-        attempt: SentAttempt,
-        sent: Instant,
-    ) -> SendError {
+    async fn fate_of(&self, runtime: &Runtime<'_>, attempt: SentAttempt, sent: Now) -> SendError {
         let mut pause = ASK_AGAIN;
         loop {
             let too_late = async {
@@ -172,16 +166,11 @@
     }
 
     /// Asks over a new connection, which is kept.
-    async fn ask(
-        &self,
-        runtime: &Runtime<'_>,
-        attempt: SentAttempt,
-        sent: Instant,
-    ) -> Option<Fate> {
+    async fn ask(&self, runtime: &Runtime<'_>, attempt: SentAttempt, sent: Now) -> Option<Fate> {
         let question = FateQuestion {
             owner: attempt.owner,
             attempt: attempt.id,
-            sent_ms_ago: sent.elapsed().as_millis() as u32,
+            sent_ms_ago: self.clock.since(sent).as_millis() as u32,
         };
         let mut req = Request::new(body::full(""));
         headers::set(req.headers_mut(), FATE, &question.encode());
--- a/crates/sorrelturn-daemon/src/fleet/routes.rs
+++ b/crates/sorrelturn-daemon/src/fleet/routes.rs
@@ -1,8 +1,8 @@
 //! The instances that calls can go to, as one snapshot that requests read without a lock.
 
-use crate::fleet::peers::PeerLink;
+use crate::{clock::Clock, fleet::peers::PeerLink};
 use sorrelturn_fleet::Membership;
-use sorrelturn_policy::{Instance, Now};
+use sorrelturn_policy::Instance;
 use sorrelturn_protocol::{Incarnation, MemberRecord, MemberState};
 use std::{
     collections::{BTreeSet, HashMap},
@@ -65,7 +65,7 @@
         &self,
         membership: &Membership,
         own_domain: &str,
-        now: Now,
+        clock: Clock,
         cold_start: impl Fn(&str) -> Duration,
     ) -> Self {
         let mut routes = Self {
@@ -87,8 +87,8 @@
                     };
                     let near = record.failure_domain == own_domain;
                     Arc::new(Route {
-                        stats: Instance::new(record.incarnation, near, warm_up, now),
-                        link: PeerLink::new(record.peer_addr),
+                        stats: Instance::new(record.incarnation, near, warm_up, clock.now()),
+                        link: PeerLink::new(record.peer_addr, clock),
                         is_asked_anew: AtomicBool::new(false),
                         record: record.clone(),
                     })
--- a/crates/sorrelturn-daemon/src/lib.rs
+++ b/crates/sorrelturn-daemon/src/lib.rs
@@ -14,6 +14,7 @@
 mod store;
 
 pub use backend::report::{Deregistration, Heartbeat, read_deregistration, read_heartbeat};
+pub use clock::{Clock, since_boot};
 pub use config::settings::{
     AdvertiseSettings, BackendSettings, EventSettings, FleetKeySettings, ListenSettings,
     MetricsSettings, OnceSettings, PlatformSettings, RouteSettings, Settings, StopSettings,
--- a/crates/sorrelturn-daemon/src/net/pool.rs
+++ b/crates/sorrelturn-daemon/src/net/pool.rs
@@ -1,7 +1,9 @@
 //! Pooled HTTP/1.1 connections to one address, each carrying one exchange at a time.
 //! See `docs/design/between-daemons.md`.
 
-use crate::{net::stream::BoxStream, net::timers::Timers, node::lock, request::body::Body};
+use crate::{
+    clock::Clock, net::stream::BoxStream, net::timers::Timers, node::lock, request::body::Body,
+};
 use hyper::{
     Request, Response,
     body::Incoming,
@@ -9,6 +11,7 @@
 };
 use smol::{Executor, Timer, future::FutureExt, net::TcpStream};
 use sorrelturn_platform::hyper_io;
+use sorrelturn_policy::Now;
 use std::{
     collections::VecDeque,
     io,
@@ -16,7 +19,7 @@
         Arc, Mutex,
         atomic::{AtomicU64, AtomicUsize, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 /// The most idle connections that are kept.
@@ -59,6 +62,7 @@
 
 /// The connections to one address.
 pub(crate) struct Pool {
+    clock: Clock,
     most: AtomicUsize,
     idle_ms: AtomicU64,
     open: Arc<AtomicUsize>,
@@ -69,7 +73,7 @@
 
 /// What answers tell of the path to the other end.
 struct Heard {
-    start: Instant,
+    clock: Clock,
     /// What answers take to their heads.
     typical_us: AtomicU64,
     /// When an answer came last over a connection that had been open for as long as makes one overdue.
@@ -77,24 +81,24 @@
 }
 
 impl Heard {
-    fn new() -> Self {
+    fn new(clock: Clock) -> Self {
         Self {
-            start: Instant::now(),
+            clock,
             typical_us: AtomicU64::new(0),
             over_old_ms: AtomicU64::new(0),
         }
     }
 
     /// Two answers at once may lose one of them, which the next ones make good.
-    fn answer(&self, sent: Instant, opened: Instant) {
-        let now = Instant::now();
+    fn answer(&self, sent: Now, opened: Now) {
+        let now = self.clock.now();
         let took_us = (now - sent).as_micros() as u64;
         let before = self.typical_us.load(Ordering::Relaxed);
         let after = (before * (SMOOTHED_OVER - 1) + took_us) / SMOOTHED_OVER;
         self.typical_us.store(after, Ordering::Relaxed);
         if now - opened >= self.overdue_after() {
-            let now_ms = (now - self.start).as_millis() as u64;
-            self.over_old_ms.store(now_ms, Ordering::Relaxed);
+            self.over_old_ms
+                .store(now.as_millis() as u64, Ordering::Relaxed);
         }
     }
 
@@ -104,15 +108,14 @@
     }
 
     /// Whether an old connection brought an answer since then.
-    fn over_old_since(&self, since: Instant) -> bool {
-        let over_old = Duration::from_millis(self.over_old_ms.load(Ordering::Relaxed));
-        self.start + over_old > since
+    fn over_old_since(&self, since: Now) -> bool {
+        Duration::from_millis(self.over_old_ms.load(Ordering::Relaxed)) > since
     }
 }
 
 struct Idle {
     conn: Conn,
-    since: Instant,
+    since: Now,
 }
 
 /// An open connection. It counts as open as long as somebody could send over it, and not until its
@@ -120,7 +123,7 @@
 struct Conn {
     sender: SendRequest<Body>,
     socket: TcpStream,
-    opened: Instant,
+    opened: Now,
     _open: Open,
 }
 
@@ -149,7 +152,7 @@
 
     /// The exchange was whole: the connection can carry another one.
     pub(crate) fn give_back(self) {
-        let now = Instant::now();
+        let now = self.pool.clock.now();
         let mut idle = lock(&self.pool.idle);
         // One at a time: each exchange gives back one, so old ones can't pile up.
         if is_spare(&idle, now) {
@@ -165,7 +168,7 @@
 }
 
 /// Whether the connection that has been idle for longest was opened for a burst that is over.
-fn is_spare(idle: &VecDeque<Idle>, now: Instant) -> bool {
+fn is_spare(idle: &VecDeque<Idle>, now: Now) -> bool {
     let oldest = idle.front().map(|oldest| now - oldest.since);
     idle.len() >= KEPT_IDLE && oldest.is_some_and(|rested| rested >= SPARE_TIME)
 }
@@ -181,13 +184,14 @@
 
 impl Pool {
     /// A pool of at most this many connections.
-    pub(crate) fn new(most: usize) -> Arc<Self> {
+    pub(crate) fn new(most: usize, clock: Clock) -> Arc<Self> {
         Arc::new(Self {
+            clock,
             most: AtomicUsize::new(most),
             idle_ms: AtomicU64::new(IDLE_TIME.as_millis() as u64),
             open: Arc::default(),
             idle: Mutex::default(),
-            heard: Heard::new(),
+            heard: Heard::new(clock),
         })
     }
 
@@ -226,7 +230,7 @@
 
     /// One that rested when this was sent is silent: those that have rested as long may be so too, and
     /// are dropped. Those that carried an answer since then are heard.
-    pub(crate) fn forget_unheard_since(&self, sent: Instant) {
+    pub(crate) fn forget_unheard_since(&self, sent: Now) {
         let mut idle = lock(&self.idle);
         let heard = idle.iter().position(|idle| idle.since > sent);
         let unheard = heard.unwrap_or(idle.len());
@@ -235,10 +239,13 @@
 
     /// Ends when the answer to what was sent is overdue, and connections that are as old bring none either. A
     /// slow other end answers over the others meanwhile, and raises no doubts.
-    pub(crate) async fn in_doubt(&self, timers: &Timers, sent: Instant) {
+    pub(crate) async fn in_doubt(&self, timers: &Timers, sent: Now) {
         let mut since = sent;
         loop {
-            let left = self.heard.overdue_after().saturating_sub(since.elapsed());
+            let left = self
+                .heard
+                .overdue_after()
+                .saturating_sub(self.clock.since(since));
             if !left.is_zero() {
                 timers.after(left).await;
                 continue;
@@ -246,7 +253,7 @@
             if !self.heard.over_old_since(since) {
                 return;
             }
-            since = Instant::now();
+            since = self.clock.now();
         }
     }
 
@@ -279,7 +286,7 @@
                 }
                 return Err(SendError::NotSent);
             }
-            let sent = Instant::now();
+            let sent = self.clock.now();
             match conn.sender.try_send_request(req).await {
                 Ok(res) => {
                     self.heard.answer(sent, conn.opened);
@@ -316,7 +323,7 @@
     fn take_idle(&self) -> Option<Conn> {
         let mut idle = lock(&self.idle);
         while let Some(last) = idle.pop_back() {
-            if last.since.elapsed() >= self.idle_time() {
+            if self.clock.since(last.since) >= self.idle_time() {
                 idle.clear();
             } else if !last.conn.sender.is_closed() {
                 return Some(last.conn);
@@ -353,7 +360,7 @@
         Ok(Conn {
             sender,
             socket: opened.socket,
-            opened: Instant::now(),
+            opened: self.clock.now(),
             _open: open,
         })
     }
--- a/crates/sorrelturn-daemon/src/net/timers.rs
+++ b/crates/sorrelturn-daemon/src/net/timers.rs
@@ -84,6 +84,12 @@
         }
     }
 
+    /// Wakes what is due by now, though [`Timers::run`] would look later.
+    pub(crate) fn look_now(&self) {
+        // If it is full, a look is due anyway.
+        let _ = self.wake_up.try_send(());
+    }
+
     /// Ends at a point in time, or a little later.
     pub(crate) fn at(&self, at: Now) -> Deadline {
         Deadline {
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -341,7 +341,7 @@
         };
         let domain = &self.settings.failure_domain;
         let before = self.routes.load();
-        let routes = before.rebuild(membership, domain, self.now(), cold_start);
+        let routes = before.rebuild(membership, domain, self.clock, cold_start);
         self.routes.store(Arc::new(routes));
     }
 
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -310,7 +310,7 @@
                 Field::new("kind", &self.kind.name),
                 Field::new("depth", self.context.depth),
                 Field::new("status", status),
-                Field::new("took_ms", (unix_ns() - self.started_ns) / 1_000_000),
+                Field::new("took_ms", (self.node.now() - self.started).as_millis()),
             ],
         );
         self.span(failed, status);
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -46,7 +46,7 @@
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, atomic::Ordering},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 /// What a daemon without a bundle knows about its backend server: it admits nothing then anyway.
@@ -122,11 +122,21 @@
         settings: Settings,
         dialect: Dialect,
         ex: Arc<Executor<'static>>,
+    ) -> Result<Self, StartError> {
+        Self::start_by_clock(settings, dialect, ex, Clock::of_system()).await
+    }
+
+    /// As [`Daemon::start`], by another clock.
+    pub async fn start_by_clock(
+        settings: Settings,
+        dialect: Dialect,
+        ex: Arc<Executor<'static>>,
+        clock: Clock,
     ) -> Result<Self, StartError> {
         let listeners = Listeners::bind(&settings)?;
         let addresses = listeners.addresses(&settings)?;
         let (ending, answering) = Ending::new();
-        let node = Arc::new(node(settings, dialect, ex, &addresses, ending)?);
+        let node = Arc::new(node(settings, dialect, ex, clock, &addresses, ending)?);
         if node.routed.is_some() {
             // Until the backend server was announced or answered, it takes no work.
             node.start_leaving(LeavingCause::Backend);
@@ -280,10 +290,10 @@
     settings: Settings,
     dialect: Dialect,
     ex: Arc<Executor<'static>>,
+    clock: Clock,
     addresses: &ListenSettings,
     ending: Ending,
 ) -> Result<Node, StartError> {
-    let clock = Clock::start();
     let (timers, woken) = Timers::new(clock);
     ex.spawn(timers.clone().run(woken)).detach();
     let mut secret = [0; 40];
@@ -320,7 +330,7 @@
         platform: Platform::new(settings.platform.address, timeout)
             .with_objects_path(&settings.platform.objects_path),
         routed: settings.routes.as_ref().map(|_| Routed::new(dialect)),
-        backend: Backend::new(settings.backend.address, connect_time),
+        backend: Backend::new(settings.backend.address, connect_time, clock),
         crashes: Crashes::default(),
         suspects: Suspects::default(),
         room: Arc::new(Room::new(
@@ -361,11 +371,16 @@
 
 /// A process that runs late is asked for too much; one that was paused has connections and thresholds of another time.
 async fn notice_lags(node: Arc<Node>) {
-    let mut last = Instant::now();
+    let mut last = node.now();
     loop {
         Timer::after(LAG_CHECK).await;
-        let paused = last.elapsed().saturating_sub(LAG_CHECK);
-        last = Instant::now();
+        let now = node.now();
+        let paused = now.saturating_sub(last + LAG_CHECK);
+        last = now;
+        if paused >= LAG_CHECK {
+            // The runtime's timers stand still while the VM is suspended; what is due by now isn't due by them.
+            node.timers.look_now();
+        }
         node.room.with_gate(|gate, _| gate.lags(paused));
         if paused >= PAUSE {
             let fields = vec![Field::new("paused_ms", paused.as_millis())];
--- a/crates/sorrelturn-fleet/src/lib.rs
+++ b/crates/sorrelturn-fleet/src/lib.rs
@@ -14,5 +14,5 @@
 pub use status::{DomainStatus, DomainView, MemberStatus, longest_silence, report_pause};
 pub use vm_list::{VmAdvice, advise};
 
-/// A point in time: what has passed of the process's monotonic clock since its start.
+/// A point in time: what has passed since the process started, the time included that its VM was suspended.
 pub type Now = std::time::Duration;
