A look at the backend server goes on when whoever asked goes away; a held request isn't sent over a second connection

Found by reading: a look whose askers had all gone stayed open with their names, and a crash much later would have been put down to them. The look runs in a task of its own. Crash proofs are put together only where something is held.

--- a/crates/sorrelturn-daemon/src/backend/crash.rs
+++ b/crates/sorrelturn-daemon/src/backend/crash.rs
@@ -54,28 +54,36 @@
 pub(crate) async fn broke_off(node: &Arc<Node>, request: RequestNames) -> bool {
     let look = {
         let mut state = lock(&node.crashes.0);
-        let look = state.look.get_or_insert_default();
+        let look = state.look.get_or_insert_with(|| start_look(node));
         lock(&look.broke).extend(request.each());
         Arc::clone(look)
     };
-    *look.is_gone.get_or_init(|| look_at(node)).await
+    *look.is_gone.wait().await
 }
 
-/// Looks at the backend server, and has what broke off reported if it is gone.
-async fn look_at(node: &Arc<Node>) -> bool {
+/// Looks at the backend server in a task of its own, since whoever asked may go away meanwhile.
+fn start_look(node: &Arc<Node>) -> Arc<Look> {
+    let look = Arc::<Look>::default();
+    let (node, started) = (Arc::clone(node), Arc::clone(&look));
+    let ex = Arc::clone(&node.ex);
+    ex.spawn(async move { look_at(&node, &started).await })
+        .detach();
+    look
+}
+
+/// Finds out whether the backend server is gone, and reports what broke off if it is.
+async fn look_at(node: &Arc<Node>, look: &Look) {
     let is_gone = is_gone(node).await;
-    if is_gone {
-        let (node, ex) = (Arc::clone(node), Arc::clone(&node.ex));
-        report(&node, false);
-        let rest = async move {
-            Timer::after(COLLECT_TIME).await;
-            report(&node, true);
-        };
-        ex.spawn(rest).detach();
-    } else {
+    if !is_gone {
         lock(&node.crashes.0).look = None;
     }
-    is_gone
+    // Nobody else sets it.
+    let _ = look.is_gone.set(is_gone).await;
+    if is_gone {
+        report(node, false);
+        Timer::after(COLLECT_TIME).await;
+        report(node, true);
+    }
 }
 
 async fn is_gone(node: &Node) -> bool {
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -198,7 +198,8 @@
     /// leaves gets none: its acknowledgement says that nothing new reaches it, and the first may be overdue by seconds.
     fn pays_second_sending(&self) -> bool {
         let routed = self.node.routed.as_ref();
-        if routed.is_some_and(|routed| routed.serving().is_none()) {
+        let takes_none = routed.is_some_and(|routed| routed.serving().is_none());
+        if takes_none || self.is_held() {
             return false;
         }
         let state = self.in_force.kind_state(&self.kind);
--- a/crates/sorrelturn-policy/src/quarantine.rs
+++ b/crates/sorrelturn-policy/src/quarantine.rs
@@ -94,6 +94,9 @@
 
     /// The crashes in which any of these requests was at work, and of what was at work only these.
     pub fn proof(&self, now: Now, requests: &[RequestFingerprint]) -> Vec<CrashReport> {
+        if requests.is_empty() {
+            return Vec::new();
+        }
         let mut crashes = self.news(now).crashes;
         for crash in &mut crashes {
             crash.running.retain(|request| requests.contains(request));
