What was given up on is suspected of a crash too; entries of the store that can't be read at all are counted in the log

Cause, found by reading: a request whose time is over, or whose caller has gone, may still run, and crash its backend server when nothing else is there to break off; such a cause was never seen. A run that is followed by another without a word crashed. Tried and left: a look when a connection is refused; a crashed instance that failed lately isn't chosen, so nobody found it gone.

--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -108,6 +108,7 @@
     running: Option<Sender<()>>,
     /// It crashes when it has run a request whose first line or body holds this.
     crashes_by: Option<String>,
+    crashes_after: Duration,
     crashes: usize,
     script: Script,
     reached: Vec<Reached>,
@@ -147,6 +148,7 @@
             addr: None,
             running: None,
             crashes_by: None,
+            crashes_after: CRASHES_AFTER,
             crashes: 0,
             script: Script::default(),
             reached: Vec::new(),
@@ -227,6 +229,11 @@
         self.lock().crashes_by = Some(mark.to_owned());
     }
 
+    /// It runs such a request for so long before it crashes, whether anybody waits for it or not.
+    pub fn crash_after(&self, time: Duration) {
+        self.lock().crashes_after = time;
+    }
+
     /// How often it has crashed.
     pub fn crashes(&self) -> usize {
         self.lock().crashes
@@ -312,7 +319,8 @@
                 self.lock().ran.push(req.clone());
             }
             if self.crashes_by(&req) {
-                smol::Timer::after(CRASHES_AFTER).await;
+                let time = self.lock().crashes_after;
+                smol::Timer::after(time).await;
                 self.crash();
                 return Ok(());
             }
--- a/crates/sorrelturn-daemon/src/backend/crash.rs
+++ b/crates/sorrelturn-daemon/src/backend/crash.rs
@@ -8,9 +8,11 @@
     node::{Node, lock},
 };
 use smol::{Timer, future::FutureExt, lock::OnceCell, net::TcpStream};
+use sorrelturn_policy::Now;
 use sorrelturn_protocol::{CrashId, CrashReport, RequestFingerprint, RequestNames};
 use sorrelturn_telemetry::{Field, events};
 use std::{
+    collections::VecDeque,
     io,
     sync::{Arc, Mutex},
     time::Duration,
@@ -26,6 +28,12 @@
 /// told of in a second message; what comes later still in a third, after another look.
 const COLLECT_TIME: Duration = Duration::from_millis(30);
 
+/// What was given up on is suspected as well if the backend server is found to have crashed within this time: some go on
+/// with a request whose deadline is over or whose caller has gone, and some seconds pass until the next run is there.
+const GIVEN_UP_KEPT: Duration = Duration::from_secs(5);
+/// The most of it: what is given up on in that time by a daemon whose backend server stands still with all slots taken.
+const MOST_GIVEN_UP: usize = 512;
+
 /// What broke off at the backend server beside this daemon.
 #[derive(Default)]
 pub(crate) struct Crashes(Mutex<State>);
@@ -35,6 +43,18 @@
     /// The look at the backend server that is going on.
     look: Option<Arc<Look>>,
     last: Option<LastCrash>,
+    /// What was given up on lately, oldest first.
+    given_up: VecDeque<(Now, RequestNames)>,
+}
+
+impl State {
+    /// What was given up on so lately that it may be at work still.
+    fn take_given_up(&mut self, now: Now) -> impl Iterator<Item = RequestFingerprint> + use<> {
+        let given_up = std::mem::take(&mut self.given_up);
+        let lately = move |at: Now| at + GIVEN_UP_KEPT >= now;
+        let names = given_up.into_iter().filter(move |(at, _)| lately(*at));
+        names.flat_map(|(_, request)| request.each())
+    }
 }
 
 /// The last crash, and how many connections had been opened to the backend server by then.
@@ -50,6 +70,46 @@
     is_gone: OnceCell<bool>,
 }
 
+/// A request that the backend server may be running, until its exchange has ended; dropped before that, it was given up on.
+pub(crate) struct AtWork {
+    node: Arc<Node>,
+    request: RequestNames,
+    has_ended: bool,
+}
+
+impl AtWork {
+    pub(crate) fn new(node: &Arc<Node>, request: RequestNames) -> Self {
+        Self {
+            node: Arc::clone(node),
+            request,
+            has_ended: false,
+        }
+    }
+
+    /// The backend server has answered it as a whole, or broke off, or never had it.
+    pub(crate) fn ended(mut self) {
+        self.has_ended = true;
+    }
+}
+
+impl Drop for AtWork {
+    fn drop(&mut self) {
+        if self.has_ended {
+            return;
+        }
+        let mut state = lock(&self.node.crashes.0);
+        if state.given_up.len() >= MOST_GIVEN_UP {
+            state.given_up.pop_front();
+        }
+        state.given_up.push_back((self.node.now(), self.request));
+    }
+}
+
+/// Another run is there, and the one before never said that it leaves: it crashed, also if nothing broke off with it.
+pub(crate) fn was_replaced(node: &Arc<Node>) {
+    report(node, false);
+}
+
 /// An exchange broke off while the backend server may have been running its request. Returns whether it crashed.
 pub(crate) async fn broke_off(node: &Arc<Node>, request: RequestNames) -> bool {
     let look = {
@@ -112,10 +172,12 @@
             state.look.clone()
         };
         let running = look.map(|look| std::mem::take(&mut *lock(&look.broke)));
+        let mut running = running.unwrap_or_default();
+        running.extend(state.take_given_up(node.now()));
         let same = state.last.as_ref().filter(|last| last.opened == opened);
         let id = same.map_or_else(|| CrashId(fastrand::u64(..)), |last| last.id);
         state.last = Some(LastCrash { id, opened });
-        (id, running.unwrap_or_default())
+        (id, running)
     };
     if running.is_empty() {
         return;
--- a/crates/sorrelturn-daemon/src/backend/state.rs
+++ b/crates/sorrelturn-daemon/src/backend/state.rs
@@ -2,6 +2,7 @@
 //! themselves: which run it is, whether it takes work, and how many slots it has.
 
 use crate::{
+    backend::crash,
     fleet::gossip,
     node::{LastTime, Node, lock},
     request::dialect::Dialect,
@@ -157,10 +158,12 @@
         Field::new("state", format!("{:?}", news.state).to_lowercase()),
         Field::new("sequence", news.sequence),
     ];
+    let before = routed.current();
     let heard = lock(&routed.presence).hear(node.now(), news);
     match heard {
         Heard::NowReady => {
             node.note(&events::BACKEND_READY, fields);
+            note_replaced(node, routed, before.as_ref());
             takes_work(node, routed);
         }
         Heard::NowLeaving => {
@@ -179,13 +182,29 @@
     let Some(id) = id.and_then(|id| id.to_str().ok()) else {
         return;
     };
+    let before = routed.current();
     if lock(&routed.presence).answered_as(node.now(), id) {
+        note_replaced(node, routed, before.as_ref());
         let fields = vec![Field::new("backend", id), Field::new("state", "answered")];
         node.note(&events::BACKEND_READY, fields);
         takes_work(node, routed);
     }
 }
 
+/// Another run takes work where one did that never said that it leaves. Where only one of the two tells its start, a
+/// run of the same id may be the same.
+fn note_replaced(node: &Arc<Node>, routed: &Routed, before: Option<&Announcement>) {
+    let now = routed.current();
+    let (Some(before), Some(now)) = (before, now) else {
+        return;
+    };
+    let tell_starts = before.born.is_some() && now.born.is_some();
+    let is_another = before.id != now.id || (tell_starts && before.born != now.born);
+    if before.state == BackendState::Ready && is_another {
+        crash::was_replaced(node);
+    }
+}
+
 /// The slots that an answer tells, where it tells the load.
 pub(crate) fn slots_of(routed: &Routed, headers: &HeaderMap) -> Option<u32> {
     let load = headers.get(&routed.dialect.headers.load)?.to_str().ok()?;
--- a/crates/sorrelturn-daemon/src/fleet/join.rs
+++ b/crates/sorrelturn-daemon/src/fleet/join.rs
@@ -5,7 +5,7 @@
     config::fetch,
     fleet::gossip,
     node::{Node, lock},
-    store::{member_record, outcomes},
+    store::{self, member_record, outcomes},
 };
 use smol::Timer;
 use sorrelturn_fleet::{Source, push_targets};
@@ -22,6 +22,7 @@
 pub(crate) async fn join(node: &Arc<Node>) {
     let mut is_new = false;
     if let Ok(changes) = node.platform.list(keys::MEMBERS).await {
+        store::note_left_out(node, keys::MEMBERS, &changes);
         let records: Vec<MemberRecord> = changes
             .objects
             .iter()
--- a/crates/sorrelturn-daemon/src/fleet/watch.rs
+++ b/crates/sorrelturn-daemon/src/fleet/watch.rs
@@ -6,7 +6,7 @@
     fleet::control_client as control,
     fleet::gossip,
     node::{Node, lock},
-    store::member_record,
+    store::{self, member_record},
 };
 use smol::{
     Timer,
@@ -154,6 +154,7 @@
         match result {
             Ok(changes) => {
                 since = Some(changes.revision);
+                store::note_left_out(node, prefix, &changes);
                 changed(changes);
                 Timer::after(pause_after).await;
             }
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -1,7 +1,7 @@
 //! One call at its owner: the exchange with the backend server, and what follows from it.
 
 use crate::{
-    backend::crash,
+    backend::crash::{self, AtWork},
     backend::link::Answered,
     backend::state::{self, Routed, Word},
     clock::unix_ns,
@@ -138,6 +138,7 @@
             return unused(self.refused(Refusal::Leaving), share);
         };
         let node = Arc::clone(&self.node);
+        let at_work = AtWork::new(&node, self.context.names);
         let again = |req: &Request<Body>| self.copy(req);
         let pays = || self.pays_second_sending();
         let sent = node.backend.send(&node.ex, &node.timers, req, again, pays);
@@ -150,20 +151,23 @@
         match exchange.or(too_late).await {
             Some(Ok(answered)) => {
                 node.backend_reached(true);
-                self.answered(slot, guard, answered)
+                self.answered(slot, guard, answered, at_work)
             }
             Some(Err(SendError::Full)) => {
+                at_work.ended();
                 slot.release(Outcome::Cancelled);
                 let share = self.context.attempts;
                 unused(self.refused(Refusal::Overload), share)
             }
             Some(Err(SendError::NotSent)) => {
+                at_work.ended();
                 node.backend_reached(false);
                 slot.release(Outcome::Broke);
                 let share = self.context.attempts;
                 unused(self.refused(Refusal::BackendUnreachable), share)
             }
             Some(Err(SendError::Broke)) => {
+                at_work.ended();
                 slot.release(Outcome::Broke);
                 let refusal = match crash::broke_off(&node, self.context.names).await {
                     true => Refusal::BackendCrashed,
@@ -248,7 +252,13 @@
     }
 
     /// The head of an answer is here.
-    fn answered(self, slot: Slot, guard: ParentGuard, answered: Answered) -> Reply {
+    fn answered(
+        self,
+        slot: Slot,
+        guard: ParentGuard,
+        answered: Answered,
+        at_work: AtWork,
+    ) -> Reply {
         let Answered {
             mut res,
             lease,
@@ -273,6 +283,7 @@
             res.headers_mut().remove(&routed.dialect.headers.load);
         }
         if word == Some(Word::NotOurs) {
+            at_work.ended();
             slot.release(Outcome::Broke);
             return self.failed(&guard, Refusal::BackendBroke);
         }
@@ -285,6 +296,7 @@
             gossip::leave(&self.node, LeavingCause::Backend);
         }
         if refused {
+            at_work.ended();
             if res.body().is_end_stream() {
                 lease.give_back();
             }
@@ -321,7 +333,8 @@
         } else {
             Outcome::Answered
         };
-        let res = Some(Box::new(self.stream(slot, outcome, guard, res, lease)));
+        let res = self.stream(slot, outcome, guard, res, (lease, at_work));
+        let res = Some(Box::new(res));
         Reply { context, res }
     }
 
@@ -360,7 +373,7 @@
         outcome: Outcome,
         guard: ParentGuard,
         res: Response<Incoming>,
-        lease: Lease,
+        (lease, at_work): (Lease, AtWork),
     ) -> Response<Body> {
         let one_piece = res
             .body()
@@ -380,6 +393,7 @@
             body::guarded_answer(&timers, incoming, deadline, move |whole| {
                 if whole {
                     lease.give_back();
+                    at_work.ended();
                     suspects::ran_whole(&hop.node, hop.context.names);
                 }
                 if let Some(slot) = slot {
--- a/crates/sorrelturn-daemon/src/store/quarantine.rs
+++ b/crates/sorrelturn-daemon/src/store/quarantine.rs
@@ -1,7 +1,7 @@
 //! Requests that are held, in the platform's store: all daemons may be killed at once, and then nobody remembers what
 //! crashed backend servers. See `docs/design/quarantine.md`.
 
-use crate::{clock::unix_ms, fleet::suspects, node::Node};
+use crate::{clock::unix_ms, fleet::suspects, node::Node, store};
 use serde::{Deserialize, Serialize};
 use smol::Timer;
 use sorrelturn_platform::{Expected, Object, keys};
@@ -47,7 +47,10 @@
     let mut pause = AGAIN_AFTER;
     let objects = loop {
         match node.platform.list(keys::QUARANTINE).await {
-            Ok(changes) => break changes.objects,
+            Ok(changes) => {
+                store::note_left_out(&node, keys::QUARANTINE, &changes);
+                break changes.objects;
+            }
             Err(_) => Timer::after(pause).await,
         };
         pause = (pause * 2).min(AGAIN_AFTER_MOST);
--- a/crates/sorrelturn-platform/src/api.rs
+++ b/crates/sorrelturn-platform/src/api.rs
@@ -23,6 +23,8 @@
     pub objects: Vec<Object>,
     /// The keys of objects that were removed.
     pub removed: Vec<String>,
+    /// How many entries couldn't be read and were left out. Others than this client write to the store as well.
+    pub left_out: usize,
 }
 
 /// What the store keeps about an object besides its content.
@@ -59,8 +61,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct WireList {
     /// The objects, in the order of their names.
-    #[serde(deserialize_with = "readable")]
-    pub items: Vec<WireObject>,
+    pub items: Readable<WireObject>,
     /// Whether the list goes on after the last name.
     #[serde(default)]
     pub has_more: bool,
@@ -81,18 +82,49 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct WireEvents {
     /// What changed, oldest first; empty where the wait is over.
-    #[serde(deserialize_with = "readable")]
-    pub events: Vec<WireEvent>,
+    pub events: Readable<WireEvent>,
     /// From where the next watch goes on.
     pub store_revision: u64,
 }
 
-/// The entries that can be read. Others than this client write to the store as well: one bad entry must not take the
-/// good ones with it.
-fn readable<'de, T: DeserializeOwned, D: Deserializer<'de>>(input: D) -> Result<Vec<T>, D::Error> {
-    let entries = Vec::<Value>::deserialize(input)?;
-    let read = entries.into_iter().map(serde_json::from_value);
-    Ok(read.filter_map(Result::ok).collect())
+/// The entries of a list that can be read, and how many can't. Others than this client write to the store as well: one bad
+/// entry must not take the good ones with it.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(transparent)]
+pub struct Readable<T> {
+    /// Those that can be read.
+    pub entries: Vec<T>,
+    /// How many can't.
+    #[serde(skip)]
+    pub left_out: usize,
+}
+
+impl<T> Default for Readable<T> {
+    fn default() -> Self {
+        Vec::new().into()
+    }
+}
+
+impl<T> From<Vec<T>> for Readable<T> {
+    fn from(entries: Vec<T>) -> Self {
+        Self {
+            entries,
+            left_out: 0,
+        }
+    }
+}
+
+impl<'de, T: DeserializeOwned> Deserialize<'de> for Readable<T> {
+    fn deserialize<D: Deserializer<'de>>(input: D) -> Result<Self, D::Error> {
+        let written = Vec::<Value>::deserialize(input)?;
+        let all = written.len();
+        let read = written.into_iter().map(serde_json::from_value);
+        let entries: Vec<T> = read.filter_map(Result::ok).collect();
+        Ok(Self {
+            left_out: all - entries.len(),
+            entries,
+        })
+    }
 }
 
 fn is_zero(revision: &u64) -> bool {
--- a/crates/sorrelturn-platform/src/client.rs
+++ b/crates/sorrelturn-platform/src/client.rs
@@ -210,8 +210,10 @@
             if all.revision == 0 {
                 all.revision = page.store_revision;
             }
-            let last = page.items.last().map(|item| item.metadata.name.clone());
-            let objects = page.items.into_iter();
+            all.left_out += page.items.left_out;
+            let items = page.items.entries;
+            let last = items.last().map(|item| item.metadata.name.clone());
+            let objects = items.into_iter();
             all.objects
                 .extend(objects.map(|object| object.into_object(keys::prefix(prefix))));
             match last {
@@ -236,9 +238,10 @@
         let answer: WireEvents = read(&res)?;
         let mut changes = Changes {
             revision: answer.store_revision,
+            left_out: answer.events.left_out,
             ..Changes::default()
         };
-        for event in answer.events {
+        for event in answer.events.entries {
             let object = event.object.into_object(keys::prefix(prefix));
             if event.removed {
                 changes.removed.push(object.key);
--- a/crates/sorrelturn-platform/src/stand_in.rs
+++ b/crates/sorrelturn-platform/src/stand_in.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Faults,
-    api::{WireEvents, WireObject},
+    api::{Readable, WireEvents, WireObject},
     hyper_io,
     store::{Store, VALUE_LIMIT_BYTES, Written},
 };
@@ -172,10 +172,10 @@
                 None => Some(status(StatusCode::GONE)),
                 Some(_) if deaf && !over => None,
                 Some(_) if deaf => Some(json(&WireEvents {
-                    events: Vec::new(),
+                    events: Readable::default(),
                     store_revision: since,
                 })),
-                Some(changes) if over || !changes.events.is_empty() => Some(json(&changes)),
+                Some(changes) if over || !changes.events.entries.is_empty() => Some(json(&changes)),
                 Some(_) => None,
             };
             if let Some(answer) = answer {
--- a/crates/sorrelturn-platform/src/store.rs
+++ b/crates/sorrelturn-platform/src/store.rs
@@ -149,7 +149,7 @@
         let items: Vec<WireObject> = rest.by_ref().take(PAGE).collect();
         WireList {
             has_more: rest.next().is_some(),
-            items,
+            items: items.into(),
             store_revision: self.revision,
         }
     }
@@ -159,14 +159,14 @@
         if since < self.forgotten {
             return None;
         }
-        let events = self
+        let events: Vec<WireEvent> = self
             .history
             .iter()
             .filter(|(revision, of, _)| *revision > since && of == kind)
             .map(|(_, _, event)| event.clone())
             .collect();
         Some(WireEvents {
-            events,
+            events: events.into(),
             store_revision: self.revision,
         })
     }
--- a/crates/sorrelturn-platform/tests/faults_and_conditions.rs
+++ b/crates/sorrelturn-platform/tests/faults_and_conditions.rs
@@ -3,7 +3,11 @@
 use assert_matches::assert_matches;
 use bytes::Bytes;
 use hyper::Request;
-use smol::{Executor, net::TcpListener};
+use smol::{
+    Executor,
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
 use sorrelturn_platform::{
     Expected, Faults, Platform, PlatformError, StandIn, http::exchange, serve,
 };
@@ -172,3 +176,29 @@
         assert_eq!(found.value, "b");
     });
 }
+
+/// Others write to the store as well: what of a list can't be read at all is counted, and the rest holds.
+#[test]
+fn entries_of_a_list_that_cant_be_read_are_left_out_and_counted() {
+    let page = r#"{"items":[{"metadata":{"name":"good","revision":2},"value":"v"},7,{"metadata":"none"}],"store_revision":3}"#;
+    let ex = Arc::new(Executor::new());
+    smol::block_on(ex.run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let addr = listener.local_addr().expect("address");
+        let answer = async move {
+            let (mut tcp, _) = listener.accept().await.expect("a caller");
+            tcp.read(&mut [0; 4096]).await.expect("a request");
+            let length = page.len();
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: {length}\r\n\r\n");
+            let sent = tcp.write_all((head + page).as_bytes()).await;
+            sent.expect("sent");
+            tcp
+        };
+        let answered = ex.spawn(answer);
+        let changes = Platform::new(addr, TIMEOUT).list("kind/").await;
+        let changes = changes.expect("a list");
+        assert_eq!(changes.objects.len(), 1);
+        assert_eq!(changes.left_out, 2);
+        drop(answered.await);
+    }));
+}
