--- a/crates/sorrelturn-daemon/src/store/quarantine.rs
+++ b/crates/sorrelturn-daemon/src/store/quarantine.rs
@@ -51,6 +51,7 @@
                 store::note_left_out(&node, keys::QUARANTINE, &changes);
                 break changes.objects;
             }
+            // The watch of the store says in the log that it is away.
             Err(_) => Timer::after(pause).await,
         };
         pause = (pause * 2).min(AGAIN_AFTER_MOST);
