--- a/crates/sorrelturn-command/src/commands/mod.rs
+++ b/crates/sorrelturn-command/src/commands/mod.rs
@@ -13,6 +13,7 @@
 mod fleet_status;
 mod key_fleet;
 mod key_new;
+mod workspaces;
 
 use crate::{Failure, Output};
 use clap::{Arg, ArgMatches, Command, builder::PossibleValuesParser};
@@ -41,6 +42,7 @@
     key_fleet::ENTRY,
     fleet_status::ENTRY,
     drain::ENTRY,
+    workspaces::ENTRY,
     explain::ENTRY,
     completions::ENTRY,
 ];
--- /dev/null
+++ b/crates/sorrelturn-command/src/commands/workspaces.rs
@@ -0,0 +1,101 @@
+//! `sorrelctl workspaces`
+
+use super::CommandEntry;
+use crate::{Failure, Output, remote::ask_daemon};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use hyper::Method;
+use sorrelturn_daemon::{WorkspaceUsage, WorkspacesReport};
+use std::{collections::BTreeMap, net::SocketAddr};
+
+pub(super) const ENTRY: CommandEntry = CommandEntry {
+    name: &["workspaces"],
+    signature,
+    run,
+};
+
+fn signature() -> Command {
+    Command::new("workspaces")
+        .about("Shows the quotas of workspaces, and what was let in and refused at the entries that are asked")
+        .after_help(
+            "Examples:\n  sorrelctl workspaces --daemon 127.0.0.1:7005\n  \
+             sorrelctl workspaces --daemon 127.0.0.1:7005 --daemon 127.0.0.1:7015 --output json",
+        )
+        .arg(
+            Arg::new("daemon")
+                .long("daemon")
+                .value_name("ADDRESS")
+                .help("The admin address of a daemon; may be given several times")
+                .required(true)
+                .action(ArgAction::Append)
+                .value_parser(value_parser!(SocketAddr)),
+        )
+}
+
+fn run(args: &ArgMatches) -> Result<Output, Failure> {
+    let mut reports = Vec::new();
+    for addr in args.get_many::<SocketAddr>("daemon").into_iter().flatten() {
+        let asked = ask_daemon::<WorkspacesReport>(*addr, Method::GET, "/workspaces", Vec::new());
+        reports.push(smol::block_on(asked)?);
+    }
+    let mut rows: Vec<Vec<String>> = reports.iter().map(daemon_row).collect();
+    rows.extend(
+        summed(&reports)
+            .iter()
+            .map(|(name, usage)| workspace_row(name, usage)),
+    );
+    let heads = [
+        "WORKSPACE OR DAEMON",
+        "LIMIT/S",
+        "BURST",
+        "LET IN",
+        "OVER QUOTA",
+        "UNDECIDED",
+        "KNOWLEDGE",
+    ];
+    Ok(Output::table(&heads, &rows, &reports))
+}
+
+/// A daemon has no limit, but an age of what it knows.
+fn daemon_row(report: &WorkspacesReport) -> Vec<String> {
+    let age = report.knowledge_age_ms;
+    let age = age.map_or_else(|| "never read".to_owned(), |ms| format!("{ms} ms old"));
+    let lent = format!("lends {:.0} %", report.part_lent * 100.0);
+    let none = String::new;
+    vec![
+        report.instance.clone(),
+        none(),
+        none(),
+        lent,
+        none(),
+        none(),
+        age,
+    ]
+}
+
+fn workspace_row(name: &str, usage: &WorkspaceUsage) -> Vec<String> {
+    let limit =
+        |limit: Option<f64>| limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+    vec![
+        name.to_owned(),
+        limit(usage.rate_per_second),
+        limit(usage.burst),
+        usage.let_in.to_string(),
+        usage.over_quota.to_string(),
+        usage.undecided.to_string(),
+        String::new(),
+    ]
+}
+
+/// What all entries that were asked saw together.
+fn summed(reports: &[WorkspacesReport]) -> BTreeMap<&str, WorkspaceUsage> {
+    let mut sums: BTreeMap<&str, WorkspaceUsage> = BTreeMap::new();
+    for (name, usage) in reports.iter().flat_map(|report| &report.workspaces) {
+        let sum = sums.entry(name).or_default();
+        sum.rate_per_second = usage.rate_per_second;
+        sum.burst = usage.burst;
+        sum.let_in += usage.let_in;
+        sum.over_quota += usage.over_quota;
+        sum.undecided += usage.undecided;
+    }
+    sums
+}
--- a/crates/sorrelturn-daemon/src/config/in_force.rs
+++ b/crates/sorrelturn-daemon/src/config/in_force.rs
@@ -1,7 +1,9 @@
 //! The bundle in force, with what is learnt under it.
 
 use crate::node::{LastTime, lock};
-use sorrelturn_bundle::{Bundle, CallerEntry, KindEntry, SectionBytes, SignedManifest};
+use sorrelturn_bundle::{
+    Bundle, CallerEntry, KindEntry, SectionBytes, SignedManifest, WorkspaceEntry,
+};
 use sorrelturn_policy::{
     FirstTries, LearnedThreshold, Now, RateBucket, Refusing, RetryBucket, RetryWindow,
 };
@@ -74,6 +76,8 @@
     pub(crate) origin: Origin,
     kinds: HashMap<String, Arc<KindState>>,
     callers: HashMap<CallerId, CallerState>,
+    /// The lowest importance that a workspace has.
+    lowest_workspace: Option<Importance>,
     /// One bit for each importance that root requests have, as far as they were answered.
     root_importances: AtomicU8,
     /// The same of those that may be repeated.
@@ -138,7 +142,12 @@
                 Some((bundle.caller_id(name)?, state))
             })
             .collect();
+        let of_workspaces = bundle
+            .workspaces()
+            .filter_map(|workspace| workspace.importance);
+        let lowest_workspace = of_workspaces.min();
         let in_force = Self {
+            lowest_workspace,
             bundle,
             origin,
             kinds,
@@ -191,6 +200,14 @@
         (rank as usize, bits.count_ones() as usize)
     }
 
+    /// How many steps of importance a workspace stands above the least important one.
+    pub(crate) fn steps_above(&self, workspace: Option<&WorkspaceEntry>) -> usize {
+        let own = workspace.and_then(|workspace| workspace.importance);
+        let own = own.map_or(0, Importance::rank);
+        let lowest = self.lowest_workspace.map_or(0, Importance::rank);
+        usize::from(own.saturating_sub(lowest))
+    }
+
     /// The sections that it was put together from; none for a route table.
     pub(crate) fn sections(&self) -> &[SectionBytes] {
         match &self.origin {
--- a/crates/sorrelturn-daemon/src/fleet/quota.rs
+++ b/crates/sorrelturn-daemon/src/fleet/quota.rs
@@ -4,6 +4,7 @@
     config::in_force::InForce,
     fleet::control_client as control,
     node::{Node, lock},
+    operators::workspaces::WorkspaceCounts,
     request::answer::Reply,
 };
 use smol::{Timer, future::FutureExt};
@@ -36,6 +37,8 @@
 pub(crate) struct Quota {
     entry: Mutex<Entry>,
     accountant: Mutex<Accountant>,
+    /// What became of the requests of workspaces at this entry.
+    pub(crate) counts: WorkspaceCounts,
     /// The accountants of the shards, by run.
     accountants: Mutex<HashMap<Incarnation, MemberRecord>>,
 }
@@ -47,14 +50,34 @@
         Self {
             entry: Mutex::new(Entry::new(run, terms, now)),
             accountant: Mutex::new(Accountant::new(run, terms, now)),
+            counts: WorkspaceCounts::default(),
             accountants: Mutex::default(),
         }
     }
+
+    /// The part of this daemon's shares that it lends.
+    pub(crate) fn part_lent(&self, now: Now) -> f64 {
+        lock(&self.entry).part_lent(now)
+    }
 }
 
 /// Whether a request of a workspace may run; takes one of its quota.
 pub(crate) async fn take(node: &Arc<Node>, workspace: &WorkspaceEntry) -> Result<(), Reply> {
-    if workspace.quota.is_none() || lock(&node.quota.entry).take(node.now(), workspace.id) {
+    if workspace.quota.is_none() {
+        return Ok(());
+    }
+    let taken = draw(node, workspace).await;
+    node.quota.counts.count(workspace, |usage| match &taken {
+        Ok(()) => usage.let_in += 1,
+        Err(reply) if reply.context.refusal == Some(Refusal::QuotaUsedUp) => usage.over_quota += 1,
+        Err(_) => usage.undecided += 1,
+    });
+    taken
+}
+
+/// Uses a grant that is held, or draws one.
+async fn draw(node: &Arc<Node>, workspace: &WorkspaceEntry) -> Result<(), Reply> {
+    if lock(&node.quota.entry).take(node.now(), workspace.id) {
         return Ok(());
     }
     for _ in 0..DRAW_TRIES {
--- a/crates/sorrelturn-daemon/src/lib.rs
+++ b/crates/sorrelturn-daemon/src/lib.rs
@@ -22,5 +22,6 @@
 };
 pub use net::stream::fleet_client_stream;
 pub use operators::status::StatusReport;
+pub use operators::workspaces::{WorkspaceUsage, WorkspacesReport};
 pub use request::dialect::{Dialect, HeaderNames};
 pub use run::{Daemon, StartError};
--- a/crates/sorrelturn-daemon/src/operators/admin.rs
+++ b/crates/sorrelturn-daemon/src/operators/admin.rs
@@ -7,6 +7,7 @@
     node::{Node, lock},
     operators::explain,
     operators::status::StatusReport,
+    operators::workspaces,
     request::body::{self, Body},
 };
 use http_body_util::{BodyExt, Limited};
@@ -38,6 +39,7 @@
             let members: Vec<_> = lock(&node.membership).all().cloned().collect();
             json(&members)
         }
+        (&Method::GET, "/workspaces") => json(&workspaces::report(node)),
         (&Method::POST, "/drain") => {
             gossip::leave(node, LeavingCause::Operator);
             json(&report(node))
--- a/crates/sorrelturn-daemon/src/operators/mod.rs
+++ b/crates/sorrelturn-daemon/src/operators/mod.rs
@@ -6,3 +6,4 @@
 pub(crate) mod log_sink;
 pub(crate) mod metrics_page;
 pub(crate) mod status;
+pub(crate) mod workspaces;
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -26,7 +26,7 @@
 use smol::future::FutureExt;
 use sorrelturn_bundle::{KindEntry, WorkspaceEntry};
 use sorrelturn_policy::{Now, bucket_of_once, bucket_of_return, refuses};
-use sorrelturn_protocol::{CallContext, CallerId, Importance, Refusal, RequestId, SpanId, Verdict};
+use sorrelturn_protocol::{CallContext, CallerId, Refusal, RequestId, SpanId, Verdict};
 use sorrelturn_telemetry::{Field, events};
 use std::{
     sync::{Arc, atomic::Ordering},
@@ -49,8 +49,6 @@
     kind: Arc<KindEntry>,
     /// In whose name it comes, where a credential stands behind it.
     workspace: Option<Arc<WorkspaceEntry>>,
-    /// The workspace's, or that of the kind.
-    importance: Importance,
     request: RequestId,
     /// The level of load that was learnt from all who answer requests of this kind, with all that
     /// they call.
@@ -79,7 +77,7 @@
     let asked = ask(node, routed, &req, request, arrived, arrives).await;
     let (importance, kind, reply) = match asked {
         Ok(asked) => {
-            let (importance, kind) = (asked.importance, Arc::clone(&asked.kind));
+            let (importance, kind) = (asked.kind.importance(), Arc::clone(&asked.kind));
             let reply = carry(node, routed, asked, req).await;
             (importance.name(), Some(kind), reply)
         }
@@ -146,7 +144,6 @@
     let asked = Asked {
         level: state.threshold.current(node.now()).0,
         in_force,
-        importance: importance_of(&kind, workspace.as_deref()),
         kind,
         request,
         is_call: workspace.is_none() && state.is_call.load(Ordering::Relaxed),
@@ -165,12 +162,6 @@
     admitted.map(|()| asked)
 }
 
-/// A workspace's importance goes before that of the kind.
-fn importance_of(kind: &KindEntry, workspace: Option<&WorkspaceEntry>) -> Importance {
-    let own = workspace.and_then(|workspace| workspace.importance);
-    own.unwrap_or(kind.importance())
-}
-
 /// Refuses here what would be refused deeper after work was done for it. A call of the own backend
 /// server holds such work already and is let through.
 fn admit(
@@ -191,7 +182,9 @@
     let was_tried = asked
         .left_ms
         .is_some_and(|left_ms| lock(&state.first_tries).saw(left_ms));
-    let (rank, ranks) = asked.in_force.rank_of_root(asked.importance);
+    let (rank_of_kind, ranks) = asked.in_force.rank_of_root(asked.kind.importance());
+    // A workspace that matters more goes before what its requests' kinds say among the others.
+    let rank = rank_of_kind + asked.in_force.steps_above(asked.workspace.as_deref());
     let mut bucket = asked.request.keep_bucket();
     if asked.in_force.is_once_among_repeatable(&asked.kind) {
         bucket = bucket_of_once(bucket);
@@ -244,7 +237,7 @@
         parent: SpanId::default(),
         kind: asked.kind.name.clone(),
         service: asked.kind.service.clone(),
-        importance: asked.importance,
+        importance: asked.kind.importance(),
         depth: 0,
         deadline_ms: asked.kind.kind.deadline_ms,
         attempts: asked.kind.kind.attempts,
