Quotas are counted by windows; fewer reads of the table; a daemon that has gone lends nothing

The bucket refills at the rate and a burst a window now, and what the bound leaves is what may come at once, such that no window goes over it whoever forgets what was granted.

--- a/crates/sorrelturn-daemon/src/config/knowledge.rs
+++ b/crates/sorrelturn-daemon/src/config/knowledge.rs
@@ -12,7 +12,7 @@
 use std::{
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -23,9 +23,12 @@
 /// A daemon that is asked with credentials reads the table itself when its knowledge is older than a time between
 /// these: the first one to do so spares the others, who hear of it with the next answers.
 const REFRESH_AFTER: (Duration, Duration) =
-    (Duration::from_millis(1_500), Duration::from_millis(2_500));
-/// After a read that failed, the next one follows so much later: each costs the platform a call.
+    (Duration::from_millis(2_500), Duration::from_millis(3_500));
+/// After a read that failed, the next one follows so much later, and after each further one twice as late: each costs
+/// the platform a call.
 const READ_AGAIN: Duration = Duration::from_millis(500);
+/// The longest such pause: a VM whose way to the store is mended shall not wait for long.
+const READ_AGAIN_MOST: Duration = Duration::from_secs(2);
 /// The longest time for which a request is held while the table is read, which takes some milliseconds as a rule.
 const HOLD: Duration = Duration::from_millis(60);
 /// How many reads a second unknown credentials may cause here, so that a flood of them costs the platform little.
@@ -38,6 +41,8 @@
     taken: AtomicU64,
     reading: AtomicBool,
     failed: LastTime,
+    /// How many reads failed in a row.
+    failures: AtomicU32,
     refresh_after: Mutex<Duration>,
     proofs: Mutex<RateBucket>,
     waiting: Mutex<Vec<Sender<()>>>,
@@ -50,6 +55,7 @@
             taken: AtomicU64::new(0),
             reading: AtomicBool::new(false),
             failed: LastTime::default(),
+            failures: AtomicU32::new(0),
             refresh_after: Mutex::new(REFRESH_AFTER.0),
             proofs: Mutex::new(RateBucket::new(PROOFS_PER_SECOND, now)),
             waiting: Mutex::default(),
@@ -94,6 +100,7 @@
 
     fn prove(&self, at: Now) {
         lock(&self.freshness).prove(at);
+        self.failures.store(0, Ordering::Relaxed);
         let (least, most) = REFRESH_AFTER;
         let spread = (most - least).mul_f64(fastrand::f64());
         *lock(&self.refresh_after) = least + spread;
@@ -177,7 +184,10 @@
         return;
     };
     let knowledge = &node.knowledge;
-    let failed_just_now = knowledge.failed.elapsed_since(node.now()) < READ_AGAIN;
+    let failures = knowledge.failures.load(Ordering::Relaxed);
+    let pause = READ_AGAIN * 2u32.pow(failures.saturating_sub(1).min(8));
+    let pause = pause.min(READ_AGAIN_MOST);
+    let failed_just_now = knowledge.failed.elapsed_since(node.now()) < pause;
     if failed_just_now || knowledge.reading.swap(true, Ordering::Relaxed) {
         return;
     }
@@ -187,6 +197,7 @@
         // Why it failed is told by the watchers; what follows here is that credentials are refused.
         if read_table(&node, &object).await.is_err() {
             node.knowledge.failed.set(node.now());
+            node.knowledge.failures.fetch_add(1, Ordering::Relaxed);
         }
         node.knowledge.reading.store(false, Ordering::Relaxed);
         // A request that came while this read was under way may need another one.
--- a/crates/sorrelturn-daemon/src/config/settings.rs
+++ b/crates/sorrelturn-daemon/src/config/settings.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use sorrelturn_bundle::{Diagnostic, SourceMap, TrustedKeys, parse_settings};
 use sorrelturn_platform::OBJECTS_PATH;
+use sorrelturn_quota::Bound;
 use std::{
     collections::BTreeMap, net::SocketAddr, ops::RangeInclusive, path::PathBuf, time::Duration,
 };
@@ -151,6 +152,9 @@
     /// The part of a quota by which such a count may lie over it.
     #[serde(default = "default_quota_overage")]
     pub quota_overage: f64,
+    /// The requests by which it may lie over that besides.
+    #[serde(default)]
+    pub quota_slack: f64,
 }
 
 impl RouteSettings {
@@ -159,6 +163,15 @@
         self.revocation_ms.map(Duration::from_millis)
     }
 
+    /// How quotas are counted.
+    pub(crate) fn quota_bound(&self) -> Bound {
+        Bound {
+            window: Duration::from_secs_f64(self.quota_window_s),
+            overage: self.quota_overage,
+            slack: self.quota_slack,
+        }
+    }
+
     /// How long a grant may lie unused: what is granted before a window and used in it has to fit into the overage.
     pub(crate) fn grant_time(&self) -> Duration {
         let overage = self.quota_window_s * self.quota_overage * GRANT_PART_OF_OVERAGE;
@@ -166,10 +179,10 @@
     }
 }
 
-/// The part of the overage that grants take which lie unused; the rest is for uneven clocks.
-const GRANT_PART_OF_OVERAGE: f64 = 0.6;
+/// The part of the overage that grants take which lie unused; the rest is for what may be let in at once.
+const GRANT_PART_OF_OVERAGE: f64 = 0.3;
 /// The longest time that a grant may lie unused: longer, it is taken from those who have use for it.
-const MOST_GRANT_TIME: Duration = Duration::from_millis(300);
+const MOST_GRANT_TIME: Duration = Duration::from_millis(150);
 
 /// The events that are kept for explanations.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -396,13 +409,14 @@
         }
         if let Some(routes) = &self.routes
             && !(QUOTA_WINDOWS_S.contains(&routes.quota_window_s)
-                && (0.0..=1.0).contains(&routes.quota_overage))
+                && (0.0..=1.0).contains(&routes.quota_overage)
+                && routes.quota_slack >= 0.0)
         {
             let (least, most) = (QUOTA_WINDOWS_S.start(), QUOTA_WINDOWS_S.end());
             at(
                 &["routes", "quota_window_s"],
-                "routes.quota_window_s or routes.quota_overage can't be used",
-                &format!("write seconds from {least} to {most}, and a part from 0 to 1"),
+                "routes.quota_window_s, routes.quota_overage or routes.quota_slack can't be used",
+                &format!("write seconds from {least} to {most}, a part from 0 to 1, and 0 or more"),
             );
         }
         if self.routes.as_ref().is_some_and(|routes| {
--- a/crates/sorrelturn-daemon/src/fleet/quota.rs
+++ b/crates/sorrelturn-daemon/src/fleet/quota.rs
@@ -12,7 +12,7 @@
 use sorrelturn_policy::Now;
 use sorrelturn_protocol::{CallerId, Incarnation, MemberRecord, MemberState, Refusal};
 use sorrelturn_quota::{
-    Accountant, Draw, Drawn, Entry, Limit, Outcome, Shard, Target, Terms, preferred,
+    Accountant, Bound, Draw, Drawn, Entry, Limit, Outcome, Shard, Target, Terms, preferred,
 };
 use sorrelturn_telemetry::{Field, events};
 use std::{
@@ -39,22 +39,34 @@
     accountant: Mutex<Accountant>,
     /// What became of the requests of workspaces at this entry.
     pub(crate) counts: WorkspaceCounts,
+    terms: Terms,
+    bound: Bound,
     /// The accountants of the shards, by run.
     accountants: Mutex<HashMap<Incarnation, MemberRecord>>,
 }
 
 impl Quota {
-    pub(crate) fn new(run: Incarnation, grant: Duration, now: Now) -> Self {
+    pub(crate) fn new(run: Incarnation, bound: Bound, grant: Duration, now: Now) -> Self {
         let lease = LEASE;
         let terms = Terms { lease, grant };
         Self {
             entry: Mutex::new(Entry::new(run, terms, now)),
             accountant: Mutex::new(Accountant::new(run, terms, now)),
             counts: WorkspaceCounts::default(),
+            terms,
+            bound,
             accountants: Mutex::default(),
         }
     }
 
+    fn bucket(&self, quota: QuotaLimit) -> Limit {
+        let limit = Limit {
+            rate: quota.rate,
+            burst: quota.burst,
+        };
+        self.bound.bucket(limit, self.terms.grant)
+    }
+
     /// The part of this daemon's shares that it lends.
     pub(crate) fn part_lent(&self, now: Now) -> f64 {
         lock(&self.entry).part_lent(now)
@@ -120,9 +132,10 @@
     Reply::not_run(Refusal::QuotaUsedUp).come_back(wait)
 }
 
-/// Keeps the loans of this daemon's shares while there are quotas.
+/// Keeps the loans of this daemon's shares while there are quotas, until it says that it is gone: the others divide
+/// the quotas among themselves then.
 pub(crate) async fn run(node: Arc<Node>) {
-    loop {
+    while node.own_record.load().state != MemberState::Gone {
         Timer::after(LOOK_EVERY).await;
         let in_force = node.in_force.load();
         if !in_force
@@ -188,7 +201,7 @@
 
 /// Asks an accountant; `None` if it doesn't answer in time.
 async fn ask(node: &Arc<Node>, target: Target, workspace: Option<CallerId>) -> Option<Drawn> {
-    let members = lock(&node.membership).present().count() as u32;
+    let members = members(node);
     let draw = lock(&node.quota.entry).draw(target, members, workspace);
     if target.accountant == node.incarnation {
         return Some(answer(node, &draw));
@@ -207,6 +220,12 @@
     drawn.or(too_late).await
 }
 
+/// Among how many members the quotas are divided. Those that have just gone count: where a whole fleet is restarted,
+/// each of the first ones would else take itself for the only one.
+fn members(node: &Node) -> u32 {
+    lock(&node.membership).all().count() as u32
+}
+
 /// Answers a daemon that lends its shares or draws.
 pub(crate) fn answer(node: &Node, draw: &Draw) -> Drawn {
     let in_force = node.in_force.load();
@@ -214,14 +233,8 @@
         let bundle = &in_force.as_ref()?.bundle;
         bundle.workspace(id).cloned()
     });
-    let limit = workspace.and_then(|workspace| workspace.quota).map(limit);
-    let members = lock(&node.membership).present().count() as u32;
+    let quota = workspace.and_then(|workspace| workspace.quota);
+    let limit = quota.map(|quota| node.quota.bucket(quota));
+    let members = members(node);
     lock(&node.quota.accountant).draw(node.now(), draw, limit, members)
 }
-
-fn limit(quota: QuotaLimit) -> Limit {
-    Limit {
-        rate: quota.rate,
-        burst: quota.burst,
-    }
-}
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -328,6 +328,7 @@
     };
     let spans = settings.trace.map_or(0, |trace| trace.buffer);
     let timeout = Duration::from_millis(settings.platform.timeout_ms);
+    let quota_bound = settings.routes.as_ref().map(RouteSettings::quota_bound);
     let grant_time = settings
         .routes
         .as_ref()
@@ -348,7 +349,12 @@
         parents: Arc::new(Parents::default()),
         in_force: ArcSwapOption::empty(),
         knowledge: Knowledge::new(clock.now()),
-        quota: Quota::new(incarnation, grant_time, clock.now()),
+        quota: Quota::new(
+            incarnation,
+            quota_bound.unwrap_or_default(),
+            grant_time,
+            clock.now(),
+        ),
         routes: ArcSwap::from_pointee(Routes::default()),
         ledger: Mutex::new(Ledger::new(incarnation, ledger, seal_key)),
         attempts: Mutex::default(),
--- a/crates/sorrelturn-quota/src/lib.rs
+++ b/crates/sorrelturn-quota/src/lib.rs
@@ -1,11 +1,13 @@
 #![doc = include_str!("../README.md")]
 
 mod accountant;
+mod bound;
 mod entry;
 mod messages;
 mod shard;
 
 pub use accountant::Accountant;
+pub use bound::Bound;
 pub use entry::{Entry, Target};
 pub use messages::{Draw, Drawn, Loan, Outcome, Stamp};
 pub use shard::{SHARDS, Shard, ShardSet, preferred};
--- /dev/null
+++ b/crates/sorrelturn-quota/tests/bound.rs
@@ -0,0 +1,50 @@
+//! The bucket keeps what operators promise of a quota in every window.
+
+use sorrelturn_quota::{Bound, Limit};
+use std::time::Duration;
+
+const GRANT: Duration = Duration::from_millis(150);
+
+#[test]
+fn in_no_window_more_can_be_let_in_than_the_bound_allows() {
+    for rate in [0.5, 8.0, 343.0, 10_000.0] {
+        for burst in [0.0, 1.0, 0.2 * rate, rate, 5.0 * rate] {
+            for (window, overage, slack) in [
+                (5.0, 0.1, 20.0),
+                (5.0, 0.0, 0.0),
+                (1.0, 0.2, 0.0),
+                (60.0, 0.05, 5.0),
+            ] {
+                let window_time = Duration::from_secs_f64(window);
+                let bound = Bound {
+                    window: window_time,
+                    overage,
+                    slack,
+                };
+                let bucket = bound.bucket(Limit { rate, burst }, GRANT);
+                let most = bucket.rate * (window_time + GRANT).as_secs_f64() + bucket.burst;
+                let allowed = (rate * window + burst) * (1.0 + overage) + slack;
+                assert!(most <= allowed + 1e-6, "{most} {allowed} {bucket:?}");
+                assert!(bucket.rate >= 0.0 && bucket.burst >= 0.0, "{bucket:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_workspace_may_use_its_rate_and_its_burst_in_each_window() {
+    let bound = Bound {
+        window: Duration::from_secs(5),
+        overage: 0.1,
+        slack: 20.0,
+    };
+    let bucket = bound.bucket(
+        Limit {
+            rate: 100.0,
+            burst: 100.0,
+        },
+        GRANT,
+    );
+    assert_eq!(bucket.rate, 120.0);
+    assert!(bucket.burst >= 25.0, "{bucket:?}");
+}
