--- a/crates/sorrelturn-bench/src/soak/caller.rs
+++ b/crates/sorrelturn-bench/src/soak/caller.rs
@@ -27,6 +27,9 @@
     pub(super) id: &'a str,
     /// The header that carries the id.
     pub(super) id_header: &'a str,
+    pub(super) credential: &'a str,
+    /// The header that carries the credential.
+    pub(super) credential_header: &'a str,
 }
 
 /// An answer, and whether the connection goes on.
@@ -59,8 +62,12 @@
             host,
             id,
             id_header,
+            credential,
+            credential_header,
         } = question;
-        let text = format!("GET {path} HTTP/1.1\r\nhost: {host}\r\n{id_header}: {id}\r\n\r\n");
+        let text = format!(
+            "GET {path} HTTP/1.1\r\nhost: {host}\r\n{id_header}: {id}\r\n{credential_header}: {credential}\r\n\r\n"
+        );
         self.tcp.write_all(text.as_bytes()).await
     }
 
--- a/crates/sorrelturn-bench/src/soak/mod.rs
+++ b/crates/sorrelturn-bench/src/soak/mod.rs
@@ -6,7 +6,9 @@
 mod path;
 mod plan;
 mod site;
+mod workspaces;
 
 pub use checker::{Breach, Checker, Counts, Ending, Kind, Place, Promise};
 pub use plan::{Act, Harm, SoakPlan, TimedAct, Trouble};
 pub use site::{SoakReport, SoakWords, soak};
+pub use workspaces::Shows;
--- a/crates/sorrelturn-daemon/src/operators/export.rs
+++ b/crates/sorrelturn-daemon/src/operators/export.rs
@@ -152,6 +152,11 @@
     ] {
         let _ = node.metrics.gauge(metric.name, value);
     }
+    if let Some(age_ms) = node.knowledge.age_ms(node.now()) {
+        let _ = node
+            .metrics
+            .gauge(metrics::KNOWLEDGE_AGE.name, u64::from(age_ms));
+    }
     let dropped = node.spans.take_dropped();
     if dropped > 0 {
         let _ = node.metrics.count(metrics::SPANS_DROPPED.name, dropped);
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -27,7 +27,7 @@
 use sorrelturn_bundle::{KindEntry, WorkspaceEntry};
 use sorrelturn_policy::{Now, bucket_of_once, bucket_of_return, refuses};
 use sorrelturn_protocol::{CallContext, CallerId, Refusal, RequestId, SpanId, Verdict};
-use sorrelturn_telemetry::{Field, events};
+use sorrelturn_telemetry::{Field, events, metrics};
 use std::{
     sync::{Arc, atomic::Ordering},
     time::Duration,
@@ -83,6 +83,13 @@
         }
         Err(reply) => ("none", None, reply),
     };
+    if let Some(refusal) = reply.context.refusal {
+        export::count(
+            node,
+            &metrics::ENTRY_REFUSALS,
+            &[("reason", refusal.name())],
+        );
+    }
     // Whoever sends unknown credentials gets no line each; one a second tells of them.
     if reply.context.refusal != Some(Refusal::UnknownCaller) {
         note(node, request, kind.as_deref(), arrived, &reply);
--- a/crates/sorrelturn-telemetry/src/metrics.rs
+++ b/crates/sorrelturn-telemetry/src/metrics.rs
@@ -35,6 +35,8 @@
 catalogue! {
     REQUESTS = Counter "requests" "Root requests by importance and verdict.";
     REFUSALS = Counter "refusals" "Refusals here by importance and reason.";
+    ENTRY_REFUSALS = Counter "entry.refusals" "Refusals of requests where they began, by reason.";
+    KNOWLEDGE_AGE = Gauge "knowledge.age" "How old the knowledge of the route table is, in milliseconds.";
     RETRIES = Counter "retries" "Tries beyond the first that may have cost an execution.";
     HOP_TIME = Timer "hop.time" "The time from a call's arrival to its answer's head, by importance.";
     IN_FLIGHT = Gauge "backend.in_flight" "Calls in flight to the backend server.";
