--- a/crates/sorrelturn-daemon/src/config/knowledge.rs
+++ b/crates/sorrelturn-daemon/src/config/knowledge.rs
@@ -8,8 +8,10 @@
     channel::{self, Sender},
     future::FutureExt,
 };
+use sorrelturn_bundle::CredentialHash;
 use sorrelturn_policy::{Freshness, Now, RateBucket};
 use std::{
+    collections::HashSet,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
@@ -31,9 +33,18 @@
 const READ_AGAIN_MOST: Duration = Duration::from_secs(2);
 /// The longest time for which a request is held while the table is read, which takes some milliseconds as a rule.
 const HOLD: Duration = Duration::from_millis(60);
+/// The most unknown credentials that are remembered; 32 bytes each.
+const MOST_UNKNOWN: usize = 1_024;
 /// How many reads a second unknown credentials may cause here, so that a flood of them costs the platform little.
 const PROOFS_PER_SECOND: f64 = 1.0;
 
+/// Credentials that the table of a version doesn't hold.
+#[derive(Default)]
+struct Unknown {
+    version: u64,
+    credentials: HashSet<CredentialHash>,
+}
+
 /// What a daemon knows of how old its route table is.
 pub(crate) struct Knowledge {
     freshness: Mutex<Freshness>,
@@ -45,6 +56,8 @@
     failures: AtomicU32,
     refresh_after: Mutex<Duration>,
     proofs: Mutex<RateBucket>,
+    /// Credentials that were shown to be unknown to the table of a version.
+    unknown: Mutex<Unknown>,
     waiting: Mutex<Vec<Sender<()>>>,
 }
 
@@ -58,6 +71,7 @@
             failures: AtomicU32::new(0),
             refresh_after: Mutex::new(REFRESH_AFTER.0),
             proofs: Mutex::new(RateBucket::new(PROOFS_PER_SECOND, now)),
+            unknown: Mutex::default(),
             waiting: Mutex::default(),
         }
     }
@@ -98,6 +112,23 @@
         lock(&self.freshness).covers(at)
     }
 
+    /// Whether the table of this version was the newest one at an earlier request with this credential, which it doesn't
+    /// hold. Whoever goes on with a credential that was taken away then costs no further read.
+    pub(crate) fn is_unknown(&self, version: u64, credential: CredentialHash) -> bool {
+        let unknown = lock(&self.unknown);
+        unknown.version == version && unknown.credentials.contains(&credential)
+    }
+
+    /// The newest table, of this version, doesn't hold a credential.
+    pub(crate) fn note_unknown(&self, version: u64, credential: CredentialHash) {
+        let mut unknown = lock(&self.unknown);
+        if unknown.version != version || unknown.credentials.len() >= MOST_UNKNOWN {
+            unknown.credentials.clear();
+            unknown.version = version;
+        }
+        unknown.credentials.insert(credential);
+    }
+
     fn prove(&self, at: Now) {
         lock(&self.freshness).prove(at);
         self.failures.store(0, Ordering::Relaxed);
--- a/crates/sorrelturn-daemon/src/fleet/quota.rs
+++ b/crates/sorrelturn-daemon/src/fleet/quota.rs
@@ -116,11 +116,6 @@
     Err(Reply::not_run(Refusal::QuotaUnknown).come_back(LEASE))
 }
 
-/// Gives back what a request took that is refused for another reason.
-pub(crate) fn give_back(node: &Node, workspace: &WorkspaceEntry) {
-    lock(&node.quota.entry).give_back(node.now(), workspace.id);
-}
-
 fn used_up(node: &Node, workspace: &WorkspaceEntry, wait: Duration) -> Reply {
     node.note(
         &events::QUOTA_USED_UP,
--- a/crates/sorrelturn-daemon/src/request/identity.rs
+++ b/crates/sorrelturn-daemon/src/request/identity.rs
@@ -60,7 +60,7 @@
                     return Err(later());
                 }
             }
-            None if node.knowledge.covers(arrived) => {
+            None if is_unknown(node, &in_force, shown, arrived) => {
                 note_unknown(node, routed, shown.as_ref());
                 return Err(Reply::not_run(Refusal::UnknownCaller));
             }
@@ -76,6 +76,26 @@
     }
 }
 
+/// Whether it is certain that no table holds the credential that a request shows.
+fn is_unknown(
+    node: &Node,
+    in_force: &InForce,
+    shown: Option<CredentialHash>,
+    arrived: Now,
+) -> bool {
+    let version = in_force.bundle.version;
+    let covers = node.knowledge.covers(arrived);
+    match shown {
+        Some(credential) if covers => node.knowledge.note_unknown(version, credential),
+        Some(credential) => {
+            let is_valid = knowledge::is_valid(node, node.now());
+            return is_valid && node.knowledge.is_unknown(version, credential);
+        }
+        None => {}
+    }
+    covers
+}
+
 /// The workspace in whose name a request comes, if it needs one; `None` if it shows no credential that is valid.
 fn who_asks(
     bundle: &Bundle,
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -158,15 +158,13 @@
         deadline: arrived + Duration::from_millis(wait_ms.into()),
         workspace,
     };
-    // What lies over a quota is nobody's due: it goes before anything that is refused for lack of room.
+    admit(node, routed, &asked, &state, arrives)?;
+    // Only what runs counts against a quota, so it is taken last: else a workspace that presses would pay for what is
+    // refused for lack of room as well, and get next to nothing.
     if let Some(workspace) = &asked.workspace {
         quota::take(node, workspace).await?;
     }
-    let admitted = admit(node, routed, &asked, &state, arrives);
-    if let (Err(_), Some(workspace)) = (&admitted, &asked.workspace) {
-        quota::give_back(node, workspace);
-    }
-    admitted.map(|()| asked)
+    Ok(asked)
 }
 
 /// Refuses here what would be refused deeper after work was done for it. A call of the own backend
--- a/crates/sorrelturn-quota/src/entry.rs
+++ b/crates/sorrelturn-quota/src/entry.rs
@@ -97,15 +97,6 @@
         }
     }
 
-    /// Gives a grant back that was taken or drawn and not used.
-    pub fn give_back(&mut self, now: Now, workspace: CallerId) {
-        if let Some(purse) = self.purses.get_mut(&workspace)
-            && now < purse.until
-        {
-            purse.grants += 1;
-        }
-    }
-
     /// Whom to draw from for a shard, and what is lent with it. The loan counts as made from here on.
     ///
     /// A share is lent to one accountant at a time. While another one than the preferred one may still count it,
