Entries leave a workspace alone for a moment that was over its quota; eight shards in place of sixteen

Each of its requests was a message to one accountant, some 1,700 a second in a burst with impatient callers (worked out), and renewals were as many messages as draws (worked out: 40 a second a daemon).

--- a/crates/sorrelturn-daemon/src/fleet/quota.rs
+++ b/crates/sorrelturn-daemon/src/fleet/quota.rs
@@ -92,6 +92,9 @@
     if lock(&node.quota.entry).take(node.now(), workspace.id) {
         return Ok(());
     }
+    if let Some(room_in) = lock(&node.quota.entry).is_over(node.now(), workspace.id) {
+        return Err(used_up(node, workspace, room_in));
+    }
     for _ in 0..DRAW_TRIES {
         let sent = node.now();
         let target = lock(&node.quota.entry).target(sent, Shard::of(workspace.id));
--- a/crates/sorrelturn-quota/src/entry.rs
+++ b/crates/sorrelturn-quota/src/entry.rs
@@ -8,6 +8,9 @@
 const CLOCK_MARGIN: f64 = 1.05;
 /// An accountant that didn't answer is passed over for so long.
 const SILENT_TIME: Duration = Duration::from_secs(3);
+/// So long after a workspace was over its quota nothing is asked for it here: a workspace that presses at all entries would
+/// keep its accountant from everybody else, and what it is due is drawn by the other entries meanwhile.
+const ASK_AGAIN: Duration = Duration::from_millis(100);
 /// The most workspaces whose grants are held.
 const MOST_PURSES: usize = 20_000;
 
@@ -36,6 +39,8 @@
 struct Purse {
     grants: u32,
     until: Now,
+    /// Over its quota: until then, and when there is room.
+    over: Option<(Now, Duration)>,
 }
 
 /// One daemon's loans and grants.
@@ -97,6 +102,12 @@
         }
     }
 
+    /// When there is room for a workspace that was over its quota a moment ago; it isn't worth while to ask again.
+    pub fn is_over(&self, now: Now, workspace: CallerId) -> Option<Duration> {
+        let (until, room_in) = self.purses.get(&workspace)?.over?;
+        (now < until).then_some(room_in)
+    }
+
     /// Whom to draw from for a shard, and what is lent with it. The loan counts as made from here on.
     ///
     /// A share is lent to one accountant at a time. While another one than the preferred one may still count it,
@@ -149,22 +160,23 @@
     /// An accountant answered what was sent at `sent`; returns whether the request that asked may run.
     pub fn drawn(&mut self, now: Now, sent: Now, workspace: CallerId, drawn: &Drawn) -> bool {
         self.heard(now, drawn.stamp);
-        let Outcome::Granted(grants) = drawn.outcome else {
-            return false;
+        let grants = match drawn.outcome {
+            Outcome::Granted(grants) => grants,
+            Outcome::UsedUp(room_in) => {
+                self.purse(now, workspace).over = Some((now + ASK_AGAIN, room_in));
+                return false;
+            }
+            Outcome::Nothing => return false,
         };
         let until = sent + self.terms.grant;
         if now >= until || grants == 0 {
             return false;
         }
-        if self.purses.len() >= MOST_PURSES {
-            self.purses.retain(|_, purse| now < purse.until);
-        }
-        let purse = self.purses.entry(workspace).or_insert(Purse {
-            grants: 0,
-            until: Now::ZERO,
-        });
+        let purse = self.purse(now, workspace);
+        purse.over = None;
         if now >= purse.until {
-            *purse = Purse { grants: 0, until };
+            purse.grants = 0;
+            purse.until = until;
         }
         // The older grants don't live longer by the new ones.
         purse.until = purse.until.min(until);
@@ -172,6 +184,19 @@
         true
     }
 
+    fn purse(&mut self, now: Now, workspace: CallerId) -> &mut Purse {
+        if self.purses.len() >= MOST_PURSES {
+            let is_over = |purse: &Purse| purse.over.is_some_and(|(until, _)| now < until);
+            self.purses
+                .retain(|_, purse| now < purse.until || is_over(purse));
+        }
+        self.purses.entry(workspace).or_insert(Purse {
+            grants: 0,
+            until: Now::ZERO,
+            over: None,
+        })
+    }
+
     /// An accountant answered a renewal.
     pub fn heard(&mut self, now: Now, stamp: Stamp) {
         self.silent.remove(&stamp.run);
--- a/crates/sorrelturn-quota/src/shard.rs
+++ b/crates/sorrelturn-quota/src/shard.rs
@@ -6,7 +6,7 @@
 
 /// How many shards there are. Each daemon keeps in touch with as many accountants at most, and each accountant
 /// with all daemons: more of them share the work of a fleet better and cost each daemon more messages.
-pub const SHARDS: usize = 16;
+pub const SHARDS: usize = 8;
 
 /// The number of a shard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
--- a/crates/sorrelturn-quota/tests/ways.rs
+++ b/crates/sorrelturn-quota/tests/ways.rs
@@ -296,6 +296,9 @@
 
     fn take(&mut self, now: Now, entry: usize, workspace: usize) -> bool {
         let id = CallerId(workspace as u64);
+        if self.entries[entry].is_over(now, id).is_some() {
+            return false;
+        }
         self.entries[entry].take(now, id) || self.draw(now, entry, Shard::of(id), Some(workspace))
     }
 }
