--- a/crates/sorrelturn-daemon/src/config/fetch.rs
+++ b/crates/sorrelturn-daemon/src/config/fetch.rs
@@ -179,11 +179,12 @@
 }
 
 fn take_table(node: &Arc<Node>, table: &RouteTable) -> Result<(), String> {
+    // Before its version is compared: one without a version would else be passed over without a word.
+    table.check().map_err(|error| error.to_string())?;
     let version = table.version;
     if version <= node.bundle_version() {
         return Ok(());
     }
-    table.check().map_err(|error| error.to_string())?;
     let text = serde_json::to_string(table).map_err(|error| error.to_string())?;
     if node.put_in_force(Bundle::of_routes(table), Origin::Routes(text)) {
         gossip::announce(node, version);
--- a/crates/sorrelturn-daemon/src/config/knowledge.rs
+++ b/crates/sorrelturn-daemon/src/config/knowledge.rs
@@ -135,7 +135,11 @@
         let (least, most) = REFRESH_AFTER;
         let spread = (most - least).mul_f64(fastrand::f64());
         *lock(&self.refresh_after) = least + spread;
-        // Whoever waits looks again; one that has gone needs no word.
+        self.wake_waiting();
+    }
+
+    /// Whoever waits looks again; one that has gone needs no word.
+    fn wake_waiting(&self) {
         for waiting in lock(&self.waiting).drain(..) {
             let _ = waiting.try_send(());
         }
@@ -232,9 +236,7 @@
         }
         node.knowledge.reading.store(false, Ordering::Relaxed);
         // A request that came while this read was under way may need another one.
-        for waiting in lock(&node.knowledge.waiting).drain(..) {
-            let _ = waiting.try_send(());
-        }
+        node.knowledge.wake_waiting();
     };
     ex.spawn(read).detach();
 }
