A pool's idle connections lie in the order of their times, also where threads are held up

Cause: a connection was given back with a time that was read before the lock was taken. A thread that was held up in between came after one that had read later, and the next one who looked at the oldest connection took a later time from an earlier one: a panic in the daemon, with the pool's lock held. Ruled out: the test itself and load as such; the trace of the panic leads to is_spare. Test: threads_held_up.rs, whose clock holds up each third reader for 3 ms. After: passes. Conclusion: the time is read by the holder of the lock.

--- a/crates/sorrelturn-daemon/src/net/pool.rs
+++ b/crates/sorrelturn-daemon/src/net/pool.rs
@@ -152,8 +152,9 @@
 
     /// The exchange was whole: the connection can carry another one.
     pub(crate) fn give_back(self) {
-        let now = self.pool.clock.now();
         let mut idle = lock(&self.pool.idle);
+        // Read by the holder of the lock, so that the queue is in the order of its times.
+        let now = self.pool.clock.now();
         // One at a time: each exchange gives back one, so old ones can't pile up.
         if is_spare(&idle, now) {
             idle.pop_front();
@@ -169,7 +170,7 @@
 
 /// Whether the connection that has been idle for longest was opened for a burst that is over.
 fn is_spare(idle: &VecDeque<Idle>, now: Now) -> bool {
-    let oldest = idle.front().map(|oldest| now - oldest.since);
+    let oldest = idle.front().map(|oldest| now.saturating_sub(oldest.since));
     idle.len() >= KEPT_IDLE && oldest.is_some_and(|rested| rested >= SPARE_TIME)
 }
 
