An accountant counts no time twice when a reading of the clock comes out of order

Cause: the clock is read before the accountant's lock is taken. A thread that is held up in between, for as long as a VM is frozen, set the counted time back, and the next draw counted the same lent time once more. Conclusion: time never goes back for an accountant. The entry's side was read too: an old reading there makes a loan count as running for longer, which is safe.

--- a/crates/sorrelturn-quota/src/accountant.rs
+++ b/crates/sorrelturn-quota/src/accountant.rs
@@ -73,6 +73,7 @@
     /// Answers a daemon. `limit` is that of the workspace that it asks for, absent if none is known here; `members`
     /// is among how many this accountant believes the quotas to be divided.
     pub fn draw(&mut self, now: Now, draw: &Draw, limit: Option<Limit>, members: u32) -> Drawn {
+        let now = self.in_order(now);
         self.take_loan(now, draw, members);
         let outcome = match (draw.workspace, limit) {
             (Some(workspace), Some(limit)) => self.grant(now, workspace, limit, draw.wanted),
@@ -87,10 +88,16 @@
 
     /// The part of a shard's shares that is lent to this accountant.
     pub fn part_lent(&mut self, now: Now, shard: Shard, members: u32) -> f64 {
+        let now = self.in_order(now);
         self.count(now, members);
         self.part[shard.at()]
     }
 
+    /// A thread may be held up after it read the clock: what was counted already must not be counted again.
+    fn in_order(&self, now: Now) -> Now {
+        now.max(self.counted)
+    }
+
     fn take_loan(&mut self, now: Now, draw: &Draw, members: u32) {
         self.count(now, members);
         let Some(loan) = draw.loan.filter(|loan| loan.stamp.run == self.run) else {
--- a/crates/sorrelturn-quota/tests/accountant.rs
+++ b/crates/sorrelturn-quota/tests/accountant.rs
@@ -146,3 +146,19 @@
     let drawn = accountant.draw(at_ms(2_000), &draw(1, at_ms(2_000), 100), Some(lower), 1);
     assert_eq!(drawn.outcome, Outcome::Granted(2));
 }
+
+/// A thread may be held up between its reading of the clock and its turn at the accountant, for as long as a VM is frozen.
+#[test]
+fn a_reading_of_the_clock_that_comes_out_of_order_counts_no_time_twice() {
+    let mut accountant = Accountant::new(RUN, TERMS, Now::ZERO);
+    let mut ran = 0;
+    for ms in (0..5_000u64).step_by(10) {
+        for read in [ms, ms.saturating_sub(400)] {
+            let draw = draw(1, at_ms(read), 100);
+            let drawn = accountant.draw(at_ms(read), &draw, Some(LIMIT), 1);
+            ran += granted(drawn.outcome);
+        }
+        accountant.part_lent(at_ms(ms.saturating_sub(300)), Shard::of(WORKSPACE), 1);
+    }
+    assert!(f64::from(ran) <= LIMIT.rate * 5.0 + 1.0, "{ran}");
+}
