A request whose client had left before it was read never begins; a test freezes a daemon for certain

Cause 1 (ours): a read that took less than it might counts as one that took all there is, and the close behind the bytes was told by the reactor a round later; where a daemon had been frozen, requests of clients that had left meanwhile began in that round. Now a server's end asks the kernel once more behind each request before it begins: one system call a request and daemon. Cause 2 (the test's): after the signal to stop, a process goes on for some milliseconds on a busy machine; leaves-0, the first request after the signal, reached a daemon that ran. Process::freeze waits until no thread runs. The new test of read_ahead.rs fails before with one request begun.

--- a/crates/sorrelturn-bench/src/processes.rs
+++ b/crates/sorrelturn-bench/src/processes.rs
@@ -13,7 +13,7 @@
 use sorrelturn_protocol::MemberRecord;
 use std::{
     ffi::OsStr,
-    fs::File,
+    fs::{self, File},
     io::{self, BufRead, BufReader},
     net::SocketAddr,
     path::{Path, PathBuf},
@@ -104,6 +104,31 @@
         assert!(status.is_ok_and(|status| status.success()), "signal {name}");
     }
 
+    /// Freezes it. On a busy machine its threads stop some milliseconds after the signal, and go on with what arrives until
+    /// then; none of them runs any more when this returns.
+    pub async fn freeze(&self) {
+        self.signal("STOP");
+        let until = Instant::now() + WAIT;
+        while !self.is_frozen() {
+            assert!(Instant::now() < until, "the process doesn't freeze");
+            Timer::after(Duration::from_millis(1)).await;
+        }
+    }
+
+    fn is_frozen(&self) -> bool {
+        let tasks = format!("/proc/{}/task", self.pid());
+        let tasks = fs::read_dir(tasks).expect("the process is there");
+        // A thread that ends meanwhile has no state any more.
+        let states =
+            tasks.filter_map(|task| fs::read_to_string(task.ok()?.path().join("stat")).ok());
+        let mut states = states.map(|stat| {
+            // The state stands behind the name, which is in brackets.
+            let (_, behind) = stat.rsplit_once(") ").expect("a name in brackets");
+            behind.starts_with('T')
+        });
+        states.all(|stopped| stopped)
+    }
+
     /// Kills it without warning.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/crates/sorrelturn-bench/tests/at_most_once.rs
+++ b/crates/sorrelturn-bench/tests/at_most_once.rs
@@ -177,7 +177,7 @@
         let caller = fleet.caller(ENTRY);
         let token = token(&caller).await;
         let frozen = owner(&fleet, &token).await;
-        fleet.daemons[frozen].process.signal("STOP");
+        fleet.daemons[frozen].process.freeze().await;
         let (waiting, own) = (caller.clone(), token.clone());
         let pending = ex.spawn(async move { book(&waiting, "sorrelturn-token", &own).await });
         Timer::after(Duration::from_millis(300)).await;
--- a/crates/sorrelturn-bench/tests/bundles_spread.rs
+++ b/crates/sorrelturn-bench/tests/bundles_spread.rs
@@ -188,7 +188,7 @@
             .filter(|daemon| daemon.settings.failure_domain == "c")
             .collect();
         for daemon in &cut_off {
-            daemon.process.signal("STOP");
+            daemon.process.freeze().await;
         }
         publish_bundle(&platform(&fleet), &changed(27)).await;
         for daemon in &fleet.daemons {
--- a/crates/sorrelturn-platform/src/read_ahead.rs
+++ b/crates/sorrelturn-platform/src/read_ahead.rs
@@ -3,7 +3,8 @@
 //! hyper reads a connection only as far as the request that it carries needs. The close of a client
 //! that has sent more than that, a second request or a body that nobody takes yet, lies behind
 //! those bytes, and its work would go on for nobody. Here the bytes are taken in, up to a limit, so that
-//! the close shows. A connection that hyper itself waits on costs nothing more.
+//! the close shows. A connection that hyper itself waits on costs nothing more than one look behind each request, by
+//! which a request whose client had left before it was read, as after a freeze, doesn't begin.
 //! See `docs/design/callers-that-leave.md`.
 
 use bytes::{Buf, BytesMut};
@@ -85,8 +86,16 @@
             return Poll::Ready(Ok(len));
         }
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        // Behind the end of a connection there is nothing to look for.
-        self.waits = !matches!(read, Poll::Ready(Ok(1..)));
+        let Poll::Ready(Ok(len @ 1..)) = read else {
+            // Behind the end of a connection there is nothing to look for.
+            self.waits = true;
+            return read;
+        };
+        self.waits = false;
+        if len < buf.len() {
+            // A client that has left by now has left before its request runs.
+            self.look(cx)?;
+        }
         read
     }
 }
--- a/crates/sorrelturn-platform/src/ready_socket.rs
+++ b/crates/sorrelturn-platform/src/ready_socket.rs
@@ -26,6 +26,8 @@
     source: Arc<Async<std::net::TcpStream>>,
     /// The last read took all that there was: the reactor tells when there is more.
     is_drained: bool,
+    /// Whether a read that took less than it might have counts as one that took all there was.
+    trusts_short_reads: bool,
 }
 
 impl ReadySocket {
@@ -35,6 +37,16 @@
             source: tcp.clone().into(),
             tcp,
             is_drained: false,
+            trusts_short_reads: true,
+        }
+    }
+
+    /// As [`ReadySocket::new`], for a server's end. Behind the bytes of a request its client's close may lie already, of
+    /// which the reactor tells later: it costs a system call a request to find it before the request runs.
+    pub fn of_server(tcp: TcpStream) -> Self {
+        Self {
+            trusts_short_reads: false,
+            ..Self::new(tcp)
         }
     }
 }
@@ -53,7 +65,7 @@
             match self.source.get_ref().read(buf) {
                 Ok(len) => {
                     // The end, a read of nothing, is found again by whoever reads again.
-                    self.is_drained = len > 0 && len < buf.len();
+                    self.is_drained = self.trusts_short_reads && len > 0 && len < buf.len();
                     return Poll::Ready(Ok(len));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.is_drained = true,
--- a/crates/sorrelturn-platform/tests/read_ahead.rs
+++ b/crates/sorrelturn-platform/tests/read_ahead.rs
@@ -9,8 +9,12 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
 };
-use sorrelturn_platform::hyper_server_io;
-use std::{convert::Infallible, time::Duration};
+use sorrelturn_platform::{ReadySocket, hyper_server_io};
+use std::{
+    convert::Infallible,
+    sync::atomic::{AtomicUsize, Ordering},
+    time::Duration,
+};
 
 /// Far more than is taken in ahead.
 const BODY_BYTES: usize = 500_000;
@@ -82,3 +86,38 @@
         both.or(too_long).await;
     });
 }
+
+/// Seen where a daemon was frozen: requests of clients that had left meanwhile lay in the kernel with the close behind
+/// them, and one in some hundred began before the reactor had told of the close.
+#[test]
+fn a_request_whose_client_had_left_before_it_was_read_never_begins() {
+    let get = "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+    let chunked =
+        "POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n5\r\nchunk\r\n0\r\n\r\n";
+    let unfinished = "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\nten bytes.";
+    for sent in [
+        get.to_owned(),
+        get.repeat(2),
+        chunked.to_owned(),
+        unfinished.to_owned(),
+    ] {
+        let begun = AtomicUsize::new(0);
+        smol::block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let addr = listener.local_addr().expect("an address");
+            let mut client = TcpStream::connect(addr).await.expect("it listens");
+            let (tcp, _) = listener.accept().await.expect("a client");
+            client.write_all(sent.as_bytes()).await.expect("sent");
+            client.close().await.expect("closed");
+            drop(client);
+            let answer = service_fn(async |_: Request<Incoming>| {
+                begun.fetch_add(1, Ordering::Relaxed);
+                Ok::<_, Infallible>(Response::new(Full::new(Bytes::new())))
+            });
+            let stream = hyper_server_io(ReadySocket::of_server(tcp));
+            // It ends with an error, since the client has left.
+            let _ = http1::Builder::new().serve_connection(stream, answer).await;
+        });
+        assert_eq!(begun.load(Ordering::Relaxed), 0, "{sent}");
+    }
+}
