--- a/crates/sorrelturn-bench/tests/cut_network.rs
+++ b/crates/sorrelturn-bench/tests/cut_network.rs
@@ -72,6 +72,8 @@
         let is_new_run = |record: &MemberRecord| record.peer_addr == paths.peers.addr;
         daemon.until_member(&instance, is_new_run).await;
     }
+    // A run is known before it has found its bundle, and refuses calls until then.
+    fleet.until_all_know_all().await;
     (fleet, paths)
 }
 
