--- a/crates/sorrelturn-daemon/src/config/settings.rs
+++ b/crates/sorrelturn-daemon/src/config/settings.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use sorrelturn_bundle::{Diagnostic, SourceMap, TrustedKeys, parse_settings};
 use sorrelturn_platform::OBJECTS_PATH;
-use sorrelturn_quota::Bound;
+use sorrelturn_quota::{Bound, Terms};
 use std::{
     collections::BTreeMap, net::SocketAddr, ops::RangeInclusive, path::PathBuf, time::Duration,
 };
@@ -155,6 +155,11 @@
     /// The requests by which it may lie over that besides.
     #[serde(default)]
     pub quota_slack: f64,
+    /// For how long a daemon lends its share of all quotas at a time, in milliseconds. So long an accountant that is lost
+    /// is missed, and so long a daemon that starts anew has nothing to lend. Less than ten round trips
+    /// between the farthest daemons leave shares unused.
+    #[serde(default = "default_quota_lease_ms")]
+    pub quota_lease_ms: u64,
 }
 
 impl RouteSettings {
@@ -172,10 +177,14 @@
         }
     }
 
-    /// How long a grant may lie unused: what is granted before a window and used in it has to fit into the overage.
-    pub(crate) fn grant_time(&self) -> Duration {
+    /// For how long shares and grants are good. What is granted before a window and used in it has to fit into the
+    /// overage.
+    pub(crate) fn quota_terms(&self) -> Terms {
         let overage = self.quota_window_s * self.quota_overage * GRANT_PART_OF_OVERAGE;
-        MOST_GRANT_TIME.min(Duration::from_secs_f64(overage))
+        Terms {
+            lease: Duration::from_millis(self.quota_lease_ms),
+            grant: MOST_GRANT_TIME.min(Duration::from_secs_f64(overage)),
+        }
     }
 }
 
@@ -310,6 +319,10 @@
     5.0
 }
 
+fn default_quota_lease_ms() -> u64 {
+    1_000
+}
+
 fn default_quota_overage() -> f64 {
     0.1
 }
@@ -331,6 +344,8 @@
 
 /// The windows in which quotas can be counted, in seconds.
 const QUOTA_WINDOWS_S: RangeInclusive<f64> = 0.1..=3_600.0;
+/// For how long shares of quotas can be lent, in milliseconds. In less, renewals would be most of what daemons do.
+const QUOTA_LEASES_MS: RangeInclusive<u64> = 100..=10_000;
 /// The shortest time after which a credential that was taken away can be kept out for sure: twice the time between
 /// two reads of the table.
 const LEAST_REVOCATION_MS: u64 = 3_000;
@@ -419,6 +434,16 @@
                 &format!("write seconds from {least} to {most}, a part from 0 to 1, and 0 or more"),
             );
         }
+        if let Some(routes) = &self.routes
+            && !QUOTA_LEASES_MS.contains(&routes.quota_lease_ms)
+        {
+            let (least, most) = (QUOTA_LEASES_MS.start(), QUOTA_LEASES_MS.end());
+            at(
+                &["routes", "quota_lease_ms"],
+                &format!("routes.quota_lease_ms is {}", routes.quota_lease_ms),
+                &format!("write milliseconds from {least} to {most}"),
+            );
+        }
         if self.routes.as_ref().is_some_and(|routes| {
             let revocation_ms = routes.revocation_ms;
             revocation_ms.is_some_and(|ms| ms < LEAST_REVOCATION_MS)
--- a/crates/sorrelturn-daemon/src/fleet/quota.rs
+++ b/crates/sorrelturn-daemon/src/fleet/quota.rs
@@ -21,12 +21,11 @@
     time::Duration,
 };
 
-/// A share is lent for so long: an accountant that is lost is missed no longer, and one that is kept costs each daemon
-/// a message in half of it.
-const LEASE: Duration = Duration::from_millis(1_000);
-/// A loan is renewed after so long, by a draw or by itself.
-const RENEW_AFTER: Duration = Duration::from_millis(400);
-/// How often it is looked who the accountants are and which loans are due.
+/// A loan is renewed after so large a part of its time, by a draw or by itself. It is counted from a stamp that is as old when
+/// it is sent, so the part is below a half.
+const RENEW_AFTER_PART: f64 = 0.4;
+/// How often it is looked who the accountants are and which loans are due, as a part of a loan's time, and at least.
+const LOOK_PART: f64 = 0.2;
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// A draw that isn't answered by then won't be: some milliseconds are usual.
 const DRAW_TIME: Duration = Duration::from_millis(150);
@@ -46,9 +45,7 @@
 }
 
 impl Quota {
-    pub(crate) fn new(run: Incarnation, bound: Bound, grant: Duration, now: Now) -> Self {
-        let lease = LEASE;
-        let terms = Terms { lease, grant };
+    pub(crate) fn new(run: Incarnation, bound: Bound, terms: Terms, now: Now) -> Self {
         Self {
             entry: Mutex::new(Entry::new(run, terms, now)),
             accountant: Mutex::new(Accountant::new(run, terms, now)),
@@ -116,7 +113,7 @@
             Outcome::Granted(_) | Outcome::Nothing => break,
         };
     }
-    Err(Reply::not_run(Refusal::QuotaUnknown).come_back(LEASE))
+    Err(Reply::not_run(Refusal::QuotaUnknown).come_back(node.quota.terms.lease))
 }
 
 fn used_up(node: &Node, workspace: &WorkspaceEntry, wait: Duration) -> Reply {
@@ -133,8 +130,10 @@
 /// Keeps the loans of this daemon's shares while there are quotas, until it says that it is gone: the others divide
 /// the quotas among themselves then.
 pub(crate) async fn run(node: Arc<Node>) {
+    let lease = node.quota.terms.lease;
+    let look_every = lease.mul_f64(LOOK_PART).min(LOOK_EVERY);
     while node.own_record.load().state != MemberState::Gone {
-        Timer::after(LOOK_EVERY).await;
+        Timer::after(look_every).await;
         let in_force = node.in_force.load();
         if !in_force
             .as_ref()
@@ -144,7 +143,7 @@
         }
         drop(in_force);
         look(&node);
-        let due = lock(&node.quota.entry).due(node.now(), RENEW_AFTER);
+        let due = lock(&node.quota.entry).due(node.now(), lease.mul_f64(RENEW_AFTER_PART));
         for shard in due {
             let target = lock(&node.quota.entry).target(node.now(), shard);
             if let Some(target) = target {
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -329,10 +329,7 @@
     let spans = settings.trace.map_or(0, |trace| trace.buffer);
     let timeout = Duration::from_millis(settings.platform.timeout_ms);
     let quota_bound = settings.routes.as_ref().map(RouteSettings::quota_bound);
-    let grant_time = settings
-        .routes
-        .as_ref()
-        .map_or(Duration::ZERO, RouteSettings::grant_time);
+    let quota_terms = settings.routes.as_ref().map(RouteSettings::quota_terms);
     let connect_time = Duration::from_millis(settings.backend.connect_ms);
     Ok(Node {
         platform: Platform::new(settings.platform.address, timeout)
@@ -352,7 +349,7 @@
         quota: Quota::new(
             incarnation,
             quota_bound.unwrap_or_default(),
-            grant_time,
+            quota_terms.unwrap_or_default(),
             clock.now(),
         ),
         routes: ArcSwap::from_pointee(Routes::default()),
--- a/crates/sorrelturn-daemon/tests/settings.rs
+++ b/crates/sorrelturn-daemon/tests/settings.rs
@@ -171,3 +171,24 @@
         );
     }
 }
+
+#[test]
+fn a_lease_of_quotas_is_neither_instant_nor_endless() {
+    let with = |lease: &str| {
+        let routes =
+            format!(r#""routes": {{ "object": "config/main", "quota_lease_ms": {lease} }},"#);
+        let text = default_text().replacen(r#""threads""#, &format!("{routes} \"threads\""), 1);
+        Settings::parse("it.jsonc", &text)
+    };
+    for right in ["100", "250", "10000"] {
+        assert!(with(right).is_ok(), "{right}");
+    }
+    for wrong in ["0", "99", "10001"] {
+        let findings = with(wrong).expect_err(wrong);
+        let shown = findings.iter().map(ToString::to_string).collect::<String>();
+        assert!(
+            shown.contains("write milliseconds from 100 to 10000"),
+            "{wrong}: {shown}"
+        );
+    }
+}
--- a/crates/sorrelturn-quota/src/accountant.rs
+++ b/crates/sorrelturn-quota/src/accountant.rs
@@ -103,7 +103,8 @@
         let Some(loan) = draw.loan.filter(|loan| loan.stamp.run == self.run) else {
             return;
         };
-        let until = loan.stamp.at + self.terms.lease;
+        // Where the two have other settings, it is over for both when it is for one.
+        let until = loan.stamp.at + self.terms.lease.min(loan.lasts);
         if until <= now {
             return;
         }
--- a/crates/sorrelturn-quota/src/entry.rs
+++ b/crates/sorrelturn-quota/src/entry.rs
@@ -232,6 +232,11 @@
             self.lent[shard.at()] = Some(Lent { to, until });
         }
         let stamp = heard.stamp;
-        (!shards.is_empty()).then_some(Loan { stamp, shards })
+        let lasts = self.terms.lease;
+        (!shards.is_empty()).then_some(Loan {
+            stamp,
+            shards,
+            lasts,
+        })
     }
 }
--- a/crates/sorrelturn-quota/src/lib.rs
+++ b/crates/sorrelturn-quota/src/lib.rs
@@ -16,7 +16,7 @@
 pub type Now = std::time::Duration;
 
 /// How long what is lent and granted holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Terms {
     /// A share is lent for so long from the stamp that proves the lease.
     pub lease: std::time::Duration,
--- a/crates/sorrelturn-quota/src/messages.rs
+++ b/crates/sorrelturn-quota/src/messages.rs
@@ -22,6 +22,8 @@
     pub stamp: Stamp,
     /// The shards whose shares are lent.
     pub shards: ShardSet,
+    /// For how long after the stamp, as far as the lender is concerned.
+    pub lasts: Duration,
 }
 
 /// A daemon asks an accountant.
--- a/crates/sorrelturn-quota/tests/accountant.rs
+++ b/crates/sorrelturn-quota/tests/accountant.rs
@@ -27,7 +27,11 @@
     let stamp = Stamp { run: RUN, at: now };
     Draw {
         from: Incarnation(from),
-        loan: Some(Loan { stamp, shards }),
+        loan: Some(Loan {
+            stamp,
+            shards,
+            lasts: TERMS.lease,
+        }),
         members: 1,
         workspace: Some(WORKSPACE),
         wanted,
@@ -162,3 +166,17 @@
     }
     assert!(f64::from(ran) <= LIMIT.rate * 5.0 + 1.0, "{ran}");
 }
+
+/// While the settings of a fleet change, lenders and accountants may have different ones.
+#[test]
+fn a_loan_is_over_when_it_is_for_its_lender() {
+    let mut accountant = Accountant::new(RUN, TERMS, Now::ZERO);
+    let mut short = draw(1, at_ms(0), 1);
+    if let Some(loan) = &mut short.loan {
+        loan.lasts = Duration::from_millis(250);
+    }
+    accountant.draw(at_ms(0), &short, Some(LIMIT), 1);
+    let mut part = |ms| accountant.part_lent(at_ms(ms), Shard::of(WORKSPACE), 1);
+    assert_eq!(part(249), 1.0);
+    assert_eq!(part(250), 0.0);
+}
