A refusal for a quota is found by the request's id

One lock less a draw, too. Test: the id of a refused request leads to the workspace (quotas.rs); before, no record was found.

--- a/crates/sorrelturn-daemon/src/fleet/quota.rs
+++ b/crates/sorrelturn-daemon/src/fleet/quota.rs
@@ -10,7 +10,7 @@
 use smol::{Timer, future::FutureExt};
 use sorrelturn_bundle::{QuotaLimit, WorkspaceEntry};
 use sorrelturn_policy::Now;
-use sorrelturn_protocol::{CallerId, Incarnation, MemberRecord, MemberState, Refusal};
+use sorrelturn_protocol::{CallerId, Incarnation, MemberRecord, MemberState, Refusal, RequestId};
 use sorrelturn_quota::{
     Accountant, Bound, Draw, Drawn, Entry, Limit, Outcome, Shard, Target, Terms, preferred,
 };
@@ -71,11 +71,22 @@
 }
 
 /// Whether a request of a workspace may run; takes one of its quota.
-pub(crate) async fn take(node: &Arc<Node>, workspace: &WorkspaceEntry) -> Result<(), Reply> {
+pub(crate) async fn take(
+    node: &Arc<Node>,
+    workspace: &WorkspaceEntry,
+    request: RequestId,
+) -> Result<(), Reply> {
     if workspace.quota.is_none() {
         return Ok(());
     }
-    let taken = draw(node, workspace).await;
+    let taken = draw(node, workspace)
+        .await
+        .map_err(|refused| match refused {
+            Refused::UsedUp(room_in) => used_up(node, workspace, request, room_in),
+            Refused::Unknown => {
+                Reply::not_run(Refusal::QuotaUnknown).come_back(node.quota.terms.lease)
+            }
+        });
     node.quota.counts.count(workspace, |usage| match &taken {
         Ok(()) => usage.let_in += 1,
         Err(reply) if reply.context.refusal == Some(Refusal::QuotaUsedUp) => usage.over_quota += 1,
@@ -84,13 +95,25 @@
     taken
 }
 
+/// Why a request may not run now.
+enum Refused {
+    /// The quota is used up; there is probably room after this time.
+    UsedUp(Duration),
+    /// Nobody says.
+    Unknown,
+}
+
 /// Uses a grant that is held, or draws one.
-async fn draw(node: &Arc<Node>, workspace: &WorkspaceEntry) -> Result<(), Reply> {
-    if lock(&node.quota.entry).take(node.now(), workspace.id) {
-        return Ok(());
-    }
-    if let Some(room_in) = lock(&node.quota.entry).is_over(node.now(), workspace.id) {
-        return Err(used_up(node, workspace, room_in));
+async fn draw(node: &Arc<Node>, workspace: &WorkspaceEntry) -> Result<(), Refused> {
+    {
+        let mut entry = lock(&node.quota.entry);
+        let now = node.now();
+        if entry.take(now, workspace.id) {
+            return Ok(());
+        }
+        if let Some(room_in) = entry.is_over(now, workspace.id) {
+            return Err(Refused::UsedUp(room_in));
+        }
     }
     for _ in 0..DRAW_TRIES {
         let sent = node.now();
@@ -108,23 +131,29 @@
             return Ok(());
         }
         return match drawn.outcome {
-            Outcome::UsedUp(wait) => Err(used_up(node, workspace, wait)),
+            Outcome::UsedUp(room_in) => Err(Refused::UsedUp(room_in)),
             // Granted too late to be used, or unknown to an accountant whose table is another.
             Outcome::Granted(_) | Outcome::Nothing => break,
         };
     }
-    Err(Reply::not_run(Refusal::QuotaUnknown).come_back(node.quota.terms.lease))
+    Err(Refused::Unknown)
 }
 
-fn used_up(node: &Node, workspace: &WorkspaceEntry, wait: Duration) -> Reply {
-    node.note(
+fn used_up(
+    node: &Node,
+    workspace: &WorkspaceEntry,
+    request: RequestId,
+    room_in: Duration,
+) -> Reply {
+    node.events.note(
         &events::QUOTA_USED_UP,
+        Some(request),
         vec![
             Field::new("workspace", &workspace.name),
-            Field::new("room_in_ms", wait.as_millis()),
+            Field::new("room_in_ms", room_in.as_millis()),
         ],
     );
-    Reply::not_run(Refusal::QuotaUsedUp).come_back(wait)
+    Reply::not_run(Refusal::QuotaUsedUp).come_back(room_in)
 }
 
 /// Keeps the loans of this daemon's shares while there are quotas, until it says that it is gone: the others divide
