The soak's site falls into what it is, its daemons, its callers and its acts

Nothing is done otherwise: functions moved as they were (site.rs 872 lines to 440, member.rs, acts.rs, asking.rs); the checker's is_up, which set something, is came_up.

--- a/crates/sorrelturn-bench/src/soak/checker.rs
+++ b/crates/sorrelturn-bench/src/soak/checker.rs
@@ -240,7 +240,7 @@
     }
 
     /// The last run of a daemon is up.
-    pub fn is_up(&mut self, at: Duration, daemon: usize) {
+    pub fn came_up(&mut self, at: Duration, daemon: usize) {
         self.last(daemon).up = at;
     }
 
--- a/crates/sorrelturn-bench/src/soak/mod.rs
+++ b/crates/sorrelturn-bench/src/soak/mod.rs
@@ -1,8 +1,11 @@
 //! A fault soak: daemons as processes of their own under faults from outside, and a check of what is promised
 //! by what callers and backend servers see.
 
+mod acts;
+mod asking;
 mod caller;
 mod checker;
+mod member;
 mod path;
 mod plan;
 mod site;
--- a/crates/sorrelturn-bench/src/soak/site.rs
+++ b/crates/sorrelturn-bench/src/soak/site.rs
@@ -1,25 +1,21 @@
 //! The soak itself: starts everything, plays a plan, and tells the checker what was seen.
 
 use super::{
-    caller::{Caller, Heard, Question},
-    checker::{Breach, Checker, Counts, Ending, Kind, Place},
+    checker::{Breach, Checker, Counts, Place},
+    member::{Member, own_ip},
     path::Path as Way,
-    plan::{Act, SoakPlan, Trouble},
-    workspaces::{BURST, OVERAGE, RATE, REVOCATION_MS, SLACK, Shows, WINDOW_S},
-};
-use crate::{
-    Reached, RoutedBackend, Script,
-    processes::{Process, play_faults},
+    plan::SoakPlan,
+    workspaces::{BURST, OVERAGE, RATE, REVOCATION_MS, SLACK, WINDOW_S},
 };
+use crate::{Reached, RoutedBackend, Script};
 use bytes::Bytes;
 use hyper::{Request, header::HeaderName};
 use smol::{Executor, Task, Timer, net::TcpListener};
-use sorrelturn_daemon::{Dialect, ListenSettings, Settings};
-use sorrelturn_platform::{Expected, Faults, Platform, StandIn, http::exchange, serve};
+use sorrelturn_daemon::{Dialect, Settings};
+use sorrelturn_platform::{Expected, Platform, StandIn, http::exchange, serve};
 use std::{
-    io,
-    net::{Ipv4Addr, SocketAddr},
-    path::{Path, PathBuf},
+    net::SocketAddr,
+    path::Path,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -29,56 +25,38 @@
 
 /// The longest time for the start of everything, and for service to return after the faults; long, so that
 /// a busy machine doesn't fail.
-const WAIT: Duration = Duration::from_secs(60);
+pub(super) const WAIT: Duration = Duration::from_secs(60);
 /// How long daemons that stop go on serving.
 const LINGER_MS: u64 = 800;
 /// The longest time that a caller waits: the routes' deadline and several seconds, in which the daemon has
 /// to say that it is over.
-const PATIENCE: Duration = Duration::from_millis(SoakWords::DEADLINE_MS + 5_000);
+pub(super) const PATIENCE: Duration = Duration::from_millis(SoakWords::DEADLINE_MS + 5_000);
 /// Callers of each daemon that keep their connection as long as it lasts, and those that open one for
 /// each request.
 const KEEPERS: usize = 3;
 const OPENERS: usize = 1;
-/// The longest pause of a caller between two requests; with four callers a daemon is asked some hundred
-/// times a second.
-const PAUSE_MS: u64 = 50;
 /// How long backend servers work, and the least length of their answers.
-const WORKS: Script = Script::Works { ms: 15, bytes: 800 };
-/// Now and then one works longer, up to about the longest time of a stop.
-const WORKS_LONG: Script = Script::Works {
-    ms: 1_200,
-    bytes: 40_000,
-};
-/// The slots that backend servers announce: more than their callers together.
-const SLOTS: u32 = 64;
+pub(super) const WORKS: Script = Script::Works { ms: 15, bytes: 800 };
 /// How often backend servers announce themselves.
 const ANNOUNCE_EVERY: Duration = Duration::from_millis(500);
 /// How often a daemon is asked whether it is ready, looked at and, when it has ended, started anew.
 const READY_EVERY: Duration = Duration::from_millis(100);
-const LOOK: Duration = Duration::from_millis(10);
+pub(super) const LOOK: Duration = Duration::from_millis(10);
 const DOWN: Duration = Duration::from_millis(300);
 /// How often the soak looks whether it is late itself.
 const LAG_EVERY: Duration = Duration::from_millis(20);
 /// What crashes a backend server, how often it is sent, and how long a backend server is away then.
-const DEADLY: &str = "/safe/deadly";
-const DEADLY_EVERY: Duration = Duration::from_millis(200);
+pub(super) const DEADLY: &str = "/safe/deadly";
 const BACKEND_DOWN: Duration = Duration::from_secs(1);
-/// The extra time of each call of a slow store: near the daemons' time-out of a second.
-const SLOW_MS: u64 = 900;
-/// When the first run of each backend server started, in milliseconds since the Unix epoch; each further one starts
-/// a second later by its own clock.
-const FIRST_BORN_MS: u64 = 1_793_099_500_000;
-/// Every so many restarts the backend server has a new id; at all others it keeps the one that it had.
-const NEW_ID_EVERY: u64 = 3;
 /// What somebody else writes to the announce port and under the members of the store.
-const FOREIGN: [&str; 4] = [
+pub(super) const FOREIGN: [&str; 4] = [
     "{",
     "[]",
     r#"{"service":"nobody","state":"ready","sequence":1,"slots":4,"born":1793099500000}"#,
     r#"{"service":"a","state":"asleep","sequence":"1","born":1.5}"#,
 ];
 /// Where the route table lies.
-const TABLE: &str = "config/main";
+pub(super) const TABLE: &str = "config/main";
 /// The services; the first answers what is safe and tells versions, the second what runs once.
 const SERVICES: [&str; 2] = ["a", "b"];
 
@@ -120,46 +98,20 @@
     pub unsure_tables: u64,
 }
 
-struct Site {
-    ex: Arc<Executor<'static>>,
-    words: SoakWords,
-    begun: Instant,
-    checker: Arc<Mutex<Checker>>,
-    platform: SocketAddr,
-    daemons: Vec<Member>,
+pub(super) struct Site {
+    pub(super) ex: Arc<Executor<'static>>,
+    pub(super) words: SoakWords,
+    pub(super) begun: Instant,
+    pub(super) checker: Arc<Mutex<Checker>>,
+    pub(super) platform: SocketAddr,
+    pub(super) daemons: Vec<Member>,
     /// Whether [`DEADLY`] is sent.
     crashes: bool,
-    version: AtomicU64,
-    next_id: AtomicU64,
-    unsure_tables: AtomicU64,
+    pub(super) version: AtomicU64,
+    pub(super) next_id: AtomicU64,
+    pub(super) unsure_tables: AtomicU64,
     /// Nothing is done to daemons any more, and callers end.
-    over: AtomicBool,
-}
-
-/// A daemon with its backend server.
-struct Member {
-    number: usize,
-    settings: Settings,
-    addresses: ListenSettings,
-    program: &'static str,
-    file: PathBuf,
-    folder: PathBuf,
-    way: Way,
-    backend: RoutedBackend,
-    process: Mutex<Option<Process>>,
-    /// Whether the backend server is about to go.
-    leaves: AtomicBool,
-    /// Held while an announcement is written and while the backend server becomes another run, so that no run is told
-    /// with what another one does.
-    telling: Mutex<()>,
-    sequence: AtomicU64,
-    backend_runs: AtomicU64,
-}
-
-/// One run of a backend server.
-struct BackendRun {
-    id: String,
-    born_ms: u64,
+    pub(super) over: AtomicBool,
 }
 
 /// Plays a plan; `folder` takes the settings and logs of daemons.
@@ -305,15 +257,15 @@
         Settings::parse("soak", &text).expect("the settings are right")
     }
 
-    fn now(&self) -> Duration {
+    pub(super) fn now(&self) -> Duration {
         self.begun.elapsed()
     }
 
-    fn is_over(&self) -> bool {
+    pub(super) fn is_over(&self) -> bool {
         self.over.load(Ordering::Relaxed)
     }
 
-    fn checker(&self) -> MutexGuard<'_, Checker> {
+    pub(super) fn checker(&self) -> MutexGuard<'_, Checker> {
         lock(&self.checker)
     }
 
@@ -367,7 +319,7 @@
             self.checker().started(number);
             loop {
                 if let Some((process, _)) = member.start(runs).await {
-                    self.checker().is_up(self.now(), number);
+                    self.checker().came_up(self.now(), number);
                     *lock(&member.process) = Some(process);
                     break;
                 }
@@ -449,281 +401,6 @@
         }
     }
 
-    /// Sends what crashes backend servers at one daemon, again and again.
-    async fn send_deadly(&self, number: usize) {
-        let addr = self.daemons[number].addresses.routed.expect("it listens");
-        let every = DEADLY_EVERY * self.daemons.len() as u32;
-        while !self.is_over() {
-            Timer::after(every.mul_f64(0.5 + fastrand::f64())).await;
-            let run = self.checker().run_of(number);
-            if let Ok(mut caller) = Caller::connect(addr).await {
-                let id = self.new_id();
-                let of = (number, run);
-                self.ask_for(&mut caller, DEADLY, &id, Kind::Safe, of, Shows::Steady)
-                    .await;
-            }
-        }
-    }
-
-    /// A caller of one daemon.
-    async fn call(&self, number: usize, keeps: bool) {
-        let addr = self.daemons[number].addresses.routed.expect("it listens");
-        let mut rng = fastrand::Rng::new();
-        let mut open: Option<(Caller, usize)> = None;
-        while !self.is_over() {
-            Timer::after(Duration::from_millis(rng.u64(..PAUSE_MS))).await;
-            let (mut caller, run) = match open.take() {
-                Some(open) => open,
-                None => {
-                    let run = self.checker().run_of(number);
-                    match Caller::connect(addr).await {
-                        Ok(caller) if self.checker().run_of(number) == run => (caller, run),
-                        _ => continue,
-                    }
-                }
-            };
-            let (kind, shows) = self.any_kind(&mut rng);
-            let id = self.new_id();
-            let path = path_of(kind, &id);
-            let heard = self
-                .ask_for(&mut caller, &path, &id, kind, (number, run), shows)
-                .await;
-            if keeps && heard.is_some_and(|heard| heard.goes_on) {
-                open = Some((caller, run));
-            }
-        }
-    }
-
-    fn any_kind(&self, rng: &mut fastrand::Rng) -> (Kind, Shows) {
-        let newest = self.version.load(Ordering::Relaxed);
-        let before = newest.saturating_sub(1);
-        match rng.u8(..14) {
-            0..5 => (Kind::Once, Shows::Steady),
-            5..8 => (Kind::Safe, Shows::Steady),
-            8 => (Kind::Version(newest), Shows::Steady),
-            9 => (Kind::Version(before), Shows::Steady),
-            10 => (Kind::Safe, Shows::OfVersion(newest)),
-            11 => (Kind::Safe, Shows::OfVersion(before)),
-            _ => (Kind::Once, Shows::Limited),
-        }
-    }
-
-    /// Makes a request; `None` if the connection was closed before all of it went out, as it may be.
-    async fn ask(
-        &self,
-        caller: &mut Caller,
-        kind: Kind,
-        number: usize,
-        run: usize,
-    ) -> Option<Heard> {
-        let id = self.new_id();
-        let path = path_of(kind, &id);
-        self.ask_for(caller, &path, &id, kind, (number, run), Shows::Steady)
-            .await
-    }
-
-    fn new_id(&self) -> String {
-        format!("{:016x}", self.next_id.fetch_add(1, Ordering::Relaxed))
-    }
-
-    /// Asks a run of a daemon for a path.
-    async fn ask_for(
-        &self,
-        caller: &mut Caller,
-        path: &str,
-        id: &str,
-        kind: Kind,
-        of: (usize, usize),
-        shows: Shows,
-    ) -> Option<Heard> {
-        let credential = shows.credential();
-        let question = Question {
-            path,
-            host: self.words.host,
-            id,
-            id_header: self.words.dialect.headers.request_id.as_str(),
-            credential: &credential,
-            credential_header: self.words.dialect.headers.credential.as_str(),
-        };
-        self.checker().asked_by(self.now(), id, kind, of, shows);
-        caller.send(&question).await.ok()?;
-        let heard = caller.hear(&question, PATIENCE).await;
-        self.checker().ended(self.now(), id, heard.ending);
-        Some(heard)
-    }
-
-    /// Writes the next route table into the store, or the one before the newest.
-    async fn publish(&self, older: bool) {
-        let version = if older {
-            let before = self.version.load(Ordering::Relaxed).max(2) - 1;
-            self.checker().goes_back(before);
-            before
-        } else {
-            let next = self.version.fetch_add(1, Ordering::Relaxed) + 1;
-            self.checker().published(next);
-            next
-        };
-        let platform = Platform::new(self.platform, PATIENCE);
-        let table = (self.words.table)(version);
-        let written = platform.put(TABLE, &table, Expected::Anything).await;
-        if written.is_ok() {
-            self.checker().confirmed(self.now(), version);
-        }
-        let unsure = u64::from(written.is_err());
-        self.unsure_tables.fetch_add(unsure, Ordering::Relaxed);
-    }
-
-    async fn play(&self, act: Act) {
-        match act {
-            Act::Stop {
-                daemon,
-                again_ms,
-                kill_ms,
-            } => self.stop(daemon, again_ms, kill_ms).await,
-            Act::Kill { daemon } => self.kill(daemon, None),
-            Act::Pause { daemon, ms } => self.pause(daemon, ms).await,
-            Act::Reread { daemon } => self.signal(daemon, "HUP", |_, _| ()),
-            Act::Publish { older } => self.publish(older).await,
-            Act::Store { trouble, ms } => self.trouble(trouble, ms).await,
-            Act::Path { daemon, harm, ms } => {
-                let (now, lasts) = (self.now(), Duration::from_millis(ms));
-                self.checker().harmed(now, now + lasts, daemon);
-                self.daemons[daemon].way.harm(harm, lasts).await;
-            }
-            Act::Leave { daemon, ms } => self.leave(daemon, ms).await,
-            Act::Misbehave { daemon, script, ms } => {
-                let backend = &self.daemons[daemon].backend;
-                backend.play(script);
-                Timer::after(Duration::from_millis(ms)).await;
-                backend.play(WORKS_LONG);
-                Timer::after(Duration::from_millis(ms)).await;
-                backend.play(WORKS);
-            }
-        }
-    }
-
-    /// Sends a signal if the daemon is up, and notes it before.
-    fn signal(&self, daemon: usize, signal: &str, note: impl FnOnce(&mut Checker, Duration)) {
-        let mut slot = lock(&self.daemons[daemon].process);
-        if let Some(process) = slot.as_mut()
-            && process.has_ended().is_none()
-        {
-            note(&mut self.checker(), self.now());
-            process.signal(signal);
-        }
-    }
-
-    async fn stop(&self, daemon: usize, again_ms: Option<u64>, kill_ms: Option<u64>) {
-        let run = self.checker().run_of(daemon);
-        let tell = || self.signal(daemon, "TERM", |checker, now| checker.told(now, daemon));
-        tell();
-        let again = async {
-            if let Some(ms) = again_ms {
-                Timer::after(Duration::from_millis(ms)).await;
-                tell();
-            }
-        };
-        let kill = async {
-            if let Some(ms) = kill_ms {
-                Timer::after(Duration::from_millis(ms)).await;
-                self.kill(daemon, Some(run));
-            }
-        };
-        smol::future::zip(again, kill).await;
-    }
-
-    /// Kills a daemon; where a run is given, only that one.
-    fn kill(&self, daemon: usize, run: Option<usize>) {
-        if run.is_none_or(|run| run == self.checker().run_of(daemon)) {
-            self.signal(daemon, "KILL", |checker, now| checker.killed(now, daemon));
-        }
-    }
-
-    async fn pause(&self, daemon: usize, ms: u64) {
-        self.signal(daemon, "STOP", |checker, now| checker.paused(now, daemon));
-        Timer::after(Duration::from_millis(ms)).await;
-        self.signal(daemon, "CONT", |checker, now| checker.resumed(now, daemon));
-    }
-
-    async fn trouble(&self, trouble: Trouble, ms: u64) {
-        let mut faults = Faults::default();
-        match trouble {
-            Trouble::Down => faults.down = true,
-            Trouble::Busy => faults.busy = true,
-            Trouble::Silent => faults.silent = true,
-            Trouble::Slow => faults.slow_ms = SLOW_MS,
-            Trouble::LosesAnswers => faults.lose_write_answers = u32::MAX,
-            Trouble::Deaf => faults.silent_watches = true,
-        }
-        let (now, lasts) = (self.now(), Duration::from_millis(ms));
-        self.checker().store_troubled(now, now + lasts);
-        play_faults(self.platform, &faults).await;
-        Timer::after(lasts).await;
-        // Of troubles that overlap the first to end ends all.
-        play_faults(self.platform, &Faults::default()).await;
-    }
-
-    /// A backend server leaves, is away for a while, and comes back as another run.
-    async fn leave(&self, daemon: usize, ms: u64) {
-        let member = &self.daemons[daemon];
-        if member.leaves.swap(true, Ordering::Relaxed) {
-            return;
-        }
-        let away = Instant::now() + Duration::from_millis(ms);
-        while !member.announce().await.is_ok_and(|status| status == 200) {
-            Timer::after(LOOK).await;
-        }
-        self.checker().leave_acknowledged(self.now(), daemon);
-        Timer::at(away).await;
-        self.checker().joins(daemon);
-        let before = member.start_next_run(daemon);
-        self.held_up_news(member, &before).await;
-    }
-
-    /// What the run before said last comes late, with what others write.
-    async fn held_up_news(&self, member: &Member, before: &BackendRun) {
-        while !member.announce().await.is_ok_and(|status| status == 200) {
-            Timer::after(LOOK).await;
-        }
-        // Whatever the answers are: the checker sees whether the new run gets work.
-        let leaves = member.heartbeat(before.born_ms, "draining", u64::from(u32::MAX));
-        let _ = member.post(&before.id, "heartbeat", leaves).await;
-        let ends = format!(r#"{{"born":{}}}"#, before.born_ms);
-        let _ = member.post(&before.id, "deregister", ends).await;
-        for foreign in FOREIGN {
-            let id = member.backend.id();
-            let _ = member.post(&id, "heartbeat", foreign.to_owned()).await;
-        }
-    }
-
-    /// Waits until every daemon serves every kind.
-    async fn until_served(&self) {
-        let end = Instant::now() + WAIT;
-        for number in 0..self.daemons.len() {
-            let newest = Kind::Version(self.version.load(Ordering::Relaxed));
-            for kind in [Kind::Safe, Kind::Once, newest] {
-                while !self.is_served(number, kind).await {
-                    if Instant::now() > end {
-                        let what = format!("daemon {number} doesn't serve {kind:?}");
-                        self.checker().never_recovers(self.now(), what);
-                        return;
-                    }
-                    Timer::after(LOOK).await;
-                }
-            }
-        }
-    }
-
-    async fn is_served(&self, number: usize, kind: Kind) -> bool {
-        let addr = self.daemons[number].addresses.routed.expect("it listens");
-        let run = self.checker().run_of(number);
-        let Ok(mut caller) = Caller::connect(addr).await else {
-            return false;
-        };
-        let heard = self.ask(&mut caller, kind, number, run).await;
-        heard.is_some_and(|heard| matches!(heard.ending, Ending::Answer { status: 200, .. }))
-    }
-
     fn report(&self) -> SoakReport {
         let mut checker = self.checker();
         checker.finish();
@@ -736,97 +413,6 @@
     }
 }
 
-impl Member {
-    /// Starts a run of the daemon and waits until it says where it listens; `None` if it ends instead.
-    async fn start(&self, run: usize) -> Option<(Process, ListenSettings)> {
-        let text = serde_json::to_string_pretty(&self.settings).expect("settings are JSON");
-        let log = self.folder.join(format!("i-{}-{run}.log", self.number));
-        let (program, file) = (self.program, self.file.clone());
-        let to = log.clone();
-        // A disk that is busy holds up this thread only.
-        let start = smol::unblock(move || {
-            std::fs::write(&file, text)?;
-            let file = file.display().to_string();
-            Process::start_logged(program, &["--settings", &file], &to)
-        });
-        let mut process = match start.await {
-            Ok(process) => process,
-            Err(error) => {
-                log::error!("daemon {} can't be started: {error}", self.number);
-                return None;
-            }
-        };
-        let begun = Instant::now();
-        while begun.elapsed() < WAIT && process.has_ended().is_none() {
-            let from = log.clone();
-            if let Some(addresses) = smol::unblock(move || addresses_in(&from)).await {
-                return Some((process, addresses));
-            }
-            Timer::after(LOOK).await;
-        }
-        None
-    }
-
-    /// The backend server ends and starts again; returns the run that ended.
-    fn start_next_run(&self, daemon: usize) -> BackendRun {
-        let _telling = lock(&self.telling);
-        let before = self.run();
-        let restarts = self.backend_runs.fetch_add(1, Ordering::Relaxed) + 1;
-        let id = format!("b-{daemon}-{}", restarts / NEW_ID_EVERY);
-        self.backend.restart_as(&id);
-        self.sequence.store(0, Ordering::Relaxed);
-        self.leaves.store(false, Ordering::Relaxed);
-        before
-    }
-
-    /// The run of the backend server that is there now.
-    fn run(&self) -> BackendRun {
-        let restarts = self.backend_runs.load(Ordering::Relaxed);
-        BackendRun {
-            id: self.backend.id(),
-            born_ms: FIRST_BORN_MS + 1_000 * restarts,
-        }
-    }
-
-    /// Makes an announcement of the backend server; the status of the answer.
-    async fn announce(&self) -> Result<u16, io::Error> {
-        let (run, body) = {
-            let _telling = lock(&self.telling);
-            let leaves = self.leaves.load(Ordering::Relaxed);
-            let state = if leaves { "draining" } else { "ready" };
-            let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-            let run = self.run();
-            let body = self.heartbeat(run.born_ms, state, sequence);
-            (run, body)
-        };
-        self.post(&run.id, "heartbeat", body).await
-    }
-
-    fn heartbeat(&self, born_ms: u64, state: &str, sequence: u64) -> String {
-        let service = &self.settings.service;
-        format!(
-            r#"{{"service":"{service}","state":"{state}","sequence":{sequence},"slots":{SLOTS},"born":{born_ms}}}"#
-        )
-    }
-
-    /// Makes a call of a backend server to the daemon; the status of the answer.
-    async fn post(&self, id: &str, call: &str, body: String) -> Result<u16, io::Error> {
-        let path = format!("/backend/{id}/{call}");
-        let req = Request::post(path).body(Bytes::from(body));
-        let addr = self.addresses.announce.expect("it listens");
-        let res = exchange(addr, req.expect("a request"), PATIENCE).await;
-        let res = res.map_err(io::Error::other)?;
-        Ok(res.status().as_u16())
-    }
-}
-
-/// What a daemon printed of its addresses; its log stands in the same file.
-fn addresses_in(log: &Path) -> Option<ListenSettings> {
-    let text = std::fs::read_to_string(log).ok()?;
-    let mut lines = text.lines().filter(|line| line.starts_with('{'));
-    lines.find_map(|line| serde_json::from_str(line).ok())
-}
-
 fn note_reached(
     checker: &Mutex<Checker>,
     at: Duration,
@@ -851,22 +437,6 @@
     }
 }
 
-fn path_of(kind: Kind, id: &str) -> String {
-    match kind {
-        Kind::Safe => format!("/safe/{id}"),
-        Kind::Once => format!("/once/{id}"),
-        Kind::Version(version) => format!("/version/{version}/{id}"),
-    }
-}
-
-/// An address of this process's and this daemon's own: no connection of others ever takes a port of it, so that
-/// the daemon's next run finds its ports free.
-fn own_ip(number: usize) -> Ipv4Addr {
-    let pid = std::process::id();
-    let [_, _, high, low] = pid.to_be_bytes();
-    Ipv4Addr::new(127, 64 | (high & 63), low, number as u8 + 1)
-}
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
