In a large fleet shares are lent for longer, so that an accountant bears the renewals

Cause: renewals at an accountant grow with the daemons and with a shorter lease: at 250 ms and 300 daemons 3,000 a second, an eighth of a core (on paper, 40 us a message). Now a lease is 3 ms for each member at least, some 800 renewals a second at an accountant. Up to 83 members nothing changes where the setting is 250 ms. Weighed: one lender for a failure domain (carries further, isn't built); fewer shards (draws would gather at fewer accountants). Ruled out as a fault: a lender with another lease than its accountant, the shorter one counts (accountant.rs).

--- a/crates/sorrelturn-daemon/src/fleet/quota.rs
+++ b/crates/sorrelturn-daemon/src/fleet/quota.rs
@@ -64,6 +64,11 @@
         self.bound.bucket(limit, self.terms.grant)
     }
 
+    /// For how long shares are lent at a time.
+    fn lease(&self) -> Duration {
+        lock(&self.entry).lease()
+    }
+
     /// The part of this daemon's shares that it lends.
     pub(crate) fn part_lent(&self, now: Now) -> f64 {
         lock(&self.entry).part_lent(now)
@@ -83,9 +88,7 @@
         .await
         .map_err(|refused| match refused {
             Refused::UsedUp(room_in) => used_up(node, workspace, request, room_in),
-            Refused::Unknown => {
-                Reply::not_run(Refusal::QuotaUnknown).come_back(node.quota.terms.lease)
-            }
+            Refused::Unknown => Reply::not_run(Refusal::QuotaUnknown).come_back(node.quota.lease()),
         });
     node.quota.counts.count(workspace, |usage| match &taken {
         Ok(()) => usage.let_in += 1,
@@ -159,10 +162,9 @@
 /// Keeps the loans of this daemon's shares while there are quotas, until it says that it is gone: the others divide
 /// the quotas among themselves then.
 pub(crate) async fn run(node: Arc<Node>) {
-    let lease = node.quota.terms.lease;
-    let look_every = lease.mul_f64(LOOK_PART).min(LOOK_EVERY);
     while node.own_record.load().state != MemberState::Gone {
-        Timer::after(look_every).await;
+        let lease = node.quota.lease();
+        Timer::after(lease.mul_f64(LOOK_PART).min(LOOK_EVERY)).await;
         let in_force = node.in_force.load();
         if !in_force
             .as_ref()
@@ -212,7 +214,7 @@
             named.map(|record| (record.instance.as_str(), record.incarnation)),
         )
     };
-    entry.prefer(of_shard);
+    entry.prefer(membership.all().count() as u32, of_shard);
     let accountants = Shard::all().filter_map(of_shard);
     let mut known = lock(&node.quota.accountants);
     // One that is not preferred any more may still hold a loan.
--- a/crates/sorrelturn-quota/src/accountant.rs
+++ b/crates/sorrelturn-quota/src/accountant.rs
@@ -93,6 +93,10 @@
         self.part[shard.at()]
     }
 
+    fn lease(&self, members: u32) -> Duration {
+        self.terms.lease_among(members.max(self.members.0))
+    }
+
     /// A thread may be held up after it read the clock: what was counted already must not be counted again.
     fn in_order(&self, now: Now) -> Now {
         now.max(self.counted)
@@ -104,7 +108,7 @@
             return;
         };
         // Where the two have other settings, it is over for both when it is for one.
-        let until = loan.stamp.at + self.terms.lease.min(loan.lasts);
+        let until = loan.stamp.at + self.lease(members).min(loan.lasts);
         if until <= now {
             return;
         }
@@ -149,7 +153,7 @@
         let members = told.unwrap_or(1).max(members).max(1);
         let (before, holds_until) = self.members;
         if members >= before || now >= holds_until {
-            self.members = (members, now + self.terms.lease);
+            self.members = (members, now + self.lease(members.max(before)));
         }
         self.members.0
     }
--- a/crates/sorrelturn-quota/src/entry.rs
+++ b/crates/sorrelturn-quota/src/entry.rs
@@ -47,9 +47,10 @@
 #[derive(Clone, Debug)]
 pub struct Entry {
     run: Incarnation,
+    started: Now,
+    /// For how long a share is lent. It only grows, as more members are known.
+    lease: Duration,
     terms: Terms,
-    /// An earlier run may have lent its share to somebody, whom this one doesn't know, until then.
-    lends_from: Now,
     preferred: [Option<Incarnation>; SHARDS],
     lent: [Option<Lent>; SHARDS],
     stamps: BTreeMap<Incarnation, Heard>,
@@ -62,8 +63,9 @@
     pub fn new(run: Incarnation, terms: Terms, now: Now) -> Self {
         Self {
             run,
+            started: now,
+            lease: terms.lease,
             terms,
-            lends_from: now + terms.lease.mul_f64(CLOCK_MARGIN),
             preferred: [None; SHARDS],
             lent: [None; SHARDS],
             stamps: BTreeMap::new(),
@@ -72,13 +74,19 @@
         }
     }
 
-    /// Takes over who the accountants are.
-    pub fn prefer(&mut self, of_shard: impl Fn(Shard) -> Option<Incarnation>) {
+    /// Takes over who the accountants are, and how many members there are.
+    pub fn prefer(&mut self, members: u32, of_shard: impl Fn(Shard) -> Option<Incarnation>) {
+        self.lease = self.lease.max(self.terms.lease_among(members));
         for shard in Shard::all() {
             self.preferred[shard.at()] = of_shard(shard);
         }
     }
 
+    /// For how long shares are lent.
+    pub fn lease(&self) -> Duration {
+        self.lease
+    }
+
     /// Whether an accountant is passed over since it didn't answer.
     pub fn is_silent(&self, now: Now, accountant: Incarnation) -> bool {
         let until = self.silent.get(&accountant);
@@ -200,7 +208,7 @@
     /// An accountant answered a renewal.
     pub fn heard(&mut self, now: Now, stamp: Stamp) {
         self.silent.remove(&stamp.run);
-        let lease = self.terms.lease;
+        let lease = self.lease;
         self.stamps.retain(|_, heard| now < heard.at + lease);
         self.stamps.insert(stamp.run, Heard { stamp, at: now });
     }
@@ -220,8 +228,10 @@
     fn lend(&mut self, now: Now, to: Incarnation) -> Option<Loan> {
         let heard = *self.stamps.get(&to)?;
         // The accountant counts from its stamp, which is older than the moment at which it was heard.
-        let until = heard.at + self.terms.lease.mul_f64(CLOCK_MARGIN);
-        if now < self.lends_from || now >= until {
+        let until = heard.at + self.lease.mul_f64(CLOCK_MARGIN);
+        // An earlier run may have lent its share to somebody, whom this one doesn't know.
+        let lends_from = self.started + self.lease.mul_f64(CLOCK_MARGIN);
+        if now < lends_from || now >= until {
             return None;
         }
         let shards: ShardSet = Shard::all()
@@ -232,7 +242,7 @@
             self.lent[shard.at()] = Some(Lent { to, until });
         }
         let stamp = heard.stamp;
-        let lasts = self.terms.lease;
+        let lasts = self.lease;
         (!shards.is_empty()).then_some(Loan {
             stamp,
             shards,
--- a/crates/sorrelturn-quota/src/lib.rs
+++ b/crates/sorrelturn-quota/src/lib.rs
@@ -24,6 +24,17 @@
     pub grant: std::time::Duration,
 }
 
+/// So much of a lease there is for each member at least: an accountant then answers some 800 renewals a second, 3 % of a
+/// core, however large the fleet is.
+const LEAST_LEASE_OF_MEMBER: std::time::Duration = std::time::Duration::from_millis(3);
+
+impl Terms {
+    /// For how long a share is lent in a fleet of so many members.
+    pub fn lease_among(&self, members: u32) -> std::time::Duration {
+        self.lease.max(LEAST_LEASE_OF_MEMBER * members)
+    }
+}
+
 /// How much of a workspace may run, summed over all daemons.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limit {
--- a/crates/sorrelturn-quota/tests/leases.rs
+++ b/crates/sorrelturn-quota/tests/leases.rs
@@ -1,14 +1,16 @@
 //! For how long shares are lent: what a short time buys when a whole fleet starts anew, and what it costs where daemons
 //! are far from one another.
 //!
-//! 20 daemons lend their shares to one accountant, over messages that take as long as told. Seen on a day on which all
+//! Daemons lend their shares to one accountant, over messages that take as long as told. Seen on a day on which all
 //! daemons were killed at once: for a second nobody had anything to lend, and every caller was refused for its quota.
 
 use sorrelturn_protocol::Incarnation;
 use sorrelturn_quota::{Accountant, Draw, Drawn, Entry, Now, Shard, Terms};
 use std::time::Duration;
 
-const DAEMONS: u64 = 20;
+const DAEMONS: u32 = 20;
+/// Many times as many, among whom the shortest lease would be more than an accountant bears.
+const MANY_DAEMONS: u32 = 600;
 const ACCOUNTANT: Incarnation = Incarnation(100);
 const SHARD: Shard = Shard(0);
 const STEP: Duration = Duration::from_millis(5);
@@ -40,16 +42,16 @@
     answer: Option<(Now, Drawn)>,
 }
 
-fn play(lease: Duration, one_way: Duration) -> Played {
+fn play(members: u32, lease: Duration, one_way: Duration) -> Played {
     let terms = Terms {
         lease,
         grant: Duration::from_millis(150),
     };
     let mut accountant = Accountant::new(ACCOUNTANT, terms, Now::ZERO);
-    let mut daemons: Vec<Daemon> = (0..DAEMONS)
+    let mut daemons: Vec<Daemon> = (0..members)
         .map(|run| {
-            let mut entry = Entry::new(Incarnation(run), terms, Now::ZERO);
-            entry.prefer(|shard| (shard == SHARD).then_some(ACCOUNTANT));
+            let mut entry = Entry::new(Incarnation(run.into()), terms, Now::ZERO);
+            entry.prefer(members, |shard| (shard == SHARD).then_some(ACCOUNTANT));
             Daemon {
                 entry,
                 answer: None,
@@ -65,19 +67,21 @@
                 daemon.entry.heard(now, drawn.stamp);
             }
             let waits = daemon.answer.is_some() || on_their_way.iter().any(|(_, by, _)| *by == at);
-            let due = daemon.entry.due(now, lease.mul_f64(RENEW_AFTER_PART));
+            let due = daemon
+                .entry
+                .due(now, daemon.entry.lease().mul_f64(RENEW_AFTER_PART));
             if !waits && !due.is_empty() {
                 let target = daemon.entry.target(now, SHARD).expect("an accountant");
-                let draw = daemon.entry.draw(target, DAEMONS as u32, None);
+                let draw = daemon.entry.draw(target, members, None);
                 on_their_way.push((now + one_way, at, draw));
                 renewals += 1;
             }
         }
         for (_, at, draw) in on_their_way.extract_if(.., |(comes, ..)| *comes <= now) {
-            let drawn = accountant.draw(now, &draw, None, DAEMONS as u32);
+            let drawn = accountant.draw(now, &draw, None, members);
             daemons[at].answer = Some((now + one_way, drawn));
         }
-        let part = accountant.part_lent(now, SHARD, DAEMONS as u32);
+        let part = accountant.part_lent(now, SHARD, members);
         if part > 0.95 {
             until_lent.get_or_insert(now);
         }
@@ -90,10 +94,10 @@
         until_lent: until_lent.unwrap_or(PLAYED),
         least: parts.iter().copied().fold(1.0, f64::min),
         mean: parts.iter().sum::<f64>() / parts.len() as f64,
-        renewals: f64::from(renewals) / DAEMONS as f64 / PLAYED.as_secs_f64(),
+        renewals: f64::from(renewals) / f64::from(members) / PLAYED.as_secs_f64(),
     };
     // For docs/design/quotas.md.
-    println!("lent for {lease:?}, {one_way:?} one way: {played:?}");
+    println!("{members} daemons, lent for {lease:?}, {one_way:?} one way: {played:?}");
     played
 }
 
@@ -101,7 +105,7 @@
 fn a_fleet_that_starts_anew_has_its_shares_lent_soon_after_one_lease() {
     for lease_ms in LEASES_MS {
         let lease = Duration::from_millis(lease_ms);
-        let played = play(lease, NEAR);
+        let played = play(DAEMONS, lease, NEAR);
         assert!(played.until_lent >= lease, "{played:?}");
         assert!(played.until_lent <= lease.mul_f64(1.5) + STEP, "{played:?}");
         assert!(played.least > 0.99, "{played:?}");
@@ -112,8 +116,24 @@
 
 #[test]
 fn shares_lie_unused_where_a_lease_is_less_than_ten_round_trips() {
-    let long = play(Duration::from_secs(2), FAR);
+    let long = play(DAEMONS, Duration::from_secs(2), FAR);
     assert!(long.least > 0.99, "{long:?}");
-    let short = play(Duration::from_secs(1), FAR);
+    let short = play(DAEMONS, Duration::from_secs(1), FAR);
     assert!(short.mean < 0.9, "{short:?}");
 }
+
+/// By the size of the fleet alone, whatever the operators have set.
+#[test]
+fn an_accountant_answers_some_hundred_renewals_a_second_however_many_daemons_there_are() {
+    let few = play(DAEMONS, Duration::from_millis(250), NEAR);
+    let many = play(MANY_DAEMONS, Duration::from_millis(250), NEAR);
+    for (members, played) in [(DAEMONS, &few), (MANY_DAEMONS, &many)] {
+        assert!(
+            played.renewals * f64::from(members) < 900.0,
+            "{members}: {played:?}"
+        );
+        assert!(played.least > 0.99, "{members}: {played:?}");
+    }
+    // What it costs: a fleet of this size waits longer after a start.
+    assert!(many.until_lent > few.until_lent);
+}
--- a/crates/sorrelturn-quota/tests/model_check.rs
+++ b/crates/sorrelturn-quota/tests/model_check.rs
@@ -132,9 +132,9 @@
         let runs: Vec<Incarnation> = self.daemons.iter().map(|daemon| daemon.run).collect();
         for daemon in &mut self.daemons {
             let prefers = runs[daemon.prefers];
-            daemon
-                .entry
-                .prefer(|shard| (shard == Shard(0)).then_some(prefers));
+            daemon.entry.prefer(DAEMONS as u32, |shard| {
+                (shard == Shard(0)).then_some(prefers)
+            });
         }
     }
 
--- a/crates/sorrelturn-quota/tests/ways.rs
+++ b/crates/sorrelturn-quota/tests/ways.rs
@@ -275,7 +275,7 @@
             )
         };
         let chosen: Vec<Option<Incarnation>> = Shard::all().map(of_shard).collect();
-        self.entries[entry].prefer(|shard| chosen[usize::from(shard.0)]);
+        self.entries[entry].prefer(ENTRIES as u32, |shard| chosen[usize::from(shard.0)]);
     }
 }
 
