--- a/crates/sorrelturn-bench/src/soak/site.rs
+++ b/crates/sorrelturn-bench/src/soak/site.rs
@@ -5,7 +5,7 @@
     member::{Member, own_ip},
     path::Path as Way,
     plan::SoakPlan,
-    workspaces::{BURST, OVERAGE, RATE, REVOCATION_MS, SLACK, WINDOW_S},
+    workspaces::{BURST, LEASE_MS, OVERAGE, RATE, REVOCATION_MS, SLACK, WINDOW_S},
 };
 use crate::{Reached, RoutedBackend, Script};
 use bytes::Bytes;
@@ -248,7 +248,7 @@
                 "backend": {{ "address": "{backend}" }},
                 "platform": {{ "address": "{}" }},
                 "routes": {{ "object": "{TABLE}", "retry_slack": 1000, "revocation_ms": {REVOCATION_MS},
-                    "quota_window_s": {WINDOW_S}, "quota_overage": {OVERAGE}, "quota_slack": {SLACK} }},
+                    "quota_window_s": {WINDOW_S}, "quota_overage": {OVERAGE}, "quota_slack": {SLACK}, "quota_lease_ms": {LEASE_MS} }},
                 "threads": 1,
                 "stop": {{ "linger_ms": {LINGER_MS}, "most_ms": {most_ms} }}
             }}"#,
--- a/crates/sorrelturn-bench/src/soak/workspaces.rs
+++ b/crates/sorrelturn-bench/src/soak/workspaces.rs
@@ -12,6 +12,8 @@
 pub(super) const WINDOW_S: u64 = 5;
 pub(super) const OVERAGE: f64 = 0.1;
 pub(super) const SLACK: f64 = 20.0;
+/// For how long daemons lend their shares of it, in milliseconds, as on the users' platform.
+pub(super) const LEASE_MS: u64 = 250;
 
 /// In whose name a request comes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/sorrelturn-daemon/tests/settings.rs
+++ b/crates/sorrelturn-daemon/tests/settings.rs
@@ -151,44 +151,32 @@
     assert!(String::from_utf8_lossy(&missing.stderr).contains("help:"));
 }
 
-#[test]
-fn the_window_of_retries_is_some_seconds() {
-    let with = |window: &str| {
-        let routes =
-            format!(r#""routes": {{ "object": "config/main", "retry_window_s": {window} }},"#);
+/// A number of `routes` and values for it, and what is said of the wrong ones.
+fn check_number_of_routes(field: &str, right: &[&str], wrong: &[&str], said: &str) {
+    let with = |value: &str| {
+        let routes = format!(r#""routes": {{ "object": "config/main", "{field}": {value} }},"#);
         let text = default_text().replacen(r#""threads""#, &format!("{routes} \"threads\""), 1);
         Settings::parse("it.jsonc", &text)
     };
-    for right in ["10", "1.5"] {
+    for right in right {
         assert!(with(right).is_ok(), "{right}");
     }
-    for wrong in ["0", "-3", "9999"] {
+    for wrong in wrong {
         let findings = with(wrong).expect_err(wrong);
         let shown = findings.iter().map(ToString::to_string).collect::<String>();
-        assert!(
-            shown.contains("write seconds from 0.1 to 3600"),
-            "{wrong}: {shown}"
-        );
+        assert!(shown.contains(said), "{wrong}: {shown}");
     }
 }
 
+#[test]
+fn the_window_of_retries_is_some_seconds() {
+    let said = "write seconds from 0.1 to 3600";
+    check_number_of_routes("retry_window_s", &["10", "1.5"], &["0", "-3", "9999"], said);
+}
+
 #[test]
 fn a_lease_of_quotas_is_neither_instant_nor_endless() {
-    let with = |lease: &str| {
-        let routes =
-            format!(r#""routes": {{ "object": "config/main", "quota_lease_ms": {lease} }},"#);
-        let text = default_text().replacen(r#""threads""#, &format!("{routes} \"threads\""), 1);
-        Settings::parse("it.jsonc", &text)
-    };
-    for right in ["100", "250", "10000"] {
-        assert!(with(right).is_ok(), "{right}");
-    }
-    for wrong in ["0", "99", "10001"] {
-        let findings = with(wrong).expect_err(wrong);
-        let shown = findings.iter().map(ToString::to_string).collect::<String>();
-        assert!(
-            shown.contains("write milliseconds from 100 to 10000"),
-            "{wrong}: {shown}"
-        );
-    }
+    let said = "write milliseconds from 100 to 10000";
+    let (right, wrong) = (["100", "250", "10000"], ["0", "99", "10001"]);
+    check_number_of_routes("quota_lease_ms", &right, &wrong, said);
 }
