Who goes on with a credential that was taken away costs no reads when tables follow

Cause: a credential that the newest table doesn't hold was remembered for one version of the table. After each further one, every entry read the store again for each credential that was taken away and still shown. Weighed: to tell other daemons of unknown credentials (messages, and the first proof is one read an entry at most); to remember what a new table drops without any proof (saves that one read, and a credential that comes back at once could be refused for good). What is answered without a read stays as it was: 401 only where an earlier read had shown it, and while the knowledge is young enough.

--- a/crates/sorrelturn-daemon/src/config/knowledge.rs
+++ b/crates/sorrelturn-daemon/src/config/knowledge.rs
@@ -38,13 +38,6 @@
 /// How many reads a second unknown credentials may cause here, so that a flood of them costs the platform little.
 const PROOFS_PER_SECOND: f64 = 1.0;
 
-/// Credentials that the table of a version doesn't hold.
-#[derive(Default)]
-struct Unknown {
-    version: u64,
-    credentials: HashSet<CredentialHash>,
-}
-
 /// What a daemon knows of how old its route table is.
 pub(crate) struct Knowledge {
     freshness: Mutex<Freshness>,
@@ -56,8 +49,8 @@
     failures: AtomicU32,
     refresh_after: Mutex<Duration>,
     proofs: Mutex<RateBucket>,
-    /// Credentials that were shown to be unknown to the table of a version.
-    unknown: Mutex<Unknown>,
+    /// Credentials that the newest table didn't hold at an earlier request.
+    unknown: Mutex<HashSet<CredentialHash>>,
     waiting: Mutex<Vec<Sender<()>>>,
 }
 
@@ -112,21 +105,19 @@
         lock(&self.freshness).covers(at)
     }
 
-    /// Whether the table of this version was the newest one at an earlier request with this credential, which it doesn't
-    /// hold. Whoever goes on with a credential that was taken away then costs no further read.
-    pub(crate) fn is_unknown(&self, version: u64, credential: CredentialHash) -> bool {
-        let unknown = lock(&self.unknown);
-        unknown.version == version && unknown.credentials.contains(&credential)
+    /// Whether a credential that the table in force doesn't hold was unknown to the newest one at an earlier request.
+    /// Whoever goes on with a credential that was taken away costs no further read, also when tables follow.
+    pub(crate) fn is_unknown(&self, credential: CredentialHash) -> bool {
+        lock(&self.unknown).contains(&credential)
     }
 
-    /// The newest table, of this version, doesn't hold a credential.
-    pub(crate) fn note_unknown(&self, version: u64, credential: CredentialHash) {
+    /// The newest table doesn't hold a credential.
+    pub(crate) fn note_unknown(&self, credential: CredentialHash) {
         let mut unknown = lock(&self.unknown);
-        if unknown.version != version || unknown.credentials.len() >= MOST_UNKNOWN {
-            unknown.credentials.clear();
-            unknown.version = version;
+        if unknown.len() >= MOST_UNKNOWN {
+            unknown.clear();
         }
-        unknown.credentials.insert(credential);
+        unknown.insert(credential);
     }
 
     fn prove(&self, at: Now) {
--- a/crates/sorrelturn-daemon/src/request/identity.rs
+++ b/crates/sorrelturn-daemon/src/request/identity.rs
@@ -60,7 +60,7 @@
                     return Err(later());
                 }
             }
-            None if is_unknown(node, &in_force, shown, arrived) => {
+            None if is_unknown(node, shown, arrived) => {
                 note_unknown(node, routed, shown.as_ref());
                 return Err(Reply::not_run(Refusal::UnknownCaller));
             }
@@ -77,19 +77,13 @@
 }
 
 /// Whether it is certain that no table holds the credential that a request shows.
-fn is_unknown(
-    node: &Node,
-    in_force: &InForce,
-    shown: Option<CredentialHash>,
-    arrived: Now,
-) -> bool {
-    let version = in_force.bundle.version;
+fn is_unknown(node: &Node, shown: Option<CredentialHash>, arrived: Now) -> bool {
     let covers = node.knowledge.covers(arrived);
     match shown {
-        Some(credential) if covers => node.knowledge.note_unknown(version, credential),
+        Some(credential) if covers => node.knowledge.note_unknown(credential),
         Some(credential) => {
             let is_valid = knowledge::is_valid(node, node.now());
-            return is_valid && node.knowledge.is_unknown(version, credential);
+            return is_valid && node.knowledge.is_unknown(credential);
         }
         None => {}
     }
