A test's backend server that has crashed starts again only when its port is free

Cause: a crash drops the word by which the listener's task ends, and the next run bound the port before that task had been polled. Ruled out: somebody else at the port, which is kept (ports_of_a_fleet.rs). Test: on one thread, where nothing ends in between: the first restart fails before, 19 pass after.

--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -5,7 +5,7 @@
 
 use crate::{KeptPorts, client::answer_body};
 use smol::{
-    Executor,
+    Executor, Task,
     channel::{self, Sender},
     future::FutureExt,
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
@@ -106,6 +106,8 @@
     addr: Option<SocketAddr>,
     /// Dropped when it crashes: its listener and its connections end.
     running: Option<Sender<()>>,
+    /// Ends when nothing listens at its port any more.
+    listens: Option<Task<()>>,
     /// It crashes when it has run a request whose first line or body holds this.
     crashes_by: Option<String>,
     crashes_after: Duration,
@@ -147,6 +149,7 @@
             ports: KeptPorts::default(),
             addr: None,
             running: None,
+            listens: None,
             crashes_by: None,
             crashes_after: CRASHES_AFTER,
             crashes: 0,
@@ -184,6 +187,10 @@
     pub async fn rise(&self, ex: &Arc<Executor<'static>>, id: &str) -> io::Result<()> {
         let addr = self.lock().addr.ok_or(io::ErrorKind::NotConnected)?;
         self.restart_as(id);
+        let crashed = self.lock().listens.take();
+        if let Some(crashed) = crashed {
+            crashed.await;
+        }
         self.listen(ex, addr).await
     }
 
@@ -212,7 +219,7 @@
         let crashed = async move {
             let _ = ends.recv().await;
         };
-        ex.spawn(accept.or(crashed)).detach();
+        self.lock().listens = Some(ex.spawn(accept.or(crashed)));
         Ok(())
     }
 
