When a loan is due, and among how many a quota is divided, are said in one place each

Found by reading the change: the part of a lease after which a loan is renewed stood in the daemon and, copied, in tests/leases.rs, and was handed to Entry::due, which knows the lease itself; members were counted in look beside members(). Run: the whole check, nothing failed.

--- a/crates/sorrelturn-daemon/src/fleet/quota.rs
+++ b/crates/sorrelturn-daemon/src/fleet/quota.rs
@@ -9,6 +9,7 @@
 };
 use smol::{Timer, future::FutureExt};
 use sorrelturn_bundle::{QuotaLimit, WorkspaceEntry};
+use sorrelturn_fleet::Membership;
 use sorrelturn_policy::Now;
 use sorrelturn_protocol::{CallerId, Incarnation, MemberRecord, MemberState, Refusal, RequestId};
 use sorrelturn_quota::{
@@ -21,9 +22,6 @@
     time::Duration,
 };
 
-/// A loan is renewed after so large a part of its time, by a draw or by itself. It is counted from a stamp that is as old when
-/// it is sent, so the part is below a half.
-const RENEW_AFTER_PART: f64 = 0.4;
 /// How often it is looked who the accountants are and which loans are due, as a part of a loan's time, and at least.
 const LOOK_PART: f64 = 0.2;
 const LOOK_EVERY: Duration = Duration::from_millis(100);
@@ -174,7 +172,7 @@
         }
         drop(in_force);
         look(&node);
-        let due = lock(&node.quota.entry).due(node.now(), lease.mul_f64(RENEW_AFTER_PART));
+        let due = lock(&node.quota.entry).due(node.now());
         for shard in due {
             let target = lock(&node.quota.entry).target(node.now(), shard);
             if let Some(target) = target {
@@ -214,7 +212,7 @@
             named.map(|record| (record.instance.as_str(), record.incarnation)),
         )
     };
-    entry.prefer(membership.all().count() as u32, of_shard);
+    entry.prefer(members(&membership), of_shard);
     let accountants = Shard::all().filter_map(of_shard);
     let mut known = lock(&node.quota.accountants);
     // One that is not preferred any more may still hold a loan.
@@ -229,7 +227,7 @@
 
 /// Asks an accountant; `None` if it doesn't answer in time.
 async fn ask(node: &Arc<Node>, target: Target, workspace: Option<CallerId>) -> Option<Drawn> {
-    let members = members(node);
+    let members = members(&lock(&node.membership));
     let draw = lock(&node.quota.entry).draw(target, members, workspace);
     if target.accountant == node.incarnation {
         return Some(answer(node, &draw));
@@ -250,8 +248,8 @@
 
 /// Among how many members the quotas are divided. Those that have just gone count: where a whole fleet is restarted,
 /// each of the first ones would else take itself for the only one.
-fn members(node: &Node) -> u32 {
-    lock(&node.membership).all().count() as u32
+fn members(membership: &Membership) -> u32 {
+    membership.all().count() as u32
 }
 
 /// Answers a daemon that lends its shares or draws.
@@ -263,6 +261,6 @@
     });
     let quota = workspace.and_then(|workspace| workspace.quota);
     let limit = quota.map(|quota| node.quota.bucket(quota));
-    let members = members(node);
+    let members = members(&lock(&node.membership));
     lock(&node.quota.accountant).draw(node.now(), draw, limit, members)
 }
--- a/crates/sorrelturn-quota/src/entry.rs
+++ b/crates/sorrelturn-quota/src/entry.rs
@@ -6,6 +6,9 @@
 
 /// Clocks of different VMs run alike but for so much of a lease.
 const CLOCK_MARGIN: f64 = 1.05;
+/// A loan is renewed after so large a part of its time, by a draw or by itself. It is counted from a stamp that is as old when
+/// it is sent, so the part is below a half.
+pub const RENEW_AFTER_PART: f64 = 0.4;
 /// An accountant that didn't answer is passed over for so long.
 const SILENT_TIME: Duration = Duration::from_secs(3);
 /// So long after a workspace was over its quota nothing is asked for it here: a workspace that presses at all entries would
@@ -136,7 +139,8 @@
     }
 
     /// The accountants with which nothing was lent or renewed for a while, each with a shard of its own.
-    pub fn due(&self, now: Now, renew_after: Duration) -> Vec<Shard> {
+    pub fn due(&self, now: Now) -> Vec<Shard> {
+        let renew_after = self.lease.mul_f64(RENEW_AFTER_PART);
         let mut due: Vec<Shard> = Vec::new();
         for shard in Shard::all() {
             let Some(accountant) = self.preferred[shard.at()] else {
--- a/crates/sorrelturn-quota/src/lib.rs
+++ b/crates/sorrelturn-quota/src/lib.rs
@@ -8,7 +8,7 @@
 
 pub use accountant::Accountant;
 pub use bound::Bound;
-pub use entry::{Entry, Target};
+pub use entry::{Entry, RENEW_AFTER_PART, Target};
 pub use messages::{Draw, Drawn, Loan, Outcome, Stamp};
 pub use shard::{SHARDS, Shard, ShardSet, preferred};
 
--- a/crates/sorrelturn-quota/tests/leases.rs
+++ b/crates/sorrelturn-quota/tests/leases.rs
@@ -5,7 +5,7 @@
 //! daemons were killed at once: for a second nobody had anything to lend, and every caller was refused for its quota.
 
 use sorrelturn_protocol::Incarnation;
-use sorrelturn_quota::{Accountant, Draw, Drawn, Entry, Now, Shard, Terms};
+use sorrelturn_quota::{Accountant, Draw, Drawn, Entry, Now, RENEW_AFTER_PART, Shard, Terms};
 use std::time::Duration;
 
 const DAEMONS: u32 = 20;
@@ -17,8 +17,6 @@
 const PLAYED: Duration = Duration::from_secs(10);
 /// After this a start is over, whichever the lease.
 const SETTLED: Duration = Duration::from_secs(4);
-/// As daemons do: a loan is renewed after this part of its time.
-const RENEW_AFTER_PART: f64 = 0.4;
 const LEASES_MS: [u64; 3] = [1_000, 500, 250];
 /// Between neighbouring failure domains, and between continents.
 const NEAR: Duration = Duration::from_millis(1);
@@ -67,9 +65,7 @@
                 daemon.entry.heard(now, drawn.stamp);
             }
             let waits = daemon.answer.is_some() || on_their_way.iter().any(|(_, by, _)| *by == at);
-            let due = daemon
-                .entry
-                .due(now, daemon.entry.lease().mul_f64(RENEW_AFTER_PART));
+            let due = daemon.entry.due(now);
             if !waits && !due.is_empty() {
                 let target = daemon.entry.target(now, SHARD).expect("an accountant");
                 let draw = daemon.entry.draw(target, members, None);
--- a/crates/sorrelturn-quota/tests/ways.rs
+++ b/crates/sorrelturn-quota/tests/ways.rs
@@ -288,7 +288,7 @@
         self.renewed = now;
         for entry in 0..ENTRIES {
             self.prefer(now, entry);
-            for shard in self.entries[entry].due(now, Self::RENEW_EVERY) {
+            for shard in self.entries[entry].due(now) {
                 self.draw(now, entry, shard, None);
             }
         }
