--- a/crates/sorrelturn-bench/src/routed_fleet.rs
+++ b/crates/sorrelturn-bench/src/routed_fleet.rs
@@ -100,6 +100,7 @@
     pub instances: Vec<RoutedInstance>,
     has_paths: bool,
     read_time: fn() -> Duration,
+    change_settings: fn(usize, &mut Settings),
 }
 
 impl RoutedFleet {
@@ -160,6 +161,19 @@
         fleet
     }
 
+    /// As [`RoutedFleet::start`], with settings that `change_settings` has changed for each instance, given by number.
+    pub async fn start_with_settings(
+        ex: Arc<Executor<'static>>,
+        dialect: Dialect,
+        services: &[&str],
+        change_settings: fn(usize, &mut Settings),
+    ) -> Self {
+        let mut fleet = Self::empty(ex, dialect, StopSettings::default()).await;
+        fleet.change_settings = change_settings;
+        fleet.add(services).await;
+        fleet
+    }
+
     async fn empty(ex: Arc<Executor<'static>>, dialect: Dialect, stopping: StopSettings) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let platform = listener.local_addr().expect("an address");
@@ -173,6 +187,7 @@
             instances: Vec::new(),
             has_paths: false,
             read_time: since_boot,
+            change_settings: |_, _| {},
         }
     }
 
@@ -188,6 +203,7 @@
         let backend_addr = backend.serve(&self.ex).await.expect("a free port");
         let (ports, listen) = ReservedPorts::for_routed_daemon().expect("free ports");
         let mut settings = self.settings(number, service, &listen, backend_addr);
+        (self.change_settings)(number, &mut settings);
         let mut paths = None;
         if self.has_paths {
             let opened = Paths::open(&self.ex).await;
--- a/crates/sorrelturn-bundle/src/check.rs
+++ b/crates/sorrelturn-bundle/src/check.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     BundleSource, Diagnostic, Execution, Kind, MAX_SECTION_BYTES, PathPattern, SourceMap,
-    index::{MAX_CALL_DEPTH, Network, min_executions_by_kind},
+    index::{Network, min_executions_by_kind},
     split,
 };
 use sorrelturn_protocol::Importance;
@@ -184,7 +184,7 @@
                 "write \"at-most-once\": each execution repeats its calls",
             ));
         }
-        if reaches(&by_name, name, name, 0) {
+        if is_in_cycle(&by_name, name) {
             findings.push(map.at(
                 &["services", service, "kinds", name, "calls"],
                 format!("kind {name} calls itself directly or through other kinds"),
@@ -215,15 +215,21 @@
     })
 }
 
-fn reaches(by_name: &BTreeMap<&str, &Kind>, from: &str, target: &str, depth: u32) -> bool {
-    let Some(kind) = by_name.get(from) else {
-        return false;
-    };
-    depth < MAX_CALL_DEPTH
-        && kind
-            .calls
-            .keys()
-            .any(|child| child == target || reaches(by_name, child, target, depth + 1))
+/// Returns whether a kind calls itself, directly or through others.
+fn is_in_cycle(by_name: &BTreeMap<&str, &Kind>, name: &str) -> bool {
+    let mut reached = BTreeSet::new();
+    let mut next = vec![name];
+    while let Some(kind) = next.pop().and_then(|kind| by_name.get(kind)) {
+        for child in kind.calls.keys() {
+            if child == name {
+                return true;
+            }
+            if by_name.contains_key(child.as_str()) && reached.insert(child.as_str()) {
+                next.push(child);
+            }
+        }
+    }
+    false
 }
 
 fn check_callers(source: &BundleSource, map: &SourceMap, findings: &mut Vec<Diagnostic>) {
--- a/crates/sorrelturn-bundle/src/index.rs
+++ b/crates/sorrelturn-bundle/src/index.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     BundleSource, Caller, CredentialHash, Execution, Kind, Limits, PathPattern, RouteEntry,
-    RouteTable, Service, WorkspaceEntry,
+    RouteTable, RoutedService, Service, TableSection, WorkspaceEntry,
     routes::{RouteIndex, default_service},
     workspaces::{WorkspaceIndex, caller_id},
 };
@@ -111,9 +111,10 @@
     by_method: HashMap<String, Vec<Arc<KindEntry>>>,
     callers: Vec<Arc<CallerEntry>>,
     routes: RouteIndex,
-    probe_paths: HashMap<String, String>,
+    routed_services: BTreeMap<String, RoutedService>,
     limits: Limits,
     workspaces: WorkspaceIndex,
+    has_rejected_workspace: bool,
 }
 
 impl Bundle {
@@ -154,7 +155,7 @@
         }
     }
 
-    /// Indexes a route table that passed [`RouteTable::check`].
+    /// Indexes a route table whose invalid entries were removed by [`RouteTable::reject_invalid`].
     pub fn from_route_table(table: &RouteTable) -> Self {
         let routes = RouteIndex::new(table);
         let kinds = routes
@@ -167,11 +168,9 @@
             .iter()
             .map(|(name, service)| (name.clone(), default_service(service)))
             .collect();
-        let probe_paths = table
-            .services
-            .iter()
-            .map(|(name, service)| (name.clone(), service.probe_path.clone()))
-            .collect();
+        let mut rejected = table.rejected.iter();
+        let has_rejected_workspace =
+            rejected.any(|entry| entry.section == TableSection::Workspaces);
         Self {
             version: table.version,
             source: BundleSource {
@@ -180,9 +179,10 @@
             },
             kinds,
             routes,
-            probe_paths,
+            routed_services: table.services.clone(),
             limits: table.limits,
             workspaces: WorkspaceIndex::new(&table.workspaces),
+            has_rejected_workspace,
             ..Self::default()
         }
     }
@@ -192,6 +192,21 @@
         self.routes.find(host, path)
     }
 
+    /// Returns whether a request that matches no route may belong to an entry that was rejected.
+    pub fn has_unlocated_rejection(&self) -> bool {
+        self.routes.has_unlocated_rejection()
+    }
+
+    /// Returns whether an unknown credential may belong to an entry that was rejected.
+    pub fn has_rejected_workspace(&self) -> bool {
+        self.has_rejected_workspace
+    }
+
+    /// Returns the services of the route table.
+    pub fn routed_services(&self) -> &BTreeMap<String, RoutedService> {
+        &self.routed_services
+    }
+
     /// Returns the kinds of all routes.
     pub fn route_kinds(&self) -> impl Iterator<Item = &Arc<KindEntry>> {
         self.routes.all().flat_map(|route| route.kinds())
@@ -199,12 +214,13 @@
 
     /// Returns the health check path of a service.
     pub fn probe_path(&self, service: &str) -> Option<&str> {
-        self.probe_paths.get(service).map(String::as_str)
+        let service = self.routed_services.get(service)?;
+        Some(service.probe_path.as_str()).filter(|path| !path.is_empty())
     }
 
     /// Returns whether requests need a credential, except on open routes.
     pub fn has_workspaces(&self) -> bool {
-        self.workspaces().next().is_some()
+        self.has_rejected_workspace || self.workspaces().next().is_some()
     }
 
     /// Returns all workspaces.
@@ -260,10 +276,10 @@
     pub fn match_caller(&self, bearer: Option<&str>, address: IpAddr) -> Option<&Arc<CallerEntry>> {
         if let Some(token) = bearer {
             let hash = blake3::hash(token.as_bytes()).to_hex();
-            return self
-                .callers
-                .iter()
-                .find(|entry| entry.caller.token_blake3.as_deref() == Some(hash.as_str()));
+            return self.callers.iter().find(|entry| {
+                let expected = entry.caller.token_blake3.as_deref();
+                expected.is_some_and(|expected| expected.eq_ignore_ascii_case(&hash))
+            });
         }
         self.callers
             .iter()
@@ -299,7 +315,7 @@
 }
 
 /// Bounds the recursion, so that it ends even if the call graph has a cycle.
-pub(crate) const MAX_CALL_DEPTH: u32 = 16;
+const MAX_CALL_DEPTH: u32 = 16;
 
 fn count_executions(kinds: &BTreeMap<&str, &Kind>, name: &str, depth: u32) -> u32 {
     let Some(kind) = kinds.get(name) else {
--- a/crates/sorrelturn-bundle/src/lib.rs
+++ b/crates/sorrelturn-bundle/src/lib.rs
@@ -9,6 +9,7 @@
 mod pattern;
 mod routes;
 mod sign;
+mod table_document;
 mod workspaces;
 
 pub use check::check;
@@ -23,4 +24,5 @@
 pub use pattern::PathPattern;
 pub use routes::{Limits, Route, RouteEntry, RouteError, RouteTable, RoutedService, Share};
 pub use sign::{KeyError, OperatorKey, TrustedKeys};
+pub use table_document::{RejectedEntry, TableDocument, TableSection};
 pub use workspaces::{CredentialHash, QuotaLimit, Workspace, WorkspaceEntry};
--- a/crates/sorrelturn-bundle/src/routes.rs
+++ b/crates/sorrelturn-bundle/src/routes.rs
@@ -1,13 +1,15 @@
 //! Routes: request kinds that are matched by host and path prefix.
 //!
 //! A route table is the alternative form of a bundle: a single unsigned document in the platform's
-//! store, where only operators may write. `docs/BUNDLE.md` describes its fields.
+//! store, where only operators may write. `docs/BUNDLE.md` describes its fields. Unknown fields are
+//! ignored, and an entry that can't be used is rejected by itself; see [`crate::TableDocument`].
 
 use crate::{
-    CredentialHash, Execution, Kind, KindEntry, Service, Workspace, check::MAX_DEADLINE_MS,
+    CredentialHash, Execution, Kind, KindEntry, RejectedEntry, Service, TableDocument,
+    TableSection, Workspace, check::MAX_DEADLINE_MS,
 };
 use displaydoc::Display;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use sorrelturn_protocol::Importance;
 use std::{
     collections::{BTreeMap, HashMap},
@@ -15,9 +17,8 @@
     time::Duration,
 };
 
-/// The source form of a route table, as operators write it.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+/// The source form of a route table, as operators write it. [`RouteTable::parse`] reads it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct RouteTable {
     /// The version, which increases with each change. 0 is invalid.
     pub version: u64,
@@ -26,23 +27,24 @@
     /// Services that routes refer to, by name.
     pub services: BTreeMap<String, RoutedService>,
     /// Size and time limits of requests and connections.
-    #[serde(default)]
     pub limits: Limits,
     /// Workspaces by name. If there are any, requests need a credential of one of them, except on
     /// open routes.
-    #[serde(default)]
     pub workspaces: BTreeMap<String, Workspace>,
+    /// Entries that can't be used. Daemons exchange them together with the table.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub rejected: Vec<RejectedEntry>,
 }
 
 /// A route.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Route {
     /// The host of a request, without a port.
     pub host: String,
     /// The prefix of request paths, which begins and ends with a slash.
     pub path_prefix: String,
-    /// Whether a request may be executed more than once.
+    /// Whether a request may be executed more than once. An unknown word means the strictest one.
+    #[serde(deserialize_with = "strictest_if_unknown")]
     pub execution: Execution,
     /// The importance of requests.
     pub importance: Importance,
@@ -61,7 +63,6 @@
 
 /// A service's share of the requests of a route.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Share {
     /// The name of the service.
     pub service: String,
@@ -70,18 +71,47 @@
 }
 
 /// A service of a route table.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RoutedService {
     /// Maximum number of connections to one instance.
     pub connections: u32,
     /// The health check path of its instances.
     pub probe_path: String,
+    /// The requests per second that an instance accepts while it is cold; absent without a limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_rate: Option<f64>,
+}
+
+/// The maximum number of connections to one instance of a service without a usable entry.
+const DEFAULT_CONNECTIONS: u32 = 64;
+
+impl Default for RoutedService {
+    fn default() -> Self {
+        Self {
+            connections: DEFAULT_CONNECTIONS,
+            probe_path: String::new(),
+            cold_rate: None,
+        }
+    }
+}
+
+fn strictest_if_unknown<'de, D: Deserializer<'de>>(input: D) -> Result<Execution, D::Error> {
+    #[derive(Deserialize)]
+    #[serde(rename_all = "kebab-case")]
+    enum Word {
+        Repeatable,
+        #[serde(other)]
+        Unknown,
+    }
+    Ok(match Word::deserialize(input)? {
+        Word::Repeatable => Execution::Repeatable,
+        Word::Unknown => Execution::AtMostOnce,
+    })
 }
 
 /// Size and time limits of requests and connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[serde(default)]
 pub struct Limits {
     /// Maximum size of a request head, in bytes.
     pub head_bytes: u32,
@@ -130,6 +160,22 @@
 impl std::error::Error for RouteError {}
 
 impl RouteTable {
+    /// Parses a table. Entries that can't be parsed are in [`RouteTable::rejected`]. Fails if the
+    /// text is not a JSON object with a version.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let mut document = TableDocument::parse(text)?;
+        document.take_over_rejected();
+        Ok(Self {
+            version: document.version(),
+            routes: document.section(TableSection::Routes, |route: Route| route),
+            services: document.section(TableSection::Services, |service: RoutedService| service),
+            limits: document.limits(|limits: Limits| limits),
+            workspaces: document
+                .section(TableSection::Workspaces, |workspace: Workspace| workspace),
+            rejected: document.into_rejected(),
+        })
+    }
+
     /// Validates the table and returns the first error.
     pub fn check(&self) -> Result<(), RouteError> {
         if self.version == 0 {
@@ -146,6 +192,104 @@
         self.check_workspaces()
     }
 
+    /// Moves each invalid entry to [`RouteTable::rejected`], so that the others can be used.
+    ///
+    /// A service that lacks a usable entry gets the one of `before`, the table in force, or the
+    /// default. Of a credential that several workspaces have, all copies are removed.
+    pub fn reject_invalid(&mut self, before: Option<&BTreeMap<String, RoutedService>>) {
+        self.fill_in_services(before);
+        for (name, reason) in self.invalid_routes() {
+            let Some(route) = self.routes.remove(&name) else {
+                continue;
+            };
+            let mut rejected = RejectedEntry::new(TableSection::Routes, &name, reason);
+            rejected.host = Some(route.host);
+            rejected.path_prefix = Some(route.path_prefix);
+            self.rejected.push(rejected);
+        }
+        self.reject_invalid_quotas();
+        self.reject_shared_credentials();
+    }
+
+    fn fill_in_services(&mut self, before: Option<&BTreeMap<String, RoutedService>>) {
+        let shares = self.routes.values().flat_map(|route| &route.shares);
+        for share in shares {
+            if self.services.contains_key(&share.service) {
+                continue;
+            }
+            let known = before.and_then(|before| before.get(&share.service));
+            let service = known.cloned().unwrap_or_default();
+            self.services.insert(share.service.clone(), service);
+        }
+    }
+
+    fn invalid_routes(&self) -> Vec<(String, String)> {
+        let mut invalid = Vec::new();
+        let mut by_prefix: BTreeMap<(String, &str), Vec<&str>> = BTreeMap::new();
+        for (name, route) in &self.routes {
+            if let Err(error) = self.check_route(name, route) {
+                invalid.push((name.clone(), error.to_string()));
+                continue;
+            }
+            let host_and_prefix = (route.host.to_ascii_lowercase(), route.path_prefix.as_str());
+            by_prefix.entry(host_and_prefix).or_default().push(name);
+        }
+        for names in by_prefix.values().filter(|names| names.len() > 1) {
+            for name in names {
+                let other = names.iter().find(|other| *other != name);
+                let other = other.map_or("", |other| other);
+                let error = RouteError::DuplicateRoute((*name).to_owned(), other.to_owned());
+                invalid.push(((*name).to_owned(), error.to_string()));
+            }
+        }
+        invalid
+    }
+
+    fn reject_invalid_quotas(&mut self) {
+        let has_valid_quota = |workspace: &Workspace| {
+            // Comparisons with NaN are false.
+            workspace.rate_per_second >= 0.0 && workspace.burst >= 0.0
+        };
+        let invalid: Vec<String> = self
+            .workspaces
+            .iter()
+            .filter(|(_, workspace)| !has_valid_quota(workspace))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in invalid {
+            self.workspaces.remove(&name);
+            let reason = RouteError::InvalidQuota(name.clone()).to_string();
+            let rejected = RejectedEntry::new(TableSection::Workspaces, &name, reason);
+            self.rejected.push(rejected);
+        }
+    }
+
+    fn reject_shared_credentials(&mut self) {
+        let mut owners: BTreeMap<CredentialHash, &str> = BTreeMap::new();
+        let mut shared: BTreeMap<CredentialHash, String> = BTreeMap::new();
+        for (name, workspace) in &self.workspaces {
+            for credential in &workspace.credentials_blake3 {
+                match owners.insert(*credential, name) {
+                    Some(other) if other != name => {
+                        let error = RouteError::SharedCredential(other.to_owned(), name.to_owned());
+                        shared.insert(*credential, error.to_string());
+                    }
+                    _ => {}
+                }
+            }
+        }
+        for workspace in self.workspaces.values_mut() {
+            workspace
+                .credentials_blake3
+                .retain(|credential| !shared.contains_key(credential));
+        }
+        for (credential, reason) in shared {
+            let name = format!("credential {}", credential.short());
+            let rejected = RejectedEntry::new(TableSection::Workspaces, &name, reason);
+            self.rejected.push(rejected);
+        }
+    }
+
     fn check_workspaces(&self) -> Result<(), RouteError> {
         let mut owners: HashMap<CredentialHash, &str> = HashMap::new();
         for (name, workspace) in &self.workspaces {
@@ -202,7 +346,8 @@
     /// Whether requests are accepted without a credential.
     pub open: bool,
     path_prefix: String,
-    /// The kind of each share with the cumulative weight up to and including it.
+    /// The kind of each share with the cumulative weight up to and including it. Empty for a route
+    /// whose entry in the table was rejected.
     shares: Vec<(u64, Arc<KindEntry>)>,
 }
 
@@ -219,6 +364,11 @@
         share.or(self.shares.last()).map(|(_, kind)| kind)
     }
 
+    /// Returns whether the entry in the table was rejected. Its requests match no other route.
+    pub fn is_rejected(&self) -> bool {
+        self.shares.is_empty()
+    }
+
     /// Returns the kinds of all shares.
     pub fn kinds(&self) -> impl Iterator<Item = &Arc<KindEntry>> {
         self.shares.iter().map(|(_, kind)| kind)
@@ -229,6 +379,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RouteIndex {
     by_host: HashMap<String, Vec<Arc<RouteEntry>>>,
+    /// Whether some entry was rejected whose host or path prefix is unknown.
+    has_unlocated_rejection: bool,
 }
 
 impl RouteIndex {
@@ -240,10 +392,25 @@
                 .or_default()
                 .push(Arc::new(route_entry(name, route)));
         }
+        let mut has_unlocated_rejection = false;
+        for entry in &table.rejected {
+            match rejected_route(entry) {
+                Some((host, route)) => by_host.entry(host).or_default().push(Arc::new(route)),
+                None => has_unlocated_rejection |= entry.section == TableSection::Routes,
+            }
+        }
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
-        Self { by_host }
+        Self {
+            by_host,
+            has_unlocated_rejection,
+        }
+    }
+
+    /// Returns whether a request that matches no route may belong to a rejected one.
+    pub(crate) fn has_unlocated_rejection(&self) -> bool {
+        self.has_unlocated_rejection
     }
 
     /// Returns the route with the longest prefix of `path`. A port in `host` is ignored.
@@ -263,6 +430,26 @@
     }
 }
 
+/// Returns the host of a rejected route and an entry for it without shares; `None` if the host or
+/// the path prefix is unknown, or the entry is not a route.
+fn rejected_route(entry: &RejectedEntry) -> Option<(String, RouteEntry)> {
+    if entry.section != TableSection::Routes {
+        return None;
+    }
+    let path_prefix = match entry.path_prefix.as_ref()?.trim_matches('/') {
+        "" => "/".to_owned(),
+        // Without the slash at the end it would match paths of other routes.
+        path => format!("/{path}/"),
+    };
+    let route = RouteEntry {
+        name: entry.name.clone(),
+        open: true,
+        path_prefix,
+        shares: Vec::new(),
+    };
+    Some((entry.host.as_ref()?.to_ascii_lowercase(), route))
+}
+
 fn route_entry(name: &str, route: &Route) -> RouteEntry {
     let mut cumulative_weight = 0;
     let is_split = route.shares.len() > 1;
--- a/crates/sorrelturn-bundle/src/workspaces.rs
+++ b/crates/sorrelturn-bundle/src/workspaces.rs
@@ -53,7 +53,7 @@
 
 /// The source form of a workspace, as operators write it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[serde(default)]
 pub struct Workspace {
     /// Hashes of its credentials.
     pub credentials_blake3: Vec<CredentialHash>,
--- a/crates/sorrelturn-bundle/tests/check_finds.rs
+++ b/crates/sorrelturn-bundle/tests/check_finds.rs
@@ -26,6 +26,30 @@
     (text.replacen(from, to, 1), line)
 }
 
+/// Guards against a search for cycles that ends at a fixed depth.
+#[test]
+fn a_cycle_of_many_kinds_is_found() {
+    const LENGTH: usize = 40;
+    let kinds: Vec<String> = (0..LENGTH)
+        .map(|number| {
+            let next = (number + 1) % LENGTH;
+            format!(
+                r#""k{number}":{{"method":"GET","path":"/k{number}","importance":"normal","execution":"repeatable",
+                "deadline_ms":1000,"attempts":1,"exposed":true,"calls":{{"k{next}":1}}}}"#
+            )
+        })
+        .collect();
+    let text = format!(
+        r#"{{"services":{{"s":{{"slots":1,"connections":9,"kinds":{{{}}}}}}},"callers":{{}}}}"#,
+        kinds.join(",")
+    );
+    let found = findings(&text);
+    let cycles = found
+        .iter()
+        .filter(|finding| finding.contains("calls itself"));
+    assert_eq!(cycles.count(), LENGTH, "{found:?}");
+}
+
 #[test]
 fn the_example_bundles_have_no_findings() {
     for name in ["protokols-riga.jsonc", "dalaqyz-soft.jsonc"] {
--- a/crates/sorrelturn-bundle/tests/routes.rs
+++ b/crates/sorrelturn-bundle/tests/routes.rs
@@ -31,6 +31,7 @@
     let service = RoutedService {
         connections: 10,
         probe_path: "/health".to_owned(),
+        cold_rate: None,
     };
     RouteTable {
         version: 3,
@@ -43,6 +44,7 @@
             .into(),
         limits: Limits::default(),
         workspaces: BTreeMap::new(),
+        rejected: Vec::new(),
     }
 }
 
--- a/crates/sorrelturn-bundle/tests/sections_and_signatures.rs
+++ b/crates/sorrelturn-bundle/tests/sections_and_signatures.rs
@@ -102,6 +102,21 @@
     );
 }
 
+#[test]
+fn the_hash_of_a_token_may_be_written_in_upper_case() {
+    let mut source = source();
+    for caller in source.callers.values_mut() {
+        caller.token_blake3 = caller.token_blake3.take().map(|hash| hash.to_uppercase());
+    }
+    let bundle = Bundle::new(1, source);
+    let ip = "10.30.4.5".parse().expect("an address");
+    let caller = bundle.match_caller(Some("clerks-example"), ip);
+    assert_eq!(
+        caller.map(|caller| caller.name.as_str()),
+        Some("utility-clerks")
+    );
+}
+
 proptest! {
     #[test]
     fn no_changed_byte_of_a_signed_manifest_passes(at: prop::sample::Index, flip in 1u8..128) {
--- a/crates/sorrelturn-daemon/src/backend/announce.rs
+++ b/crates/sorrelturn-daemon/src/backend/announce.rs
@@ -59,13 +59,20 @@
         None => Err("the body is too large or incomplete".to_owned()),
     };
     match report {
-        Ok((announcement, slots)) => accept_announcement(node, routed, announcement, slots).await,
+        Ok(report) => accept_report(node, routed, report).await,
         Err(reason) => refuse(node, routed, &reason),
     }
 }
 
-/// Returns the announcement in a heartbeat and the number of slots.
-fn parse_heartbeat(node: &Node, id: String, bytes: &[u8]) -> Result<(Announcement, u32), String> {
+/// A heartbeat or a deregistration of the own backend server.
+struct Report {
+    announcement: Announcement,
+    /// 0 if the report doesn't state them.
+    slots: u32,
+    cold_remaining: Option<Duration>,
+}
+
+fn parse_heartbeat(node: &Node, id: String, bytes: &[u8]) -> Result<Report, String> {
     let heartbeat = read_heartbeat(bytes)?;
     if heartbeat.service != node.settings.service {
         return Err(format!(
@@ -73,42 +80,47 @@
             heartbeat.service, node.settings.service
         ));
     }
-    let announcement = Announcement {
-        id,
-        born: heartbeat.born,
-        state: heartbeat.state,
-        sequence: heartbeat.sequence,
-    };
-    Ok((announcement, heartbeat.slots))
+    Ok(Report {
+        slots: heartbeat.slots,
+        cold_remaining: heartbeat.cold_remaining(),
+        announcement: Announcement {
+            id,
+            born: heartbeat.born,
+            state: heartbeat.state,
+            sequence: heartbeat.sequence,
+        },
+    })
 }
 
-fn parse_deregistration(id: String, bytes: &[u8]) -> Result<(Announcement, u32), String> {
+fn parse_deregistration(id: String, bytes: &[u8]) -> Result<Report, String> {
     let announcement = Announcement {
         id,
         born: read_deregistration(bytes)?.born,
         state: BackendState::Gone,
         sequence: u64::MAX,
     };
-    Ok((announcement, 0))
+    Ok(Report {
+        announcement,
+        slots: 0,
+        cold_remaining: None,
+    })
 }
 
-/// Applies an announcement. One that the backend server is leaving is acknowledged once it is
+/// Applies a report. One that the backend server is leaving is acknowledged once it is
 /// saved, or after [`ACKNOWLEDGE_TIMEOUT`].
-async fn accept_announcement(
-    node: &Arc<Node>,
-    routed: &Routed,
-    announcement: Announcement,
-    slots: u32,
-) -> Response<Body> {
-    let leaving = announcement.state != BackendState::Ready;
-    match receive_announcement(node, routed, announcement) {
+async fn accept_report(node: &Arc<Node>, routed: &Routed, report: Report) -> Response<Body> {
+    let leaving = report.announcement.state != BackendState::Ready;
+    match receive_announcement(node, routed, report.announcement) {
         PresenceChange::Foreign => return status(StatusCode::BAD_REQUEST),
         // An acknowledgement would promise that the backend server gets no more requests.
         PresenceChange::Unconfirmed if leaving => return status(StatusCode::SERVICE_UNAVAILABLE),
         PresenceChange::Outdated | PresenceChange::Unconfirmed => return ok_response(),
         PresenceChange::NoChange | PresenceChange::NowReady | PresenceChange::NowLeaving => {}
     }
-    update_slots(node, routed, slots);
+    update_slots(node, routed, report.slots);
+    if let Some(remaining) = report.cold_remaining {
+        state::record_cold_remaining(node, remaining);
+    }
     if leaving {
         let save = state::save(node, routed);
         member_record::write_within(node, ACKNOWLEDGE_TIMEOUT, save).await;
@@ -179,5 +191,8 @@
             update_slots(node, routed, slots);
         }
         record_answering_backend(node, routed, res.headers());
+        if let Some(remaining) = state::cold_remaining(routed, res.headers()) {
+            state::record_cold_remaining(node, remaining);
+        }
     }
 }
--- a/crates/sorrelturn-daemon/src/backend/crash.rs
+++ b/crates/sorrelturn-daemon/src/backend/crash.rs
@@ -6,6 +6,7 @@
 //! opened, is a fault of the network or of a single response.
 
 use crate::{
+    backend::state,
     fleet::suspects,
     node::{Node, lock},
 };
@@ -144,6 +145,7 @@
     // Only this task sets it.
     let _ = check.has_crashed.set(has_crashed).await;
     if has_crashed {
+        state::assume_cold(node);
         report(node, false);
         Timer::after(COLLECT_DURATION).await;
         report(node, true);
--- a/crates/sorrelturn-daemon/src/backend/report.rs
+++ b/crates/sorrelturn-daemon/src/backend/report.rs
@@ -3,6 +3,7 @@
 
 use serde::Deserialize;
 use sorrelturn_protocol::BackendState;
+use std::time::Duration;
 
 /// A heartbeat. A report that lacks a field without a default, or has a field of another type, is
 /// rejected; unknown fields are ignored.
@@ -19,6 +20,18 @@
     /// The start of this incarnation, in milliseconds since the Unix epoch.
     #[serde(default)]
     pub born: Option<u64>,
+    /// For how much longer the backend server is cold, in milliseconds. A value that is no number
+    /// is ignored.
+    #[serde(default)]
+    pub cold_ms: serde_json::Value,
+}
+
+impl Heartbeat {
+    /// For how much longer the backend server is cold, if the heartbeat says it.
+    pub fn cold_remaining(&self) -> Option<Duration> {
+        let seconds = self.cold_ms.as_f64()? / 1_000.0;
+        Duration::try_from_secs_f64(seconds).ok()
+    }
 }
 
 /// The body that a backend server may send before it ends.
--- a/crates/sorrelturn-daemon/src/backend/state.rs
+++ b/crates/sorrelturn-daemon/src/backend/state.rs
@@ -223,7 +223,36 @@
     load.split(',').nth(2)?.trim().parse().ok()
 }
 
+/// Returns for how much longer the backend server is cold, if its response says it.
+pub(crate) fn cold_remaining(routed: &Routed, headers: &HeaderMap) -> Option<Duration> {
+    let remaining = headers
+        .get(&routed.dialect.headers.cold_ms)?
+        .to_str()
+        .ok()?;
+    remaining.trim().parse().ok().map(Duration::from_millis)
+}
+
+/// Applies for how much longer the backend server says that it is cold.
+pub(crate) fn record_cold_remaining(node: &Node, remaining: Duration) {
+    let has_changed = node.admission.with_gate(|gate, now| {
+        let was_limiting = gate.cold_limiter().is_limiting(now);
+        gate.cold_limiter().report(now, remaining);
+        was_limiting != gate.cold_limiter().is_limiting(now)
+    });
+    if has_changed {
+        let fields = vec![Field::new("cold_ms", remaining.as_millis())];
+        node.record_event(&events::BACKEND_COLD, fields);
+    }
+}
+
+/// Limits requests to the backend server until it reports whether it is cold.
+pub(crate) fn assume_cold(node: &Node) {
+    node.admission
+        .with_gate(|gate, now| gate.cold_limiter().assume_cold(now));
+}
+
 fn on_backend_ready(node: &Arc<Node>, routed: &Routed) {
+    assume_cold(node);
     routed.is_saved.store(false, Ordering::Relaxed);
     node.set_own_backend(routed.current());
     node.admission.with_gate(|gate, _| gate.reset_tuning());
--- a/crates/sorrelturn-daemon/src/config/fetch.rs
+++ b/crates/sorrelturn-daemon/src/config/fetch.rs
@@ -11,7 +11,8 @@
 };
 use displaydoc::Display;
 use sorrelturn_bundle::{
-    Bundle, ContentHash, Manifest, ManifestError, RouteTable, SectionBytes, SignedManifest, join,
+    Bundle, ContentHash, Manifest, ManifestError, RouteError, RouteTable, SectionBytes,
+    SignedManifest, join,
 };
 use sorrelturn_fleet::{Fetch, Source};
 use sorrelturn_platform::{PlatformError, keys};
@@ -19,6 +20,9 @@
 use sorrelturn_telemetry::{Field, events};
 use std::{collections::BTreeMap, sync::Arc};
 
+/// The maximum number of rejected entries of one route table that are logged.
+const MAX_LOGGED_REJECTIONS: usize = 20;
+
 /// Why a bundle could not be fetched.
 #[derive(Debug, Display)]
 pub(crate) enum FetchError {
@@ -173,31 +177,54 @@
     let Some(routed) = &node.routed else {
         return Err("this daemon doesn't use a route table".to_owned());
     };
-    accept_table(node, &(routed.dialect.read_routes)(text)?)
+    accept_table(node, (routed.dialect.read_routes)(text)?)
 }
 
 /// Puts a route table in force if its version is higher, given in the form that daemons exchange,
 /// which has hashes in place of credentials.
 fn accept_peer_routes(node: &Arc<Node>, text: &str) -> Result<(), String> {
-    let table: RouteTable = serde_json::from_str(text).map_err(|error| error.to_string())?;
-    accept_table(node, &table)
+    accept_table(node, RouteTable::parse(text)?)
 }
 
-fn accept_table(node: &Arc<Node>, table: &RouteTable) -> Result<(), String> {
+fn accept_table(node: &Arc<Node>, mut table: RouteTable) -> Result<(), String> {
     // Checked before the version is compared, since a table without a version would be skipped
     // without an error.
-    table.check().map_err(|error| error.to_string())?;
+    if table.version == 0 {
+        return Err(RouteError::NoVersion.to_string());
+    }
     let version = table.version;
+    let before = node.in_force.load_full();
     if version <= node.bundle_version() {
         return Ok(());
     }
-    let text = serde_json::to_string(table).map_err(|error| error.to_string())?;
-    if node.put_in_force(Bundle::from_route_table(table), Origin::Routes(text)) {
+    table.reject_invalid(
+        before
+            .as_deref()
+            .map(|in_force| in_force.bundle.routed_services()),
+    );
+    let text = serde_json::to_string(&table).map_err(|error| error.to_string())?;
+    if node.put_in_force(Bundle::from_route_table(&table), Origin::Routes(text)) {
+        log_rejected_entries(node, &table);
         gossip::announce(node, version);
     }
     Ok(())
 }
 
+fn log_rejected_entries(node: &Node, table: &RouteTable) {
+    for entry in table.rejected.iter().take(MAX_LOGGED_REJECTIONS) {
+        node.record_event(
+            &events::TABLE_ENTRY_REJECTED,
+            vec![
+                Field::new("version", table.version),
+                Field::new("section", entry.section.name()),
+                Field::new("entry", &entry.name),
+                Field::new("reason", &entry.reason),
+                Field::new("rejected", table.rejected.len()),
+            ],
+        );
+    }
+}
+
 async fn peer_routes(node: &Arc<Node>, peer: &MemberRecord) -> Result<String, FetchError> {
     let call = control::call(
         node,
--- a/crates/sorrelturn-daemon/src/config/settings.rs
+++ b/crates/sorrelturn-daemon/src/config/settings.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use sorrelturn_bundle::{Diagnostic, SourceMap, TrustedKeys, parse_settings};
 use sorrelturn_platform::OBJECTS_PATH;
+use sorrelturn_policy::ColdRate;
 use sorrelturn_quota::{Bound, ValidityConfig};
 use std::{
     collections::BTreeMap, net::SocketAddr, ops::RangeInclusive, path::PathBuf, time::Duration,
@@ -146,6 +147,17 @@
     /// The window of `retry_ratio` and `retry_slack`, in seconds.
     #[serde(default = "default_retry_window_s")]
     pub retry_window_s: f64,
+    /// The prefix of the objects that name evacuated failure domains, as in `evacuations/`. If
+    /// absent, none is evacuated.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuations: Option<String>,
+    /// With `cold_slack`, bounds the requests that all daemons may send to a cold backend server in
+    /// one second: the service's `cold_rate` x `cold_overage` + `cold_slack`.
+    #[serde(default = "default_cold_overage")]
+    pub cold_overage: f64,
+    /// See `cold_overage`.
+    #[serde(default)]
+    pub cold_slack: f64,
     /// How long a credential may be accepted after its revocation, even at an unreachable VM, in
     /// milliseconds. If absent, as long as the table in force has it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -174,6 +186,14 @@
         self.revocation_ms.map(Duration::from_millis)
     }
 
+    /// Returns the limit for a backend server that accepts `per_second` requests while it is cold.
+    pub(crate) fn cold_rate(&self, per_second: f64) -> ColdRate {
+        ColdRate {
+            per_second,
+            max_per_second: per_second * self.cold_overage + self.cold_slack,
+        }
+    }
+
     /// Returns the bound within which quotas are counted.
     pub(crate) fn quota_bound(&self) -> Bound {
         Bound {
@@ -330,6 +350,10 @@
     1_000
 }
 
+fn default_cold_overage() -> f64 {
+    1.0
+}
+
 fn default_quota_overage() -> f64 {
     0.1
 }
@@ -503,6 +527,25 @@
                 "write a kind, a slash and a name, as in config/main",
             );
         }
+        if let Some(routes) = &self.routes
+            && let Some(prefix) = &routes.evacuations
+            && !prefix.ends_with('/')
+        {
+            at(
+                &["routes", "evacuations"],
+                &format!("routes.evacuations doesn't end with a slash: {prefix:?}"),
+                "write a kind and a slash, as in evacuations/",
+            );
+        }
+        if let Some(routes) = &self.routes
+            && !(routes.cold_overage >= 0.0 && routes.cold_slack >= 0.0)
+        {
+            at(
+                &["routes", "cold_overage"],
+                "routes.cold_overage or routes.cold_slack is below 0",
+                "write numbers, 0 or more",
+            );
+        }
         if (self.listen.routed.is_some() || self.listen.announce.is_some()) && self.routes.is_none()
         {
             at(
--- a/crates/sorrelturn-daemon/src/fleet/control.rs
+++ b/crates/sorrelturn-daemon/src/fleet/control.rs
@@ -3,6 +3,7 @@
 use crate::{
     config::fetch,
     config::in_force::Origin,
+    fleet::evacuation,
     fleet::gossip,
     fleet::metered::MeteredStream,
     fleet::quota,
@@ -16,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 use smol::{future::FutureExt, stream::StreamExt};
 use sorrelturn_bundle::{ContentHash, SectionBytes, SignedManifest};
-use sorrelturn_fleet::{ExchangeReply, ExchangeRequest, Report};
+use sorrelturn_fleet::{Evacuations, ExchangeReply, ExchangeRequest, Report};
 use sorrelturn_policy::LeavingCause;
 use sorrelturn_protocol::{CrashUpdate, Incarnation, MemberRecord};
 use sorrelturn_quota::{AcquireReply, AcquireRequest};
@@ -68,6 +69,8 @@
         async fn ping() -> Incarnation;
         /// Returns the events of a request at this daemon and at the daemons that it forwarded the request to.
         async fn explain(request: String, hops_left: u8) -> Vec<EventRecord>;
+        /// Delivers the evacuated failure domains that the sender knows.
+        async fn update_evacuations(evacuations: Evacuations);
     }
 }
 
@@ -83,6 +86,7 @@
         let from = request.from.instance.clone();
         gossip::record_inbound_peer(&self.node, &from);
         gossip::receive_member_record(&self.node, request.from);
+        evacuation::receive(&self.node, &request.evacuations);
         fetch::fetch_if_newer(
             &self.node,
             request.version,
@@ -98,6 +102,7 @@
             version: lock(&self.node.bundle_tracker).in_force(),
             members: differs.then_some(members),
             crashes: crashes_differ.then(|| suspected_requests.snapshot(self.node.now())),
+            evacuations: self.node.evacuation.current(),
         }
     }
 
@@ -168,6 +173,10 @@
         self.node.incarnation
     }
 
+    async fn update_evacuations(self, _: context::Context, evacuations: Evacuations) {
+        evacuation::receive(&self.node, &evacuations);
+    }
+
     async fn explain(
         self,
         _: context::Context,
--- a/crates/sorrelturn-daemon/src/fleet/gossip.rs
+++ b/crates/sorrelturn-daemon/src/fleet/gossip.rs
@@ -7,13 +7,14 @@
     config::route_staleness,
     fleet::control::ControlClient,
     fleet::control_client::{self, ControlError},
+    fleet::evacuation,
     fleet::next_incarnation,
     fleet::reports,
     fleet::suspects,
     node::{Node, lock},
 };
 use smol::Timer;
-use sorrelturn_fleet::{ExchangeRequest, PUSH_FAN_OUT, Source, sample_peers};
+use sorrelturn_fleet::{Evacuations, ExchangeRequest, PUSH_FAN_OUT, Source, sample_peers};
 use sorrelturn_policy::LeavingCause;
 use sorrelturn_protocol::{CrashUpdate, MemberRecord, MemberState};
 use std::{collections::VecDeque, sync::Arc, time::Duration};
@@ -122,6 +123,13 @@
     });
 }
 
+/// Pushes the evacuated failure domains after they changed.
+pub(crate) fn push_evacuations(node: &Arc<Node>, evacuations: Evacuations) {
+    push_to_recipients(node, move |client, cx| async move {
+        client.update_evacuations(cx, evacuations).await
+    });
+}
+
 /// Makes one control call to each recipient in the background and ignores failures.
 fn push_to_recipients<T, F>(
     node: &Arc<Node>,
@@ -200,6 +208,7 @@
         version: lock(&node.bundle_tracker).in_force(),
         members: own_digest.checksum(),
         crashes: node.suspected_requests.checksum(node.now()),
+        evacuations: node.evacuation.current(),
     };
     let reply = control_client::call(node, peer, |client, cx| async move {
         client.exchange(cx, request).await
@@ -207,6 +216,7 @@
     .await?;
     fetch::fetch_if_newer(node, reply.version, Source::Peer(peer.instance.clone()));
     route_staleness::confirm_from_peer(node, sent, reply.version, reply.knowledge_age_ms);
+    evacuation::receive(node, &reply.evacuations);
     if let Some(theirs) = reply.crashes {
         suspects::receive_update(node, &theirs);
         let ours = node.suspected_requests.snapshot(node.now());
--- a/crates/sorrelturn-daemon/src/fleet/instance_table.rs
+++ b/crates/sorrelturn-daemon/src/fleet/instance_table.rs
@@ -62,11 +62,12 @@
 
     /// Builds a new snapshot from the membership and reuses the entries of unchanged members.
     ///
-    /// `warm_up_time` returns the warm-up time of a service.
+    /// Instances in `evacuated` failure domains receive no calls. `warm_up_time` returns the warm-up time of a service.
     pub(crate) fn rebuild(
         &self,
         membership: &Membership,
         own_domain: &str,
+        evacuated: &BTreeSet<String>,
         clock: Clock,
         warm_up_time: impl Fn(&str) -> Duration,
     ) -> Self {
@@ -104,7 +105,7 @@
             if !table.services.contains(&record.service) {
                 table.services.insert(record.service.clone());
             }
-            if record.state == MemberState::Live {
+            if record.state == MemberState::Live && !evacuated.contains(&record.failure_domain) {
                 table
                     .by_service
                     .entry(record.service.clone())
--- a/crates/sorrelturn-daemon/src/fleet/mod.rs
+++ b/crates/sorrelturn-daemon/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod control;
 pub(crate) mod control_client;
+pub(crate) mod evacuation;
 pub(crate) mod gossip;
 pub(crate) mod instance_table;
 pub(crate) mod join;
--- a/crates/sorrelturn-daemon/src/fleet/watch.rs
+++ b/crates/sorrelturn-daemon/src/fleet/watch.rs
@@ -8,6 +8,7 @@
     config::fetch::{self, FetchError},
     config::route_staleness,
     fleet::control_client,
+    fleet::evacuation,
     fleet::gossip,
     node::{Node, lock},
     store::{self, member_record},
@@ -15,7 +16,7 @@
 use smol::{
     Timer,
     channel::{self, Receiver},
-    future::FutureExt,
+    future::{self, FutureExt},
 };
 use sorrelturn_bundle::SignedManifest;
 use sorrelturn_fleet::{
@@ -47,6 +48,9 @@
 const ROUTE_TABLE_WATCH_DURATION: Duration = Duration::from_secs(30);
 /// Delay between two watches of the members with a route table. Batches the many updates at the start of a fleet.
 const ROUTE_TABLE_WATCH_DELAY: Duration = Duration::from_secs(1);
+/// Duration of one long-poll watch of the evacuated failure domains. Short, since a watch whose connection has stalled
+/// is noticed only at its end.
+const EVACUATION_WATCH_DURATION: Duration = Duration::from_secs(2);
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Interval between pings, each of which goes to one member.
 const PING_INTERVAL: Duration = Duration::from_secs(1);
@@ -119,7 +123,8 @@
     };
     let watch_store = watch_config_head(node, &watched, &restart_head)
         .or(read_config_head(node, &watched, restart_watches))
-        .or(watch_members(node, &restart_members));
+        .or(watch_members(node, &restart_members))
+        .or(watch_evacuations(node));
     if node.settings.routes.is_some() {
         return watch_store.or(ping_members(node)).await;
     }
@@ -279,6 +284,48 @@
     .await;
 }
 
+/// Keeps the evacuated failure domains up to date, if operators can evacuate any.
+async fn watch_evacuations(node: &Arc<Node>) {
+    let routes = node.settings.routes.as_ref();
+    let Some(prefix) = routes.and_then(|routes| routes.evacuations.as_deref()) else {
+        return future::pending().await;
+    };
+    loop {
+        let Ok(listed) = node.platform.list(prefix).await else {
+            wait_before_retry().await;
+            continue;
+        };
+        store::log_unreadable_entries(node, prefix, &listed);
+        evacuation::receive(node, &evacuation::from_list(prefix, &listed));
+        if watch_until_change(node, prefix, listed.revision)
+            .await
+            .is_err()
+        {
+            wait_before_retry().await;
+        }
+    }
+}
+
+/// Returns after the first change under `prefix`. Its events are not applied: they don't tell the order in which an
+/// object was removed and created again.
+async fn watch_until_change(
+    node: &Arc<Node>,
+    prefix: &str,
+    mut since: u64,
+) -> Result<(), PlatformError> {
+    loop {
+        let watch = node
+            .platform
+            .watch(prefix, since, EVACUATION_WATCH_DURATION);
+        let changes = watch.await?;
+        let is_unchanged = changes.objects.is_empty() && changes.removed.is_empty();
+        if !is_unchanged || changes.left_out > 0 {
+            return Ok(());
+        }
+        since = changes.revision;
+    }
+}
+
 async fn read_vm_list(node: &Arc<Node>) {
     let mut rejected_services = Vec::new();
     loop {
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -3,12 +3,13 @@
 use crate::{
     backend::crash::Crashes,
     backend::link::Backend,
-    backend::state::Routed,
+    backend::state::{self, Routed},
     clock::Clock,
     config::in_force::{InForce, Origin, RetryLimits},
     config::route_staleness::RouteStaleness,
     config::settings::Settings,
     fleet::control_client::ControlLinks,
+    fleet::evacuation::EvacuationState,
     fleet::instance_table::InstanceTable,
     fleet::quota::Quota,
     fleet::suspects::SuspectedRequests,
@@ -28,7 +29,7 @@
 use sorrelturn_fleet::{BundleTracker, DomainView, Membership};
 use sorrelturn_once::{AttemptRegister, Ledger};
 use sorrelturn_platform::Platform;
-use sorrelturn_policy::{GateConfig, Leaving, LeavingCause, Now};
+use sorrelturn_policy::{ColdRate, GateConfig, Leaving, LeavingCause, Now};
 use sorrelturn_protocol::{Announcement, Incarnation, MemberRecord, MemberState};
 use sorrelturn_telemetry::{EventKind, EventRing, Field, SpanBuffer, events};
 use std::{
@@ -96,6 +97,8 @@
     /// When each instance last started a gossip exchange with this daemon.
     pub(crate) inbound_peers: Mutex<HashMap<String, Now>>,
     pub(crate) leaving: Mutex<Leaving>,
+    /// The failure domains that operators evacuate.
+    pub(crate) evacuation: EvacuationState,
     pub(crate) shutdown: Shutdown,
     pub(crate) own_record: ArcSwap<MemberRecord>,
     pub(crate) events: EventRing,
@@ -246,6 +249,9 @@
             self.admission
                 .with_gate(|current, _| current.reconfigure(gate));
             self.backend.reconfigure(service.connections);
+            let cold_rate = self.cold_rate(&bundle);
+            self.admission
+                .with_gate(|gate, _| gate.cold_limiter().set_rate(cold_rate));
         }
         if let Some(routed) = &self.routed {
             routed.retain_kinds(&bundle);
@@ -261,6 +267,13 @@
         true
     }
 
+    /// Returns the limit on requests to the own backend server while it is cold, if there is one.
+    fn cold_rate(&self, bundle: &Bundle) -> Option<ColdRate> {
+        let service = bundle.routed_services().get(&self.settings.service)?;
+        let routes = self.settings.routes.as_ref()?;
+        Some(routes.cold_rate(service.cold_rate?))
+    }
+
     /// Returns this daemon's retry limits: the configured ratio, and its share of the slack by the number of members.
     fn retry_limits(&self) -> RetryLimits {
         let Some(routes) = &self.settings.routes else {
@@ -279,8 +292,13 @@
     pub(crate) fn record_backend_reachability(&self, reached: bool) {
         let was_lost = self.counts.backend_lost.swap(!reached, Ordering::Relaxed);
         match (was_lost, reached) {
-            (false, false) => self.record_event(&events::BACKEND_LOST, Vec::new()),
+            (false, false) => {
+                // Cold from now on, since several requests may arrive before the first answer.
+                state::assume_cold(self);
+                self.record_event(&events::BACKEND_LOST, Vec::new());
+            }
             (true, true) => {
+                state::assume_cold(self);
                 self.admission
                     .with_gate(|gate, now| gate.backend_restarted(now));
                 self.record_event(&events::BACKEND_BACK, Vec::new());
@@ -376,10 +394,16 @@
         };
         let domain = &self.settings.failure_domain;
         let before = self.instances.load();
-        let table = before.rebuild(membership, domain, self.clock, cold_start);
+        let evacuated = self.evacuation.domains();
+        let table = before.rebuild(membership, domain, &evacuated, self.clock, cold_start);
         self.instances.store(Arc::new(table));
     }
 
+    /// Stops or resumes calls to instances after the evacuated failure domains changed.
+    pub(crate) fn apply_evacuations(&self) {
+        self.rebuild_instance_table(&lock(&self.membership));
+    }
+
     /// Changes the state in the own record. The gossip task sends it to peers.
     pub(crate) fn set_own_state(&self, state: MemberState) -> MemberRecord {
         self.change_own_record(|record| record.state = state)
--- a/crates/sorrelturn-daemon/src/request/dialect.rs
+++ b/crates/sorrelturn-daemon/src/request/dialect.rs
@@ -21,6 +21,8 @@
     pub backend_id: HeaderName,
     /// From a backend server: running requests, queued requests, slots, separated by commas.
     pub load: HeaderName,
+    /// From a backend server's health check: the milliseconds for which it is still cold.
+    pub cold_ms: HeaderName,
     /// From a caller: its credential, which isn't forwarded.
     pub credential: HeaderName,
     /// To a backend server: the name of the caller's workspace.
@@ -32,7 +34,7 @@
 pub struct Dialect {
     /// The header names.
     pub headers: HeaderNames,
-    /// Parses the operators' route table from the platform's store; the error is a message.
+    /// Parses the operators' route table from the platform's store; the error says why none of it can be used.
     pub read_routes: fn(&str) -> Result<RouteTable, String>,
 }
 
@@ -49,10 +51,11 @@
                 not_run: name("not-run"),
                 backend_id: name("backend-id"),
                 load: name("backend-load"),
+                cold_ms: name("cold-ms"),
                 credential: name("credential"),
                 workspace: name("workspace"),
             },
-            read_routes: |text| serde_json::from_str(text).map_err(|error| error.to_string()),
+            read_routes: RouteTable::parse,
         }
     }
 }
--- a/crates/sorrelturn-daemon/src/request/identity.rs
+++ b/crates/sorrelturn-daemon/src/request/identity.rs
@@ -13,6 +13,8 @@
 
 /// Sent if a credential can't be checked now.
 const CREDENTIAL_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// Sent if the entry for a request can't be used, which lasts until operators correct it.
+const UNUSABLE_ENTRY_RETRY_AFTER: Duration = Duration::from_secs(5);
 /// The minimum time between two events.
 const UNKNOWN_CREDENTIAL_EVENT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -42,7 +44,17 @@
             || Reply::not_run(Refusal::NoBundle).with_retry_after(owner::retry_after(node));
         let in_force = in_force.ok_or_else(no_bundle)?;
         let route = in_force.bundle.match_route(host, path).cloned();
-        let route = route.ok_or_else(|| Reply::not_run(Refusal::UnknownKind))?;
+        let Some(route) = route else {
+            let may_be_rejected = in_force.bundle.has_unlocated_rejection();
+            return Err(if may_be_rejected {
+                unusable_entry()
+            } else {
+                Reply::not_run(Refusal::UnknownKind)
+            });
+        };
+        if route.is_rejected() {
+            return Err(unusable_entry());
+        }
         match requesting_workspace(&in_force.bundle, &route, presented.as_ref()) {
             Some(workspace)
                 if workspace.is_none() || route_staleness::is_valid(node, node.now()) =>
@@ -66,6 +78,9 @@
                 }
             }
             None if check_unknown(node, presented, arrived_at) => {
+                if in_force.bundle.has_rejected_workspace() {
+                    return Err(unusable_entry());
+                }
                 record_unknown_credential(node, routed, presented.as_ref());
                 return Err(Reply::not_run(Refusal::UnknownCaller));
             }
@@ -84,6 +99,11 @@
     }
 }
 
+/// Callers give up after `UnknownKind` and `UnknownCaller`, but the next version may have the entry.
+fn unusable_entry() -> Reply {
+    Reply::not_run(Refusal::UnusableEntry).with_retry_after(UNUSABLE_ENTRY_RETRY_AFTER)
+}
+
 /// Whether the newest route table certainly lacks the credential, which is then remembered as unknown as long as the
 /// table is valid.
 fn check_unknown(node: &Node, presented: Option<CredentialHash>, arrived_at: Now) -> bool {
--- a/crates/sorrelturn-daemon/src/request/owner.rs
+++ b/crates/sorrelturn-daemon/src/request/owner.rs
@@ -68,6 +68,9 @@
     if context.service != node.settings.service {
         return refund_attempts(refuse_call(node, &context, Refusal::OtherService), attempts);
     }
+    if node.evacuation.includes_own_domain() {
+        return refund_attempts(refuse_call(node, &context, Refusal::Evacuated), attempts);
+    }
     let Some(in_force) = node.in_force.load_full() else {
         return refund_attempts(refuse_call(node, &context, Refusal::NoBundle), attempts);
     };
--- a/crates/sorrelturn-fleet/src/lib.rs
+++ b/crates/sorrelturn-fleet/src/lib.rs
@@ -1,6 +1,7 @@
 #![doc = include_str!("../README.md")]
 
 mod bundle_tracker;
+mod evacuations;
 mod membership;
 mod messages;
 mod rank;
@@ -8,6 +9,7 @@
 mod vm_list;
 
 pub use bundle_tracker::{BundleTracker, Fetch, PUSH_FAN_OUT, Source, sample_peers};
+pub use evacuations::Evacuations;
 pub use membership::{Membership, MembershipDigest, bucket_of};
 pub use messages::{ExchangeReply, ExchangeRequest, Report};
 pub use rank::{STANDBY_WATCHER_COUNT, WATCHER_COUNT, predecessors, ranked, searchers_for};
--- a/crates/sorrelturn-fleet/src/messages.rs
+++ b/crates/sorrelturn-fleet/src/messages.rs
@@ -1,6 +1,6 @@
 //! Control messages between daemons.
 
-use crate::MembershipDigest;
+use crate::{Evacuations, MembershipDigest};
 use serde::{Deserialize, Serialize};
 use sorrelturn_protocol::{CrashUpdate, MemberRecord, MemberState};
 
@@ -15,6 +15,8 @@
     pub members: u64,
     /// Checksum of the sender's information about crashes.
     pub crashes: u64,
+    /// The evacuated failure domains that the sender knows.
+    pub evacuations: Evacuations,
 }
 
 /// The reply to an [`ExchangeRequest`]; if all checksums are equal, the exchange ends here.
@@ -28,6 +30,8 @@
     pub members: Option<MembershipDigest>,
     /// The receiver's information about crashes, if its checksum differs.
     pub crashes: Option<CrashUpdate>,
+    /// The evacuated failure domains that the receiver knows.
+    pub evacuations: Evacuations,
 }
 
 impl MembershipDigest {
--- a/crates/sorrelturn-once/src/ledger.rs
+++ b/crates/sorrelturn-once/src/ledger.rs
@@ -251,7 +251,7 @@
         self.unexpired_issued_ms.len()
     }
 
-    /// Evicts expired tokens and their outcomes, oldest first, up to the first token with a request in progress.
+    /// Evicts expired tokens and their outcomes, except those with a request in progress.
     pub fn evict_expired(&mut self, now: Duration) {
         while self
             .unexpired_issued_ms
@@ -260,28 +260,30 @@
         {
             self.unexpired_issued_ms.pop_front();
         }
-        while let Some((issued_ms, nonce)) = self.used_by_age.first().copied() {
-            let is_in_progress = matches!(
-                self.used.get(&nonce),
-                Some(UsedToken {
-                    state: TokenState::InProgress,
-                    ..
-                })
-            );
-            if is_in_progress || !self.is_expired(now, issued_ms) {
-                break;
-            }
-            self.used_by_age.pop_first();
+        let expired: Vec<(u64, u128)> = self
+            .used_by_age
+            .iter()
+            .take_while(|(issued_ms, _)| self.is_expired(now, *issued_ms))
+            .filter(|(_, nonce)| !self.is_in_progress(*nonce))
+            .copied()
+            .collect();
+        for token in expired {
+            self.used_by_age.remove(&token);
             if let Some(UsedToken {
                 state: TokenState::Ended(outcome),
                 ..
-            }) = self.used.remove(&nonce)
+            }) = self.used.remove(&token.1)
             {
                 self.retained_bytes -= outcome.retained_bytes();
             }
         }
     }
 
+    fn is_in_progress(&self, nonce: u128) -> bool {
+        let used = self.used.get(&nonce);
+        used.is_some_and(|used| matches!(used.state, TokenState::InProgress))
+    }
+
     fn is_expired(&self, now: Duration, issued_ms: u64) -> bool {
         now >= Duration::from_millis(issued_ms) + self.cfg.ttl
     }
--- a/crates/sorrelturn-once/tests/at_most_once.rs
+++ b/crates/sorrelturn-once/tests/at_most_once.rs
@@ -131,6 +131,27 @@
     assert_eq!(ledger.begin(TTL, &token, FINGERPRINT), BeginResult::Expired);
 }
 
+#[test]
+fn a_request_that_still_runs_doesnt_keep_the_outcomes_of_later_tokens() {
+    let mut rng = fastrand::Rng::with_seed(6);
+    let mut ledger = ledger(1, 10);
+    let mut issue = |at| {
+        let token = ledger.issue(ms(at), &mut rng);
+        let token = token.expect("a token below the capacity limit");
+        assert_eq!(
+            ledger.begin(ms(at), &token, FINGERPRINT),
+            BeginResult::MayRun
+        );
+        token
+    };
+    let (running, later) = (issue(0), issue(1));
+    ledger.end(&later, outcome(200));
+    ledger.evict_expired(TTL + ms(1));
+    assert_eq!(ledger.retained_bytes(), 0);
+    let repeat = ledger.begin(TTL + ms(1), &running, FINGERPRINT);
+    assert_eq!(repeat, BeginResult::InProgress);
+}
+
 #[test]
 fn at_the_limit_new_tokens_are_refused_and_none_evicted() {
     let mut rng = fastrand::Rng::with_seed(6);
--- a/crates/sorrelturn-platform/src/api.rs
+++ b/crates/sorrelturn-platform/src/api.rs
@@ -61,8 +61,8 @@
 /// A page of a list.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct WireList {
-    /// Objects sorted by name.
-    pub items: Readable<WireObject>,
+    /// Objects sorted by name, each a [`WireObject`] if it can be parsed.
+    pub items: Vec<Value>,
     /// Whether there are more pages.
     #[serde(default)]
     pub has_more: bool,
@@ -115,16 +115,35 @@
     }
 }
 
-impl<'de, T: DeserializeOwned> Deserialize<'de> for Readable<T> {
-    fn deserialize<D: Deserializer<'de>>(input: D) -> Result<Self, D::Error> {
-        let values = Vec::<Value>::deserialize(input)?;
+impl<T: DeserializeOwned> Readable<T> {
+    /// Parses each entry.
+    pub(crate) fn parse(values: Vec<Value>) -> Self {
         let total = values.len();
         let read = values.into_iter().map(serde_json::from_value);
         let entries: Vec<T> = read.filter_map(Result::ok).collect();
-        Ok(Self {
+        Self {
             left_out: total - entries.len(),
             entries,
-        })
+        }
+    }
+}
+
+impl<'de, T: DeserializeOwned> Deserialize<'de> for Readable<T> {
+    fn deserialize<D: Deserializer<'de>>(input: D) -> Result<Self, D::Error> {
+        Vec::<Value>::deserialize(input).map(Self::parse)
+    }
+}
+
+impl WireList {
+    /// Returns the last name on the page, also of an object that can't be parsed otherwise.
+    pub(crate) fn last_name(&self) -> Option<String> {
+        let name_of = |item: &Value| {
+            item.get("metadata")?
+                .get("name")?
+                .as_str()
+                .map(str::to_owned)
+        };
+        self.items.iter().rev().find_map(name_of)
     }
 }
 
--- a/crates/sorrelturn-platform/src/client.rs
+++ b/crates/sorrelturn-platform/src/client.rs
@@ -2,13 +2,14 @@
 
 use crate::{
     Changes, Object, VmEntry,
-    api::{WireEvents, WireList, WireObject},
+    api::{Readable, WireEvents, WireList, WireObject},
     http::{ExchangeError, exchange},
     keys,
 };
 use bytes::Bytes;
 use displaydoc::Display;
 use hyper::{Method, Request, Response, StatusCode, header::CONTENT_TYPE};
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::de::DeserializeOwned;
 use std::{
     net::SocketAddr,
@@ -202,6 +203,8 @@
         loop {
             let mut path = self.kind_path(prefix);
             if !after.is_empty() {
+                // Others name objects too, and may use characters that a URI can't hold.
+                let after = utf8_percent_encode(&after, NON_ALPHANUMERIC);
                 path = format!("{path}?after={after}");
             }
             let req = request(Method::GET, &path);
@@ -211,10 +214,10 @@
             if all.revision == 0 {
                 all.revision = page.store_revision;
             }
-            all.left_out += page.items.left_out;
-            let items = page.items.entries;
-            let last = items.last().map(|item| item.metadata.name.clone());
-            let objects = items.into_iter();
+            let last = page.last_name();
+            let items = Readable::<WireObject>::parse(page.items);
+            all.left_out += items.left_out;
+            let objects = items.entries.into_iter();
             all.objects
                 .extend(objects.map(|object| object.into_object(keys::prefix(prefix))));
             match last {
--- a/crates/sorrelturn-platform/src/stand_in.rs
+++ b/crates/sorrelturn-platform/src/stand_in.rs
@@ -11,6 +11,7 @@
 use hyper::{
     Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
 };
+use percent_encoding::percent_decode_str;
 use serde::Serialize;
 use smol::{Executor, Timer, future, lock::Mutex, net::TcpListener};
 use std::{
@@ -119,7 +120,8 @@
     async fn list(&self, kind: &str, query: &Query<'_>) -> Answer {
         let mut store = self.store.lock().await;
         store.counters.reads += 1;
-        json(&store.page(kind, query.text("after")))
+        let after = percent_decode_str(query.text("after")).decode_utf8_lossy();
+        json(&store.page(kind, &after))
     }
 
     async fn delete(&self, kind: &str, name: &str, query: &Query<'_>) -> Answer {
--- a/crates/sorrelturn-platform/src/store.rs
+++ b/crates/sorrelturn-platform/src/store.rs
@@ -146,10 +146,11 @@
             .flat_map(|objects| objects.range(after.to_owned()..))
             .filter(|(name, _)| name.as_str() > after)
             .map(|(_, object)| object.clone());
-        let items: Vec<WireObject> = rest.by_ref().take(PAGE_CAPACITY).collect();
+        let page = rest.by_ref().take(PAGE_CAPACITY);
+        let items = page.filter_map(|object| serde_json::to_value(object).ok());
         WireList {
+            items: items.collect(),
             has_more: rest.next().is_some(),
-            items: items.into(),
             store_revision: self.revision,
         }
     }
--- a/crates/sorrelturn-platform/tests/faults_and_conditions.rs
+++ b/crates/sorrelturn-platform/tests/faults_and_conditions.rs
@@ -177,6 +177,42 @@
     });
 }
 
+/// Guards against a list that ends at a page whose objects can't be parsed.
+#[test]
+fn a_list_goes_on_after_a_page_of_which_nothing_can_be_read() {
+    let pages = [
+        r#"{"items":[{"metadata":{"name":"a b","revision":"?"}}],"has_more":true,"store_revision":3}"#,
+        r#"{"items":[{"metadata":{"name":"good","revision":2},"value":"v"}],"store_revision":3}"#,
+    ];
+    let ex = Arc::new(Executor::new());
+    smol::block_on(ex.run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let addr = listener.local_addr().expect("address");
+        let answered = ex.spawn(async move {
+            let mut requests = Vec::new();
+            for page in pages {
+                let (mut tcp, _) = listener.accept().await.expect("a caller");
+                let mut buf = [0; 4096];
+                let len = tcp.read(&mut buf).await.expect("a request");
+                requests.push(String::from_utf8_lossy(&buf[..len]).into_owned());
+                let length = page.len();
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n"
+                );
+                let sent = tcp.write_all((head + page).as_bytes()).await;
+                sent.expect("sent");
+            }
+            requests
+        });
+        let changes = Platform::new(addr, TIMEOUT).list("kind/").await;
+        let changes = changes.expect("a list");
+        assert_eq!(changes.objects.len(), 1);
+        assert_eq!(changes.left_out, 1);
+        let requests = answered.await;
+        assert!(requests[1].contains("after=a%20b "), "{}", requests[1]);
+    }));
+}
+
 /// Guards against one invalid entry of another client hiding a whole list.
 #[test]
 fn entries_of_a_list_that_cant_be_read_are_left_out_and_counted() {
--- a/crates/sorrelturn-policy/src/gate.rs
+++ b/crates/sorrelturn-policy/src/gate.rs
@@ -2,7 +2,8 @@
 //! See `docs/design/admission.md`.
 
 use crate::{
-    AdaptiveLimit, ConcurrencyTuner, Now, Outcome, OverloadDetector, SheddingLevel, TuningSample,
+    AdaptiveLimit, ColdLimiter, ConcurrencyTuner, Now, Outcome, OverloadDetector, SheddingLevel,
+    TuningSample,
 };
 use sorrelturn_protocol::{Importance, Priority, Refusal};
 use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
@@ -106,6 +107,7 @@
     last_sample: TuningSample,
     overload_detector: OverloadDetector,
     level: SheddingLevel,
+    cold: ColdLimiter,
     in_flight: u32,
     queue: BTreeMap<QueueKey, Now>,
 }
@@ -120,6 +122,7 @@
             last_sample: TuningSample::default(),
             overload_detector: OverloadDetector::new(now),
             level: SheddingLevel::new(now),
+            cold: ColdLimiter::new(now),
             in_flight: 0,
             queue: BTreeMap::new(),
         }
@@ -143,6 +146,10 @@
             self.level.arrived(arrival.level);
             self.update_level(now);
         }
+        if !self.cold.has_token(now) {
+            // Not queued, and no sign of overload: other instances may be warm.
+            return (Decision::Refuse(Refusal::WarmingUp), None);
+        }
         if self.has_free_slot(now) && self.queue.is_empty() {
             self.admit(now, Duration::ZERO);
             return (Decision::Admit, None);
@@ -281,7 +288,13 @@
     /// Requests in flight and queued, in percent of the steady limit.
     pub fn load_percent(&self, now: Now) -> u16 {
         let load = (u64::from(self.in_flight) + self.queue.len() as u64) * 100;
-        (load / u64::from(self.steady_limit(now))).min(u64::from(u16::MAX)) as u16
+        let load = (load / u64::from(self.steady_limit(now))).min(u64::from(u16::MAX)) as u16;
+        load.max(self.cold.load_percent(now))
+    }
+
+    /// The limit on admissions while the backend server is cold.
+    pub fn cold_limiter(&mut self) -> &mut ColdLimiter {
+        &mut self.cold
     }
 
     /// The priority below which requests are shed, or the shedding level where levels are in use.
@@ -324,6 +337,7 @@
     }
 
     fn admit(&mut self, now: Now, queueing_delay: Duration) {
+        self.cold.take(now);
         self.in_flight += 1;
         self.last_sample = self.tuner.begin(now, self.in_flight);
         self.overload_detector.admitted(queueing_delay);
@@ -334,7 +348,7 @@
 
     fn release(&mut self, now: Now) -> Released {
         let mut released = Released::default();
-        while self.has_free_slot(now) {
+        while self.has_free_slot(now) && self.cold.has_token(now) {
             let Some((key, queued_at)) = self.queue.pop_last() else {
                 break;
             };
--- a/crates/sorrelturn-policy/src/lib.rs
+++ b/crates/sorrelturn-policy/src/lib.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod bucket;
 mod call_graph;
+mod cold_limiter;
 mod concurrency_tuner;
 mod freshness;
 mod gate;
@@ -24,6 +25,7 @@
 pub use attempts::{AttemptPool, first_attempt_share};
 pub use bucket::{RateBucket, RetryBucket};
 pub use call_graph::{CallGraph, Candidate};
+pub use cold_limiter::{ColdLimiter, ColdRate};
 pub use concurrency_tuner::{ConcurrencyTuner, TuningSample};
 pub use freshness::Freshness;
 pub use gate::{Arrival, Decision, Gate, GateConfig, Released};
--- a/crates/sorrelturn-protocol/src/refusal.rs
+++ b/crates/sorrelturn-protocol/src/refusal.rs
@@ -64,6 +64,12 @@
     BackendCrashed,
     /// the request is quarantined because backend servers crashed while they ran it
     Quarantined,
+    /// the entry of the route table that the request needs can't be used
+    UnusableEntry,
+    /// the backend server has just started and accepts few requests
+    WarmingUp,
+    /// the failure domain is being evacuated
+    Evacuated,
 }
 
 impl Refusal {
@@ -119,6 +125,9 @@
             Self::NoInstanceBelow => "no-instance-below",
             Self::BackendCrashed => "backend-crashed",
             Self::Quarantined => "quarantined",
+            Self::UnusableEntry => "unusable-entry",
+            Self::WarmingUp => "warming-up",
+            Self::Evacuated => "evacuated",
         }
     }
 
@@ -132,6 +141,8 @@
                 | Self::NoBundle
                 | Self::BackendUnreachable
                 | Self::BackendCrashed
+                | Self::WarmingUp
+                | Self::Evacuated
         )
     }
 
@@ -145,6 +156,8 @@
                 | Self::OtherService
                 | Self::BackendUnreachable
                 | Self::BackendRefused
+                | Self::WarmingUp
+                | Self::Evacuated
         )
     }
 }
--- a/crates/sorrelturn-quota/src/allocator.rs
+++ b/crates/sorrelturn-quota/src/allocator.rs
@@ -31,6 +31,8 @@
     tokens: f64,
     /// The shard's `leased_share_seconds` at the last credit of tokens.
     credited_share_seconds: f64,
+    /// The shard's `leased_share_seconds` at which the pool is full.
+    full_at_share_seconds: f64,
     /// The estimated number of refused requests that will be retried.
     backlog: f64,
     last_refusal: Now,
@@ -190,6 +192,7 @@
         let pool = self.pools.entry(workspace).or_insert(Pool {
             tokens: 0.0,
             credited_share_seconds: 0.0,
+            full_at_share_seconds: 0.0,
             backlog: 0.0,
             last_refusal: now,
         });
@@ -198,6 +201,9 @@
         pool.tokens = (pool.tokens + earned).min((limit.burst * leased_fraction).max(1.0));
         pool.credited_share_seconds = leased;
         let granted = (pool.tokens.max(0.0) as u32).min(requested);
+        // Against the whole burst, since more shares may be leased later.
+        let missing = (limit.burst.max(1.0) - pool.tokens + f64::from(granted)).max(0.0);
+        pool.full_at_share_seconds = leased + missing / limit.rate.max(f64::MIN_POSITIVE);
         if granted > 0 {
             pool.tokens -= f64::from(granted);
             return AcquireOutcome::Granted(granted);
@@ -209,15 +215,15 @@
         if self.pools.len() < POOL_EVICTION_THRESHOLD {
             return;
         }
-        // An evicted pool is recreated full. Without requests for this many share-seconds it has refilled if they earn
-        // at least its capacity.
+        // An evicted pool is recreated full, so only full ones are evicted.
         let leased = self.leased_share_seconds;
-        let is_idle = |workspace: &CallerId, pool: &Pool| {
-            leased[Shard::of(*workspace).index()] - pool.credited_share_seconds
-                > BACKLOG_DECAY_TIME.as_secs_f64()
+        let is_full = |workspace: &CallerId, pool: &Pool| {
+            let leased = leased[Shard::of(*workspace).index()];
+            leased - pool.credited_share_seconds > BACKLOG_DECAY_TIME.as_secs_f64()
+                && leased >= pool.full_at_share_seconds
         };
         self.pools
-            .retain(|workspace, pool| !is_idle(workspace, pool));
+            .retain(|workspace, pool| !is_full(workspace, pool));
     }
 }
 
--- a/crates/sorrelturn-quota/tests/allocator.rs
+++ b/crates/sorrelturn-quota/tests/allocator.rs
@@ -190,3 +190,32 @@
     assert_eq!(fraction(249), 1.0);
     assert_eq!(fraction(250), 0.0);
 }
+
+/// Guards against a burst that is granted again because a pool was evicted before it had refilled.
+#[test]
+fn a_used_up_pool_is_not_evicted_before_it_is_full_again() {
+    const BURST_OF_A_MINUTE: Limit = Limit {
+        rate: 10.0,
+        burst: 600.0,
+    };
+    let mut allocator = QuotaAllocator::new(INCARNATION, VALIDITY, Now::ZERO);
+    let mut acquire = |ms: u64, workspace: CallerId, requested: u32| {
+        let mut req = request(1, at_ms(ms), requested);
+        req.workspace = Some(workspace);
+        let reply = allocator.acquire(at_ms(ms), &req, Some(BURST_OF_A_MINUTE), 1);
+        granted(reply.outcome)
+    };
+    for ms in (0..70_000).step_by(500) {
+        acquire(ms, WORKSPACE, 0);
+    }
+    let first = acquire(70_000, WORKSPACE, 1_000);
+    assert!(first >= 500, "{first} granted");
+    for ms in (70_500..76_500).step_by(500) {
+        acquire(ms, CallerId(1), 0);
+    }
+    for other in 2..20_100 {
+        acquire(76_500, CallerId(other), 1);
+    }
+    let second = acquire(76_500, WORKSPACE, 1_000);
+    assert!(second <= 70, "{second} granted after 6.5 s");
+}
--- a/crates/sorrelturn-telemetry/src/events.rs
+++ b/crates/sorrelturn-telemetry/src/events.rs
@@ -64,9 +64,12 @@
     REQUESTS_HELD = 210 "requests-held" Warn "Requests were in progress when several backend servers crashed, and are now quarantined.";
     REQUESTS_CLEARED = 211 "requests-cleared" Info "Quarantined requests completed on some backend server and are admitted again.";
 
+    BACKEND_COLD = 212 "backend-cold" Info "The backend server reported that it is cold, or no longer cold; while it is cold, few requests are sent to it.";
+
     BUNDLE_IN_FORCE = 300 "bundle-in-force" Info "A higher bundle version is in force on this daemon.";
     BUNDLE_REFUSED = 301 "bundle-refused" Error "A bundle was rejected.";
     BUNDLE_FETCH_FAILED = 302 "bundle-fetch-failed" Warn "A higher bundle version is known but could not be fetched.";
+    TABLE_ENTRY_REJECTED = 303 "table-entry-rejected" Error "An entry of the route table can't be used; the other entries are in force. At most 20 are logged for each version.";
 
     MEMBER_JOINED = 400 "member-joined" Info "A daemon joined or restarted.";
     MEMBER_LEAVING = 401 "member-leaving" Info "A daemon stopped accepting new calls.";
@@ -78,6 +81,8 @@
     MEMBER_SWEPT = 407 "member-swept" Warn "A member did not answer the pings of a watcher for some time and is considered gone.";
     NEXT_RUN_FOUND = 408 "next-run-found" Info "The next incarnation of a daemon that had stopped was found at its address.";
 
+    EVACUATION_CHANGED = 409 "evacuation-changed" Info "Operators asked to evacuate failure domains, or took that back; the backend servers of evacuated ones receive no requests.";
+
     PLATFORM_LOST = 500 "platform-lost" Warn "The platform doesn't answer; the daemon continues with the data it has.";
     PLATFORM_BACK = 501 "platform-back" Info "The platform answers again.";
     OUTCOMES_UNSAVED = 502 "outcomes-unsaved" Warn "The outcomes of tokens could not be written to the platform.";
