--- a/crates/sorrelturn-bench/src/fleet.rs
+++ b/crates/sorrelturn-bench/src/fleet.rs
@@ -131,6 +131,7 @@
             fleet_keys: self.fleet_keys.clone(),
             threads: 1,
             connections: 2_048,
+            memory_mb: None,
             once: OnceSettings::default(),
             stop: StopSettings::default(),
             trace: self.trace,
--- a/crates/sorrelturn-daemon/src/config/settings.rs
+++ b/crates/sorrelturn-daemon/src/config/settings.rs
@@ -50,6 +50,10 @@
     /// one that has been idle longest; connections that carry requests stay open.
     #[serde(default = "default_connections")]
     pub connections: usize,
+    /// The memory that the process may use, in megabytes. Requests are refused before those in progress take most of
+    /// it. Absent if it isn't limited.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub memory_mb: Option<u64>,
     /// At-most-once execution.
     #[serde(default)]
     pub once: OnceSettings,
--- a/crates/sorrelturn-daemon/src/net/serve.rs
+++ b/crates/sorrelturn-daemon/src/net/serve.rs
@@ -221,7 +221,8 @@
 {
     let service = service_fn(|req| {
         let active_guard = closable.map(Connection::mark_active);
-        let answered = answer(req);
+        // Boxed, since the future around it would hold it twice.
+        let answered = Box::pin(answer(req));
         async move {
             let res = answered.await;
             drop(active_guard);
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -47,6 +47,10 @@
 /// The fraction of the configured retry slack that daemons use. Daemons that restart within a window lose their counts
 /// and may use their share again.
 const RETRY_SLACK_FRACTION: f64 = 0.5;
+/// The memory of a request in progress without its body: two connections with their buffers, and its tasks.
+const REQUEST_MEMORY_BYTES: usize = 100 << 10;
+/// A buffered body is held for retries, and once more in a buffer of each of its two connections.
+const BODY_COPIES: usize = 3;
 /// The retry slack is divided by at least this many members, because a daemon knows few of them after its start.
 const MIN_MEMBERS_FOR_SLACK_SHARE: usize = 12;
 
@@ -114,6 +118,8 @@
 pub(crate) struct Counts {
     /// Requests that this daemon handles now, in any role.
     pub(crate) active_requests: AtomicUsize,
+    /// Bytes of the buffered bodies of these requests.
+    pub(crate) buffered_body_bytes: AtomicUsize,
     /// Open connections over all listeners.
     pub(crate) connections: Arc<AtomicUsize>,
     /// Whether the last attempt to reach the backend server failed.
@@ -122,10 +128,35 @@
     pub(crate) last_report: LastTime,
     /// Whether this daemon watches the platform for its failure domain.
     pub(crate) watching: AtomicBool,
+    /// Whether the store had no record of this daemon when it started.
+    pub(crate) is_record_absent: AtomicBool,
+    /// Whether the store has a record that this incarnation wrote.
+    pub(crate) is_record_written: AtomicBool,
+    /// Whether the members of the fleet are known, as far as the store lists them.
+    pub(crate) has_joined: AtomicBool,
     /// Bytes of control messages, sent and received.
     pub(crate) control_bytes: AtomicU64,
 }
 
+/// What memory is needed for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum MemoryDemand {
+    /// A request of a caller, which has cost nothing yet.
+    RootRequest,
+    /// A nested call, whose refusal would waste the work of its parent.
+    NestedCall,
+}
+
+impl MemoryDemand {
+    /// The percentage of the process's memory that requests may take for this demand to be met.
+    fn max_percent(self) -> usize {
+        match self {
+            Self::RootRequest => 50,
+            Self::NestedCall => 65,
+        }
+    }
+}
+
 /// The time at which an event last occurred; infinitely long ago if it has not occurred.
 #[derive(Default)]
 pub(crate) struct LastTime(Mutex<Option<Now>>);
@@ -181,6 +212,33 @@
     }
 }
 
+/// Counts the bytes of a buffered body until it is dropped.
+pub(crate) struct BufferedBytes {
+    node: Arc<Node>,
+    len: usize,
+}
+
+impl BufferedBytes {
+    pub(crate) fn count(node: &Arc<Node>, len: usize) -> Self {
+        node.counts
+            .buffered_body_bytes
+            .fetch_add(len, Ordering::Relaxed);
+        Self {
+            node: Arc::clone(node),
+            len,
+        }
+    }
+}
+
+impl Drop for BufferedBytes {
+    fn drop(&mut self) {
+        self.node
+            .counts
+            .buffered_body_bytes
+            .fetch_sub(self.len, Ordering::Relaxed);
+    }
+}
+
 /// Locks a mutex and ignores poisoning: a panic in one task must not stop the others.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -206,6 +264,18 @@
             .count()
     }
 
+    /// Returns whether the requests in progress take so much of the process's memory that this demand is refused.
+    pub(crate) fn lacks_memory_for(&self, demand: MemoryDemand) -> bool {
+        let Some(memory_mb) = self.settings.memory_mb else {
+            return false;
+        };
+        let requests = self.counts.active_requests.load(Ordering::Relaxed);
+        let bodies = self.counts.buffered_body_bytes.load(Ordering::Relaxed);
+        let used = requests * REQUEST_MEMORY_BYTES + bodies * BODY_COPIES;
+        let available = memory_mb as usize * 1_000_000;
+        used * 100 > available * demand.max_percent()
+    }
+
     /// Whether this daemon is leaving and refuses new calls.
     pub(crate) fn is_leaving(&self) -> bool {
         self.own_record.load().state != MemberState::Live
--- a/crates/sorrelturn-daemon/src/request/owner.rs
+++ b/crates/sorrelturn-daemon/src/request/owner.rs
@@ -3,7 +3,7 @@
 use crate::{
     backend::state::Routed,
     clock::unix_ns,
-    node::{ActiveRequest, Node, lock},
+    node::{ActiveRequest, MemoryDemand, Node, lock},
     request::answer::Reply,
     request::body::Body,
     request::headers,
@@ -68,6 +68,9 @@
     if context.service != node.settings.service {
         return refund_attempts(refuse_call(node, &context, Refusal::OtherService), attempts);
     }
+    if node.routed.is_some() && node.lacks_memory_for(MemoryDemand::NestedCall) {
+        return refund_attempts(refuse_call(node, &context, Refusal::OutOfMemory), attempts);
+    }
     if node.evacuation.includes_own_domain() {
         return refund_attempts(refuse_call(node, &context, Refusal::Evacuated), attempts);
     }
--- a/crates/sorrelturn-daemon/src/request/payload.rs
+++ b/crates/sorrelturn-daemon/src/request/payload.rs
@@ -62,6 +62,14 @@
         }
     }
 
+    /// Returns the number of buffered bytes.
+    pub(crate) fn buffered_len(&self) -> usize {
+        match self {
+            Self::Buffered(bytes) => bytes.len(),
+            Self::Stream { .. } => 0,
+        }
+    }
+
     pub(crate) fn can_be_sent(&self) -> bool {
         match self {
             Self::Buffered(_) => true,
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -5,7 +5,7 @@
     config::in_force::{InForce, KindState},
     fleet::quota,
     net::serve::has_ambiguous_length,
-    node::{ActiveRequest, Node, lock},
+    node::{ActiveRequest, BufferedBytes, MemoryDemand, Node, lock},
     operators::export,
     request::answer::Reply,
     request::body::{self, Body},
@@ -32,6 +32,9 @@
     time::Duration,
 };
 
+/// The minimum time until a caller returns that was refused for lack of memory.
+const MIN_RETRY_AFTER_WITHOUT_MEMORY: Duration = Duration::from_millis(500);
+
 /// When the connection of a request was opened.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ConnectionPhase {
@@ -169,6 +172,14 @@
     state: &KindState,
     phase: ConnectionPhase,
 ) -> Result<(), Reply> {
+    let demand = match resolved.is_nested_call {
+        true => MemoryDemand::NestedCall,
+        false => MemoryDemand::RootRequest,
+    };
+    if node.lacks_memory_for(demand) {
+        let retry_after = owner::retry_after(node).max(MIN_RETRY_AFTER_WITHOUT_MEMORY);
+        return Err(Reply::not_run(Refusal::OutOfMemory).with_retry_after(retry_after));
+    }
     if resolved.is_nested_call {
         let candidates = node.parents.candidate_parents(resolved.deadline);
         lock(&routed.graph).record_call(&resolved.kind.name, &candidates);
@@ -229,6 +240,7 @@
         Ok(payload) => payload,
         Err(refused) => return refused,
     };
+    let _buffered = BufferedBytes::count(node, payload.buffered_len());
     prepare_headers(
         node,
         routed,
--- a/crates/sorrelturn-protocol/src/refusal.rs
+++ b/crates/sorrelturn-protocol/src/refusal.rs
@@ -70,6 +70,8 @@
     WarmingUp,
     /// the failure domain is being evacuated
     Evacuated,
+    /// the daemon's memory is needed for the requests in progress
+    OutOfMemory,
 }
 
 impl Refusal {
@@ -128,6 +130,7 @@
             Self::UnusableEntry => "unusable-entry",
             Self::WarmingUp => "warming-up",
             Self::Evacuated => "evacuated",
+            Self::OutOfMemory => "out-of-memory",
         }
     }
 
@@ -143,6 +146,7 @@
                 | Self::BackendCrashed
                 | Self::WarmingUp
                 | Self::Evacuated
+                | Self::OutOfMemory
         )
     }
 
@@ -158,6 +162,7 @@
                 | Self::BackendRefused
                 | Self::WarmingUp
                 | Self::Evacuated
+                | Self::OutOfMemory
         )
     }
 }
