Reverted: fewer calls of the store at a start

Hypothesis: a start's lists and its first route table can be read from outdated copies, and nobody needs to watch before it has such a list.

At 983 daemons the outdated list after 2.5 s lacked almost all, so most daemons watched, and knew few instances to send to. A trial at twice the size would have shown it, which small fleets can't.

Conclusion: not kept.

--- a/crates/sorrelturn-daemon/src/config/route_staleness.rs
+++ b/crates/sorrelturn-daemon/src/config/route_staleness.rs
@@ -166,15 +166,6 @@
     Ok(())
 }
 
-/// Reads a route table that may be some seconds old, for a daemon that has none. It confirms nothing; peers and watchers
-/// tell of a newer one.
-pub(crate) async fn read_outdated_table(node: &Arc<Node>, object: &str) -> Result<(), FetchError> {
-    let found = node.platform.get_stale(object).await;
-    let found = found.map_err(FetchError::Platform)?;
-    let found = found.ok_or(FetchError::Absent)?;
-    fetch::accept_routes(node, &found.value).map_err(FetchError::RoutesRefused)
-}
-
 /// Returns whether the table was confirmed recently enough, given the revocation time, to accept
 /// the credentials in it.
 pub(crate) fn is_valid(node: &Node, now: Now) -> bool {
--- a/crates/sorrelturn-daemon/src/fleet/watch.rs
+++ b/crates/sorrelturn-daemon/src/fleet/watch.rs
@@ -37,8 +37,6 @@
 
 /// Interval at which a daemon checks whether those ranked before it are alive.
 const RANK_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// Interval at which a daemon checks whether it has joined. Before that it knows too few members to tell who watches.
-const JOIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Duration of one long-poll watch.
 const WATCH_DURATION: Duration = Duration::from_secs(10);
 /// Interval of direct reads of the VM list, which can't be watched, and of the bundle head, whose watch may have
@@ -62,9 +60,6 @@
 
 /// Watches the platform whenever this daemon is one of the watchers of its failure domain.
 pub(crate) async fn run(node: Arc<Node>) {
-    while !node.counts.has_joined.load(Ordering::Relaxed) {
-        Timer::after(JOIN_CHECK_INTERVAL).await;
-    }
     loop {
         while !should_watch(&node).await {
             Timer::after(RANK_CHECK_INTERVAL).await;
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -128,12 +128,6 @@
     pub(crate) last_report: LastTime,
     /// Whether this daemon watches the platform for its failure domain.
     pub(crate) watching: AtomicBool,
-    /// Whether the store had no record of this daemon when it started.
-    pub(crate) is_record_absent: AtomicBool,
-    /// Whether the store has a record that this incarnation wrote.
-    pub(crate) is_record_written: AtomicBool,
-    /// Whether the members of the fleet are known, as far as the store lists them.
-    pub(crate) has_joined: AtomicBool,
     /// Bytes of control messages, sent and received.
     pub(crate) control_bytes: AtomicU64,
 }
--- a/crates/sorrelturn-daemon/src/store/member_record.rs
+++ b/crates/sorrelturn-daemon/src/store/member_record.rs
@@ -1,14 +1,11 @@
 //! Member records in the platform's store, which the next incarnation of this daemon and other starting daemons read.
 
-use crate::{fleet::join, node::Node};
+use crate::node::Node;
 use smol::{Timer, future::FutureExt};
 use sorrelturn_platform::{Expected, Object, keys};
 use sorrelturn_protocol::MemberRecord;
 use sorrelturn_telemetry::{Field, events};
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::time::Duration;
 
 /// Parses a member record. Logs and skips an object that is unreadable or stored under the key of another instance.
 pub(crate) fn parse(node: &Node, object: &Object) -> Option<MemberRecord> {
@@ -43,23 +40,24 @@
     written.map(drop).map_err(|error| error.to_string())
 }
 
-/// Writes the current own record and logs a failure. One that the store lacks is created, which saves a call.
+/// Creates the own record, which saves a call if the store has none. Otherwise behaves as [`write_own`].
+pub(crate) async fn create_own(node: &Node) -> bool {
+    let record = node.own_record.load_full();
+    if put(node, &record, Expected::Absent).await.is_err() {
+        return write_own(node).await;
+    }
+    node.own_record.load().sequence == record.sequence
+}
+
+/// Writes the current own record and logs a failure.
 ///
 /// Returns whether the store has the latest record.
-pub(crate) async fn write_own(node: &Arc<Node>) -> bool {
-    let mut record = node.own_record.load_full();
-    let is_absent = node.counts.is_record_absent.swap(false, Ordering::Relaxed);
-    let is_created = is_absent && put(node, &record, Expected::Absent).await.is_ok();
-    if is_absent && !is_created {
-        // The list at the start was too old to hold it.
-        join::restore_own_record(node).await;
-        record = node.own_record.load_full();
-    }
-    if !is_created && let Err(error) = put(node, &record, Expected::Anything).await {
+pub(crate) async fn write_own(node: &Node) -> bool {
+    let record = node.own_record.load_full();
+    if let Err(error) = put(node, &record, Expected::Anything).await {
         log_unsaved(node, &record, error);
         return false;
     }
-    node.counts.is_record_written.store(true, Ordering::Relaxed);
     node.own_record.load().sequence == record.sequence
 }
 
--- a/crates/sorrelturn-daemon/src/store/quarantine.rs
+++ b/crates/sorrelturn-daemon/src/store/quarantine.rs
@@ -12,8 +12,6 @@
 /// Delay after the first failed call to the store; doubles with each further failure.
 const INITIAL_RETRY_DELAY: Duration = Duration::from_secs(1);
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(30);
-/// Older records are in every outdated list.
-const STALENESS_LIMIT: Duration = Duration::from_secs(10);
 /// Age at which a record is removed when it is loaded. Longer than crash reports are valid, to tolerate clock
 /// differences between VMs.
 const RECORD_RETENTION: Duration = Duration::from_secs(1_200);
@@ -43,20 +41,13 @@
     }
 }
 
-/// Loads the evidence saved by all daemons, and once more what was saved shortly before the start.
+/// Loads the evidence saved by all daemons, with retries until the store responds.
 pub(crate) async fn load(node: Arc<Node>) {
-    load_once(&node).await;
-    Timer::after(STALENESS_LIMIT).await;
-    load_once(&node).await;
-}
-
-/// Loads the evidence, with retries until the store responds. It may lack the newest records.
-async fn load_once(node: &Arc<Node>) {
     let mut delay = INITIAL_RETRY_DELAY;
     let objects = loop {
-        match node.platform.list_stale(keys::QUARANTINE).await {
+        match node.platform.list(keys::QUARANTINE).await {
             Ok(changes) => {
-                store::log_unreadable_entries(node, keys::QUARANTINE, &changes);
+                store::log_unreadable_entries(&node, keys::QUARANTINE, &changes);
                 break changes.objects;
             }
             // Not logged here: the watchers log an outage of the store.
@@ -66,13 +57,13 @@
     };
     let mut update = CrashUpdate::default();
     for object in &objects {
-        let Some(record) = parse_record(node, object) else {
+        let Some(record) = parse_record(&node, object) else {
             continue;
         };
         // The age is zero if the clock was set back.
         let age_ms = unix_ms().saturating_sub(record.written_ms);
         if u128::from(age_ms) >= RECORD_RETENTION.as_millis() {
-            remove(node, object).await;
+            remove(&node, object).await;
         }
         update
             .crashes
@@ -81,7 +72,7 @@
                 ..crash
             }));
     }
-    suspects::receive_update(node, &update);
+    suspects::receive_update(&node, &update);
 }
 
 fn parse_record(node: &Node, object: &Object) -> Option<Record> {
--- a/crates/sorrelturn-platform/src/api.rs
+++ b/crates/sorrelturn-platform/src/api.rs
@@ -229,9 +229,6 @@
 pub struct Counters {
     /// Reads of objects, lists and the VM list.
     pub reads: u64,
-    /// Reads whose result may be outdated, which are not among `reads`.
-    #[serde(default)]
-    pub stale_reads: u64,
     /// Writes, including those that failed with a conflict.
     pub writes: u64,
     /// Watches, including renewals.
--- a/crates/sorrelturn-platform/src/client.rs
+++ b/crates/sorrelturn-platform/src/client.rs
@@ -20,9 +20,6 @@
 /// The default path of objects on the platform.
 pub const OBJECTS_PATH: &str = "/v1/objects";
 
-/// The query option of a read whose result may be outdated.
-const ALLOW_STALE: &str = "allow_stale=1";
-
 /// The precondition of a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Expected {
@@ -91,17 +88,7 @@
 
     /// Reads an object, or `None` if it doesn't exist.
     pub async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
-        self.read_object(key, &self.object_path(key)).await
-    }
-
-    /// As [`Platform::get`], but the state may be some seconds old. Such calls cost less.
-    pub async fn get_stale(&self, key: &str) -> Result<Option<Object>, PlatformError> {
-        let path = format!("{}?{ALLOW_STALE}", self.object_path(key));
-        self.read_object(key, &path).await
-    }
-
-    async fn read_object(&self, key: &str, path: &str) -> Result<Option<Object>, PlatformError> {
-        let req = request(Method::GET, path);
+        let req = request(Method::GET, &self.object_path(key));
         let res = self.call(req, self.timeout).await.map_err(unavailable)?;
         match read::<WireObject>(&res) {
             Ok(object) => Ok(Some(object.into_object(keys::prefix(key)))),
@@ -211,29 +198,14 @@
 
     /// Lists all objects whose keys start with `prefix`, which ends with a slash, over all pages.
     pub async fn list(&self, prefix: &str) -> Result<Changes, PlatformError> {
-        self.list_pages(prefix, "").await
-    }
-
-    /// As [`Platform::list`], but the state may be some seconds old, and no watch can continue from
-    /// it. Such calls cost less.
-    pub async fn list_stale(&self, prefix: &str) -> Result<Changes, PlatformError> {
-        self.list_pages(prefix, ALLOW_STALE).await
-    }
-
-    async fn list_pages(&self, prefix: &str, options: &str) -> Result<Changes, PlatformError> {
         let mut all = Changes::default();
         let mut after = String::new();
         loop {
-            let mut query = vec![options.to_owned()];
+            let mut path = self.kind_path(prefix);
             if !after.is_empty() {
                 // Others name objects too, and may use characters that a URI can't hold.
                 let after = utf8_percent_encode(&after, NON_ALPHANUMERIC);
-                query.push(format!("after={after}"));
-            }
-            query.retain(|option| !option.is_empty());
-            let mut path = self.kind_path(prefix);
-            if !query.is_empty() {
-                path = format!("{path}?{}", query.join("&"));
+                path = format!("{path}?after={after}");
             }
             let req = request(Method::GET, &path);
             let res = self.call(req, self.timeout).await.map_err(unavailable)?;
--- a/crates/sorrelturn-platform/src/stand_in.rs
+++ b/crates/sorrelturn-platform/src/stand_in.rs
@@ -93,7 +93,7 @@
         match (req.method().clone(), name.is_empty()) {
             (Method::GET, true) if query.has("watch") => Ok(self.watch(kind, &query).await),
             (Method::GET, true) => Ok(self.list(kind, &query).await),
-            (Method::GET, false) => Ok(self.get(kind, name, &query).await),
+            (Method::GET, false) => Ok(self.get(kind, name).await),
             (Method::POST, true) => {
                 self.write(req, kind, "", |store, kind, _, object| {
                     store.create(kind, object)
@@ -109,9 +109,9 @@
         }
     }
 
-    async fn get(&self, kind: &str, name: &str, query: &Query<'_>) -> Answer {
+    async fn get(&self, kind: &str, name: &str) -> Answer {
         let mut store = self.store.lock().await;
-        count_read(&mut store, query);
+        store.counters.reads += 1;
         store
             .get(kind, name)
             .map_or_else(|| status(StatusCode::NOT_FOUND), json)
@@ -119,7 +119,7 @@
 
     async fn list(&self, kind: &str, query: &Query<'_>) -> Answer {
         let mut store = self.store.lock().await;
-        count_read(&mut store, query);
+        store.counters.reads += 1;
         let after = percent_decode_str(query.text("after")).decode_utf8_lossy();
         json(&store.page(kind, &after))
     }
@@ -223,13 +223,6 @@
     }
 }
 
-fn count_read(store: &mut Store, query: &Query<'_>) {
-    match query.has("allow_stale") {
-        true => store.counters.stale_reads += 1,
-        false => store.counters.reads += 1,
-    }
-}
-
 fn write_response(written: Written) -> Answer {
     match written {
         Written::Done(object) => json(&object),
