Responses' limits are read and logged: S213, backend.rate_limit

Logs and metrics couldn't tell a limit that a backend server named under another name from one that nobody reads. The daemon beside it now reads the header, logs when the limit begins, changes or ends, and has a gauge of it. Nothing else follows from it yet: what callers and backend servers see is unchanged.

--- a/crates/sorrelturn-daemon/src/backend/mod.rs
+++ b/crates/sorrelturn-daemon/src/backend/mod.rs
@@ -4,4 +4,5 @@
 pub(crate) mod crash;
 pub(crate) mod link;
 pub(crate) mod report;
+pub(crate) mod signals;
 pub(crate) mod state;
--- a/crates/sorrelturn-daemon/src/backend/state.rs
+++ b/crates/sorrelturn-daemon/src/backend/state.rs
@@ -46,6 +46,8 @@
     pub(crate) last_nested_call_failure: LastTime,
     /// When an unknown credential was logged last.
     pub(crate) last_unknown_credential_event: LastTime,
+    /// When a change of the named limit was logged last.
+    pub(crate) last_rate_limit_event: LastTime,
     /// Where the requests for the backend server come from.
     pub(crate) origins: Mutex<RequestOrigins>,
     /// When a refused report was logged last.
@@ -75,6 +77,7 @@
             graph: Mutex::default(),
             last_nested_call_failure: LastTime::default(),
             last_unknown_credential_event: LastTime::default(),
+            last_rate_limit_event: LastTime::default(),
             origins: Mutex::default(),
             last_refused_report_event: LastTime::default(),
             is_saved: AtomicBool::new(false),
--- a/crates/sorrelturn-daemon/src/operators/export.rs
+++ b/crates/sorrelturn-daemon/src/operators/export.rs
@@ -11,7 +11,7 @@
 use hyper::{Request, header::CONTENT_TYPE};
 use smol::Timer;
 use sorrelturn_platform::http::exchange;
-use sorrelturn_protocol::{Priority, Verdict};
+use sorrelturn_protocol::{Priority, RequestRate, Verdict};
 use sorrelturn_telemetry::{
     Field, events,
     metrics::{self, Metric},
@@ -142,6 +142,9 @@
     let (in_flight, waiting, limit) = node
         .admission
         .with_gate(|gate, now| (gate.in_flight(), gate.queued(), gate.steady_limit(now)));
+    let rate_limit = node
+        .admission
+        .with_gate(|gate, _| gate.announced_limit().rate());
     let members = lock(&node.membership).present().count();
     let tokens = lock(&node.ledger).unexpired_count();
     let version = lock(&node.bundle_tracker).in_force();
@@ -149,6 +152,7 @@
         (&metrics::IN_FLIGHT, u64::from(in_flight)),
         (&metrics::WAITING, waiting as u64),
         (&metrics::LIMIT, u64::from(limit)),
+        (&metrics::RATE_LIMIT, rate_limit.map_or(0, rate_limit_gauge)),
         (&metrics::MEMBERS, members as u64),
         (&metrics::TOKENS, tokens as u64),
         (&metrics::BUNDLE_VERSION, version),
@@ -166,6 +170,11 @@
     }
 }
 
+/// Returns the rate in thousandths of a request per second, at least 1, since 0 stands for no limit.
+fn rate_limit_gauge(rate: RequestRate) -> u64 {
+    ((rate.per_second() * 1_000.0) as u64).max(1)
+}
+
 async fn export_spans(node: &Node) {
     let Some(trace) = node.settings.trace else {
         return;
--- a/crates/sorrelturn-daemon/src/request/dialect.rs
+++ b/crates/sorrelturn-daemon/src/request/dialect.rs
@@ -23,6 +23,11 @@
     pub load: HeaderName,
     /// From a backend server's health check: the milliseconds for which it is still cold.
     pub cold_ms: HeaderName,
+    /// From a backend server: the requests per second that it accepts from all daemons together, as a decimal number. It
+    /// holds while responses name it.
+    pub rate_limit: HeaderName,
+    /// From a backend server: `1` if it is leaving.
+    pub leaving: HeaderName,
     /// From a caller: its credential, which isn't forwarded.
     pub credential: HeaderName,
     /// To a backend server: the name of the caller's workspace.
@@ -52,6 +57,8 @@
                 backend_id: name("backend-id"),
                 load: name("backend-load"),
                 cold_ms: name("cold-ms"),
+                rate_limit: name("rate-limit"),
+                leaving: name("leaving"),
                 credential: name("credential"),
                 workspace: name("workspace"),
             },
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -4,6 +4,7 @@
 use crate::{
     backend::crash::{self, BackendRequestGuard},
     backend::link::BackendResponse,
+    backend::signals,
     backend::state::{self, ResponseKind, Routed},
     clock::unix_ns,
     config::in_force::InForce,
@@ -138,6 +139,7 @@
         let in_progress = BackendRequestGuard::new(&node, self.context.names);
         let copy_request = |req: &Request<Body>| self.copy_request(req);
         let take_retry = || self.take_retry_for_resend();
+        let sent_at = node.now();
         let send = node
             .backend
             .send(&node.ex, &node.timers, req, copy_request, take_retry);
@@ -150,6 +152,9 @@
         match exchange.or(timeout).await {
             Some(Ok(response)) => {
                 node.record_backend_reachability(true);
+                if let Some(routed) = &node.routed {
+                    signals::record_answer(&node, routed, sent_at, response.res.headers());
+                }
                 self.handle_response(slot, guard, response, in_progress)
             }
             Some(Err(SendError::Full)) => {
--- a/crates/sorrelturn-policy/src/gate.rs
+++ b/crates/sorrelturn-policy/src/gate.rs
@@ -2,8 +2,8 @@
 //! See `docs/design/admission.md`.
 
 use crate::{
-    AdaptiveLimit, ColdLimiter, ConcurrencyTuner, Now, Outcome, OverloadDetector, SheddingLevel,
-    TuningSample,
+    AdaptiveLimit, AnnouncedLimit, ColdLimiter, ConcurrencyTuner, Now, Outcome, OverloadDetector,
+    SheddingLevel, TuningSample,
 };
 use sorrelturn_protocol::{Importance, Priority, Refusal};
 use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
@@ -108,6 +108,7 @@
     overload_detector: OverloadDetector,
     level: SheddingLevel,
     cold: ColdLimiter,
+    announced: AnnouncedLimit,
     in_flight: u32,
     queue: BTreeMap<QueueKey, Now>,
 }
@@ -123,6 +124,7 @@
             overload_detector: OverloadDetector::new(now),
             level: SheddingLevel::new(now),
             cold: ColdLimiter::new(now),
+            announced: AnnouncedLimit::default(),
             in_flight: 0,
             queue: BTreeMap::new(),
         }
@@ -297,6 +299,11 @@
         &mut self.cold
     }
 
+    /// The limit that the backend server names.
+    pub fn announced_limit(&mut self) -> &mut AnnouncedLimit {
+        &mut self.announced
+    }
+
     /// The priority below which requests are shed, or the shedding level where levels are in use.
     pub fn threshold(&mut self, now: Now) -> Priority {
         if self.cfg.call_queue_timeout.is_none() {
--- a/crates/sorrelturn-policy/src/lib.rs
+++ b/crates/sorrelturn-policy/src/lib.rs
@@ -1,5 +1,6 @@
 #![doc = include_str!("../README.md")]
 
+mod announced_limit;
 mod attempts;
 mod bucket;
 mod call_graph;
@@ -22,6 +23,7 @@
 mod routing;
 mod shedding_level;
 
+pub use announced_limit::{AnnouncedLimit, NamedLimit};
 pub use attempts::{AttemptPool, first_attempt_share};
 pub use bucket::{RateBucket, RetryBucket};
 pub use call_graph::{CallGraph, Candidate};
--- a/crates/sorrelturn-protocol/src/lib.rs
+++ b/crates/sorrelturn-protocol/src/lib.rs
@@ -8,6 +8,7 @@
 mod ids;
 mod importance;
 mod member;
+mod rate;
 mod refusal;
 mod token;
 mod verdict;
@@ -21,6 +22,7 @@
 pub use ids::{CallerId, Incarnation, RequestId, SpanId};
 pub use importance::{Importance, Priority};
 pub use member::{MemberRecord, MemberState};
+pub use rate::RequestRate;
 pub use refusal::Refusal;
 pub use token::{ExecutionToken, TokenError};
 pub use verdict::Verdict;
--- a/crates/sorrelturn-telemetry/src/events.rs
+++ b/crates/sorrelturn-telemetry/src/events.rs
@@ -66,6 +66,8 @@
 
     BACKEND_COLD = 212 "backend-cold" Info "The backend server reported that it is cold, or no longer cold; while it is cold, few requests are sent to it.";
 
+    BACKEND_RATE_LIMIT = 213 "backend-rate-limit" Info "The backend server began, changed or ended the limit on requests that its responses name; changes are logged at most once per second.";
+
     BUNDLE_IN_FORCE = 300 "bundle-in-force" Info "A higher bundle version is in force on this daemon.";
     BUNDLE_REFUSED = 301 "bundle-refused" Error "A bundle was rejected.";
     BUNDLE_FETCH_FAILED = 302 "bundle-fetch-failed" Warn "A higher bundle version is known but could not be fetched.";
--- a/crates/sorrelturn-telemetry/src/metrics.rs
+++ b/crates/sorrelturn-telemetry/src/metrics.rs
@@ -42,6 +42,7 @@
     IN_FLIGHT = Gauge "backend.in_flight" "Calls in flight to the backend server.";
     WAITING = Gauge "backend.waiting" "Calls queued for a slot.";
     LIMIT = Gauge "backend.limit" "The concurrency limit of the backend server, without the variation while two limits are compared.";
+    RATE_LIMIT = Gauge "backend.rate_limit" "The limit on requests that the backend server names, in thousandths of a request per second and at least 1; 0 if it names none.";
     BUNDLE_VERSION = Gauge "bundle.version" "The version of the bundle in force.";
     MEMBERS = Gauge "members" "Members of the fleet known to this daemon.";
     TOKENS = Gauge "tokens" "Outstanding execution tokens that have not expired.";
