--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -84,6 +84,8 @@
     pub headers: HashMap<String, String>,
     /// The body.
     pub body: Vec<u8>,
+    /// When it was read.
+    pub at: Instant,
 }
 
 /// Called before the response with each request for this incarnation, and with the script for it.
@@ -111,6 +113,8 @@
     crash_delay: Duration,
     crash_count: usize,
     script: Script,
+    /// Lines that are added to the head of each response.
+    extra_headers: String,
     received_requests: Vec<ReceivedRequest>,
     executed_requests: Vec<ReceivedRequest>,
     cancelled: Vec<Cancelled>,
@@ -148,6 +152,7 @@
             crash_delay: DEFAULT_CRASH_DELAY,
             crash_count: 0,
             script: Script::default(),
+            extra_headers: String::new(),
             received_requests: Vec::new(),
             executed_requests: Vec::new(),
             cancelled: Vec::new(),
@@ -270,6 +275,12 @@
         self.lock().script = script;
     }
 
+    /// Adds a header to all responses from now on, in place of the one added before; `None` adds none.
+    pub fn add_header(&self, header: Option<(&str, &str)>) {
+        self.lock().extra_headers =
+            header.map_or_else(String::new, |(name, value)| format!("{name}: {value}\r\n"));
+    }
+
     /// Sets the daemon for the backend server's own calls.
     pub fn call_via(&self, daemon: SocketAddr) {
         self.lock().daemon = Some(daemon);
@@ -362,8 +373,9 @@
     ) -> io::Result<bool> {
         let name = &self.names.request_id;
         let request_id = req.headers.get(name.as_str()).cloned().unwrap_or_default();
+        let extra = self.lock().extra_headers.clone();
         let response_headers = format!(
-            "{name}: {request_id}\r\n{SIGNATURE}: {request_id}\r\nkeep-alive: timeout={IDLE_TIMEOUT_S}\r\n"
+            "{name}: {request_id}\r\n{SIGNATURE}: {request_id}\r\nkeep-alive: timeout={IDLE_TIMEOUT_S}\r\n{extra}"
         );
         let full_response = match &self.observer {
             Some(_) => {
@@ -376,7 +388,10 @@
         let (bytes, stays_open) = match script {
             Script::Answers => (full_response, true),
             Script::SaysNotRun => {
-                let not_run = format!("{name}: {request_id}\r\n{}: 1\r\n", self.names.not_run);
+                let not_run = format!(
+                    "{name}: {request_id}\r\n{}: 1\r\n{extra}",
+                    self.names.not_run
+                );
                 (
                     response_head(503, "Service Unavailable", &not_run, Some(0)),
                     true,
@@ -513,5 +528,6 @@
         line: line.trim().to_owned(),
         headers,
         body,
+        at: Instant::now(),
     }))
 }
