Limits that backend servers name in their responses hold for the whole fleet

What callers saw: nothing; a backend server in need got all the requests that it would have got without its limit, and fell further behind. What a backend server says of its load reached the daemon beside it only as slots, connections and cold starts. Class: a statement of a backend server that is passed on to callers and binds nobody. Ruled out: limits kept by each daemon for itself, and a limit of concurrent requests (arrivals didn't change at all when the limit began). Why it works: every request to a backend server passes through the daemon beside it, which now counts them with a token bucket. What it refuses has not run and goes to another instance; callers avoid the instance for a time that grows with their number. If all instances have limits, entries shed by importance, by the lowest level of the service. The limit stands in the member record, from which the next incarnation of the daemon resumes; an update of the record no longer discards connections and statistics of the instance.

--- a/crates/sorrelturn-daemon/src/backend/announce.rs
+++ b/crates/sorrelturn-daemon/src/backend/announce.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     backend::report::{read_deregistration, read_heartbeat},
+    backend::signals,
     backend::state::{
         self, Routed, announced_slots, receive_announcement, record_answering_backend, update_slots,
     },
@@ -194,5 +195,6 @@
         if let Some(remaining) = state::cold_remaining(routed, res.headers()) {
             state::record_cold_remaining(node, remaining);
         }
+        signals::record_probe(node, routed, res.headers());
     }
 }
--- a/crates/sorrelturn-daemon/src/backend/signals.rs
+++ b/crates/sorrelturn-daemon/src/backend/signals.rs
@@ -1,21 +1,92 @@
 //! What a backend server says of itself in its responses. See `docs/design/announced-limits.md`.
 
 use crate::{
-    backend::state::Routed,
+    backend::state::{self, Routed},
     node::{LastTime, Node},
 };
-use hyper::HeaderMap;
+use hyper::{HeaderMap, header::HeaderValue};
+use smol::Timer;
 use sorrelturn_policy::{NamedLimit, Now};
 use sorrelturn_protocol::RequestRate;
 use sorrelturn_telemetry::{Field, events};
-use std::time::Duration;
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 /// The minimum interval between log entries about changes of the limit.
 const RATE_LIMIT_LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// The minimum interval at which the own record is published because of the limit, which may differ in each response.
+const PUBLISH_INTERVAL: Duration = Duration::from_secs(2);
+/// Limits that differ by less than this fraction aren't published again.
+const PUBLISHED_CHANGE: f64 = 0.25;
+/// A request for the backend server, as its response needs it.
+pub(crate) struct SentRequest {
+    pub(crate) at: Now,
+    /// The id of the backend server that was to run it.
+    pub(crate) backend: Option<HeaderValue>,
+}
+
+/// Applies the response to a request.
+pub(crate) fn record_answer(
+    node: &Arc<Node>,
+    routed: &Routed,
+    sent: &SentRequest,
+    headers: &HeaderMap,
+) {
+    let names = &routed.dialect.headers;
+    let responder = headers.get(&names.backend_id).or(sent.backend.as_ref());
+    let Some(responder) = responder.and_then(|id| id.to_str().ok()) else {
+        return;
+    };
+    if routed
+        .current()
+        .is_none_or(|current| current.id != responder)
+    {
+        // The backend server was replaced in the meantime.
+        return;
+    }
+    record_limit(node, routed, sent.at, named_limit(routed, headers));
+}
 
-/// Applies the response to a request that was sent at `sent_at`.
-pub(crate) fn record_answer(node: &Node, routed: &Routed, sent_at: Now, headers: &HeaderMap) {
+/// Applies the response to a health check, which may lack what responses to requests say.
+pub(crate) fn record_probe(node: &Arc<Node>, routed: &Routed, headers: &HeaderMap) {
     let named = named_limit(routed, headers);
+    if named != NamedLimit::Absent {
+        record_limit(node, routed, node.now(), named);
+    }
+}
+
+/// Forgets the limit if it was named by another backend server than the one that accepts requests now.
+pub(crate) fn backend_started(node: &Arc<Node>, routed: &Routed, id: &str) {
+    node.admission
+        .with_gate(|gate, _| gate.announced_limit().backend_started(id));
+    if limit_to_publish(node).is_some() {
+        spawn_publisher(node, routed);
+    }
+}
+
+/// Applies the limit that the backend server named to an earlier incarnation of this daemon.
+pub(crate) fn restore_limit(node: &Arc<Node>, routed: &Routed, id: &str, rate: RequestRate) {
+    let has_changed = node
+        .admission
+        .with_gate(|gate, now| gate.announced_limit().restore(now, id, rate));
+    if has_changed {
+        log_rate_limit(node, &routed.last_rate_limit_event, Some(rate), true);
+        spawn_publisher(node, routed);
+    }
+}
+
+/// Returns how long each daemon should avoid this instance after a refusal because of the limit.
+pub(crate) fn pause_of_callers(node: &Node) -> Duration {
+    let members = node.instances.load().member_count();
+    let pause = node
+        .admission
+        .with_gate(|gate, _| gate.announced_limit().pause(members));
+    pause.unwrap_or_default()
+}
+
+fn record_limit(node: &Arc<Node>, routed: &Routed, sent_at: Now, named: NamedLimit) {
     let change = node.admission.with_gate(|gate, now| {
         let limit = gate.announced_limit();
         let was_limited = limit.rate().is_some();
@@ -25,6 +96,7 @@
     if let Some((was_limited, rate)) = change {
         let is_new_state = was_limited != rate.is_some();
         log_rate_limit(node, &routed.last_rate_limit_event, rate, is_new_state);
+        spawn_publisher(node, routed);
     }
 }
 
@@ -43,6 +115,52 @@
     named
 }
 
+/// Publishes the limit in the background, unless a task does so already.
+fn spawn_publisher(node: &Arc<Node>, routed: &Routed) {
+    if routed.is_publishing_rate_limit.swap(true, Ordering::AcqRel) {
+        return;
+    }
+    let node = Arc::clone(node);
+    let ex = Arc::clone(&node.ex);
+    let publish = async move {
+        if let Some(routed) = &node.routed {
+            publish_limit(&node, routed).await;
+        }
+    };
+    ex.spawn(publish).detach();
+}
+
+/// Publishes the limit until the published one is close to the one in force.
+async fn publish_limit(node: &Arc<Node>, routed: &Routed) {
+    while let Some(rate) = limit_to_publish(node) {
+        state::publish_rate_limit(node, routed, rate).await;
+        Timer::after(PUBLISH_INTERVAL).await;
+    }
+    routed
+        .is_publishing_rate_limit
+        .store(false, Ordering::Release);
+    // A change since the last check found this task still running.
+    if limit_to_publish(node).is_some() {
+        spawn_publisher(node, routed);
+    }
+}
+
+/// Returns the limit in force, which may be none, if the published one differs from it noticeably.
+fn limit_to_publish(node: &Node) -> Option<Option<RequestRate>> {
+    let rate = node
+        .admission
+        .with_gate(|gate, _| gate.announced_limit().rate());
+    let published = node.own_record.load().rate_limit;
+    let differs = match (published, rate) {
+        (Some(published), Some(rate)) => {
+            let difference = (rate.per_second() - published.per_second()).abs();
+            difference > published.per_second() * PUBLISHED_CHANGE
+        }
+        (published, rate) => published.is_some() != rate.is_some(),
+    };
+    differs.then_some(rate)
+}
+
 /// Logs a limit that begins or ends, and other changes at most once per [`RATE_LIMIT_LOG_INTERVAL`].
 fn log_rate_limit(node: &Node, last: &LastTime, rate: Option<RequestRate>, is_new_state: bool) {
     let now = node.now();
--- a/crates/sorrelturn-daemon/src/backend/state.rs
+++ b/crates/sorrelturn-daemon/src/backend/state.rs
@@ -2,7 +2,7 @@
 //! themselves: its incarnation, readiness and number of slots.
 
 use crate::{
-    backend::crash,
+    backend::{crash, signals},
     fleet::gossip,
     node::{LastTime, Node, lock},
     request::dialect::Dialect,
@@ -13,7 +13,7 @@
 use sorrelturn_policy::{
     CallGraph, GateConfig, LeavingCause, Presence, PresenceChange, RequestOrigins,
 };
-use sorrelturn_protocol::{Announcement, BackendState};
+use sorrelturn_protocol::{Announcement, BackendState, MemberRecord, RequestRate};
 use sorrelturn_telemetry::{Field, events};
 use std::{
     sync::{
@@ -48,6 +48,8 @@
     pub(crate) last_unknown_credential_event: LastTime,
     /// When a change of the named limit was logged last.
     pub(crate) last_rate_limit_event: LastTime,
+    /// Whether a task publishes changes of the named limit.
+    pub(crate) is_publishing_rate_limit: AtomicBool,
     /// Where the requests for the backend server come from.
     pub(crate) origins: Mutex<RequestOrigins>,
     /// When a refused report was logged last.
@@ -78,6 +80,7 @@
             last_nested_call_failure: LastTime::default(),
             last_unknown_credential_event: LastTime::default(),
             last_rate_limit_event: LastTime::default(),
+            is_publishing_rate_limit: AtomicBool::new(false),
             origins: Mutex::default(),
             last_refused_report_event: LastTime::default(),
             is_saved: AtomicBool::new(false),
@@ -257,7 +260,11 @@
 fn on_backend_ready(node: &Arc<Node>, routed: &Routed) {
     assume_cold(node);
     routed.is_saved.store(false, Ordering::Relaxed);
-    node.set_own_backend(routed.current());
+    let backend = routed.current();
+    if let Some(backend) = &backend {
+        signals::backend_started(node, routed, &backend.id);
+    }
+    node.set_own_backend(backend);
     node.admission.with_gate(|gate, _| gate.reset_tuning());
     node.backend.drop_idle();
     let stopped_leaving = node.stop_leaving(LeavingCause::Backend);
@@ -265,6 +272,11 @@
     if stopped_leaving || !node.is_leaving() {
         gossip::push_own_record(node);
     }
+    spawn_save(node);
+}
+
+/// Saves the own record in the background.
+fn spawn_save(node: &Arc<Node>) {
     let node = Arc::clone(node);
     let ex = Arc::clone(&node.ex);
     let save = async move {
@@ -282,15 +294,31 @@
     gossip::push_own_record(node);
 }
 
-/// Restores the announcement that the backend server is leaving, which an earlier incarnation of
-/// this daemon acknowledged.
-pub(crate) fn restore_leaving_state(node: &Arc<Node>, earlier: Option<&Announcement>) {
-    let leaving = earlier.filter(|backend| backend.state != BackendState::Ready);
-    if let (Some(routed), Some(backend)) = (&node.routed, leaving) {
+/// Restores what an earlier incarnation of this daemon published of its backend server: that it is leaving, and the
+/// limit that it names.
+pub(crate) fn restore(node: &Arc<Node>, earlier: &MemberRecord) {
+    let (Some(routed), Some(backend)) = (&node.routed, &earlier.backend) else {
+        return;
+    };
+    if backend.state != BackendState::Ready {
         receive_announcement(node, routed, backend.clone());
+    } else if let Some(rate) = earlier.rate_limit {
+        signals::restore_limit(node, routed, &backend.id, rate);
     }
 }
 
+/// Publishes the limit that the backend server names now, for the next incarnation of this daemon.
+pub(crate) async fn publish_rate_limit(
+    node: &Arc<Node>,
+    routed: &Routed,
+    rate: Option<RequestRate>,
+) {
+    routed.is_saved.store(false, Ordering::Relaxed);
+    node.set_own_rate_limit(rate);
+    gossip::push_own_record(node);
+    save(node, routed).await;
+}
+
 /// Writes the record of this daemon, so that its next incarnation knows what this one
 /// acknowledged. Returns whether the store has it.
 pub(crate) async fn save(node: &Arc<Node>, routed: &Routed) -> bool {
--- a/crates/sorrelturn-daemon/src/fleet/gossip.rs
+++ b/crates/sorrelturn-daemon/src/fleet/gossip.rs
@@ -35,7 +35,7 @@
 pub(crate) fn receive_member_record(node: &Arc<Node>, record: MemberRecord) {
     let is_own = record.instance == node.settings.instance;
     if is_own && record.incarnation != node.incarnation {
-        state::restore_leaving_state(node, record.backend.as_ref());
+        state::restore(node, &record);
     }
     if !node.merge_member(record.clone()) {
         return;
--- a/crates/sorrelturn-daemon/src/fleet/instance_table.rs
+++ b/crates/sorrelturn-daemon/src/fleet/instance_table.rs
@@ -2,11 +2,14 @@
 
 use crate::{clock::Clock, fleet::peers::PeerLink};
 use sorrelturn_fleet::Membership;
-use sorrelturn_policy::Instance;
+use sorrelturn_policy::{Instance, Now};
 use sorrelturn_protocol::{Incarnation, MemberRecord, MemberState};
 use std::{
     collections::{BTreeSet, HashMap},
-    sync::{Arc, atomic::AtomicBool},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -15,13 +18,36 @@
     /// Member record published by the instance.
     pub(crate) record: MemberRecord,
     /// Load and failures observed by this daemon.
-    pub(crate) stats: Instance,
+    pub(crate) stats: Arc<Instance>,
     /// Connections to the instance.
-    pub(crate) link: PeerLink,
+    pub(crate) link: Arc<PeerLink>,
     /// Whether another incarnation answered and an exchange with it was started.
     pub(crate) is_incarnation_queried: AtomicBool,
 }
 
+impl KnownInstance {
+    /// Returns the instance with a newer record that changes nothing for calls to it; `None` if it does.
+    fn with_record(&self, record: &MemberRecord) -> Option<Self> {
+        let backend_id = |record: &MemberRecord| {
+            let backend = record.backend.as_ref();
+            backend.map(|backend| backend.id.clone())
+        };
+        let is_same = self.record.state == record.state
+            && self.record.peer_addr == record.peer_addr
+            && self.record.service == record.service
+            && self.record.failure_domain == record.failure_domain
+            && backend_id(&self.record) == backend_id(record);
+        is_same.then(|| Self {
+            record: record.clone(),
+            stats: Arc::clone(&self.stats),
+            link: Arc::clone(&self.link),
+            is_incarnation_queried: AtomicBool::new(
+                self.is_incarnation_queried.load(Ordering::Relaxed),
+            ),
+        })
+    }
+}
+
 /// Snapshot of the instances that are not gone, and of all services.
 #[derive(Default)]
 pub(crate) struct InstanceTable {
@@ -40,11 +66,30 @@
         self.services.len()
     }
 
+    /// Returns the number of instances, whether or not they accept calls.
+    pub(crate) fn member_count(&self) -> usize {
+        self.by_incarnation.len()
+    }
+
     /// Returns the live instances of a service.
     pub(crate) fn live_of_service(&self, service: &str) -> &[Arc<KnownInstance>] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the shedding level that the limits of a service's backend servers call for: that of the instance with the
+    /// most room, since the others leave their calls to it. 0 if any instance has no limit.
+    pub(crate) fn limit_level(&self, service: &str, now: Now) -> u16 {
+        let mut lowest = None;
+        for instance in self.live_of_service(service) {
+            let level = instance.stats.limit_level(now);
+            if level == 0 {
+                return 0;
+            }
+            lowest = Some(lowest.map_or(level, |lowest: u16| lowest.min(level)));
+        }
+        lowest.unwrap_or(0)
+    }
+
     /// Returns the fraction of all live instances that belong to a service, or 1 if the service has none.
     pub(crate) fn instance_fraction(&self, service: &str) -> f64 {
         let all: usize = self.by_service.values().map(Vec::len).sum();
@@ -80,6 +125,9 @@
             let known = self.by_incarnation.get(&record.incarnation);
             let instance = match known {
                 Some(instance) if instance.record == *record => Arc::clone(instance),
+                Some(instance) if let Some(updated) = instance.with_record(record) => {
+                    Arc::new(updated)
+                }
                 _ => {
                     // For a daemon that has just started, all members are new but count as warmed up.
                     let is_new = known.is_none() && had_members;
@@ -90,13 +138,13 @@
                     };
                     let in_same_domain = record.failure_domain == own_domain;
                     Arc::new(KnownInstance {
-                        stats: Instance::new(
+                        stats: Arc::new(Instance::new(
                             record.incarnation,
                             in_same_domain,
                             warm_up,
                             clock.now(),
-                        ),
-                        link: PeerLink::new(record.peer_addr, clock),
+                        )),
+                        link: Arc::new(PeerLink::new(record.peer_addr, clock)),
                         is_incarnation_queried: AtomicBool::new(false),
                         record: record.clone(),
                     })
--- a/crates/sorrelturn-daemon/src/fleet/join.rs
+++ b/crates/sorrelturn-daemon/src/fleet/join.rs
@@ -34,7 +34,7 @@
         for record in &records {
             node.outrank_earlier_incarnation(record);
             if record.instance == node.settings.instance {
-                state::restore_leaving_state(node, record.backend.as_ref());
+                state::restore(node, record);
             }
             if record.instance == node.settings.instance && record.incarnation != node.incarnation {
                 let delete =
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -30,7 +30,7 @@
 use sorrelturn_once::{AttemptRegister, Ledger};
 use sorrelturn_platform::Platform;
 use sorrelturn_policy::{ColdRate, GateConfig, Leaving, LeavingCause, Now};
-use sorrelturn_protocol::{Announcement, Incarnation, MemberRecord, MemberState};
+use sorrelturn_protocol::{Announcement, Incarnation, MemberRecord, MemberState, RequestRate};
 use sorrelturn_telemetry::{EventKind, EventRing, Field, SpanBuffer, events};
 use std::{
     collections::{HashMap, VecDeque},
@@ -478,6 +478,11 @@
         self.change_own_record(|record| record.backend = backend)
     }
 
+    /// Changes the limit of the backend server in the own record.
+    pub(crate) fn set_own_rate_limit(&self, rate: Option<RequestRate>) -> MemberRecord {
+        self.change_own_record(|record| record.rate_limit = rate)
+    }
+
     fn change_own_record(&self, change: impl FnOnce(&mut MemberRecord)) -> MemberRecord {
         let mut record = (**self.own_record.load()).clone();
         change(&mut record);
--- a/crates/sorrelturn-daemon/src/request/forward.rs
+++ b/crates/sorrelturn-daemon/src/request/forward.rs
@@ -33,6 +33,9 @@
 const MIN_TIME_FOR_RETRY: Duration = Duration::from_millis(5);
 /// The expected duration of a call whose kind has no latency target.
 const DEFAULT_EXPECTED_DURATION: Duration = Duration::from_secs(1);
+/// The shortest pause of an instance as a fraction of the one that it asked for. Pauses are longer or shorter at random,
+/// or all callers would return at once.
+const MIN_PAUSE_JITTER: f64 = 0.75;
 /// How often a token is sent to its owner again after an interrupted exchange.
 const MAX_OUTCOME_QUERIES: u32 = 2;
 
@@ -272,7 +275,7 @@
         return routes.by_incarnation(token.owner).cloned();
     }
     let instances = routes.live_of_service(&call.kind.service);
-    let stats = instances.iter().map(|route| &route.stats);
+    let stats = instances.iter().map(|route| &*route.stats);
     let mut rng = fastrand::Rng::new();
     let now = node.now();
     let mut excluded = Cow::Borrowed(&progress.tried);
@@ -335,6 +338,14 @@
     if answer.refusal.is_none_or(Refusal::indicates_service_load) {
         kind_state.threshold.observe(node.now(), answer.threshold);
     }
+    route
+        .stats
+        .record_limit_level(node.now(), answer.limit_level);
+    if answer.pause_ms > 0 {
+        let jitter = MIN_PAUSE_JITTER + fastrand::f64() * (1.0 - MIN_PAUSE_JITTER) * 2.0;
+        let pause = Duration::from_millis(answer.pause_ms.into()).mul_f64(jitter);
+        route.stats.pause(node.now(), pause);
+    }
     call.in_force.record_kind_answer(kind_state, answer.is_call);
     fetch::fetch_if_newer(
         node,
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -4,7 +4,7 @@
 use crate::{
     backend::crash::{self, BackendRequestGuard},
     backend::link::BackendResponse,
-    backend::signals,
+    backend::signals::{self, SentRequest},
     backend::state::{self, ResponseKind, Routed},
     clock::unix_ns,
     config::in_force::InForce,
@@ -139,7 +139,7 @@
         let in_progress = BackendRequestGuard::new(&node, self.context.names);
         let copy_request = |req: &Request<Body>| self.copy_request(req);
         let take_retry = || self.take_retry_for_resend();
-        let sent_at = node.now();
+        let sent = self.sent_request(&req);
         let send = node
             .backend
             .send(&node.ex, &node.timers, req, copy_request, take_retry);
@@ -153,7 +153,7 @@
             Some(Ok(response)) => {
                 node.record_backend_reachability(true);
                 if let Some(routed) = &node.routed {
-                    signals::record_answer(&node, routed, sent_at, response.res.headers());
+                    signals::record_answer(&node, routed, &sent, response.res.headers());
                 }
                 self.handle_response(slot, guard, response, in_progress)
             }
@@ -190,6 +190,18 @@
         }
     }
 
+    fn sent_request(&self, req: &Request<Body>) -> SentRequest {
+        let routed = self.node.routed.as_ref();
+        let backend = routed.and_then(|routed| {
+            let name = &routed.dialect.headers.expected_backend;
+            req.headers().get(name).cloned()
+        });
+        SentRequest {
+            at: self.node.now(),
+            backend,
+        }
+    }
+
     /// Copies a repeatable request without a body, to send it again if a connection doesn't respond; else `None`.
     fn copy_request(&self, req: &Request<Body>) -> Option<Request<Body>> {
         if self.kind.at_most_once() || !req.body().is_end_stream() {
@@ -210,6 +222,10 @@
         if accepts_no_requests || self.is_quarantined() {
             return false;
         }
+        let admission = &self.node.admission;
+        if !admission.with_gate(|gate, now| gate.admit_resend(now)) {
+            return false;
+        }
         let state = self.in_force.kind_state(&self.kind);
         let is_taken = lock(&state.retries).try_retry(self.node.now());
         if is_taken {
@@ -376,8 +392,17 @@
             self.node.events.record(&events::CALLS_LEARNT, None, fields);
         }
         let calls = graph.calls(&self.kind.name);
-        self.in_force
-            .max_threshold(calls.iter().map(String::as_str), now)
+        let threshold = self
+            .in_force
+            .max_threshold(calls.iter().map(String::as_str), now);
+        let instances = self.node.instances.load();
+        let kinds = calls
+            .iter()
+            .filter_map(|call| self.in_force.bundle.kind(call));
+        let limit_level = kinds
+            .map(|kind| instances.limit_level(&kind.service, now))
+            .max();
+        threshold.max(Priority(limit_level.unwrap_or(0)))
     }
 
     /// The end of the body releases the connection, the parent's registration and, if the body is small, the slot.
--- a/crates/sorrelturn-daemon/src/request/owner.rs
+++ b/crates/sorrelturn-daemon/src/request/owner.rs
@@ -1,6 +1,7 @@
 //! The owner's side of a call: early refusals, and the choice between execution with and without a token.
 
 use crate::{
+    backend::signals,
     backend::state::Routed,
     clock::unix_ns,
     node::{ActiveRequest, MemoryDemand, Node, lock},
@@ -39,7 +40,11 @@
     node.admission.with_gate(|gate, now| {
         answer.load = gate.load_percent(now);
         answer.threshold = answer.threshold.max(gate.threshold(now));
+        answer.limit_level = gate.announced_limit().level(now);
     });
+    if answer.refusal == Some(Refusal::BackendLimit) {
+        answer.pause_ms = signals::pause_of_callers(node).as_millis() as u32;
+    }
     if let Some(refusal) = answer.refusal
         && answer.retry_after_ms == 0
         && !matches!(refusal, Refusal::TokenRejected | Refusal::UnknownKind)
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -145,8 +145,10 @@
         .and_then(|text| text.trim().parse::<u32>().ok());
     let deadline_ms = remaining_ms.unwrap_or(u32::MAX).min(kind.kind.deadline_ms);
     let state = in_force.kind_state(&kind);
+    let now = node.now();
+    let limit_level = node.instances.load().limit_level(&kind.service, now);
     let resolved = ResolvedRequest {
-        level: state.threshold.current(node.now()).0,
+        level: state.threshold.current(now).0.max(limit_level),
         in_force,
         kind,
         request_id,
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -323,6 +323,7 @@
         peer_addr: settings.advertise.peers.unwrap_or(addresses.peers),
         control_addr: settings.advertise.control.unwrap_or(addresses.control),
         backend: None,
+        rate_limit: None,
     };
     let ledger_config = LedgerConfig {
         ttl: Duration::from_secs(settings.once.ttl_s),
--- a/crates/sorrelturn-policy/src/gate.rs
+++ b/crates/sorrelturn-policy/src/gate.rs
@@ -148,10 +148,16 @@
             self.level.arrived(arrival.level);
             self.update_level(now);
         }
+        self.announced.arrived(now, arrival.level);
         if !self.cold.has_token(now) {
             // Not queued, and no sign of overload: other instances may be warm.
             return (Decision::Refuse(Refusal::WarmingUp), None);
         }
+        let importance = arrival.priority.importance();
+        let is_nested_call = arrival.is_nested_call;
+        if !self.announced.has_token(now, importance, is_nested_call) {
+            return (Decision::Refuse(Refusal::BackendLimit), None);
+        }
         if self.has_free_slot(now) && self.queue.is_empty() {
             self.admit(now, Duration::ZERO);
             return (Decision::Admit, None);
@@ -292,6 +298,7 @@
         let load = (u64::from(self.in_flight) + self.queue.len() as u64) * 100;
         let load = (load / u64::from(self.steady_limit(now))).min(u64::from(u16::MAX)) as u16;
         load.max(self.cold.load_percent(now))
+            .max(self.announced.load_percent(now))
     }
 
     /// The limit on admissions while the backend server is cold.
@@ -299,6 +306,15 @@
         &mut self.cold
     }
 
+    /// Takes the admission of a request that is sent to the backend server a second time. Returns whether it is allowed.
+    pub fn admit_resend(&mut self, now: Now) -> bool {
+        let is_allowed = self.announced.has_token(now, Importance::Critical, true);
+        if is_allowed {
+            self.announced.take(now);
+        }
+        is_allowed
+    }
+
     /// The limit that the backend server names.
     pub fn announced_limit(&mut self) -> &mut AnnouncedLimit {
         &mut self.announced
@@ -320,10 +336,11 @@
 
     /// The duration of the current overload; `None` without overload.
     pub fn overload_duration(&self, now: Now) -> Option<Duration> {
-        match self.cfg.call_queue_timeout {
+        let duration = match self.cfg.call_queue_timeout {
             None => self.overload_detector.overload_duration(now),
             Some(_) => self.level.overload_duration(now),
-        }
+        };
+        duration.max(self.announced.overload_duration(now))
     }
 
     /// The queue length from which `arrival` has to evict another request.
@@ -345,6 +362,7 @@
 
     fn admit(&mut self, now: Now, queueing_delay: Duration) {
         self.cold.take(now);
+        self.announced.take(now);
         self.in_flight += 1;
         self.last_sample = self.tuner.begin(now, self.in_flight);
         self.overload_detector.admitted(queueing_delay);
@@ -355,7 +373,7 @@
 
     fn release(&mut self, now: Now) -> Released {
         let mut released = Released::default();
-        while self.has_free_slot(now) && self.cold.has_token(now) {
+        while self.has_free_slot(now) && self.cold.has_token(now) && self.may_release_next(now) {
             let Some((key, queued_at)) = self.queue.pop_last() else {
                 break;
             };
@@ -371,6 +389,14 @@
         released
     }
 
+    fn may_release_next(&mut self, now: Now) -> bool {
+        let next = self.queue.last_key_value();
+        next.is_some_and(|(key, _)| {
+            self.announced
+                .has_token(now, key.importance, key.is_nested_call)
+        })
+    }
+
     /// The estimated queueing delay, from the number of queued requests that precede `arrival`.
     fn expected_queueing_delay(&self, now: Now, arrival: &Arrival) -> Duration {
         let ahead = self.queue.range(QueueKey::from(arrival)..).count() as u32;
--- a/crates/sorrelturn-policy/src/routing.rs
+++ b/crates/sorrelturn-policy/src/routing.rs
@@ -1,7 +1,7 @@
 //! Chooses the instance that serves a call. See `docs/design/routing.md`.
 
-use crate::Now;
-use sorrelturn_protocol::Incarnation;
+use crate::{LearnedThreshold, Now};
+use sorrelturn_protocol::{Incarnation, Priority};
 use std::{
     sync::atomic::{AtomicU32, AtomicU64, Ordering::Relaxed},
     time::Duration,
@@ -62,6 +62,10 @@
     ejected_until_ms: AtomicU64,
     /// 1 if the instance reported that it is leaving, otherwise 0.
     leaving: AtomicU32,
+    /// The shedding level that the limit of its backend server calls for.
+    limit_level: LearnedThreshold,
+    /// Until when others are preferred, since its backend server limits its requests.
+    paused_until_ms: AtomicU64,
 }
 
 /// What one exchange reveals about an instance.
@@ -108,6 +112,8 @@
             error_rate_at_ms: AtomicU64::new(0),
             ejected_until_ms: AtomicU64::new(0),
             leaving: AtomicU32::new(0),
+            limit_level: LearnedThreshold::for_shedding_level(),
+            paused_until_ms: AtomicU64::new(0),
         }
     }
 
@@ -154,6 +160,29 @@
         }
     }
 
+    /// Records the shedding level that the limit of the instance's backend server calls for.
+    pub fn record_limit_level(&self, now: Now, level: u16) {
+        if level != 0 || self.limit_level(now) != 0 {
+            self.limit_level.observe(now, Priority(level));
+        }
+    }
+
+    /// Returns the shedding level that the limit of the instance's backend server calls for; 0 without a limit.
+    pub fn limit_level(&self, now: Now) -> u16 {
+        self.limit_level.current(now).0
+    }
+
+    /// Prefers other instances for some time, after this one refused a call because of its backend server's limit.
+    pub fn pause(&self, now: Now, duration: Duration) {
+        let until = now + duration;
+        self.paused_until_ms
+            .store(until.as_millis() as u64, Relaxed);
+    }
+
+    fn is_paused_at(&self, now_ms: u64) -> bool {
+        now_ms < self.paused_until_ms.load(Relaxed)
+    }
+
     /// Returns the number of calls in flight from this daemon.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.load(Relaxed)
@@ -260,17 +289,28 @@
     let is_candidate_at =
         |instance: &Instance, at_ms: u64| is_selectable(instance) && !instance.is_ejected_at(at_ms);
     let available = instances.clone();
-    let mut counts =
-        CandidateCounts::of(available.filter(|instance| is_candidate_at(instance, now_ms)));
+    let mut counts = CandidateCounts::of(
+        available.filter(|instance| is_candidate_at(instance, now_ms)),
+        now_ms,
+    );
     let mut at_ms = now_ms;
     if counts.all() * 100 < all * MIN_AVAILABLE_PERCENT {
         // At this time every ejection has ended.
         at_ms = u64::MAX;
-        counts = CandidateCounts::of(instances.clone().filter(|instance| is_selectable(instance)));
+        let selectable = instances.clone().filter(|instance| is_selectable(instance));
+        counts = CandidateCounts::of(selectable, now_ms);
+    }
+    let avoids_paused = (1..counts.all()).contains(&counts.paused);
+    let is_candidate = |instance: &Instance| {
+        is_candidate_at(instance, at_ms) && !(avoids_paused && instance.is_paused_at(now_ms))
+    };
+    if avoids_paused {
+        let unpaused = instances.clone().filter(|instance| is_candidate(instance));
+        counts = CandidateCounts::of(unpaused, now_ms);
     }
     let candidates = instances
         .enumerate()
-        .filter(|(_, instance)| is_candidate_at(instance, at_ms));
+        .filter(|(_, instance)| is_candidate(instance));
     choose_from_sample(counts.sample(rng), candidates, now_ms, rng)
 }
 
@@ -279,6 +319,8 @@
 struct CandidateCounts {
     same_domain: usize,
     other_domains: usize,
+    /// Those among them that are paused.
+    paused: usize,
 }
 
 /// The sampled candidates, by their positions among those in the same failure domain and among the
@@ -298,15 +340,17 @@
 const NOT_SAMPLED: usize = usize::MAX;
 
 impl CandidateCounts {
-    fn of<'a>(candidates: impl Iterator<Item = &'a Instance>) -> Self {
-        let (mut same_domain, mut all) = (0, 0);
+    fn of<'a>(candidates: impl Iterator<Item = &'a Instance>, now_ms: u64) -> Self {
+        let (mut same_domain, mut all, mut paused) = (0, 0, 0);
         for instance in candidates {
             same_domain += usize::from(instance.in_same_domain);
+            paused += usize::from(instance.is_paused_at(now_ms));
             all += 1;
         }
         Self {
             same_domain,
             other_domains: all - same_domain,
+            paused,
         }
     }
 
--- a/crates/sorrelturn-policy/src/shedding_level.rs
+++ b/crates/sorrelturn-policy/src/shedding_level.rs
@@ -149,14 +149,14 @@
 /// Returns the fraction of the load that a level admits, assuming that two ranks have half of the
 /// load each. If they don't, the estimated load is off by the same factor as the level derived from
 /// it, and the errors cancel out.
-fn admitted_fraction(level: f64) -> f64 {
+pub(crate) fn admitted_fraction(level: f64) -> f64 {
     let refused = (refused_fraction_of_rank(level, 0) + refused_fraction_of_rank(level, 1)) / 2.0;
     let extra = (level - 2.0).clamp(0.0, 1.0) * MAX_EXTRA_REFUSED_FRACTION;
     1.0 - refused - extra
 }
 
 /// Returns the lowest level that admits at most this fraction of the load.
-fn level_that_admits(fraction: f64) -> f64 {
+pub(crate) fn level_that_admits(fraction: f64) -> f64 {
     let refused = (1.0 - fraction).max(0.0);
     let rank_levels = refused.min(MAX_REFUSED_FRACTION) / (MAX_REFUSED_FRACTION / 2.0);
     let extra_level = (refused - MAX_REFUSED_FRACTION).max(0.0) / MAX_EXTRA_REFUSED_FRACTION;
--- a/crates/sorrelturn-protocol/src/context.rs
+++ b/crates/sorrelturn-protocol/src/context.rs
@@ -78,6 +78,10 @@
     pub leaving: bool,
     /// Whether the owner has learned that this kind is called by backend servers.
     pub is_call: bool,
+    /// The shedding level that the limit of the owner's backend server calls for, in steps of 1/256; 0 without a limit.
+    pub limit_level: u16,
+    /// Milliseconds for which the sender should avoid the owner, after a refusal because of that limit.
+    pub pause_ms: u32,
 }
 
 /// The error of decoding a context header.
--- a/crates/sorrelturn-protocol/src/member.rs
+++ b/crates/sorrelturn-protocol/src/member.rs
@@ -1,6 +1,6 @@
 //! The membership record of a daemon.
 
-use crate::{Announcement, Incarnation};
+use crate::{Announcement, Incarnation, RequestRate};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -41,6 +41,9 @@
     /// servers don't announce themselves.
     #[serde(default)]
     pub backend: Option<Announcement>,
+    /// The limit that the backend server names in its responses, from which the next incarnation resumes.
+    #[serde(default)]
+    pub rate_limit: Option<RequestRate>,
 }
 
 impl MemberRecord {
--- a/crates/sorrelturn-protocol/src/refusal.rs
+++ b/crates/sorrelturn-protocol/src/refusal.rs
@@ -72,6 +72,8 @@
     Evacuated,
     /// the daemon's memory is needed for the requests in progress
     OutOfMemory,
+    /// the backend server limits the requests that it accepts for now
+    BackendLimit,
 }
 
 impl Refusal {
@@ -131,6 +133,7 @@
             Self::WarmingUp => "warming-up",
             Self::Evacuated => "evacuated",
             Self::OutOfMemory => "out-of-memory",
+            Self::BackendLimit => "backend-limit",
         }
     }
 
@@ -147,6 +150,7 @@
                 | Self::WarmingUp
                 | Self::Evacuated
                 | Self::OutOfMemory
+                | Self::BackendLimit
         )
     }
 
@@ -163,6 +167,7 @@
                 | Self::WarmingUp
                 | Self::Evacuated
                 | Self::OutOfMemory
+                | Self::BackendLimit
         )
     }
 }
