Responses that say that a backend server is leaving are heeded

What callers saw: requests that reach a backend server after it has said in its responses that it leaves; the last of them may be cut off at its end. Cause: only announcements were read, and some backend servers announce late or not at all. Why it works: the daemon beside the backend server reads each response before it passes it on, and refuses from then on as after an announcement. The leave stands in the member record. Announcements that say "ready" may be old, so only a successful health check without the header ends it.

--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -275,10 +275,12 @@
         self.lock().script = script;
     }
 
-    /// Adds a header to all responses from now on, in place of the one added before; `None` adds none.
-    pub fn add_header(&self, header: Option<(&str, &str)>) {
-        self.lock().extra_headers =
-            header.map_or_else(String::new, |(name, value)| format!("{name}: {value}\r\n"));
+    /// Adds headers to all responses from now on, in place of those added before.
+    pub fn add_headers(&self, headers: &[(&str, &str)]) {
+        let lines = headers
+            .iter()
+            .map(|(name, value)| format!("{name}: {value}\r\n"));
+        self.lock().extra_headers = lines.collect();
     }
 
     /// Sets the daemon for the backend server's own calls.
--- a/crates/sorrelturn-daemon/src/backend/announce.rs
+++ b/crates/sorrelturn-daemon/src/backend/announce.rs
@@ -32,6 +32,8 @@
 const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(600);
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+/// The minimum interval between checks whether a backend server is still leaving.
+const LEAVING_CHECK_INTERVAL: Duration = Duration::from_secs(5);
 /// The maximum number of probes after a start.
 const MAX_PROBES: u32 = 3;
 
@@ -111,6 +113,9 @@
 /// saved, or after [`ACKNOWLEDGE_TIMEOUT`].
 async fn accept_report(node: &Arc<Node>, routed: &Routed, report: Report) -> Response<Body> {
     let leaving = report.announcement.state != BackendState::Ready;
+    if state::may_have_stopped_leaving(routed, &report.announcement) {
+        check_leaving(node, routed);
+    }
     match receive_announcement(node, routed, report.announcement) {
         PresenceChange::Foreign => return status(StatusCode::BAD_REQUEST),
         // An acknowledgement would promise that the backend server gets no more requests.
@@ -180,14 +185,39 @@
     }
 }
 
-async fn probe(node: &Arc<Node>, routed: &Routed, path: &str) {
-    let Ok(req) = Request::get(path).body(Bytes::new()) else {
-        return;
-    };
-    let Ok(res) = exchange(node.settings.backend.address, req, PROBE_TIMEOUT).await else {
+/// Checks in the background whether the backend server is still leaving, at most once per [`LEAVING_CHECK_INTERVAL`].
+fn check_leaving(node: &Arc<Node>, routed: &Routed) {
+    let now = node.now();
+    if routed.last_leaving_check.elapsed_since(now) < LEAVING_CHECK_INTERVAL {
         return;
+    }
+    routed.last_leaving_check.set(now);
+    let node = Arc::clone(node);
+    let ex = Arc::clone(&node.ex);
+    let check = async move {
+        let in_force = node.in_force.load_full();
+        let path = in_force
+            .as_ref()
+            .and_then(|in_force| in_force.bundle.probe_path(&node.settings.service));
+        if let (Some(routed), Some(path)) = (&node.routed, path)
+            && let Some(res) = ask_health(&node, path).await
+            && let Some(id) = signals::id_unless_leaving(routed, res.headers())
+        {
+            state::stop_leaving(&node, routed, id);
+        }
     };
-    if res.status().is_success() {
+    ex.spawn(check).detach();
+}
+
+/// Returns the response to a health check if it is a success.
+async fn ask_health(node: &Node, path: &str) -> Option<Response<Bytes>> {
+    let req = Request::get(path).body(Bytes::new()).ok()?;
+    let res = exchange(node.settings.backend.address, req, PROBE_TIMEOUT).await;
+    res.ok().filter(|res| res.status().is_success())
+}
+
+async fn probe(node: &Arc<Node>, routed: &Routed, path: &str) {
+    if let Some(res) = ask_health(node, path).await {
         if let Some(slots) = announced_slots(routed, res.headers()) {
             update_slots(node, routed, slots);
         }
--- a/crates/sorrelturn-daemon/src/backend/signals.rs
+++ b/crates/sorrelturn-daemon/src/backend/signals.rs
@@ -20,6 +20,9 @@
 const PUBLISH_INTERVAL: Duration = Duration::from_secs(2);
 /// Limits that differ by less than this fraction aren't published again.
 const PUBLISHED_CHANGE: f64 = 0.25;
+/// The value of the header that says that the backend server is leaving.
+const LEAVING: &str = "1";
+
 /// A request for the backend server, as its response needs it.
 pub(crate) struct SentRequest {
     pub(crate) at: Now,
@@ -47,6 +50,9 @@
         return;
     }
     record_limit(node, routed, sent.at, named_limit(routed, headers));
+    if is_leaving(routed, headers) {
+        state::record_leaving_answer(node, routed, responder);
+    }
 }
 
 /// Applies the response to a health check, which may lack what responses to requests say.
@@ -55,6 +61,18 @@
     if named != NamedLimit::Absent {
         record_limit(node, routed, node.now(), named);
     }
+    let id = headers.get(&routed.dialect.headers.backend_id);
+    if let Some(id) = id.and_then(|id| id.to_str().ok())
+        && is_leaving(routed, headers)
+    {
+        state::record_leaving_answer(node, routed, id);
+    }
+}
+
+/// Returns the id of a backend server whose response doesn't say that it is leaving.
+pub(crate) fn id_unless_leaving<'a>(routed: &Routed, headers: &'a HeaderMap) -> Option<&'a str> {
+    let id = headers.get(&routed.dialect.headers.backend_id)?;
+    id.to_str().ok().filter(|_| !is_leaving(routed, headers))
 }
 
 /// Forgets the limit if it was named by another backend server than the one that accepts requests now.
@@ -115,6 +133,13 @@
     named
 }
 
+fn is_leaving(routed: &Routed, headers: &HeaderMap) -> bool {
+    let values = headers.get_all(&routed.dialect.headers.leaving);
+    values
+        .iter()
+        .any(|value| value.as_bytes() == LEAVING.as_bytes())
+}
+
 /// Publishes the limit in the background, unless a task does so already.
 fn spawn_publisher(node: &Arc<Node>, routed: &Routed) {
     if routed.is_publishing_rate_limit.swap(true, Ordering::AcqRel) {
--- a/crates/sorrelturn-daemon/src/backend/state.rs
+++ b/crates/sorrelturn-daemon/src/backend/state.rs
@@ -48,6 +48,8 @@
     pub(crate) last_unknown_credential_event: LastTime,
     /// When a change of the named limit was logged last.
     pub(crate) last_rate_limit_event: LastTime,
+    /// When it was last checked whether the backend server has stopped leaving.
+    pub(crate) last_leaving_check: LastTime,
     /// Whether a task publishes changes of the named limit.
     pub(crate) is_publishing_rate_limit: AtomicBool,
     /// Where the requests for the backend server come from.
@@ -80,6 +82,7 @@
             last_nested_call_failure: LastTime::default(),
             last_unknown_credential_event: LastTime::default(),
             last_rate_limit_event: LastTime::default(),
+            last_leaving_check: LastTime::default(),
             is_publishing_rate_limit: AtomicBool::new(false),
             origins: Mutex::default(),
             last_refused_report_event: LastTime::default(),
@@ -209,6 +212,31 @@
     }
 }
 
+/// Records that a response of the backend server with this id says that it is leaving.
+pub(crate) fn record_leaving_answer(node: &Arc<Node>, routed: &Routed, id: &str) {
+    if !lock(&routed.presence).record_leaving_answer(node.now(), id) {
+        return;
+    }
+    let fields = vec![Field::new("backend", id), Field::new("state", "answered")];
+    node.record_event(&events::BACKEND_LEAVING, fields);
+    on_backend_leaving(node, routed);
+    spawn_save(node);
+}
+
+/// Returns whether the backend server may have stopped leaving, going by its announcement.
+pub(crate) fn may_have_stopped_leaving(routed: &Routed, announcement: &Announcement) -> bool {
+    lock(&routed.presence).may_have_stopped_leaving(announcement)
+}
+
+/// Accepts requests again for the backend server with this id, if only a response said that it is leaving.
+pub(crate) fn stop_leaving(node: &Arc<Node>, routed: &Routed, id: &str) {
+    if lock(&routed.presence).stop_leaving(node.now(), id) {
+        let fields = vec![Field::new("backend", id), Field::new("state", "answered")];
+        node.record_event(&events::BACKEND_READY, fields);
+        on_backend_ready(node, routed);
+    }
+}
+
 /// Reports a crash if another incarnation is ready and the one before never announced that it was
 /// leaving. If only one of them states its start, the same id counts as the same incarnation.
 fn report_if_replaced(node: &Arc<Node>, routed: &Routed, before: Option<&Announcement>) {
--- a/crates/sorrelturn-policy/src/presence.rs
+++ b/crates/sorrelturn-policy/src/presence.rs
@@ -70,6 +70,8 @@
     earlier: VecDeque<BackendIncarnation>,
     /// Whether backend servers here send their start time.
     sends_start_time: bool,
+    /// Whether only a response says that the current incarnation is leaving.
+    is_leaving_by_answer: bool,
 }
 
 impl Presence {
@@ -135,6 +137,42 @@
         true
     }
 
+    /// Records that a response of the backend server with this id says that it is leaving. Returns whether it accepted
+    /// work until now. Announcements that say otherwise are older.
+    pub fn record_leaving_answer(&mut self, now: Now, id: &str) -> bool {
+        let current = self.current.as_mut();
+        let Some(current) =
+            current.filter(|current| current.id == id && current.state == BackendState::Ready)
+        else {
+            return false;
+        };
+        current.state = BackendState::Draining;
+        self.last_update = now;
+        self.is_leaving_by_answer = true;
+        true
+    }
+
+    /// Returns whether the backend server may have stopped leaving: it never announced that it is, and announces the
+    /// opposite.
+    pub fn may_have_stopped_leaving(&self, announcement: &Announcement) -> bool {
+        let current = self.current.as_ref();
+        let is_current = current.is_some_and(|current| current.id == announcement.id);
+        self.is_leaving_by_answer && is_current && announcement.state == BackendState::Ready
+    }
+
+    /// Records that the backend server with this id is no longer leaving, which only a response said. Returns whether it
+    /// accepts work again.
+    pub fn stop_leaving(&mut self, now: Now, id: &str) -> bool {
+        let current = self.current.as_mut().filter(|current| current.id == id);
+        let Some(current) = current.filter(|_| self.is_leaving_by_answer) else {
+            return false;
+        };
+        current.state = BackendState::Ready;
+        self.last_update = now;
+        self.is_leaving_by_answer = false;
+        true
+    }
+
     /// Returns whether the current incarnation is known only from an answer, which carries no start
     /// time, and this is its first announcement.
     fn is_first_announcement(&self, announcement: &Announcement) -> bool {
@@ -148,8 +186,16 @@
     }
 
     fn adopt_first_announcement(&mut self, now: Now, announcement: Announcement) -> PresenceChange {
-        let is_leaving = announcement.state != BackendState::Ready;
-        self.current = Some(announcement);
+        let mut state = announcement.state;
+        if self.is_leaving_by_answer {
+            state = state.max(BackendState::Draining);
+            self.is_leaving_by_answer = announcement.state == BackendState::Ready;
+        }
+        let is_leaving = state != BackendState::Ready;
+        self.current = Some(Announcement {
+            state,
+            ..announcement
+        });
         self.has_announced = true;
         self.last_update = now;
         if is_leaving {
@@ -163,6 +209,7 @@
         let Some(current) = &mut self.current else {
             return PresenceChange::Outdated;
         };
+        self.is_leaving_by_answer &= announcement.state == BackendState::Ready;
         if announcement.state > current.state {
             current.sequence = current.sequence.max(announcement.sequence);
             let was_ready = current.state == BackendState::Ready;
@@ -213,6 +260,7 @@
         let is_ready = announcement.state == BackendState::Ready;
         self.last_update = now;
         self.has_announced = true;
+        self.is_leaving_by_answer = false;
         self.earlier
             .retain(|earlier| !earlier.matches(&announcement));
         if let Some(previous) = self.current.replace(announcement) {
