--- a/crates/sorrelturn-bench/src/experiment/daemon.rs
+++ b/crates/sorrelturn-bench/src/experiment/daemon.rs
@@ -48,6 +48,8 @@
 pub(super) struct Daemon {
     kinds: Vec<KindState>,
     instances_by_service: Vec<Vec<InstanceState>>,
+    /// The service of each kind, if the limits of its instances are heeded.
+    limited_services: Vec<Option<usize>>,
     /// By service index.
     retries: Vec<RetryWindow>,
     pub(super) gate: Gate,
@@ -72,6 +74,9 @@
     pub(super) threshold: Priority,
     pub(super) load: u16,
     pub(super) is_call: bool,
+    pub(super) limit_level: u16,
+    /// How long the instance is avoided.
+    pub(super) pause: Option<Duration>,
 }
 
 impl Daemon {
@@ -104,6 +109,12 @@
         let sharing_daemons = topology.daemon_count.max(MIN_SHARING_DAEMONS) as f64;
         let ratio = experiment.retries.ratio;
         let slack = experiment.retries.slack * SLACK_FRACTION / sharing_daemons;
+        let heeds_limits = experiment.is_enabled(Mechanism::LimitLevels);
+        let limited_services = experiment.kinds.values().map(|kind| {
+            let mut services = experiment.services.keys();
+            let service = services.position(|name| *name == kind.service);
+            service.filter(|_| heeds_limits)
+        });
         let cfg = GateConfig {
             slots: topology.slots[service],
             queue_len: topology.slots[service],
@@ -114,6 +125,7 @@
         Self {
             kinds: experiment.kinds.iter().map(|_| KindState::new()).collect(),
             instances_by_service: instances_by_service.collect(),
+            limited_services: limited_services.collect(),
             retries: topology
                 .domains
                 .iter()
@@ -217,13 +229,24 @@
 
     /// The learned shedding level, including the kinds that it calls.
     pub(super) fn shedding_level(&self, now: Now, kind: usize) -> u16 {
-        self.kinds[kind].threshold.current(now).0
+        let learned = self.kinds[kind].threshold.current(now).0;
+        learned.max(self.limit_level(now, kind))
+    }
+
+    /// The lowest level that the limit of an instance of the kind's service calls for.
+    fn limit_level(&self, now: Now, kind: usize) -> u16 {
+        let Some(service) = self.limited_services[kind] else {
+            return 0;
+        };
+        let instances = self.instances_by_service[service].iter();
+        let levels = instances.map(|instance| instance.stats.limit_level(now));
+        levels.min().unwrap_or(0)
     }
 
     pub(super) fn max_shedding_level(&self, now: Now, kinds: &[usize]) -> Priority {
         let levels = kinds
             .iter()
-            .map(|kind| self.kinds[*kind].threshold.current(now));
+            .map(|kind| Priority(self.shedding_level(now, *kind)));
         levels.max().unwrap_or_default()
     }
 
@@ -295,9 +318,33 @@
             .finished(now, report);
     }
 
-    pub(super) fn record_answer(&mut self, now: Now, kind: usize, context: &AnswerContext) {
+    /// Records what an answer says of the limit of the instance.
+    pub(super) fn record_limit(
+        &self,
+        now: Now,
+        service: usize,
+        index: usize,
+        context: &AnswerContext,
+    ) {
+        let stats = &self.instances_by_service[service][index].stats;
+        stats.record_limit_level(now, context.limit_level);
+        if let Some(pause) = context.pause {
+            stats.pause(now, pause);
+        }
+    }
+
+    /// `indicates_load` is false for a refusal that says nothing of the service's load.
+    pub(super) fn record_answer(
+        &mut self,
+        now: Now,
+        kind: usize,
+        context: &AnswerContext,
+        indicates_load: bool,
+    ) {
         let state = &mut self.kinds[kind];
-        state.threshold.observe(now, context.threshold);
+        if indicates_load {
+            state.threshold.observe(now, context.threshold);
+        }
         state.is_call = context.is_call;
         state.was_answered = true;
     }
--- a/crates/sorrelturn-bench/src/experiment/file.rs
+++ b/crates/sorrelturn-bench/src/experiment/file.rs
@@ -175,6 +175,15 @@
         from_s: f64,
         to_s: f64,
     },
+    /// Instances name a limit on the requests that they accept.
+    Limits {
+        service: String,
+        instances: usize,
+        /// For each instance.
+        per_second: f64,
+        from_s: f64,
+        to_s: f64,
+    },
     /// Some callers ignore Retry-After and retry more often.
     Repeats {
         share: f64,
@@ -224,11 +233,13 @@
     BestSlots,
     /// Requests that crash backend servers are quarantined.
     Quarantine,
+    /// Entries shed load by the level that the limits of all instances of a service call for.
+    LimitLevels,
 }
 
 impl Mechanism {
     /// All mechanisms with their names on the command line.
-    pub const ALL: [(&'static str, Self); 8] = [
+    pub const ALL: [(&'static str, Self); 9] = [
         ("entry-admission", Self::EntryAdmission),
         ("return-order", Self::ReturnOrder),
         ("return-time", Self::ReturnTime),
@@ -237,6 +248,7 @@
         ("near-first", Self::NearFirst),
         ("best-slots", Self::BestSlots),
         ("quarantine", Self::Quarantine),
+        ("limit-levels", Self::LimitLevels),
     ];
 }
 
@@ -344,6 +356,7 @@
             }
             let (FaultSpec::TurnsAway { service, .. }
             | FaultSpec::Slow { service, .. }
+            | FaultSpec::Limits { service, .. }
             | FaultSpec::Lost { service, .. }) = fault
             else {
                 continue;
--- a/crates/sorrelturn-bench/src/experiment/simulation/faults.rs
+++ b/crates/sorrelturn-bench/src/experiment/simulation/faults.rs
@@ -2,6 +2,8 @@
 
 use super::{Call, Simulation, seconds};
 use crate::experiment::file::FaultSpec;
+use sorrelturn_policy::NamedLimit;
+use sorrelturn_protocol::RequestRate;
 
 impl Simulation<'_> {
     /// The current load as a multiple of the normal load, and the number of requests that arrive at once.
@@ -78,6 +80,27 @@
         (slowdown, refused_share)
     }
 
+    /// What a response of a backend server says of its limit.
+    pub(super) fn named_limit(&self, daemon: usize) -> NamedLimit {
+        let service = self.service_by_daemon[daemon];
+        let index = daemon - self.first_daemons[service];
+        let name = &self.outcome.services[service].service;
+        let now = self.now.as_secs_f64();
+        let limit = self.experiment.faults.iter().find_map(|fault| match fault {
+            FaultSpec::Limits {
+                service,
+                instances,
+                per_second,
+                from_s,
+                to_s,
+            } if service == name && index < *instances && (*from_s..*to_s).contains(&now) => {
+                RequestRate::new(*per_second)
+            }
+            _ => None,
+        });
+        limit.map_or(NamedLimit::Absent, NamedLimit::Rate)
+    }
+
     /// Restarts all daemons. Calls in flight fail and learned state is lost.
     pub(super) fn restart(&mut self) {
         let now = self.now.as_secs_f64();
--- a/crates/sorrelturn-bench/src/experiment/simulation/forwarder.rs
+++ b/crates/sorrelturn-bench/src/experiment/simulation/forwarder.rs
@@ -92,7 +92,12 @@
         };
         daemon.end_call(self.now, service, call.attempts.instance, report);
         if let Some(context) = context {
-            daemon.record_answer(self.now, call.kind, &context);
+            let indicates_load = match result {
+                CallResult::NotRun(refusal) => refusal.indicates_service_load(),
+                _ => true,
+            };
+            daemon.record_answer(self.now, call.kind, &context, indicates_load);
+            daemon.record_limit(self.now, service, call.attempts.instance, &context);
         }
         let answered_by = incarnation(service, call.attempts.instance);
         if matches!(result, CallResult::NotRun(Refusal::BackendRefused)) {
--- a/crates/sorrelturn-bench/src/experiment/simulation/owner.rs
+++ b/crates/sorrelturn-bench/src/experiment/simulation/owner.rs
@@ -189,6 +189,10 @@
         };
         self.daemons[run.daemon].end_execution(id, run.level, run.repeated);
         let took = self.now - run.started;
+        let named = self.named_limit(run.daemon);
+        let gate = &mut self.daemons[run.daemon].gate;
+        gate.announced_limit()
+            .record_answer(self.now, run.started, named);
         let kind = self.calls.get(&run.call).map(|call| call.kind);
         if let Some(kind) = kind {
             self.daemons[run.daemon].learn_calls(&self.kind_names[kind], took);
@@ -243,10 +247,17 @@
         let is_call = self.daemons[owner].is_called_kind(&self.kind_names[kind], &self.vm_shares);
         let gate = &mut self.daemons[owner].gate;
         let own_threshold = gate.threshold(self.now);
+        let is_limited = matches!(result, CallResult::NotRun(Refusal::BackendLimit));
+        let pause = gate.announced_limit().pause(self.topology.daemon_count);
+        let jitter = 0.75 + self.rng.f64() / 2.0;
         let context = AnswerContext {
             threshold: own_threshold.max(max_called_level),
             load: gate.load_percent(self.now),
             is_call,
+            limit_level: gate.announced_limit().level(self.now),
+            pause: pause
+                .filter(|_| is_limited)
+                .map(|pause| pause.mul_f64(jitter)),
         };
         let sent = self.occupy_processor(owner);
         let hop = ms(self.experiment.hop_ms);
--- a/crates/sorrelturn-bench/tests/experiment.rs
+++ b/crates/sorrelturn-bench/tests/experiment.rs
@@ -270,3 +270,28 @@
     assert!(crashes(&bare) > 10 * crashes(&quarantined));
     assert!(bare.worth() < quarantined.worth() - 0.1, "{}", bare.worth());
 }
+
+/// Guards against limits of all instances of a service that its callers learn only from refusals deep in the call tree.
+#[test]
+fn requests_beyond_the_limits_of_a_service_are_refused_at_their_entry_least_important_first() {
+    let outcome = simulate(&experiment("named-limits.jsonc"));
+    let failed = |outcome: &Outcome, kind: &str| {
+        let kind = outcome.kinds.iter().find(|known| known.kind == kind);
+        let counts = kind.expect("a kind").between(12, 25);
+        f64::from(counts.failed) / f64::from(counts.requested)
+    };
+    assert!(failed(&outcome, "report") < 0.01);
+    let (critical, normal) = (
+        served(&outcome, "refund", 12, 25),
+        served(&outcome, "report", 12, 25),
+    );
+    assert!(
+        critical > 2.0 * normal,
+        "{critical} critical, {normal} normal"
+    );
+    let bare = simulate_without("named-limits.jsonc", Mechanism::LimitLevels);
+    let (with, without) = (failed(&outcome, "refund"), failed(&bare, "refund"));
+    assert!(with < without / 4.0, "{with} with, {without} without");
+    let others = served(&outcome, "report", 37, 50);
+    assert!(others > 0.98, "{others}: the other instances take the rest");
+}
--- a/crates/sorrelturn-policy/src/routing.rs
+++ b/crates/sorrelturn-policy/src/routing.rs
@@ -66,6 +66,8 @@
     limit_level: LearnedThreshold,
     /// Until when others are preferred, since its backend server limits its requests.
     paused_until_ms: AtomicU64,
+    /// The later of the ends of ejection and pause, which the common case of a choice reads alone.
+    avoided_until_ms: AtomicU64,
 }
 
 /// What one exchange reveals about an instance.
@@ -114,6 +116,7 @@
             leaving: AtomicU32::new(0),
             limit_level: LearnedThreshold::for_shedding_level(),
             paused_until_ms: AtomicU64::new(0),
+            avoided_until_ms: AtomicU64::new(0),
         }
     }
 
@@ -135,6 +138,8 @@
                 self.load_at_ms.store(now.as_millis() as u64, Relaxed);
                 self.consecutive_failures.store(0, Relaxed);
                 self.ejected_until_ms.store(0, Relaxed);
+                let paused_until_ms = self.paused_until_ms.load(Relaxed);
+                self.avoided_until_ms.store(paused_until_ms, Relaxed);
                 false
             }
             InstanceReport::Leaving => {
@@ -174,9 +179,9 @@
 
     /// Prefers other instances for some time, after this one refused a call because of its backend server's limit.
     pub fn pause(&self, now: Now, duration: Duration) {
-        let until = now + duration;
-        self.paused_until_ms
-            .store(until.as_millis() as u64, Relaxed);
+        let until_ms = (now + duration).as_millis() as u64;
+        self.paused_until_ms.store(until_ms, Relaxed);
+        self.avoided_until_ms.fetch_max(until_ms, Relaxed);
     }
 
     fn is_paused_at(&self, now_ms: u64) -> bool {
@@ -235,8 +240,9 @@
         }
         let doublings = (consecutive_failures - FAILURES_TO_EJECT).min(MAX_EJECTION_DOUBLINGS);
         let until = now + FIRST_EJECTION * (1 << doublings);
-        self.ejected_until_ms
-            .store(until.as_millis() as u64, Relaxed);
+        let until_ms = until.as_millis() as u64;
+        self.ejected_until_ms.store(until_ms, Relaxed);
+        self.avoided_until_ms.fetch_max(until_ms, Relaxed);
         true
     }
 
@@ -286,41 +292,66 @@
     let is_selectable = |instance: &Instance| {
         !instance.is_leaving() && (tried.is_empty() || !tried.contains(&instance.incarnation))
     };
-    let is_candidate_at =
-        |instance: &Instance, at_ms: u64| is_selectable(instance) && !instance.is_ejected_at(at_ms);
-    let available = instances.clone();
-    let mut counts = CandidateCounts::of(
-        available.filter(|instance| is_candidate_at(instance, now_ms)),
-        now_ms,
-    );
-    let mut at_ms = now_ms;
-    if counts.all() * 100 < all * MIN_AVAILABLE_PERCENT {
-        // At this time every ejection has ended.
-        at_ms = u64::MAX;
-        let selectable = instances.clone().filter(|instance| is_selectable(instance));
-        counts = CandidateCounts::of(selectable, now_ms);
-    }
-    let avoids_paused = (1..counts.all()).contains(&counts.paused);
-    let is_candidate = |instance: &Instance| {
-        is_candidate_at(instance, at_ms) && !(avoids_paused && instance.is_paused_at(now_ms))
-    };
-    if avoids_paused {
-        let unpaused = instances.clone().filter(|instance| is_candidate(instance));
-        counts = CandidateCounts::of(unpaused, now_ms);
+    let selectable = instances.clone().filter(|instance| is_selectable(instance));
+    let preferred = |instance: &Instance| now_ms >= instance.avoided_until_ms.load(Relaxed);
+    let mut counts = CandidateCounts::of(selectable.clone().filter(|instance| preferred(instance)));
+    let mut skipped = Skipped::ALL;
+    if counts.all() < all {
+        skipped = Skipped::of(selectable.clone(), all, now_ms);
+        counts = CandidateCounts::of(selectable.filter(|instance| !skipped.has(instance, now_ms)));
     }
     let candidates = instances
         .enumerate()
-        .filter(|(_, instance)| is_candidate(instance));
+        .filter(|(_, instance)| is_selectable(instance) && !skipped.has(instance, now_ms));
     choose_from_sample(counts.sample(rng), candidates, now_ms, rng)
 }
 
+/// The instances that a choice skips.
+#[derive(Clone, Copy)]
+struct Skipped {
+    ejected: bool,
+    paused: bool,
+}
+
+impl Skipped {
+    const ALL: Self = Self {
+        ejected: true,
+        paused: true,
+    };
+
+    /// Skips ejected instances unless too few of `all` would remain, and paused ones unless none would.
+    fn of<'a>(
+        selectable: impl Iterator<Item = &'a Instance> + Clone,
+        all: usize,
+        now_ms: u64,
+    ) -> Self {
+        let not_ejected = selectable
+            .clone()
+            .filter(|instance| !instance.is_ejected_at(now_ms));
+        let ejected = not_ejected.count() * 100 >= all * MIN_AVAILABLE_PERCENT;
+        let only_ejected = Self {
+            ejected,
+            paused: false,
+        };
+        let mut remaining = selectable.filter(|instance| !only_ejected.has(instance, now_ms));
+        let paused = remaining.any(|instance| !instance.is_paused_at(now_ms));
+        Self { ejected, paused }
+    }
+
+    fn has(self, instance: &Instance, now_ms: u64) -> bool {
+        if now_ms >= instance.avoided_until_ms.load(Relaxed) {
+            return false;
+        }
+        (self.ejected && instance.is_ejected_at(now_ms))
+            || (self.paused && instance.is_paused_at(now_ms))
+    }
+}
+
 /// Number of candidates in the same failure domain and in the others.
 #[derive(Clone, Copy, Default)]
 struct CandidateCounts {
     same_domain: usize,
     other_domains: usize,
-    /// Those among them that are paused.
-    paused: usize,
 }
 
 /// The sampled candidates, by their positions among those in the same failure domain and among the
@@ -340,17 +371,15 @@
 const NOT_SAMPLED: usize = usize::MAX;
 
 impl CandidateCounts {
-    fn of<'a>(candidates: impl Iterator<Item = &'a Instance>, now_ms: u64) -> Self {
-        let (mut same_domain, mut all, mut paused) = (0, 0, 0);
+    fn of<'a>(candidates: impl Iterator<Item = &'a Instance>) -> Self {
+        let (mut same_domain, mut all) = (0, 0);
         for instance in candidates {
             same_domain += usize::from(instance.in_same_domain);
-            paused += usize::from(instance.is_paused_at(now_ms));
             all += 1;
         }
         Self {
             same_domain,
             other_domains: all - same_domain,
-            paused,
         }
     }
 
