A response of another request doesn't end a limit; refusals for a limit don't count as load on slots

Found by reading the change again: a late extra response, which belongs to another request, was read like the response to this one and could have ended a limit or told a leave that is older; and arrivals that a limit refused counted as demand for slots that they never need. Both are now decided after the response is classified, and before the demand is counted.

--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -152,10 +152,7 @@
         match exchange.or(timeout).await {
             Some(Ok(response)) => {
                 node.record_backend_reachability(true);
-                if let Some(routed) = &node.routed {
-                    signals::record_answer(&node, routed, &sent, response.res.headers());
-                }
-                self.handle_response(slot, guard, response, in_progress)
+                self.handle_response(slot, guard, response, &sent, in_progress)
             }
             Some(Err(SendError::Full)) => {
                 in_progress.mark_finished();
@@ -281,6 +278,7 @@
         slot: Slot,
         guard: ParentGuard,
         response: BackendResponse,
+        sent: &SentRequest,
         in_progress: BackendRequestGuard,
     ) -> Reply {
         let BackendResponse {
@@ -304,6 +302,9 @@
             if response_kind == ResponseKind::NotRun {
                 state::record_answering_backend(&self.node, routed, res.headers());
             }
+            if response_kind != ResponseKind::Mismatched {
+                signals::record_answer(&self.node, routed, sent, res.headers());
+            }
             response_kind
         });
         if let Some(routed) = &self.node.routed {
--- a/crates/sorrelturn-policy/src/announced_limit.rs
+++ b/crates/sorrelturn-policy/src/announced_limit.rs
@@ -187,7 +187,7 @@
     fn refill(&mut self, now: Now) {
         if let Some(rate) = self.rate {
             self.tokens = self.tokens_at(now, rate);
-            self.filled_at = now;
+            self.filled_at = self.filled_at.max(now);
         }
     }
 
--- a/crates/sorrelturn-policy/src/gate.rs
+++ b/crates/sorrelturn-policy/src/gate.rs
@@ -143,21 +143,22 @@
 
     /// Decides on an arrival. The second value is the queued request that it evicts, if any.
     pub fn arrive(&mut self, now: Now, arrival: &Arrival) -> (Decision, Option<u64>) {
+        self.announced.arrived(now, arrival.level);
+        let importance = arrival.priority.importance();
+        let is_nested_call = arrival.is_nested_call;
+        if !self.announced.has_token(now, importance, is_nested_call) {
+            // No sign of overload, since it will need no slot here.
+            return (Decision::Refuse(Refusal::BackendLimit), None);
+        }
         self.overload_detector.arrived(now, arrival.priority);
         if self.cfg.call_queue_timeout.is_some() {
             self.level.arrived(arrival.level);
             self.update_level(now);
         }
-        self.announced.arrived(now, arrival.level);
         if !self.cold.has_token(now) {
             // Not queued, and no sign of overload: other instances may be warm.
             return (Decision::Refuse(Refusal::WarmingUp), None);
         }
-        let importance = arrival.priority.importance();
-        let is_nested_call = arrival.is_nested_call;
-        if !self.announced.has_token(now, importance, is_nested_call) {
-            return (Decision::Refuse(Refusal::BackendLimit), None);
-        }
         if self.has_free_slot(now) && self.queue.is_empty() {
             self.admit(now, Duration::ZERO);
             return (Decision::Admit, None);
