What a backend server says of itself survives a second restart of its daemon

What callers saw: requests at a backend server that is leaving, or more of them than it takes, after its daemon restarted twice before the backend server had announced itself. Cause: an incarnation that learned the leave from its predecessor's record didn't put it into its own record. Older than the incident: a deregistered backend server was forgotten in the same way. Why it works: what is restored is published again at once, to the store and to the neighbours.

--- a/crates/sorrelturn-bench/src/commands/soak.rs
+++ b/crates/sorrelturn-bench/src/commands/soak.rs
@@ -60,6 +60,12 @@
                 .help("Repeatedly send a request that crashes backend servers")
                 .action(ArgAction::SetTrue),
         )
+        .arg(
+            Arg::new("signals")
+                .long("signals")
+                .help("Backend servers name limits and leaves in their responses")
+                .action(ArgAction::SetTrue),
+        )
         .arg(
             Arg::new("print")
                 .long("print")
@@ -83,6 +89,10 @@
         true => plan.with_crashes(),
         false => plan,
     };
+    let plan = match args.get_flag("signals") {
+        true => plan.with_signals(),
+        false => plan,
+    };
     print!("{plan}");
     if args.get_flag("print") {
         return ExitCode::SUCCESS;
--- a/crates/sorrelturn-bench/src/soak/actions.rs
+++ b/crates/sorrelturn-bench/src/soak/actions.rs
@@ -68,6 +68,12 @@
                 self.daemons[daemon].path.inject(harm, duration).await;
             }
             Action::Leave { daemon, ms } => self.leave_and_return(daemon, ms).await,
+            Action::Limit {
+                daemon,
+                per_second,
+                ms,
+            } => self.name_limit(daemon, per_second, ms).await,
+            Action::LeaveByResponse { daemon, ms } => self.leave_by_response(daemon, ms).await,
             Action::Misbehave { daemon, script, ms } => {
                 let backend = &self.daemons[daemon].backend;
                 backend.play(script);
@@ -168,6 +174,31 @@
         self.send_late_updates(member, &previous).await;
     }
 
+    /// Makes a backend server name a limit for a while.
+    async fn name_limit(&self, daemon: usize, per_second: u64, ms: u64) {
+        let backend = &self.daemons[daemon].backend;
+        let name = self.target.dialect.headers.rate_limit.as_str();
+        backend.add_headers(&[(name, &per_second.to_string())]);
+        self.checker()
+            .limit_named(self.now(), daemon, Some(per_second));
+        Timer::after(Duration::from_millis(ms)).await;
+        self.checker().limit_named(self.now(), daemon, None);
+        backend.add_headers(&[]);
+    }
+
+    /// Makes a backend server say in its responses that it leaves, and return as another incarnation. Its heartbeats
+    /// don't say it.
+    async fn leave_by_response(&self, daemon: usize, ms: u64) {
+        let member = &self.daemons[daemon];
+        let name = self.target.dialect.headers.leaving.as_str();
+        member.backend.add_headers(&[(name, "1")]);
+        self.checker().leave_named(self.now(), daemon);
+        Timer::after(Duration::from_millis(ms)).await;
+        self.checker().backend_joining(daemon);
+        member.backend.add_headers(&[]);
+        member.start_next_incarnation(daemon);
+    }
+
     /// Delivers late updates of the previous incarnation and malformed reports.
     async fn send_late_updates(&self, member: &Member, previous: &BackendIncarnation) {
         while !member.announce().await.is_ok_and(|status| status == 200) {
--- a/crates/sorrelturn-bench/src/soak/checker.rs
+++ b/crates/sorrelturn-bench/src/soak/checker.rs
@@ -2,7 +2,10 @@
 //! socket, so that a test can feed it breaches.
 
 use super::workspaces::{CredentialKind, WorkspaceObservations};
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 
 /// The time after a fault from which the platform's rules consider a machine undisturbed again.
 const UNDISTURBED_AFTER: Duration = Duration::from_secs(3);
@@ -18,6 +21,13 @@
 /// Connections that a daemon may close without a byte because a fault cut a response off before its head was written.
 /// The platform's rules allow a machine three.
 const MAX_BROKEN_HEADS: u32 = 3;
+/// The window in which requests for a backend server with a limit are counted, and what is allowed in it beyond the
+/// limit: a multiple of it, and some more requests.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+const LIMIT_OVERAGE: f64 = 1.5;
+const LIMIT_SLACK: f64 = 5.0;
+/// The time after a response that says that its backend server is leaving, in which requests may still be sent there.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
 /// The statuses which state that the request was not and will not be executed.
 const REFUSAL_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -54,6 +64,8 @@
     Revoked,
     /// No window exceeds a workspace's quota.
     Quota,
+    /// No window exceeds the limit that a backend server names.
+    Limit,
 }
 
 /// The kind of a request.
@@ -160,8 +172,25 @@
     has_excused_cut: bool,
 }
 
+/// A limit that a backend server names in its responses.
+struct NamedLimit {
+    since: Duration,
+    per_second: u64,
+    /// Arrivals within the last [`LIMIT_WINDOW`].
+    arrivals: VecDeque<Duration>,
+}
+
+/// A leave that a backend server names in its responses only.
+struct NamedLeave {
+    since: Duration,
+    /// When a caller first got such a response.
+    passed_on_at: Option<Duration>,
+}
+
 #[derive(Default)]
 struct DaemonObservations {
+    named_limit: Option<NamedLimit>,
+    named_leave: Option<NamedLeave>,
     incarnations: Vec<Incarnation>,
     path_faulted: Vec<(Duration, Duration)>,
     leave_acknowledged_at: Option<Duration>,
@@ -343,7 +372,70 @@
 
     /// Records that a new incarnation of a backend server is about to announce itself.
     pub fn backend_joining(&mut self, daemon: usize) {
-        self.daemons[daemon].leave_acknowledged_at = None;
+        let observed = &mut self.daemons[daemon];
+        observed.leave_acknowledged_at = None;
+        observed.named_leave = None;
+    }
+
+    /// Records that a backend server names a limit in its responses from now on, or none.
+    pub fn limit_named(&mut self, at: Duration, daemon: usize, per_second: Option<u64>) {
+        self.daemons[daemon].named_limit = per_second.map(|per_second| NamedLimit {
+            since: at,
+            per_second,
+            arrivals: VecDeque::new(),
+        });
+    }
+
+    /// Records that a backend server says in its responses from now on that it is leaving.
+    pub fn leave_named(&mut self, at: Duration, daemon: usize) {
+        self.daemons[daemon].named_leave = Some(NamedLeave {
+            since: at,
+            passed_on_at: None,
+        });
+    }
+
+    /// Checks an arrival against the limit that the backend server names.
+    fn check_limit(&mut self, at: Duration, daemon: usize) {
+        let lag = self.lag;
+        let Some(limit) = &mut self.daemons[daemon].named_limit else {
+            return;
+        };
+        if at < limit.since + UNDISTURBED_AFTER + lag {
+            return;
+        }
+        limit.arrivals.push_back(at);
+        while limit
+            .arrivals
+            .front()
+            .is_some_and(|first| *first + LIMIT_WINDOW <= at)
+        {
+            limit.arrivals.pop_front();
+        }
+        let limited = limit.per_second as f64 * (LIMIT_WINDOW + lag).as_secs_f64();
+        let allowed = limited * LIMIT_OVERAGE + LIMIT_SLACK;
+        let count = limit.arrivals.len();
+        if count as f64 > allowed {
+            let description = format!(
+                "backend server {daemon}, which names a limit of {}, gets {count} requests in {LIMIT_WINDOW:?}",
+                limit.per_second
+            );
+            limit.arrivals.clear();
+            self.add_breach(at, Promise::Limit, description);
+        }
+    }
+
+    /// Records that a caller got the response of a backend server that may name a leave.
+    fn record_passed_on_leave(&mut self, at: Duration, id: &str) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let Some(place) = request.places.last() else {
+            return;
+        };
+        let leave = &mut self.daemons[place.daemon].named_leave;
+        if let Some(leave) = leave.as_mut().filter(|leave| request.sent_at > leave.since) {
+            leave.passed_on_at.get_or_insert(at);
+        }
     }
 
     /// Records the exit of a daemon's process.
@@ -496,6 +588,18 @@
             );
             self.add_breach(at, Promise::Leaves, description);
         }
+        let named_leave = self.daemons[place.daemon].named_leave.as_ref();
+        let passed_on_at = named_leave.and_then(|leave| leave.passed_on_at);
+        if let Some(passed_on_at) = passed_on_at
+            && sent_at > passed_on_at + DRAIN_TIME
+        {
+            let description = format!(
+                "{id}, sent at {sent_at:?}, reaches backend server {}, whose leave was passed on at {passed_on_at:?}",
+                place.daemon
+            );
+            self.add_breach(at, Promise::Leaves, description);
+        }
+        self.check_limit(at, place.daemon);
         if !place.runs {
             return;
         }
@@ -531,7 +635,12 @@
                 status,
                 own,
                 foreign,
-            } => self.check_answer(at, id, status, own, foreign),
+            } => {
+                if own && status == 200 {
+                    self.record_passed_on_leave(at, id);
+                }
+                self.check_answer(at, id, status, own, foreign);
+            }
             Ending::Cut | Ending::Closed | Ending::Silent | Ending::Stalled => {
                 self.check_lost(at, id, ending);
             }
--- a/crates/sorrelturn-bench/src/soak/plan.rs
+++ b/crates/sorrelturn-bench/src/soak/plan.rs
@@ -12,6 +12,11 @@
 /// The maximum pause between two bursts of actions.
 const MAX_PAUSE_MS: u64 = 2_500;
 const MAX_ACTION_MS: u64 = 4_000;
+/// The duration of limits and leaves that backend servers name, most of it beyond the time from which they are checked.
+const MIN_SIGNAL_MS: u64 = 4_000;
+const MAX_SIGNAL_MS: u64 = 12_000;
+/// The limits of backend servers, in requests per second; without one, each gets several times as many.
+const MAX_LIMIT: u64 = 20;
 /// The first equals the deadline of the routes, so a daemon can't wait for requests that it accepts late; the second
 /// is the deployment's.
 const STOP_TIMEOUTS_MS: [u64; 2] = [3_000, 5_700];
@@ -132,6 +137,22 @@
         /// The duration of its absence.
         ms: u64,
     },
+    /// A backend server names a limit on the requests that it accepts.
+    Limit {
+        /// Its daemon's number.
+        daemon: usize,
+        /// The limit.
+        per_second: u64,
+        /// The duration.
+        ms: u64,
+    },
+    /// A backend server says only in its responses that it leaves, and returns as another incarnation.
+    LeaveByResponse {
+        /// Its daemon's number.
+        daemon: usize,
+        /// The time until it returns.
+        ms: u64,
+    },
     /// Makes a backend server misbehave.
     Misbehave {
         /// Its daemon's number.
@@ -191,6 +212,14 @@
         }
     }
 
+    /// The same plan with backend servers that name limits and leaves in their responses.
+    pub fn with_signals(mut self) -> Self {
+        let mut rng = Rng::with_seed(!self.seed);
+        add_signals(&mut rng, self.seconds, self.instances, &mut self.actions);
+        self.actions.sort_by_key(|timed| timed.at_ms);
+        self
+    }
+
     /// The same plan with a request that crashes backend servers.
     pub fn with_crashes(self) -> Self {
         Self {
@@ -200,6 +229,26 @@
     }
 }
 
+/// Adds limits and leaves that backend servers name in their responses, of at most one backend server of a service at a
+/// time.
+fn add_signals(rng: &mut Rng, seconds: u64, instances: usize, actions: &mut Vec<TimedAction>) {
+    let mut at_ms = FIRST_ACTION_MS;
+    while at_ms < seconds * 1_000 {
+        let daemon = rng.usize(..instances);
+        let ms = rng.u64(MIN_SIGNAL_MS..MAX_SIGNAL_MS);
+        let action = match rng.u8(..3) {
+            0 => Action::LeaveByResponse { daemon, ms },
+            _ => Action::Limit {
+                daemon,
+                per_second: rng.u64(..MAX_LIMIT),
+                ms,
+            },
+        };
+        actions.push(TimedAction { at_ms, action });
+        at_ms += ms + rng.u64(50..MAX_PAUSE_MS);
+    }
+}
+
 /// Adds one action, two that overlap, or a stop of every daemon in turn.
 fn add_burst(rng: &mut Rng, at_ms: u64, instances: usize, actions: &mut Vec<TimedAction>) {
     let is_series = rng.u8(..10) == 0;
--- a/crates/sorrelturn-bench/tests/soak.rs
+++ b/crates/sorrelturn-bench/tests/soak.rs
@@ -282,6 +282,39 @@
 }
 
 /// Daemon 0 responds with these statuses to requests for these versions in turn; versions 1 to 3 were published.
+#[test]
+fn a_window_with_more_requests_than_a_backend_server_names_as_its_limit_is_found() {
+    let arrivals = |per_second: u64| {
+        let mut checker = two_daemons();
+        checker.limit_named(ms(0), 1, Some(10));
+        for number in 0..10 * per_second {
+            let at = ms(number * 1_000 / per_second);
+            let id = number.to_string();
+            checker.sending(at, &id, Kind::Safe, 0, 0);
+            checker.reached_backend(at, &id, runs_at(1));
+        }
+        broken_promises(&checker)
+    };
+    assert_eq!(arrivals(16), []);
+    assert_eq!(arrivals(18), [Promise::Limit]);
+}
+
+#[test]
+fn a_request_that_reaches_a_backend_server_long_after_a_response_named_its_leave_is_found() {
+    let reach_at = |at: u64| {
+        let mut checker = two_daemons();
+        checker.leave_named(ms(9_000), 1);
+        checker.sending(ms(10_000), "x", Kind::Safe, 0, 0);
+        checker.reached_backend(ms(10_010), "x", runs_at(1));
+        checker.ended(ms(10_020), "x", answer(200));
+        checker.sending(ms(at), "y", Kind::Safe, 0, 0);
+        checker.reached_backend(ms(at + 10), "y", runs_at(1));
+        broken_promises(&checker)
+    };
+    assert_eq!(reach_at(12_000), []);
+    assert_eq!(reach_at(12_100), [Promise::Leaves]);
+}
+
 fn with_answers(answers: &[(u64, u16)]) -> Checker {
     let mut checker = two_daemons();
     for version in 1..=3 {
@@ -369,6 +402,14 @@
     assert_contains(|action| matches!(action, Action::Path { .. }));
     assert_contains(|action| matches!(action, Action::Leave { .. }));
     assert_contains(|action| matches!(action, Action::Misbehave { .. }));
+    let signals: Vec<Action> = plans
+        .iter()
+        .flat_map(|plan| plan.clone().with_signals().actions)
+        .map(|timed| timed.action)
+        .collect();
+    let is_limit = |action: &Action| matches!(action, Action::Limit { .. });
+    let is_leave = |action: &Action| matches!(action, Action::LeaveByResponse { .. });
+    assert!(signals.iter().any(is_limit) && signals.iter().any(is_leave));
     let in_order = |actions: &[TimedAction]| {
         let mut daemons = actions.iter().enumerate();
         daemons
--- a/crates/sorrelturn-daemon/src/backend/state.rs
+++ b/crates/sorrelturn-daemon/src/backend/state.rs
@@ -328,10 +328,20 @@
     let (Some(routed), Some(backend)) = (&node.routed, &earlier.backend) else {
         return;
     };
+    let is_unknown = routed.current().is_none();
     if backend.state != BackendState::Ready {
         receive_announcement(node, routed, backend.clone());
     } else if let Some(rate) = earlier.rate_limit {
         signals::restore_limit(node, routed, &backend.id, rate);
+    } else {
+        return;
+    }
+    if is_unknown {
+        // This incarnation may end before the backend server announces itself again.
+        routed.is_saved.store(false, Ordering::Relaxed);
+        node.restore_own_backend(earlier);
+        gossip::push_own_record(node);
+        spawn_save(node);
     }
 }
 
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -478,6 +478,14 @@
         self.change_own_record(|record| record.backend = backend)
     }
 
+    /// Copies what an earlier incarnation published of its backend server into the own record.
+    pub(crate) fn restore_own_backend(&self, earlier: &MemberRecord) -> MemberRecord {
+        self.change_own_record(|record| {
+            record.backend.clone_from(&earlier.backend);
+            record.rate_limit = earlier.rate_limit;
+        })
+    }
+
     /// Changes the limit of the backend server in the own record.
     pub(crate) fn set_own_rate_limit(&self, rate: Option<RequestRate>) -> MemberRecord {
         self.change_own_record(|record| record.rate_limit = rate)
