After a restart, a daemon asks its backend server before it believes that it is ready

What callers saw: requests at a backend server that is leaving, after the daemon beside it restarted while the store was silent or slow. Cause: the first report, which says "ready" where a backend server announces its leave late or never, was accepted before the store had answered, or although the store had missed the last record. Why it works: a daemon with an earlier incarnation asks the health check once, after it has a bundle, and applies the report with what the health check says. It costs one health check a restart.

--- a/crates/sorrelturn-daemon/src/backend/announce.rs
+++ b/crates/sorrelturn-daemon/src/backend/announce.rs
@@ -23,7 +23,10 @@
 use sorrelturn_platform::http::exchange;
 use sorrelturn_policy::PresenceChange;
 use sorrelturn_protocol::{Announcement, BackendState};
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 const MAX_ANNOUNCEMENT_BYTES: usize = 4 << 10;
 /// The maximum time until an announcement is acknowledged, even if the write to the store hasn't
@@ -31,6 +34,9 @@
 /// then.
 const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(600);
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+/// A first report waits no longer for the health check of a slow backend server.
+const FIRST_PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+const BUNDLE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 /// The minimum interval between checks whether a backend server is still leaving.
 const LEAVING_CHECK_INTERVAL: Duration = Duration::from_secs(5);
@@ -112,6 +118,10 @@
 /// Applies a report. One that the backend server is leaving is acknowledged once it is
 /// saved, or after [`ACKNOWLEDGE_TIMEOUT`].
 async fn accept_report(node: &Arc<Node>, routed: &Routed, report: Report) -> Response<Body> {
+    if is_earlier_state_unknown(routed, &report.announcement) {
+        ask_before_first_report(node, routed, report);
+        return ok_response();
+    }
     let leaving = report.announcement.state != BackendState::Ready;
     if state::may_have_stopped_leaving(routed, &report.announcement) {
         check_leaving(node, routed);
@@ -170,18 +180,14 @@
     let mut probes = 0;
     while routed.current().is_none() && probes < MAX_PROBES {
         Timer::after(PROBE_INTERVAL).await;
-        let in_force = node.in_force.load_full();
-        let path = in_force
-            .as_ref()
-            .and_then(|in_force| in_force.bundle.probe_path(&node.settings.service));
-        let Some(path) = path else {
+        let Some(path) = probe_path(&node) else {
             continue;
         };
         if routed.current().is_some() {
             return;
         }
         probes += 1;
-        probe(&node, routed, path).await;
+        probe(&node, routed, &path).await;
     }
 }
 
@@ -195,12 +201,9 @@
     let node = Arc::clone(node);
     let ex = Arc::clone(&node.ex);
     let check = async move {
-        let in_force = node.in_force.load_full();
-        let path = in_force
-            .as_ref()
-            .and_then(|in_force| in_force.bundle.probe_path(&node.settings.service));
-        if let (Some(routed), Some(path)) = (&node.routed, path)
-            && let Some(res) = ask_health(&node, path).await
+        if let (Some(routed), Some(path)) = (&node.routed, probe_path(&node))
+            && let Some(res) = ask_health(&node, &path, PROBE_TIMEOUT).await
+            && res.status().is_success()
             && let Some(id) = signals::id_unless_leaving(routed, res.headers())
         {
             state::stop_leaving(&node, routed, id);
@@ -209,15 +212,69 @@
     ex.spawn(check).detach();
 }
 
-/// Returns the response to a health check if it is a success.
-async fn ask_health(node: &Node, path: &str) -> Option<Response<Bytes>> {
+/// Returns whether the first report of a backend server says that it is ready although it may have told an earlier
+/// incarnation of this daemon more, which the store may lack.
+fn is_earlier_state_unknown(routed: &Routed, announcement: &Announcement) -> bool {
+    announcement.state == BackendState::Ready
+        && routed.current().is_none()
+        && !routed.is_first_incarnation.load(Ordering::Relaxed)
+}
+
+/// Returns the path of the health check; `None` before the first bundle.
+fn probe_path(node: &Node) -> Option<String> {
+    let in_force = node.in_force.load_full()?;
+    let path = in_force.bundle.probe_path(&node.settings.service)?;
+    Some(path.to_owned())
+}
+
+/// Applies the first report of a backend server in the background, once its health check has told whether it is leaving
+/// or limits its requests. Without a bundle there is no health check yet, and no request is sent either.
+fn ask_before_first_report(node: &Arc<Node>, routed: &Routed, mut report: Report) {
+    if routed.is_asking_before_report.swap(true, Ordering::AcqRel) {
+        return;
+    }
+    let node = Arc::clone(node);
+    let ex = Arc::clone(&node.ex);
+    let ask = async move {
+        let Some(routed) = &node.routed else {
+            return;
+        };
+        while node.in_force.load().is_none() {
+            Timer::after(BUNDLE_POLL_INTERVAL).await;
+        }
+        let health = match probe_path(&node) {
+            Some(path) => ask_health(&node, &path, FIRST_PROBE_TIMEOUT).await,
+            None => None,
+        };
+        let headers = health.as_ref().map(Response::headers);
+        if headers.is_some_and(|headers| signals::is_leaving(routed, headers)) {
+            report.announcement.state = BackendState::Draining;
+        }
+        receive_announcement(&node, routed, report.announcement);
+        update_slots(&node, routed, report.slots);
+        if let Some(headers) = headers {
+            signals::record_probe(&node, routed, headers);
+        }
+        if let Some(remaining) = report.cold_remaining {
+            state::record_cold_remaining(&node, remaining);
+        }
+        routed
+            .is_asking_before_report
+            .store(false, Ordering::Release);
+    };
+    ex.spawn(ask).detach();
+}
+
+/// Returns the response to a health check.
+async fn ask_health(node: &Node, path: &str, timeout: Duration) -> Option<Response<Bytes>> {
     let req = Request::get(path).body(Bytes::new()).ok()?;
-    let res = exchange(node.settings.backend.address, req, PROBE_TIMEOUT).await;
-    res.ok().filter(|res| res.status().is_success())
+    let res = exchange(node.settings.backend.address, req, timeout).await;
+    res.ok()
 }
 
 async fn probe(node: &Arc<Node>, routed: &Routed, path: &str) {
-    if let Some(res) = ask_health(node, path).await {
+    let res = ask_health(node, path, PROBE_TIMEOUT).await;
+    if let Some(res) = res.filter(|res| res.status().is_success()) {
         if let Some(slots) = announced_slots(routed, res.headers()) {
             update_slots(node, routed, slots);
         }
--- a/crates/sorrelturn-daemon/src/backend/signals.rs
+++ b/crates/sorrelturn-daemon/src/backend/signals.rs
@@ -133,7 +133,8 @@
     named
 }
 
-fn is_leaving(routed: &Routed, headers: &HeaderMap) -> bool {
+/// Returns whether a response says that the backend server is leaving.
+pub(crate) fn is_leaving(routed: &Routed, headers: &HeaderMap) -> bool {
     let values = headers.get_all(&routed.dialect.headers.leaving);
     values
         .iter()
--- a/crates/sorrelturn-daemon/src/backend/state.rs
+++ b/crates/sorrelturn-daemon/src/backend/state.rs
@@ -48,6 +48,10 @@
     pub(crate) last_unknown_credential_event: LastTime,
     /// When a change of the named limit was logged last.
     pub(crate) last_rate_limit_event: LastTime,
+    /// Whether the store has no record of an earlier incarnation of this daemon.
+    pub(crate) is_first_incarnation: AtomicBool,
+    /// Whether a task asks the backend server before its first report is applied.
+    pub(crate) is_asking_before_report: AtomicBool,
     /// When it was last checked whether the backend server has stopped leaving.
     pub(crate) last_leaving_check: LastTime,
     /// Whether a task publishes changes of the named limit.
@@ -82,6 +86,8 @@
             last_nested_call_failure: LastTime::default(),
             last_unknown_credential_event: LastTime::default(),
             last_rate_limit_event: LastTime::default(),
+            is_first_incarnation: AtomicBool::new(false),
+            is_asking_before_report: AtomicBool::new(false),
             last_leaving_check: LastTime::default(),
             is_publishing_rate_limit: AtomicBool::new(false),
             origins: Mutex::default(),
--- a/crates/sorrelturn-daemon/src/fleet/join.rs
+++ b/crates/sorrelturn-daemon/src/fleet/join.rs
@@ -11,7 +11,11 @@
 use sorrelturn_fleet::{Source, sample_peers};
 use sorrelturn_platform::keys;
 use sorrelturn_protocol::{Incarnation, MemberRecord, MemberState};
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 /// Number of peers queried for a bundle in each round.
 const BUNDLE_PEER_COUNT: usize = 5;
@@ -43,6 +47,9 @@
             }
         }
         node.merge_members(records);
+        if let Some(routed) = &node.routed {
+            routed.is_first_incarnation.store(is_new, Ordering::Relaxed);
+        }
     }
     let is_leaving = lock(&node.leaving).cause().is_some();
     node.set_own_state(if is_leaving {
