--- a/crates/sorrelturn-policy/src/announced_limit.rs
+++ b/crates/sorrelturn-policy/src/announced_limit.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     Now,
-    shedding_level::{LEVEL_STEPS, admitted_fraction, level_that_admits},
+    shedding_level::{LEVEL_STEPS, TARGET_LOAD, WINDOW, admitted_fraction, level_that_admits},
 };
 use sorrelturn_protocol::{Importance, RequestRate};
 use std::time::Duration;
@@ -17,14 +17,11 @@
 const RESERVED_FRACTION: f64 = 0.25;
 /// The load, in percent, that is reported when no further request is admitted for the moment.
 const EXHAUSTED_LOAD_PERCENT: f64 = 200.0;
-/// The interval at which the shedding level is recomputed.
-const WINDOW: Duration = Duration::from_millis(50);
 /// The time over which the offered load is averaged.
 const LOAD_SMOOTHING: Duration = Duration::from_millis(600);
-/// The fraction of the limit that should be in use.
-const TARGET_LOAD: f64 = 0.92;
-/// The limits on how long callers avoid a backend server that refused a request.
+/// The range of the time for which callers avoid a backend server that refused a request.
 const MIN_PAUSE: Duration = Duration::from_millis(50);
+/// Nobody tells callers that avoid it that its limit has ended.
 const MAX_PAUSE: Duration = Duration::from_secs(10);
 
 /// What one response says of the limit.
--- a/crates/sorrelturn-policy/src/shedding_level.rs
+++ b/crates/sorrelturn-policy/src/shedding_level.rs
@@ -8,10 +8,10 @@
 
 /// Interval at which the level is recomputed. Shorter windows hold too few requests of a small
 /// backend server, longer ones delay the feedback.
-const WINDOW: Duration = Duration::from_millis(50);
+pub(crate) const WINDOW: Duration = Duration::from_millis(50);
 /// Fraction of its limit that a backend server should have in use. Above it, queueing delay grows.
 /// Some backend servers slow down near their last slots.
-const TARGET_LOAD: f64 = 0.92;
+pub(crate) const TARGET_LOAD: f64 = 0.92;
 /// Number of windows over which the load is averaged. The offered load doesn't depend on the level,
 /// so that smoothing it doesn't delay the feedback.
 const LOAD_SMOOTHING_WINDOWS: f64 = 12.0;
