A first report is acknowledged once it is applied

What callers saw: none; a backend server got the acknowledgement of its first report before its daemon, which asked its health check in the meantime, accepted requests for it.

--- a/crates/sorrelturn-daemon/src/backend/announce.rs
+++ b/crates/sorrelturn-daemon/src/backend/announce.rs
@@ -19,7 +19,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
-use smol::Timer;
+use smol::{Timer, channel, future::FutureExt};
 use sorrelturn_platform::http::exchange;
 use sorrelturn_policy::PresenceChange;
 use sorrelturn_protocol::{Announcement, BackendState};
@@ -119,7 +119,11 @@
 /// saved, or after [`ACKNOWLEDGE_TIMEOUT`].
 async fn accept_report(node: &Arc<Node>, routed: &Routed, report: Report) -> Response<Body> {
     if is_earlier_state_unknown(routed, &report.announcement) {
-        ask_before_first_report(node, routed, report);
+        let applied = ask_before_first_report(node, routed, report);
+        let timed_out = async {
+            Timer::after(ACKNOWLEDGE_TIMEOUT).await;
+        };
+        applied.or(timed_out).await;
         return ok_response();
     }
     let leaving = report.announcement.state != BackendState::Ready;
@@ -229,9 +233,20 @@
 
 /// Applies the first report of a backend server in the background, once its health check has told whether it is leaving
 /// or limits its requests. Without a bundle there is no health check yet, and no request is sent either.
-fn ask_before_first_report(node: &Arc<Node>, routed: &Routed, mut report: Report) {
+///
+/// The returned future ends when the report is applied, or at once if a task applies one already.
+fn ask_before_first_report(
+    node: &Arc<Node>,
+    routed: &Routed,
+    mut report: Report,
+) -> impl Future<Output = ()> + use<> {
+    let (applied_tx, applied_rx) = channel::bounded::<()>(1);
+    let applied = async move {
+        // The sender is dropped once the report is applied.
+        let _ = applied_rx.recv().await;
+    };
     if routed.is_asking_before_report.swap(true, Ordering::AcqRel) {
-        return;
+        return applied;
     }
     let node = Arc::clone(node);
     let ex = Arc::clone(&node.ex);
@@ -261,8 +276,10 @@
         routed
             .is_asking_before_report
             .store(false, Ordering::Release);
+        drop(applied_tx);
     };
     ex.spawn(ask).detach();
+    applied
 }
 
 /// Returns the response to a health check.
