The log says how a table was learned, and which one refused a request

A refusal (S102) that another route table might not have made now names the version and how long ago it was known to be the newest; S300 says from where a version came, which one it replaced and how old the knowledge of that one was.

--- a/crates/sorrelturn-daemon/src/config/fetch.rs
+++ b/crates/sorrelturn-daemon/src/config/fetch.rs
@@ -23,6 +23,26 @@
 /// The maximum number of rejected entries of one route table that are logged.
 const MAX_LOGGED_REJECTIONS: usize = 20;
 
+/// How a daemon learned of a bundle, for its events.
+#[derive(Clone, Debug, Display)]
+pub(crate) enum LearnedFrom {
+    /// store-watch
+    Watch,
+    /// store-read
+    Read,
+    /// peer:{0}
+    Peer(String),
+    /// operator
+    Operator,
+}
+
+impl LearnedFrom {
+    /// The source of a fetch; `None` is the store.
+    fn fetched_from(peer: Option<&MemberRecord>) -> Self {
+        peer.map_or(Self::Read, |peer| Self::Peer(peer.instance.clone()))
+    }
+}
+
 /// Why a bundle could not be fetched.
 #[derive(Debug, Display)]
 pub(crate) enum FetchError {
@@ -100,7 +120,8 @@
             return route_staleness::read_table(node, &settings.object).await;
         };
         let text = peer_routes(node, peer).await?;
-        return accept_peer_routes(node, &text).map_err(FetchError::RoutesRefused);
+        let learned_from = LearnedFrom::fetched_from(Some(peer));
+        return accept_peer_routes(node, &text, learned_from).map_err(FetchError::RoutesRefused);
     }
     let signed = match peer {
         None => store_manifest(node).await?,
@@ -138,7 +159,9 @@
             .into_iter()
             .map(|section| (ContentHash::of(&section.bytes), section)),
     );
-    put_bundle_in_force(node, signed, &manifest, &available).map_err(FetchError::Refused)
+    let learned_from = LearnedFrom::fetched_from(peer);
+    put_bundle_in_force(node, signed, &manifest, &available, learned_from)
+        .map_err(FetchError::Refused)
 }
 
 /// Joins the sections that a verified manifest lists, and puts the bundle in force.
@@ -147,6 +170,7 @@
     signed: SignedManifest,
     manifest: &Manifest,
     available: &BTreeMap<ContentHash, SectionBytes>,
+    learned_from: LearnedFrom,
 ) -> Result<(), ManifestError> {
     let bundle = join(manifest, |hash| {
         available.get(hash).map(|section| section.bytes.as_slice())
@@ -164,7 +188,7 @@
         manifest: signed,
         sections,
     };
-    if node.put_in_force(bundle, origin) {
+    if node.put_in_force(bundle, origin, learned_from) {
         gossip::announce(node, manifest.version);
         reports::spawn_report(node);
     }
@@ -173,20 +197,32 @@
 
 /// Parses a route table in the form that operators write, and puts it in force if its version is
 /// higher.
-pub(crate) fn accept_routes(node: &Arc<Node>, text: &str) -> Result<(), String> {
+pub(crate) fn accept_routes(
+    node: &Arc<Node>,
+    text: &str,
+    learned_from: LearnedFrom,
+) -> Result<(), String> {
     let Some(routed) = &node.routed else {
         return Err("this daemon doesn't use a route table".to_owned());
     };
-    accept_table(node, (routed.dialect.read_routes)(text)?)
+    accept_table(node, (routed.dialect.read_routes)(text)?, learned_from)
 }
 
 /// Puts a route table in force if its version is higher, given in the form that daemons exchange,
 /// which has hashes in place of credentials.
-fn accept_peer_routes(node: &Arc<Node>, text: &str) -> Result<(), String> {
-    accept_table(node, RouteTable::parse(text)?)
+fn accept_peer_routes(
+    node: &Arc<Node>,
+    text: &str,
+    learned_from: LearnedFrom,
+) -> Result<(), String> {
+    accept_table(node, RouteTable::parse(text)?, learned_from)
 }
 
-fn accept_table(node: &Arc<Node>, mut table: RouteTable) -> Result<(), String> {
+fn accept_table(
+    node: &Arc<Node>,
+    mut table: RouteTable,
+    learned_from: LearnedFrom,
+) -> Result<(), String> {
     // Checked before the version is compared, since a table without a version would be skipped
     // without an error.
     if table.version == 0 {
@@ -203,7 +239,8 @@
             .map(|in_force| in_force.bundle.routed_services()),
     );
     let text = serde_json::to_string(&table).map_err(|error| error.to_string())?;
-    if node.put_in_force(Bundle::from_route_table(&table), Origin::Routes(text)) {
+    let bundle = Bundle::from_route_table(&table);
+    if node.put_in_force(bundle, Origin::Routes(text), learned_from) {
         log_rejected_entries(node, &table);
         gossip::announce(node, version);
     }
--- a/crates/sorrelturn-daemon/src/config/route_staleness.rs
+++ b/crates/sorrelturn-daemon/src/config/route_staleness.rs
@@ -2,7 +2,7 @@
 //! `docs/design/credentials.md`.
 
 use crate::{
-    config::fetch::{self, FetchError},
+    config::fetch::{self, FetchError, LearnedFrom},
     node::{LastTime, Node, lock},
 };
 use smol::{
@@ -11,6 +11,7 @@
 };
 use sorrelturn_bundle::CredentialHash;
 use sorrelturn_policy::{Freshness, Now, RateBucket};
+use sorrelturn_telemetry::Field;
 use std::{
     collections::HashSet,
     sync::{
@@ -98,6 +99,12 @@
         u32::try_from(age.as_millis()).ok()?.checked_add(1)
     }
 
+    /// Returns the staleness for an event, if it is known.
+    pub(crate) fn age_field(&self, now: Now) -> Option<Field> {
+        let age_ms = self.age_ms(now)?;
+        Some(Field::new("knowledge_age_ms", age_ms))
+    }
+
     /// Takes one read from the rate limit for unknown credentials. Returns whether it is allowed.
     pub(crate) fn try_take_read_for_unknown(&self, now: Now) -> bool {
         lock(&self.unknown_reads).take(now)
@@ -159,7 +166,8 @@
     let found = found.ok_or(FetchError::Absent)?;
     // The version of the object is its revision in the store, not the version of the table.
     if !node.route_staleness.has_accepted(found.version) {
-        fetch::accept_routes(node, &found.value).map_err(FetchError::RoutesRefused)?;
+        fetch::accept_routes(node, &found.value, LearnedFrom::Read)
+            .map_err(FetchError::RoutesRefused)?;
         node.route_staleness.record_accepted(found.version);
     }
     node.route_staleness.confirm(sent);
--- a/crates/sorrelturn-daemon/src/fleet/watch.rs
+++ b/crates/sorrelturn-daemon/src/fleet/watch.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     clock::unix_ms,
-    config::fetch::{self, FetchError},
+    config::fetch::{self, FetchError, LearnedFrom},
     config::route_staleness,
     fleet::control_client,
     fleet::evacuation,
@@ -246,7 +246,7 @@
 fn receive_config_head(node: &Arc<Node>, object: &Object) {
     let value = object.value.as_str();
     if node.settings.routes.is_some() {
-        match fetch::accept_routes(node, value) {
+        match fetch::accept_routes(node, value, LearnedFrom::Watch) {
             Ok(()) => node.route_staleness.record_accepted(object.version),
             Err(error) => {
                 node.record_event(&events::BUNDLE_REFUSED, vec![Field::new("error", error)])
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -5,6 +5,7 @@
     backend::link::Backend,
     backend::state::{self, Routed},
     clock::Clock,
+    config::fetch::LearnedFrom,
     config::in_force::{InForce, Origin, RetryLimits},
     config::route_staleness::RouteStaleness,
     config::settings::Settings,
@@ -297,7 +298,12 @@
     }
 
     /// Puts a bundle in force if its version is higher than the current one. Returns whether it did.
-    pub(crate) fn put_in_force(&self, bundle: Bundle, origin: Origin) -> bool {
+    pub(crate) fn put_in_force(
+        &self,
+        bundle: Bundle,
+        origin: Origin,
+        learned_from: LearnedFrom,
+    ) -> bool {
         let version = bundle.version;
         let mut tracker = lock(&self.bundle_tracker);
         if !tracker.put_in_force(version) {
@@ -324,10 +330,15 @@
         let in_force = InForce::new(bundle, origin, before.as_deref(), now, retries);
         self.in_force.store(Some(Arc::new(in_force)));
         drop(tracker);
-        self.record_event(
-            &events::BUNDLE_IN_FORCE,
-            vec![Field::new("version", version)],
-        );
+        let mut fields = vec![
+            Field::new("version", version),
+            Field::new("learned_from", learned_from),
+        ];
+        if let Some(before) = before.as_deref() {
+            fields.push(Field::new("before", before.bundle.version));
+        }
+        fields.extend(self.route_staleness.age_field(now));
+        self.record_event(&events::BUNDLE_IN_FORCE, fields);
         true
     }
 
--- a/crates/sorrelturn-daemon/src/operators/admin.rs
+++ b/crates/sorrelturn-daemon/src/operators/admin.rs
@@ -1,7 +1,7 @@
 //! The admin API of a daemon: plain HTTP with JSON.
 
 use crate::{
-    config::fetch,
+    config::fetch::{self, LearnedFrom},
     fleet::gossip,
     net::serve::status,
     node::{Node, lock},
@@ -105,7 +105,8 @@
         .manifest
         .verify(&node.trusted)
         .and_then(|manifest| {
-            fetch::put_bundle_in_force(node, uploaded.manifest, &manifest, &sections)
+            let learned_from = LearnedFrom::Operator;
+            fetch::put_bundle_in_force(node, uploaded.manifest, &manifest, &sections, learned_from)
         });
     match accepted {
         Ok(()) => json(&report(node)),
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -343,6 +343,10 @@
         Field::new("refusal", refusal),
         Field::new("took_ms", (node.now() - arrived_at).as_millis()),
     ];
+    if reply.context.refusal.is_some_and(depends_on_table) {
+        fields.push(Field::new("version", node.bundle_version()));
+        fields.extend(node.route_staleness.age_field(node.now()));
+    }
     if reply.context.retry_after_ms > 0 {
         fields.push(Field::new("retry_after_ms", reply.context.retry_after_ms));
     }
@@ -350,6 +354,18 @@
         .record(&events::REQUEST_DONE, Some(request_id), fields);
 }
 
+/// Whether another version of the route table might have admitted a request that was refused.
+fn depends_on_table(refusal: Refusal) -> bool {
+    matches!(
+        refusal,
+        Refusal::UnknownKind
+            | Refusal::UnknownCaller
+            | Refusal::TooLarge
+            | Refusal::UnusableEntry
+            | Refusal::StaleKnowledge
+    )
+}
+
 /// The status of a refusal depends on whether the request may have run.
 fn into_response(
     routed: &Routed,
