--- a/crates/sorrelturn-bench/src/routed_fleet.rs
+++ b/crates/sorrelturn-bench/src/routed_fleet.rs
@@ -8,8 +8,8 @@
 use hyper::{Request, Response};
 use smol::{Executor, Timer, net::TcpListener};
 use sorrelturn_daemon::{
-    AdvertiseSettings, Clock, Daemon, Dialect, ListenSettings, Settings, StartError, StopSettings,
-    since_boot,
+    AdvertiseSettings, Clock, Daemon, Dialect, ListenSettings, Settings, StartError, StatusReport,
+    StopSettings, since_boot,
 };
 use sorrelturn_platform::{Counters, Expected, Faults, Platform, StandIn, http::exchange, serve};
 use std::{
@@ -415,6 +415,13 @@
         answer.map_err(|error| error.to_string())
     }
 
+    /// Returns the status report of the daemon.
+    pub async fn status(&self) -> StatusReport {
+        let req = Request::get("/status").body(Bytes::new());
+        let res = send(self.addresses.admin, req.expect("a request")).await;
+        serde_json::from_slice(res.body()).expect("a status report")
+    }
+
     async fn live_members(&self) -> usize {
         let req = Request::get("/members").body(Bytes::new());
         let res = send(self.addresses.admin, req.expect("a request")).await;
