Each daemon bounds the staleness of its bundle itself

What callers saw: 404 on a route that a confirmed table has, and requests that ran where an older table sends them, seconds after the confirmation; with both watchers of a failure domain turned away by the store, for as long as that lasted.

Cause: silence was taken for calm. A silent watch was found by the next read after 3.75 to 6.25 s, suspended watchers after up to 3 s of pings, a lost push by the next exchange after up to 3.5 s, and a watcher that the store rejects passed its pings for good. A refusal that is final was given by a table of any age.

Now a daemon asks peers when it hasn't known its bundle to be the newest for 1.05 s, and reads the store, in an order by rank, at 0.6 to 1.35 s. Confirmations are announced to three others, who ask for the proof. 404 and 413 are given only by a table that was the newest 1.5 s ago. A fetch from a peer that fails is repeated at the store; a call that times out over an open connection closes the others that are as silent. This is one check at the end of the path, so it holds for whatever stops on it; the bounds are worked out in docs/design/spread.md.

--- a/crates/sorrelturn-daemon/src/config/fetch.rs
+++ b/crates/sorrelturn-daemon/src/config/fetch.rs
@@ -16,13 +16,17 @@
 };
 use sorrelturn_fleet::{Fetch, Source};
 use sorrelturn_platform::{PlatformError, keys};
+use sorrelturn_policy::Now;
 use sorrelturn_protocol::MemberRecord;
 use sorrelturn_telemetry::{Field, events};
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 /// The maximum number of rejected entries of one route table that are logged.
 const MAX_LOGGED_REJECTIONS: usize = 20;
 
+/// Short, so that after a silent connection there is still time to read the store.
+const ROUTES_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// How a daemon learned of a bundle, for its events.
 #[derive(Clone, Debug, Display)]
 pub(crate) enum LearnedFrom {
@@ -80,7 +84,9 @@
 async fn fetch_until_done(node: &Arc<Node>, first: Fetch) {
     let mut next = Some(first);
     while let Some(fetch) = next {
-        if let Err(error) = fetch_from(node, &fetch.source).await {
+        let result = fetch_from(node, &fetch.source).await;
+        let has_failed = result.is_err();
+        if let Err(error) = result {
             let kind = match error {
                 FetchError::Refused(_) | FetchError::RoutesRefused(_) => &events::BUNDLE_REFUSED,
                 _ => &events::BUNDLE_FETCH_FAILED,
@@ -93,7 +99,11 @@
                 ],
             );
         }
-        next = lock(&node.bundle_tracker).fetch_finished(node.now(), &fetch);
+        let mut tracker = lock(&node.bundle_tracker);
+        next = match has_failed {
+            true => tracker.fetch_failed(node.now(), &fetch),
+            false => tracker.fetch_finished(node.now(), &fetch),
+        };
     }
 }
 
@@ -123,6 +133,7 @@
         let learned_from = LearnedFrom::fetched_from(Some(peer));
         return accept_peer_routes(node, &text, learned_from).map_err(FetchError::RoutesRefused);
     }
+    let sent = node.now();
     let signed = match peer {
         None => store_manifest(node).await?,
         Some(peer) => control::call(
@@ -136,6 +147,7 @@
     };
     let manifest = signed.verify(&node.trusted).map_err(FetchError::Refused)?;
     if manifest.version <= lock(&node.bundle_tracker).in_force() {
+        confirm_from_store(node, sent, peer);
         return Ok(());
     }
     let before = node.in_force.load_full();
@@ -161,7 +173,16 @@
     );
     let learned_from = LearnedFrom::fetched_from(peer);
     put_bundle_in_force(node, signed, &manifest, &available, learned_from)
-        .map_err(FetchError::Refused)
+        .map_err(FetchError::Refused)?;
+    confirm_from_store(node, sent, peer);
+    Ok(())
+}
+
+/// Records that a bundle was the newest one at `sent`, if it was fetched from the store.
+fn confirm_from_store(node: &Node, sent: Now, peer: Option<&MemberRecord>) {
+    if peer.is_none() {
+        node.route_staleness.confirm(sent);
+    }
 }
 
 /// Joins the sections that a verified manifest lists, and puts the bundle in force.
@@ -189,19 +210,19 @@
         sections,
     };
     if node.put_in_force(bundle, origin, learned_from) {
-        gossip::announce(node, manifest.version);
+        gossip::announce(node);
         reports::spawn_report(node);
     }
     Ok(())
 }
 
 /// Parses a route table in the form that operators write, and puts it in force if its version is
-/// higher.
+/// higher. Returns its version.
 pub(crate) fn accept_routes(
     node: &Arc<Node>,
     text: &str,
     learned_from: LearnedFrom,
-) -> Result<(), String> {
+) -> Result<u64, String> {
     let Some(routed) = &node.routed else {
         return Err("this daemon doesn't use a route table".to_owned());
     };
@@ -215,14 +236,14 @@
     text: &str,
     learned_from: LearnedFrom,
 ) -> Result<(), String> {
-    accept_table(node, RouteTable::parse(text)?, learned_from)
+    accept_table(node, RouteTable::parse(text)?, learned_from).map(drop)
 }
 
 fn accept_table(
     node: &Arc<Node>,
     mut table: RouteTable,
     learned_from: LearnedFrom,
-) -> Result<(), String> {
+) -> Result<u64, String> {
     // Checked before the version is compared, since a table without a version would be skipped
     // without an error.
     if table.version == 0 {
@@ -231,7 +252,7 @@
     let version = table.version;
     let before = node.in_force.load_full();
     if version <= node.bundle_version() {
-        return Ok(());
+        return Ok(version);
     }
     table.reject_invalid(
         before
@@ -242,9 +263,9 @@
     let bundle = Bundle::from_route_table(&table);
     if node.put_in_force(bundle, Origin::Routes(text), learned_from) {
         log_rejected_entries(node, &table);
-        gossip::announce(node, version);
+        gossip::announce(node);
     }
-    Ok(())
+    Ok(version)
 }
 
 fn log_rejected_entries(node: &Node, table: &RouteTable) {
@@ -263,11 +284,9 @@
 }
 
 async fn peer_routes(node: &Arc<Node>, peer: &MemberRecord) -> Result<String, FetchError> {
-    let call = control::call(
-        node,
-        peer,
-        |client, cx| async move { client.routes(cx).await },
-    );
+    let call = control::call_within(node, peer, ROUTES_TIMEOUT, |client, cx| async move {
+        client.routes(cx).await
+    });
     call.await
         .map_err(FetchError::Peer)?
         .ok_or(FetchError::Absent)
--- a/crates/sorrelturn-daemon/src/config/route_staleness.rs
+++ b/crates/sorrelturn-daemon/src/config/route_staleness.rs
@@ -1,8 +1,9 @@
-//! Tracks the staleness of the route table and refreshes it from the store. See
-//! `docs/design/credentials.md`.
+//! Tracks the staleness of the bundle in force, a route table or a signed bundle, and reads the store. See
+//! `docs/design/spread.md` and `docs/design/credentials.md`.
 
 use crate::{
     config::fetch::{self, FetchError, LearnedFrom},
+    fleet::gossip,
     node::{LastTime, Node, lock},
 };
 use smol::{
@@ -11,7 +12,7 @@
 };
 use sorrelturn_bundle::CredentialHash;
 use sorrelturn_policy::{Freshness, Now, RateBucket};
-use sorrelturn_telemetry::Field;
+use sorrelturn_telemetry::{Field, events};
 use std::{
     collections::HashSet,
     sync::{
@@ -24,16 +25,15 @@
 /// Subtracted from the revocation time, for differences between clock rates and the delay until a
 /// request is checked.
 const REVOCATION_MARGIN: Duration = Duration::from_millis(500);
-/// The range of the staleness at which a request triggers a refresh. It is chosen at random after
-/// each confirmation, so that one daemon reads first and the others learn it from its responses.
-const REFRESH_STALENESS_RANGE: (Duration, Duration) =
-    (Duration::from_millis(2_500), Duration::from_millis(3_500));
 /// The delay after a failed read; it doubles with each further failure.
 const MIN_READ_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 /// The maximum delay after a failed read.
 const MAX_READ_RETRY_INTERVAL: Duration = Duration::from_secs(2);
 /// The maximum time that a request waits for a read of the table.
 const MAX_READ_WAIT: Duration = Duration::from_millis(60);
+/// The maximum staleness of a route table that refuses a request for good. Beyond it, a newer table may have to be in
+/// force already.
+const MAX_REFUSAL_STALENESS: Duration = Duration::from_millis(1_500);
 /// The maximum number of remembered unknown credentials, 32 bytes each.
 const MAX_UNKNOWN_CREDENTIALS: usize = 1_024;
 /// Limits the reads that unknown credentials cause, so that a flood of them costs the platform
@@ -46,10 +46,11 @@
     /// The revision of the table's object that was accepted last; it needn't be parsed again.
     accepted_revision: AtomicU64,
     is_reading: AtomicBool,
+    /// Whether a daemon is being asked that announced a confirmation.
+    is_asking: AtomicBool,
     last_failure: LastTime,
     /// The number of consecutive failed reads.
     failures: AtomicU32,
-    refresh_staleness: Mutex<Duration>,
     unknown_reads: Mutex<RateBucket>,
     /// Credentials that were looked up and not found.
     unknown: Mutex<HashSet<CredentialHash>>,
@@ -62,9 +63,9 @@
             freshness: Mutex::default(),
             accepted_revision: AtomicU64::new(0),
             is_reading: AtomicBool::new(false),
+            is_asking: AtomicBool::new(false),
             last_failure: LastTime::default(),
             failures: AtomicU32::new(0),
-            refresh_staleness: Mutex::new(REFRESH_STALENESS_RANGE.0),
             unknown_reads: Mutex::new(RateBucket::new(MAX_UNKNOWN_READS_PER_SECOND, now)),
             unknown: Mutex::default(),
             waiters: Mutex::default(),
@@ -73,12 +74,7 @@
 
     /// Returns whether the table with this revision was accepted already.
     pub(crate) fn has_accepted(&self, revision: u64) -> bool {
-        self.accepted_revision() == revision
-    }
-
-    /// Returns the revision of the table that was accepted last.
-    pub(crate) fn accepted_revision(&self) -> u64 {
-        self.accepted_revision.load(Ordering::Relaxed)
+        self.accepted_revision.load(Ordering::Relaxed) == revision
     }
 
     /// Records that the table at this revision of its object was accepted: its version, or a higher
@@ -93,12 +89,26 @@
         lock(&self.freshness).age(now)
     }
 
+    /// Returns the latest time as of which the table is known to have been the newest; `None` if it is unknown.
+    pub(crate) fn confirmed_at(&self) -> Option<Now> {
+        lock(&self.freshness).confirmed_at()
+    }
+
     /// Returns the staleness in whole milliseconds, rounded up, for other daemons.
     pub(crate) fn age_ms(&self, now: Now) -> Option<u32> {
         let age = self.age(now)?;
         u32::try_from(age.as_millis()).ok()?.checked_add(1)
     }
 
+    /// Returns whether no announced confirmation is being verified, and starts one if so.
+    pub(crate) fn try_start_asking(&self) -> bool {
+        !self.is_asking.swap(true, Ordering::Relaxed)
+    }
+
+    pub(crate) fn finish_asking(&self) {
+        self.is_asking.store(false, Ordering::Relaxed);
+    }
+
     /// Returns the staleness for an event, if it is known.
     pub(crate) fn age_field(&self, now: Now) -> Option<Field> {
         let age_ms = self.age_ms(now)?;
@@ -130,12 +140,10 @@
         unknown.insert(credential);
     }
 
-    fn confirm(&self, at: Now) {
+    /// Records that no newer version existed at `at`, according to the store.
+    pub(crate) fn confirm(&self, at: Now) {
         lock(&self.freshness).confirm(at);
         self.failures.store(0, Ordering::Relaxed);
-        let (minimum, maximum) = REFRESH_STALENESS_RANGE;
-        let jitter = (maximum - minimum).mul_f64(fastrand::f64());
-        *lock(&self.refresh_staleness) = minimum + jitter;
         self.wake_waiters();
     }
 
@@ -189,13 +197,14 @@
     lock(&node.route_staleness.freshness).is_within(now, max_age)
 }
 
-/// Reads the table in the background if it is stale.
-pub(crate) fn refresh(node: &Arc<Node>) {
-    let refresh_staleness = *lock(&node.route_staleness.refresh_staleness);
-    let age = node.route_staleness.age(node.now());
-    if age.is_none_or(|age| age > refresh_staleness) {
-        start_read(node);
-    }
+/// Waits until the table is recent enough to refuse a request for good. Returns whether it is.
+pub(crate) async fn wait_until_recent(node: &Arc<Node>) -> bool {
+    wait_until(node, || is_recent(node)).await
+}
+
+/// Returns whether the table is recent enough to refuse a request for good.
+pub(crate) fn is_recent(node: &Node) -> bool {
+    lock(&node.route_staleness.freshness).is_within(node.now(), MAX_REFUSAL_STALENESS)
 }
 
 /// Waits up to [`MAX_READ_WAIT`] until `holds` returns true. All requests that wait share one
@@ -220,10 +229,8 @@
     }
 }
 
-fn start_read(node: &Arc<Node>) {
-    let Some(routes) = &node.settings.routes else {
-        return;
-    };
+/// Reads the store in the background, unless a read is in progress or failed recently.
+pub(crate) fn start_read(node: &Arc<Node>) {
     let staleness = &node.route_staleness;
     let failures = staleness.failures.load(Ordering::Relaxed);
     let interval = MIN_READ_RETRY_INTERVAL * 2u32.pow(failures.saturating_sub(1).min(8));
@@ -232,16 +239,12 @@
     if failed_recently || staleness.is_reading.swap(true, Ordering::Relaxed) {
         return;
     }
-    let (node, object) = (Arc::clone(node), routes.object.clone());
+    let node = Arc::clone(node);
     let ex = Arc::clone(&node.ex);
     let read = async move {
-        // Not logged: the watchers log invalid tables. If the table gets too stale, requests with
-        // credentials are refused.
-        if read_table(&node, &object).await.is_err() {
-            node.route_staleness.last_failure.set(node.now());
-            node.route_staleness
-                .failures
-                .fetch_add(1, Ordering::Relaxed);
+        match fetch::fetch_from_member(&node, None).await {
+            Ok(()) => gossip::announce_confirmation(&node),
+            Err(error) => record_failed_read(&node, &error),
         }
         node.route_staleness
             .is_reading
@@ -251,3 +254,15 @@
     };
     ex.spawn(read).detach();
 }
+
+fn record_failed_read(node: &Node, error: &FetchError) {
+    let staleness = &node.route_staleness;
+    staleness.last_failure.set(node.now());
+    staleness.failures.fetch_add(1, Ordering::Relaxed);
+    if matches!(
+        error,
+        FetchError::Refused(_) | FetchError::RoutesRefused(_) | FetchError::Unreadable
+    ) {
+        node.record_event(&events::BUNDLE_REFUSED, vec![Field::new("error", error)]);
+    }
+}
--- a/crates/sorrelturn-daemon/src/fleet/control.rs
+++ b/crates/sorrelturn-daemon/src/fleet/control.rs
@@ -1,6 +1,7 @@
 //! RPC service for control messages between daemons, built on `tarpc`. See `docs/design/between-daemons.md`.
 
 use crate::{
+    config::confirmation,
     config::fetch,
     config::in_force::Origin,
     fleet::evacuation,
@@ -17,7 +18,7 @@
 use serde::{Deserialize, Serialize};
 use smol::{future::FutureExt, stream::StreamExt};
 use sorrelturn_bundle::{ContentHash, SectionBytes, SignedManifest};
-use sorrelturn_fleet::{Evacuations, ExchangeReply, ExchangeRequest, Report};
+use sorrelturn_fleet::{Evacuations, ExchangeReply, ExchangeRequest, KnownVersion, Report};
 use sorrelturn_policy::LeavingCause;
 use sorrelturn_protocol::{CrashUpdate, Incarnation, MemberRecord};
 use sorrelturn_quota::{AcquireReply, AcquireRequest};
@@ -49,8 +50,8 @@
         async fn members(buckets: Vec<u8>) -> Vec<MemberRecord>;
         /// Delivers member records that are new to the sender or missing at the receiver.
         async fn update_members(records: Vec<MemberRecord>);
-        /// Announces the bundle version in force at the sender and returns the version in force at the receiver.
-        async fn announce(from: String, version: u64) -> u64;
+        /// Announces what the sender knows of the bundle and returns what the receiver knows.
+        async fn announce(from: String, known: KnownVersion) -> KnownVersion;
         /// Leases quota shares to the allocator and acquires grants from it.
         async fn acquire(request: AcquireRequest) -> AcquireReply;
         /// Delivers backend server crashes and cleared requests known to the sender.
@@ -92,14 +93,12 @@
             request.version,
             sorrelturn_fleet::Source::Peer(from),
         );
-        let knowledge_age_ms = self.node.route_staleness.age_ms(self.node.now());
         let members = lock(&self.node.membership).digest();
         let differs = members.checksum() != request.members;
         let suspected_requests = &self.node.suspected_requests;
         let crashes_differ = suspected_requests.checksum(self.node.now()) != request.crashes;
         ExchangeReply {
-            knowledge_age_ms,
-            version: lock(&self.node.bundle_tracker).in_force(),
+            known: confirmation::known_version(&self.node),
             members: differs.then_some(members),
             crashes: crashes_differ.then(|| suspected_requests.snapshot(self.node.now())),
             evacuations: self.node.evacuation.current(),
@@ -116,9 +115,14 @@
         }
     }
 
-    async fn announce(self, _: context::Context, from: String, version: u64) -> u64 {
-        fetch::fetch_if_newer(&self.node, version, sorrelturn_fleet::Source::Peer(from));
-        lock(&self.node.bundle_tracker).in_force()
+    async fn announce(
+        self,
+        _: context::Context,
+        from: String,
+        known: KnownVersion,
+    ) -> KnownVersion {
+        confirmation::receive_announcement(&self.node, from, known);
+        confirmation::known_version(&self.node)
     }
 
     async fn acquire(self, _: context::Context, request: AcquireRequest) -> AcquireReply {
--- a/crates/sorrelturn-daemon/src/fleet/control_client.rs
+++ b/crates/sorrelturn-daemon/src/fleet/control_client.rs
@@ -18,7 +18,8 @@
 };
 use tarpc::{client, context};
 
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// The timeout of [`call`].
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Reasons why a control call failed.
@@ -32,28 +33,51 @@
     Timeout,
 }
 
-/// Open connections to the control ports of other daemons, with the time of their last use.
+/// Open connections to the control ports of other daemons.
 #[derive(Default)]
 pub(crate) struct ControlLinks {
-    open: Mutex<HashMap<Incarnation, (ControlClient, Now)>>,
+    open: Mutex<HashMap<Incarnation, ControlLink>>,
+}
+
+struct ControlLink {
+    client: ControlClient,
+    last_used: Now,
+    /// When the connection was opened or carried the last answer.
+    last_active: Now,
 }
 
 impl ControlLinks {
     fn get(&self, now: Now, incarnation: Incarnation) -> Option<ControlClient> {
         let mut open = lock(&self.open);
-        let (client, last_used) = open.get_mut(&incarnation)?;
-        *last_used = now;
-        Some(client.clone())
+        let link = open.get_mut(&incarnation)?;
+        link.last_used = now;
+        Some(link.client.clone())
     }
 
     fn insert(&self, now: Now, incarnation: Incarnation, client: &ControlClient) {
-        let mut open = lock(&self.open);
-        open.insert(incarnation, (client.clone(), now));
+        let link = ControlLink {
+            client: client.clone(),
+            last_used: now,
+            last_active: now,
+        };
+        lock(&self.open).insert(incarnation, link);
+    }
+
+    fn record_answer(&self, now: Now, incarnation: Incarnation) {
+        if let Some(link) = lock(&self.open).get_mut(&incarnation) {
+            link.last_active = now;
+        }
     }
 
     /// Closes connections that were unused for [`IDLE_TIMEOUT`].
     pub(crate) fn close_idle(&self, now: Now) {
-        lock(&self.open).retain(|_, (_, last_used)| now.saturating_sub(*last_used) < IDLE_TIMEOUT);
+        lock(&self.open).retain(|_, link| now.saturating_sub(link.last_used) < IDLE_TIMEOUT);
+    }
+
+    /// Closes connections without an answer since a call was sent that timed out, its own among them: if one connection
+    /// is silent, the others may be silent too.
+    fn close_inactive_since(&self, sent: Now) {
+        lock(&self.open).retain(|_, link| link.last_active > sent);
     }
 
     fn remove(&self, incarnation: Incarnation) {
@@ -70,25 +94,45 @@
 where
     F: Future<Output = Result<T, client::RpcError>>,
 {
-    let timeout = async {
-        Timer::after(CALL_TIMEOUT).await;
+    call_within(node, to, CALL_TIMEOUT, call).await
+}
+
+/// As [`call`], with another timeout.
+pub(crate) async fn call_within<T, F>(
+    node: &Arc<Node>,
+    to: &MemberRecord,
+    timeout: Duration,
+    call: impl FnOnce(ControlClient, context::Context) -> F,
+) -> Result<T, ControlError>
+where
+    F: Future<Output = Result<T, client::RpcError>>,
+{
+    let sent = node.now();
+    let timed_out = async {
+        Timer::after(timeout).await;
         Err(ControlError::Timeout)
     };
+    let open_client = node.control_links.get(sent, to.incarnation);
+    let was_open = open_client.is_some();
     let result = async {
-        let client = match node.control_links.get(node.now(), to.incarnation) {
+        let client = match open_client {
             Some(client) => client,
             None => connect(node, to).await?,
         };
         let mut cx = context::current();
-        cx.deadline = Instant::now() + CALL_TIMEOUT;
+        cx.deadline = Instant::now() + timeout;
         Compat::new(call(client, cx))
             .await
             .map_err(|error| ControlError::Interrupted(error.to_string()))
     }
-    .or(timeout)
+    .or(timed_out)
     .await;
-    if result.is_err() {
-        node.control_links.remove(to.incarnation);
+    match &result {
+        Ok(_) => node.control_links.record_answer(node.now(), to.incarnation),
+        Err(ControlError::Timeout) if was_open => {
+            node.control_links.close_inactive_since(sent);
+        }
+        Err(_) => node.control_links.remove(to.incarnation),
     }
     result
 }
--- a/crates/sorrelturn-daemon/src/fleet/gossip.rs
+++ b/crates/sorrelturn-daemon/src/fleet/gossip.rs
@@ -3,6 +3,7 @@
 
 use crate::{
     backend::state,
+    config::confirmation,
     config::fetch,
     config::route_staleness,
     fleet::control::ControlClient,
@@ -26,6 +27,8 @@
 const EXCHANGE_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Number of neighbours that a daemon keeps connections to and pushes updates to.
 const NEIGHBOUR_COUNT: usize = PUSH_FAN_OUT;
+/// Number of daemons that a confirmation of the bundle is announced to.
+const CONFIRMATION_FAN_OUT: usize = 3;
 /// How long an inbound peer, a daemon that started an exchange with this one, receives updates after its last exchange.
 const INBOUND_PEER_TIMEOUT: Duration = Duration::from_secs(15);
 const MAX_INBOUND_PEERS: usize = 10;
@@ -109,12 +112,22 @@
         .collect()
 }
 
-/// Announces a bundle version that came in force at this daemon.
-pub(crate) fn announce(node: &Arc<Node>, version: u64) {
-    let from = node.settings.instance.clone();
-    push_to_recipients(node, move |client, cx| async move {
-        client.announce(cx, from, version).await
-    });
+/// Announces the bundle version that came in force at this daemon.
+pub(crate) fn announce(node: &Arc<Node>) {
+    for recipient in push_recipients(node) {
+        confirmation::spawn_comparison(node, recipient);
+    }
+}
+
+/// Announces that the bundle in force was confirmed, to a few recipients: each of them asks for the proof and announces
+/// it in turn, unless it has a recent one.
+pub(crate) fn announce_confirmation(node: &Arc<Node>) {
+    let mut recipients = push_recipients(node);
+    fastrand::shuffle(&mut recipients);
+    recipients.truncate(CONFIRMATION_FAN_OUT);
+    for recipient in recipients {
+        confirmation::spawn_comparison(node, recipient);
+    }
 }
 
 /// Pushes new crashes of backend servers and cleared requests.
@@ -176,7 +189,7 @@
 }
 
 /// Returns the next neighbour in rotation.
-fn next_neighbour(node: &Node) -> Option<MemberRecord> {
+pub(crate) fn next_neighbour(node: &Node) -> Option<MemberRecord> {
     let mut neighbours = lock(&node.neighbours);
     refill_neighbours(node, &mut neighbours);
     let instance = neighbours.pop_front()?;
@@ -215,8 +228,14 @@
         client.exchange(cx, request).await
     })
     .await?;
-    fetch::fetch_if_newer(node, reply.version, Source::Peer(peer.instance.clone()));
-    route_staleness::confirm_from_peer(node, sent, reply.version, reply.knowledge_age_ms);
+    let source = Source::Peer(peer.instance.clone());
+    fetch::fetch_if_newer(node, reply.known.version, source);
+    route_staleness::confirm_from_peer(
+        node,
+        sent,
+        reply.known.version,
+        reply.known.knowledge_age_ms,
+    );
     evacuation::receive(node, &reply.evacuations);
     if let Some(theirs) = reply.crashes {
         suspects::receive_update(node, &theirs);
--- a/crates/sorrelturn-daemon/src/fleet/watch.rs
+++ b/crates/sorrelturn-daemon/src/fleet/watch.rs
@@ -5,8 +5,7 @@
 
 use crate::{
     clock::unix_ms,
-    config::fetch::{self, FetchError, LearnedFrom},
-    config::route_staleness,
+    config::fetch::{self, LearnedFrom},
     fleet::control_client,
     fleet::evacuation,
     fleet::gossip,
@@ -39,11 +38,11 @@
 const RANK_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Duration of one long-poll watch.
 const WATCH_DURATION: Duration = Duration::from_secs(10);
-/// Interval of direct reads of the VM list, which can't be watched, and of the bundle head, whose watch may have
-/// stalled without an error.
+/// Interval of direct reads of the VM list, which can't be watched.
 const READ_INTERVAL: Duration = Duration::from_secs(2);
-/// Interval of direct reads of the route table, whose watch may have stalled without an error.
-const ROUTE_TABLE_READ_INTERVAL: Duration = Duration::from_secs(5);
+/// Interval between checks whether the watch of the head has reported the version in force. A watch may report it
+/// slightly later than others.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Duration of one long-poll watch with a route table.
 const ROUTE_TABLE_WATCH_DURATION: Duration = Duration::from_secs(30);
 /// Delay between two watches of the members with a route table. Batches the many updates at the start of a fleet.
@@ -113,7 +112,7 @@
 }
 
 async fn watch_all(node: &Arc<Node>) {
-    let watched = WatchedRevision::default();
+    let watched = WatchedVersion::default();
     let (restart_head_tx, restart_head) = channel::bounded(1);
     let (restart_members_tx, restart_members) = channel::bounded(1);
     let restart_watches = || {
@@ -122,7 +121,7 @@
         let _ = restart_members_tx.try_send(());
     };
     let watch_store = watch_config_head(node, &watched, &restart_head)
-        .or(read_config_head(node, &watched, restart_watches))
+        .or(restart_stalled_watches(node, &watched, restart_watches))
         .or(watch_members(node, &restart_members))
         .or(watch_evacuations(node));
     if node.settings.routes.is_some() {
@@ -134,9 +133,9 @@
         .await;
 }
 
-/// Store revision up to which the watch of the head, the object at [`config_head_key`], has reported changes.
+/// The bundle version that the watch of the head, the object at [`config_head_key`], has reported.
 #[derive(Default)]
-struct WatchedRevision(AtomicU64);
+struct WatchedVersion(AtomicU64);
 
 /// Watches a prefix indefinitely and passes changes to `on_changes`.
 ///
@@ -199,41 +198,33 @@
     *is_unreachable = error.is_some();
 }
 
-async fn watch_config_head(node: &Arc<Node>, watched: &WatchedRevision, restart: &Receiver<()>) {
+async fn watch_config_head(node: &Arc<Node>, watched: &WatchedVersion, restart: &Receiver<()>) {
     let head = config_head_key(node).to_owned();
     watch_prefix(node, &head, Duration::ZERO, restart, |changes| {
-        watched.0.store(changes.revision, Ordering::Relaxed);
         for object in changes.objects {
-            receive_config_head(node, &object);
+            if let Some(version) = receive_config_head(node, &object) {
+                watched.0.store(version, Ordering::Relaxed);
+            }
         }
     })
     .await;
 }
 
-/// Reads the head periodically and restarts all watches if it is newer than what the watch has reported.
+/// Restarts all watches once a version has been in force for some time that the watch of the head hasn't reported.
 ///
 /// If one watch has stalled, the other watches have probably stalled too.
-async fn read_config_head(node: &Arc<Node>, watched: &WatchedRevision, restart_watches: impl Fn()) {
-    let interval = match node.settings.routes {
-        Some(_) => ROUTE_TABLE_READ_INTERVAL,
-        None => READ_INTERVAL,
-    };
+async fn restart_stalled_watches(
+    node: &Arc<Node>,
+    watched: &WatchedVersion,
+    restart_watches: impl Fn(),
+) {
+    let mut version_before = 0;
     loop {
-        Timer::after(interval.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
-        if let Some(routes) = &node.settings.routes {
-            let read = route_staleness::read_table(node, &routes.object).await;
-            if node.route_staleness.accepted_revision() > watched.0.load(Ordering::Relaxed) {
-                restart_watches();
-            }
-            if let Err(FetchError::RoutesRefused(error)) = read {
-                node.record_event(&events::BUNDLE_REFUSED, vec![Field::new("error", error)]);
-            }
-        } else if let Ok(Some(object)) = node.platform.get(config_head_key(node)).await {
-            if object.version > watched.0.load(Ordering::Relaxed) {
-                restart_watches();
-            }
-            receive_config_head(node, &object);
+        Timer::after(STALL_CHECK_INTERVAL).await;
+        if version_before > watched.0.load(Ordering::Relaxed) {
+            restart_watches();
         }
+        version_before = node.bundle_version();
     }
 }
 
@@ -243,30 +234,32 @@
     routes.map_or(keys::BUNDLE_HEAD, |routes| &routes.object)
 }
 
-fn receive_config_head(node: &Arc<Node>, object: &Object) {
-    let value = object.value.as_str();
-    if node.settings.routes.is_some() {
-        match fetch::accept_routes(node, value, LearnedFrom::Watch) {
-            Ok(()) => node.route_staleness.record_accepted(object.version),
-            Err(error) => {
-                node.record_event(&events::BUNDLE_REFUSED, vec![Field::new("error", error)])
-            }
-        }
-        return;
-    }
-    let manifest = serde_json::from_str::<SignedManifest>(value)
+/// Puts a new head in force, or starts to fetch its bundle. Returns the version, unless the head is refused.
+fn receive_config_head(node: &Arc<Node>, object: &Object) -> Option<u64> {
+    let received = match node.settings.routes {
+        Some(_) => receive_route_table(node, object),
+        None => receive_manifest(node, object),
+    };
+    received
+        .inspect_err(|error| {
+            node.record_event(&events::BUNDLE_REFUSED, vec![Field::new("error", error)]);
+        })
         .ok()
-        .and_then(|signed| signed.verify(&node.trusted).ok());
-    match manifest {
-        Some(manifest) => fetch::fetch_if_newer(node, manifest.version, Source::Store),
-        None => node.record_event(
-            &events::BUNDLE_REFUSED,
-            vec![Field::new(
-                "error",
-                "the bundle head in the store is not signed by a trusted operator",
-            )],
-        ),
-    }
+}
+
+fn receive_route_table(node: &Arc<Node>, object: &Object) -> Result<u64, String> {
+    let version = fetch::accept_routes(node, &object.value, LearnedFrom::Watch)?;
+    node.route_staleness.record_accepted(object.version);
+    Ok(version)
+}
+
+fn receive_manifest(node: &Arc<Node>, object: &Object) -> Result<u64, String> {
+    let signed = serde_json::from_str::<SignedManifest>(&object.value).ok();
+    let manifest = signed.and_then(|signed| signed.verify(&node.trusted).ok());
+    let manifest = manifest
+        .ok_or("the bundle head in the store is not signed by a trusted operator".to_owned())?;
+    fetch::fetch_if_newer(node, manifest.version, Source::Store);
+    Ok(manifest.version)
 }
 
 async fn watch_members(node: &Arc<Node>, restart: &Receiver<()>) {
--- a/crates/sorrelturn-daemon/src/request/identity.rs
+++ b/crates/sorrelturn-daemon/src/request/identity.rs
@@ -11,8 +11,8 @@
 use sorrelturn_telemetry::{Field, events};
 use std::{sync::Arc, time::Duration};
 
-/// Sent if a credential can't be checked now.
-const CREDENTIAL_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// Sent if a credential or a route can't be checked now.
+const STALE_KNOWLEDGE_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 /// Sent if the entry for a request can't be used, which lasts until operators correct it.
 const UNUSABLE_ENTRY_RETRY_AFTER: Duration = Duration::from_secs(5);
 /// The minimum time between two events.
@@ -26,7 +26,8 @@
 }
 
 /// Callers don't retry after `UnknownCaller`, so it is sent only if the newest route table at the arrival lacked the
-/// credential. Until that is known, the reply has a Retry-After time.
+/// credential. `UnknownKind` is sent only if no table that has to be in force by now can have the route. Until that is
+/// known, the reply has a Retry-After time.
 pub(crate) async fn identify(
     node: &Arc<Node>,
     routed: &Routed,
@@ -36,8 +37,6 @@
 ) -> Result<Identified, Reply> {
     let (host, path) = host_and_path;
     let presented = presented_credential(headers, routed)?;
-    let retry_later =
-        || Reply::not_run(Refusal::StaleKnowledge).with_retry_after(CREDENTIAL_RETRY_AFTER);
     loop {
         let in_force = node.in_force.load_full();
         let no_bundle =
@@ -46,11 +45,16 @@
         let route = in_force.bundle.match_route(host, path).cloned();
         let Some(route) = route else {
             let may_be_rejected = in_force.bundle.has_unlocated_rejection();
-            return Err(if may_be_rejected {
-                unusable_entry()
-            } else {
-                Reply::not_run(Refusal::UnknownKind)
-            });
+            if may_be_rejected {
+                return Err(unusable_entry());
+            }
+            if route_staleness::is_recent(node) {
+                return Err(Reply::not_run(Refusal::UnknownKind));
+            }
+            if !route_staleness::wait_until_recent(node).await {
+                return Err(stale_knowledge());
+            }
+            continue;
         };
         if route.is_rejected() {
             return Err(unusable_entry());
@@ -59,9 +63,6 @@
             Some(workspace)
                 if workspace.is_none() || route_staleness::is_valid(node, node.now()) =>
             {
-                if workspace.is_some() {
-                    route_staleness::refresh(node);
-                }
                 return Ok(Identified {
                     in_force,
                     route,
@@ -74,7 +75,7 @@
                 })
                 .await
                 {
-                    return Err(retry_later());
+                    return Err(stale_knowledge());
                 }
             }
             None if check_unknown(node, presented, arrived_at) => {
@@ -92,13 +93,18 @@
                     })
                     .await
                 {
-                    return Err(retry_later());
+                    return Err(stale_knowledge());
                 }
             }
         }
     }
 }
 
+/// Sent if it isn't known whether the newest table would refuse a request too.
+pub(crate) fn stale_knowledge() -> Reply {
+    Reply::not_run(Refusal::StaleKnowledge).with_retry_after(STALE_KNOWLEDGE_RETRY_AFTER)
+}
+
 /// Callers give up after `UnknownKind` and `UnknownCaller`, but the next version may have the entry.
 fn unusable_entry() -> Reply {
     Reply::not_run(Refusal::UnusableEntry).with_retry_after(UNUSABLE_ENTRY_RETRY_AFTER)
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -3,6 +3,7 @@
 use crate::{
     backend::state::Routed,
     config::in_force::{InForce, KindState},
+    config::route_staleness,
     fleet::quota,
     net::serve::has_ambiguous_length,
     node::{ActiveRequest, BufferedBytes, MemoryDemand, Node, lock},
@@ -127,7 +128,19 @@
     let host = headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or(req.uri().host()).unwrap_or_default();
     let host_and_path = (host, req.uri().path());
-    let identified = identity::identify(node, routed, headers, host_and_path, arrived_at).await?;
+    let identified = loop {
+        let identified =
+            identity::identify(node, routed, headers, host_and_path, arrived_at).await?;
+        if req.body().size_hint().lower() <= identified.in_force.bundle.limits().body_bytes {
+            break identified;
+        }
+        if route_staleness::is_recent(node) {
+            return Err(Reply::not_run(Refusal::TooLarge));
+        }
+        if !route_staleness::wait_until_recent(node).await {
+            return Err(identity::stale_knowledge());
+        }
+    };
     let Identified {
         in_force,
         route,
@@ -137,10 +150,6 @@
         .kind_at(fastrand::f64())
         .map(Arc::clone)
         .ok_or_else(|| Reply::not_run(Refusal::UnknownKind))?;
-    let body_bytes = req.body().size_hint().lower();
-    if body_bytes > in_force.bundle.limits().body_bytes {
-        return Err(Reply::not_run(Refusal::TooLarge));
-    }
     let remaining_ms = headers::text(headers, routed.dialect.headers.time_left_ms.as_str())
         .and_then(|text| text.trim().parse::<u32>().ok());
     let deadline_ms = remaining_ms.unwrap_or(u32::MAX).min(kind.kind.deadline_ms);
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -6,6 +6,7 @@
     backend::link::Backend,
     backend::state::Routed,
     clock::{Clock, unix_ms},
+    config::confirmation,
     config::route_staleness::RouteStaleness,
     config::settings::{ListenSettings, RouteSettings, Settings},
     fleet::control_client::ControlLinks,
@@ -176,6 +177,7 @@
         let spawn = |task: smol::future::Boxed<()>| node.ex.spawn(task).detach();
         spawn(Box::pin(join::find_bundle(Arc::clone(node))));
         spawn(Box::pin(gossip::run_exchanges(Arc::clone(node))));
+        spawn(Box::pin(confirmation::run(Arc::clone(node))));
         spawn(Box::pin(quarantine::load(Arc::clone(node))));
         if node.routed.is_some() {
             spawn(Box::pin(announce::find_backend(Arc::clone(node))));
--- a/crates/sorrelturn-fleet/src/bundle_tracker.rs
+++ b/crates/sorrelturn-fleet/src/bundle_tracker.rs
@@ -69,7 +69,7 @@
         is_higher
     }
 
-    /// Handles the success or failure of a fetch; returns the next one to start, if any.
+    /// Handles the end of a fetch; returns the next one to start, if any.
     pub fn fetch_finished(&mut self, now: Now, fetch: &Fetch) -> Option<Fetch> {
         if self
             .fetching
@@ -82,6 +82,16 @@
         self.version_announced(now, next.version, next.source)
     }
 
+    /// Handles the failure of a fetch; returns the next one to start, if any. The store is tried after a peer, since
+    /// nobody may announce the version again.
+    pub fn fetch_failed(&mut self, now: Now, fetch: &Fetch) -> Option<Fetch> {
+        let next = self.fetch_finished(now, fetch);
+        if next.is_some() || fetch.source == Source::Store {
+            return next;
+        }
+        self.version_announced(now, fetch.version, Source::Store)
+    }
+
     fn start(&mut self, now: Now, fetch: Fetch) -> Fetch {
         self.fetching = Some((fetch.clone(), now));
         fetch
--- a/crates/sorrelturn-fleet/src/lib.rs
+++ b/crates/sorrelturn-fleet/src/lib.rs
@@ -1,6 +1,7 @@
 #![doc = include_str!("../README.md")]
 
 mod bundle_tracker;
+mod confirmation;
 mod evacuations;
 mod membership;
 mod messages;
@@ -9,10 +10,13 @@
 mod vm_list;
 
 pub use bundle_tracker::{BundleTracker, Fetch, PUSH_FAN_OUT, Source, sample_peers};
+pub use confirmation::{ConfirmationSchedule, ConfirmationStep};
 pub use evacuations::Evacuations;
 pub use membership::{Membership, MembershipDigest, bucket_of};
-pub use messages::{ExchangeReply, ExchangeRequest, Report};
-pub use rank::{STANDBY_WATCHER_COUNT, WATCHER_COUNT, predecessors, ranked, searchers_for};
+pub use messages::{ExchangeReply, ExchangeRequest, KnownVersion, Report};
+pub use rank::{
+    STANDBY_WATCHER_COUNT, WATCHER_COUNT, predecessors, rank_of, ranked, searchers_for,
+};
 pub use status::{DomainStatus, DomainView, MemberStatus, report_interval, silence_timeout};
 pub use vm_list::{VmListDiff, diff_vm_list};
 
--- a/crates/sorrelturn-fleet/src/messages.rs
+++ b/crates/sorrelturn-fleet/src/messages.rs
@@ -4,6 +4,16 @@
 use serde::{Deserialize, Serialize};
 use sorrelturn_protocol::{CrashUpdate, MemberRecord, MemberState};
 
+/// The bundle version in force at a daemon, and how long ago the daemon knew it to be the newest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownVersion {
+    /// The version.
+    pub version: u64,
+    /// Milliseconds since the daemon last confirmed that no higher version exists. In a response, this proves it to
+    /// whoever asked, counted from the request; a request may have been delayed and proves nothing.
+    pub knowledge_age_ms: Option<u32>,
+}
+
 /// The request of a periodic exchange.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ExchangeRequest {
@@ -22,10 +32,8 @@
 /// The reply to an [`ExchangeRequest`]; if all checksums are equal, the exchange ends here.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ExchangeReply {
-    /// The receiver's bundle version in force.
-    pub version: u64,
-    /// Milliseconds since the receiver last confirmed that no higher bundle version exists.
-    pub knowledge_age_ms: Option<u32>,
+    /// What the receiver knows of the bundle.
+    pub known: KnownVersion,
     /// All buckets' checksums, if the membership checksums differ.
     pub members: Option<MembershipDigest>,
     /// The receiver's information about crashes, if its checksum differs.
--- a/crates/sorrelturn-fleet/src/rank.rs
+++ b/crates/sorrelturn-fleet/src/rank.rs
@@ -23,6 +23,15 @@
     ranked.into_iter().map(|(_, record)| record).collect()
 }
 
+/// The position of this instance among the members of its failure domain in rank order, or after all of them if it
+/// isn't one of them.
+pub fn rank_of(ranked: &[&MemberRecord], own_instance: &str) -> usize {
+    let position = ranked
+        .iter()
+        .position(|record| record.instance == own_instance);
+    position.unwrap_or(ranked.len())
+}
+
 /// The members whose liveness this instance checks; `None` if it is neither watcher nor standby.
 pub fn predecessors<'a, 'b>(
     ranked: &'b [&'a MemberRecord],
--- a/crates/sorrelturn-policy/src/freshness.rs
+++ b/crates/sorrelturn-policy/src/freshness.rs
@@ -18,6 +18,11 @@
         self.confirmed_at = self.confirmed_at.max(Some(at));
     }
 
+    /// The latest time as of which the configuration was confirmed; `None` if it never was.
+    pub fn confirmed_at(&self) -> Option<Now> {
+        self.confirmed_at
+    }
+
     /// Records the staleness `age` that another daemon reported in response to a request sent at `sent`.
     pub fn confirm_from_peer(&mut self, sent: Now, age: Duration) {
         if let Some(at) = sent.checked_sub(age) {
