The soak checks that a confirmed route table is in force in time

Its checker had no bound on the time from a table's confirmation to its effect, so silent watches and paused watchers went unseen. A daemon in touch may now not show an older table than the one confirmed 2 s (and what the soak is late itself) before the request was sent; an outage or slowness of the store and a disturbed daemon excuse it, silent watches and disturbances of other daemons don't. The text of the refusal for stale knowledge no longer speaks of credentials alone.

--- a/crates/sorrelturn-bench/src/soak/actions.rs
+++ b/crates/sorrelturn-bench/src/soak/actions.rs
@@ -151,6 +151,9 @@
         }
         let (now, duration) = (self.now(), Duration::from_millis(ms));
         self.checker().store_faulted(now, now + duration);
+        if !matches!(trouble, StoreFault::LosesAnswers | StoreFault::Deaf) {
+            self.checker().store_unreadable(now, now + duration);
+        }
         play_faults(self.platform, &faults).await;
         Timer::after(duration).await;
         // If faults overlap, the first one to end clears all of them.
--- a/crates/sorrelturn-bench/src/soak/checker.rs
+++ b/crates/sorrelturn-bench/src/soak/checker.rs
@@ -26,6 +26,8 @@
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 const LIMIT_OVERAGE: f64 = 1.5;
 const LIMIT_SLACK: f64 = 5.0;
+/// The time in which a confirmed route table has to be in force.
+const APPLY_TIME: Duration = Duration::from_secs(2);
 /// The time after a response that says that its backend server is leaving, in which requests may still be sent there.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 /// The statuses which state that the request was not and will not be executed.
@@ -56,6 +58,8 @@
     Leaves,
     /// An incarnation never returns to an older route table.
     Newest,
+    /// A route table that the store confirmed is in force in time.
+    InForce,
     /// All requests are served again after the faults.
     Recovers,
     /// A request that crashes backend servers is quarantined.
@@ -209,7 +213,11 @@
     daemons: Vec<DaemonObservations>,
     requests: HashMap<String, Request>,
     newest_published: u64,
+    /// The versions that the store confirmed, and when, unless an earlier one was written afterwards.
+    confirmed: Vec<(u64, Duration)>,
     store_faulted: Vec<(Duration, Duration)>,
+    /// When reads of the store failed or were slow.
+    store_unreadable: Vec<(Duration, Duration)>,
     /// When backend servers began to execute the crashing request.
     crashes: Vec<Duration>,
     /// Of these crashes, those that undisturbed daemons could have prevented.
@@ -230,7 +238,9 @@
                 .collect(),
             requests: HashMap::new(),
             newest_published: 0,
+            confirmed: Vec::new(),
             store_faulted: Vec::new(),
+            store_unreadable: Vec::new(),
             crashes: Vec::new(),
             avoidable_crashes: 0,
             workspaces: WorkspaceObservations::default(),
@@ -312,6 +322,11 @@
         self.store_faulted.push((from, until));
     }
 
+    /// Records a fault of the store because of which daemons can't read a new route table in time.
+    pub fn store_unreadable(&mut self, from: Duration, until: Duration) {
+        self.store_unreadable.push((from, until));
+    }
+
     /// Records that a backend server begins to execute the request that crashes it.
     pub fn running_crashing_request(&mut self, at: Duration, id: &str, daemon: usize) {
         let since = at.saturating_sub(UNDISTURBED_AFTER);
@@ -358,11 +373,14 @@
     /// Records that the store confirmed the route table of a version.
     pub fn table_confirmed(&mut self, at: Duration, version: u64) {
         self.workspaces.table_confirmed(at, version);
+        self.confirmed.push((version, at));
     }
 
     /// Records that an earlier route table is about to be written again.
     pub fn reverting_to(&mut self, version: u64) {
         self.workspaces.reverting_to(version);
+        // Daemons that start from now on may begin with the earlier version.
+        self.confirmed.clear();
     }
 
     /// Records that the leave of a backend server was acknowledged.
@@ -680,6 +698,7 @@
         }
         if let Kind::Version(version) = kind {
             self.check_version(at, id, version, status);
+            self.check_in_force(at, id, version, status);
         } else if (300..500).contains(&status)
             && !is_refused
             && !credential_kind.may_be_unknown(status)
@@ -717,6 +736,35 @@
         }
     }
 
+    /// Checks that a response doesn't show an older route table than the one that has to be in force.
+    fn check_in_force(&mut self, at: Duration, id: &str, version: u64, status: u16) {
+        let request = &self.requests[id];
+        let (daemon, sent_at) = (request.daemon, request.sent_at);
+        let since = sent_at.saturating_sub(UNDISTURBED_AFTER);
+        let has_to_be = self.confirmed.iter();
+        let has_to_be = has_to_be.filter(|(_, at)| *at + APPLY_TIME + self.lag < sent_at);
+        let Some(has_to_be) = has_to_be.map(|(version, _)| *version).max() else {
+            return;
+        };
+        let is_older = match status {
+            200 => version < has_to_be,
+            // Only a newer table lacks the route.
+            404 => version == has_to_be && version == self.newest_published,
+            _ => false,
+        };
+        let was_readable = !self
+            .store_unreadable
+            .iter()
+            .any(|(from, until)| *from <= at && *until >= since);
+        let is_in_touch = self.was_in_touch(daemon, sent_at) && self.was_in_touch(daemon, at);
+        if is_older && was_readable && is_in_touch {
+            let description = format!(
+                "daemon {daemon} answers {status} to version {version}, sent at {sent_at:?}, when {has_to_be} has to be in force"
+            );
+            self.add_breach(at, Promise::InForce, description);
+        }
+    }
+
     fn check_lost(&mut self, at: Duration, id: &str, ending: Ending) {
         let Some(request) = self.requests.get(id) else {
             return;
--- a/crates/sorrelturn-bench/tests/soak.rs
+++ b/crates/sorrelturn-bench/tests/soak.rs
@@ -350,6 +350,64 @@
     assert_eq!(broken_promises(&checker), []);
 }
 
+/// A checker whose daemon 0 answers a request for a version at 10 s; version 3 is confirmed at this time.
+fn with_confirmed_table(confirmed_at: Duration, version: u64, status: u16) -> Checker {
+    let mut checker = two_daemons();
+    for version in 1..=3 {
+        checker.table_published(version);
+    }
+    checker.table_confirmed(ms(100), 2);
+    checker.table_confirmed(confirmed_at, 3);
+    checker.sending(ms(10_000), "x", Kind::Version(version), 0, 0);
+    checker.ended(ms(10_010), "x", answer(status));
+    checker
+}
+
+#[test]
+fn a_route_table_that_is_not_in_force_in_time_is_found() {
+    for (version, status) in [(2, 200), (3, 404)] {
+        let late = with_confirmed_table(ms(7_900), version, status);
+        assert_eq!(broken_promises(&late), [Promise::InForce]);
+        let in_time = with_confirmed_table(ms(8_100), version, status);
+        assert_eq!(broken_promises(&in_time), []);
+    }
+    for (version, status) in [(2, 404), (3, 200), (3, 503)] {
+        let newest = with_confirmed_table(ms(7_900), version, status);
+        assert_eq!(broken_promises(&newest), []);
+    }
+}
+
+#[test]
+fn a_route_table_may_be_late_where_the_store_or_the_daemon_was_disturbed() {
+    let promises_after = |disturb: &dyn Fn(&mut Checker)| {
+        let mut checker = two_daemons();
+        checker.table_published(3);
+        checker.table_confirmed(ms(5_000), 3);
+        disturb(&mut checker);
+        checker.sending(ms(10_000), "x", Kind::Version(3), 0, 0);
+        checker.ended(ms(10_010), "x", answer(404));
+        broken_promises(&checker)
+    };
+    assert_eq!(
+        promises_after(&|checker| checker.store_unreadable(ms(6_000), ms(7_500))),
+        []
+    );
+    assert_eq!(
+        promises_after(&|checker| checker.path_faulted(ms(6_000), ms(7_500), 0)),
+        []
+    );
+    assert_eq!(promises_after(&|checker| checker.reverting_to(2)), []);
+    // Silent watches and other daemons are no excuse.
+    assert_eq!(
+        promises_after(&|checker| checker.store_faulted(ms(6_000), ms(9_000))),
+        [Promise::InForce]
+    );
+    assert_eq!(
+        promises_after(&|checker| checker.path_faulted(ms(6_000), ms(9_000), 1)),
+        [Promise::InForce]
+    );
+}
+
 #[test]
 fn service_that_never_returns_is_found() {
     let mut checker = two_daemons();
--- a/crates/sorrelturn-protocol/src/refusal.rs
+++ b/crates/sorrelturn-protocol/src/refusal.rs
@@ -26,7 +26,7 @@
     UnknownKind,
     /// the caller is not known
     UnknownCaller,
-    /// the credentials known to this daemon may be out of date
+    /// the configuration known to this daemon may be out of date
     StaleKnowledge,
     /// the workspace has used up its quota
     QuotaUsedUp,
