The soak doesn't take a table for the newest that an earlier one may have replaced

Trace: the plan writes an earlier and a newer table in the same millisecond; the store held the earlier one afterwards, and a daemon that started at 23.8 s read it (S300: version 1, learned_from=store-read) and honoured its credential for 0.23 s, until a peer told it of version 2. A restarted daemon may do so after an earlier table was written, which the checker allows, but here it had recorded the newer table last. A newer table whose write overlaps that of an earlier one is no longer recorded as confirmed.

--- a/crates/sorrelturn-bench/src/soak/harness.rs
+++ b/crates/sorrelturn-bench/src/soak/harness.rs
@@ -104,6 +104,10 @@
     pub(super) daemons: Vec<Member>,
     has_crashing_request: bool,
     pub(super) version: AtomicU64,
+    /// Writes of earlier route tables.
+    pub(super) reverts_started: AtomicU64,
+    /// Those of them that have ended.
+    pub(super) reverts_ended: AtomicU64,
     pub(super) next_id: AtomicU64,
     pub(super) unconfirmed_tables: AtomicU64,
     /// Set once all actions are done; ends the tasks.
@@ -165,6 +169,8 @@
             daemons: Vec::new(),
             has_crashing_request: plan.has_crashing_request,
             version: AtomicU64::new(0),
+            reverts_started: AtomicU64::new(0),
+            reverts_ended: AtomicU64::new(0),
             next_id: AtomicU64::new(1),
             unconfirmed_tables: AtomicU64::new(0),
             is_over: AtomicBool::new(false),
