A refusal is checked against the table that made it

The staleness was read after the table had been matched: a table that came in force in between made the refusal of the one before it look recent. The refusal now names its version; if another one is in force, the request is matched again.

--- a/crates/sorrelturn-daemon/src/config/route_staleness.rs
+++ b/crates/sorrelturn-daemon/src/config/route_staleness.rs
@@ -197,13 +197,30 @@
     lock(&node.route_staleness.freshness).is_within(now, max_age)
 }
 
-/// Waits until the table is recent enough to refuse a request for good. Returns whether it is.
-pub(crate) async fn wait_until_recent(node: &Arc<Node>) -> bool {
-    wait_until(node, || is_recent(node)).await
+/// Whether a route table may refuse a request for good.
+pub(crate) enum RefusalCheck {
+    /// It may.
+    Final,
+    /// Another table may be in force by now, which has to be looked at.
+    Repeat,
+    /// The newest table isn't known.
+    Unknown,
 }
 
-/// Returns whether the table is recent enough to refuse a request for good.
-pub(crate) fn is_recent(node: &Node) -> bool {
+/// Checks a refusal by the table of this version, which is final to callers. Waits up to [`MAX_READ_WAIT`] if the
+/// table is too stale.
+pub(crate) async fn check_refusal(node: &Arc<Node>, version: u64) -> RefusalCheck {
+    // The staleness comes first: once it is low, the table that made it so is in force.
+    if is_recent(node) && node.bundle_version() == version {
+        return RefusalCheck::Final;
+    }
+    match wait_until(node, || is_recent(node)).await {
+        true => RefusalCheck::Repeat,
+        false => RefusalCheck::Unknown,
+    }
+}
+
+fn is_recent(node: &Node) -> bool {
     lock(&node.route_staleness.freshness).is_within(node.now(), MAX_REFUSAL_STALENESS)
 }
 
--- a/crates/sorrelturn-daemon/src/request/identity.rs
+++ b/crates/sorrelturn-daemon/src/request/identity.rs
@@ -1,8 +1,12 @@
 //! Identifies callers: the credential of a request and the workspace that it belongs to.
 
 use crate::{
-    backend::state::Routed, config::in_force::InForce, config::route_staleness, node::Node,
-    request::answer::Reply, request::owner,
+    backend::state::Routed,
+    config::in_force::InForce,
+    config::route_staleness::{self, RefusalCheck},
+    node::Node,
+    request::answer::Reply,
+    request::owner,
 };
 use hyper::HeaderMap;
 use sorrelturn_bundle::{Bundle, CredentialHash, RouteEntry, WorkspaceEntry};
@@ -48,12 +52,7 @@
             if may_be_rejected {
                 return Err(unusable_entry());
             }
-            if route_staleness::is_recent(node) {
-                return Err(Reply::not_run(Refusal::UnknownKind));
-            }
-            if !route_staleness::wait_until_recent(node).await {
-                return Err(stale_knowledge());
-            }
+            check_refusal(node, &in_force, Refusal::UnknownKind).await?;
             continue;
         };
         if route.is_rejected() {
@@ -100,8 +99,22 @@
     }
 }
 
+/// Returns `refusal`, which is final to callers, if the table is known to be recent. Returns normally if another table
+/// may be in force by now.
+pub(crate) async fn check_refusal(
+    node: &Arc<Node>,
+    in_force: &InForce,
+    refusal: Refusal,
+) -> Result<(), Reply> {
+    match route_staleness::check_refusal(node, in_force.bundle.version).await {
+        RefusalCheck::Final => Err(Reply::not_run(refusal)),
+        RefusalCheck::Repeat => Ok(()),
+        RefusalCheck::Unknown => Err(stale_knowledge()),
+    }
+}
+
 /// Sent if it isn't known whether the newest table would refuse a request too.
-pub(crate) fn stale_knowledge() -> Reply {
+fn stale_knowledge() -> Reply {
     Reply::not_run(Refusal::StaleKnowledge).with_retry_after(STALE_KNOWLEDGE_RETRY_AFTER)
 }
 
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -3,7 +3,6 @@
 use crate::{
     backend::state::Routed,
     config::in_force::{InForce, KindState},
-    config::route_staleness,
     fleet::quota,
     net::serve::has_ambiguous_length,
     node::{ActiveRequest, BufferedBytes, MemoryDemand, Node, lock},
@@ -134,12 +133,7 @@
         if req.body().size_hint().lower() <= identified.in_force.bundle.limits().body_bytes {
             break identified;
         }
-        if route_staleness::is_recent(node) {
-            return Err(Reply::not_run(Refusal::TooLarge));
-        }
-        if !route_staleness::wait_until_recent(node).await {
-            return Err(identity::stale_knowledge());
-        }
+        identity::check_refusal(node, &identified.in_force, Refusal::TooLarge).await?;
     };
     let Identified {
         in_force,
