The soak records again that an earlier table was confirmed

Where the store had not confirmed that version before, the check of revoked credentials lost a bound that it had. Found by reading the diff.

--- a/crates/sorrelturn-bench/src/soak/actions.rs
+++ b/crates/sorrelturn-bench/src/soak/actions.rs
@@ -47,10 +47,12 @@
             .await;
         // If an earlier table was written at the same time, either of them may be the one that the store holds now.
         let has_reverted = self.reverts_started.load(Ordering::Relaxed) != started_before;
+        let is_order_known = older || (!is_reverting && !has_reverted);
+        if written.is_ok() && is_order_known {
+            self.checker().table_confirmed(self.now(), version);
+        }
         if older {
             self.reverts_ended.fetch_add(1, Ordering::Relaxed);
-        } else if written.is_ok() && !is_reverting && !has_reverted {
-            self.checker().table_confirmed(self.now(), version);
         }
         let unconfirmed = u64::from(written.is_err());
         self.unconfirmed_tables
