What a deployment asks for under contention: settings, reports in answers, and the design of four parts

Interfaces first, so that the parts can be built side by side. An answer carries a report for the mechanisms for contention only where one is on, so headers of other deployments grow by one byte. No decision changes yet.

--- a/crates/sorrelturn-daemon/src/backend/signals.rs
+++ b/crates/sorrelturn-daemon/src/backend/signals.rs
@@ -50,6 +50,9 @@
         return;
     }
     record_limit(node, routed, sent.at, named_limit(routed, headers));
+    if state::reported_work_time(routed, headers).is_some() {
+        node.record_work_times_reported();
+    }
     if is_leaving(routed, headers) {
         state::record_leaving_answer(node, routed, responder);
     }
--- a/crates/sorrelturn-daemon/src/backend/state.rs
+++ b/crates/sorrelturn-daemon/src/backend/state.rs
@@ -16,6 +16,7 @@
 use sorrelturn_protocol::{Announcement, BackendState, MemberRecord, RequestRate};
 use sorrelturn_telemetry::{Field, events};
 use std::{
+    ops::RangeInclusive,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU32, Ordering},
@@ -33,6 +34,9 @@
 /// calling request. The shortest deadline of such a call is 700 ms.
 const CALL_QUEUE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// The range of reported work times, in percent of the usual; others are ignored.
+const WORK_TIME_RANGE_PERCENT: RangeInclusive<u32> = 10..=10_000;
+
 /// The minimum interval between log entries about refused reports.
 const REFUSED_REPORT_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -264,6 +268,16 @@
     load.split(',').nth(2)?.trim().parse().ok()
 }
 
+/// Returns how long work takes at the backend server now, in percent of the usual: the fourth comma-separated field of
+/// a response's load header. `None` if there is none or it isn't in [`WORK_TIME_RANGE_PERCENT`].
+pub(crate) fn reported_work_time(routed: &Routed, headers: &HeaderMap) -> Option<u32> {
+    let load = headers.get(&routed.dialect.headers.load)?.to_str().ok()?;
+    let percent = load.split(',').nth(3)?.trim().parse().ok()?;
+    WORK_TIME_RANGE_PERCENT
+        .contains(&percent)
+        .then_some(percent)
+}
+
 /// Returns for how much longer the backend server is cold, if its response says it.
 pub(crate) fn cold_remaining(routed: &Routed, headers: &HeaderMap) -> Option<Duration> {
     let remaining = headers
--- a/crates/sorrelturn-daemon/src/config/in_force.rs
+++ b/crates/sorrelturn-daemon/src/config/in_force.rs
@@ -79,6 +79,8 @@
     callers: HashMap<CallerId, CallerState>,
     /// The lowest importance of a workspace.
     lowest_workspace_importance: Option<Importance>,
+    /// Whether some workspace has a quota.
+    has_quotas: bool,
     /// A bit set, by importance rank, of the kinds that have been answered and are not nested
     /// calls (root kinds).
     root_importances: AtomicU8,
@@ -150,8 +152,12 @@
             .workspaces()
             .filter_map(|workspace| workspace.importance);
         let lowest_workspace_importance = workspace_importances.min();
+        let has_quotas = bundle
+            .workspaces()
+            .any(|workspace| workspace.quota.is_some());
         let in_force = Self {
             lowest_workspace_importance,
+            has_quotas,
             bundle,
             origin,
             kinds,
@@ -213,6 +219,11 @@
         usize::from(own.saturating_sub(lowest))
     }
 
+    /// Returns whether some workspace has a quota.
+    pub(crate) fn has_quotas(&self) -> bool {
+        self.has_quotas
+    }
+
     /// Returns the bundle's sections; none for a route table.
     pub(crate) fn sections(&self) -> &[SectionBytes] {
         match &self.origin {
--- a/crates/sorrelturn-daemon/src/config/settings.rs
+++ b/crates/sorrelturn-daemon/src/config/settings.rs
@@ -182,6 +182,34 @@
     /// unused.
     #[serde(default = "default_quota_lease_ms")]
     pub quota_lease_ms: u64,
+    /// Mechanisms for callers that compete for room and for uneven backend servers.
+    #[serde(default, skip_serializing_if = "ContentionSettings::is_default")]
+    pub contention: ContentionSettings,
+}
+
+/// Mechanisms that a deployment asks for. An absent one is on if the deployment calls for it: if workspaces have
+/// quotas, or if backend servers report their work time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ContentionSettings {
+    /// Whether refusals at the entry follow from the room of all instances of a service together. Absent: if backend
+    /// servers report their work time. See `docs/design/service-room.md`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub pooled_room: Option<bool>,
+    /// Whether root requests wait for room at their entry. Absent: if workspaces have quotas or backend servers report
+    /// their work time. See `docs/design/entry-queue.md`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub entry_queue: Option<bool>,
+    /// Whether workspaces are refused by their fair shares. Absent: if workspaces have quotas. See
+    /// `docs/design/fair-shares.md`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub fair_shares: Option<bool>,
+}
+
+impl ContentionSettings {
+    fn is_default(&self) -> bool {
+        *self == Self::default()
+    }
 }
 
 impl RouteSettings {
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -5,6 +5,7 @@
     backend::link::Backend,
     backend::state::{self, Routed},
     clock::Clock,
+    config::contention::Contention,
     config::fetch::LearnedFrom,
     config::in_force::{InForce, Origin, RetryLimits},
     config::route_staleness::RouteStaleness,
@@ -81,6 +82,8 @@
     pub(crate) in_force: ArcSwapOption<InForce>,
     /// The staleness of the route table.
     pub(crate) route_staleness: RouteStaleness,
+    /// Which mechanisms for contention are on.
+    pub(crate) contention: Contention,
     /// The quotas of workspaces.
     pub(crate) quota: Quota,
     /// The known instances that are not gone, by service.
@@ -339,9 +342,27 @@
         }
         fields.extend(self.route_staleness.age_field(now));
         self.record_event(&events::BUNDLE_IN_FORCE, fields);
+        self.log_contention();
         true
     }
 
+    /// Records that some backend server of the fleet reports its work time.
+    pub(crate) fn record_work_times_reported(&self) {
+        if self.contention.record_work_times_reported() {
+            self.log_contention();
+        }
+    }
+
+    fn log_contention(&self) {
+        let in_force = self.in_force.load();
+        let fields = in_force
+            .as_deref()
+            .and_then(|in_force| self.contention.changed_fields(in_force));
+        if let Some(fields) = fields {
+            self.record_event(&events::CONTENTION_CHANGED, fields);
+        }
+    }
+
     /// Returns the limit on requests to the own backend server while it is cold, if there is one.
     fn cold_rate(&self, bundle: &Bundle) -> Option<ColdRate> {
         let service = bundle.routed_services().get(&self.settings.service)?;
--- a/crates/sorrelturn-daemon/src/request/entry.rs
+++ b/crates/sorrelturn-daemon/src/request/entry.rs
@@ -207,6 +207,7 @@
         level: 0,
         repeated: false,
         names: RequestFingerprints::default(),
+        work_times_reported: node.contention.work_times_reported(),
     };
     Ok(RootRequest {
         kind: Arc::clone(kind),
--- a/crates/sorrelturn-daemon/src/request/forward.rs
+++ b/crates/sorrelturn-daemon/src/request/forward.rs
@@ -24,7 +24,7 @@
     next_step, step_after_backend_refusal,
 };
 use sorrelturn_protocol::{
-    AnswerContext, CallContext, Incarnation, Refusal, RequestId, SpanId, Verdict,
+    AnswerContext, CallContext, ContentionReport, Incarnation, Refusal, RequestId, SpanId, Verdict,
 };
 use sorrelturn_telemetry::{Field, Span, SpanKind, events, metrics};
 use std::{borrow::Cow, sync::Arc, time::Duration};
@@ -332,6 +332,9 @@
         }
         return;
     }
+    if let Some(report) = &answer.contention {
+        apply_contention_report(node, report);
+    }
     if answer.refusal == Some(Refusal::NoInstanceBelow) {
         kind_state.record_no_instance_below(node.now());
     }
@@ -360,6 +363,12 @@
     );
 }
 
+fn apply_contention_report(node: &Node, report: &ContentionReport) {
+    if report.work_times_reported {
+        node.record_work_times_reported();
+    }
+}
+
 fn should_retry(
     node: &Node,
     call: &mut Call,
--- a/crates/sorrelturn-daemon/src/request/nested.rs
+++ b/crates/sorrelturn-daemon/src/request/nested.rs
@@ -125,6 +125,7 @@
         level: 0,
         repeated: parent.is_some_and(|parent| parent.context.repeated),
         names: RequestFingerprints::default(),
+        work_times_reported: node.contention.work_times_reported(),
     }
 }
 
--- a/crates/sorrelturn-daemon/src/request/owner.rs
+++ b/crates/sorrelturn-daemon/src/request/owner.rs
@@ -15,7 +15,7 @@
 use sorrelturn_bundle::{Execution, Kind, KindEntry};
 use sorrelturn_once::{BeginResult, Fingerprint};
 use sorrelturn_policy::RetryAfter;
-use sorrelturn_protocol::{CallContext, Refusal, SpanId, Verdict};
+use sorrelturn_protocol::{CallContext, ContentionReport, Refusal, SpanId, Verdict};
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 pub(crate) async fn serve(node: &Arc<Node>, context: CallContext, req: Request<Body>) -> Reply {
@@ -23,6 +23,9 @@
         .routed
         .as_ref()
         .map(|routed| (routed, context.kind.clone()));
+    if context.work_times_reported {
+        node.record_work_times_reported();
+    }
     let mut reply = if req.uri().path() == tokens::ISSUE_PATH {
         refund_attempts(tokens::issue(node), context.attempts)
     } else {
@@ -37,6 +40,7 @@
     answer.bundle_version = node.bundle_version();
     answer.incarnation = node.incarnation;
     answer.leaving = node.is_leaving();
+    answer.contention = contention_report(node);
     node.admission.with_gate(|gate, now| {
         answer.load = gate.load_percent(now);
         answer.threshold = answer.threshold.max(gate.threshold(now));
@@ -54,6 +58,15 @@
     reply
 }
 
+/// Returns what the forwarding daemon needs for its mechanisms for contention; `None` if none is on.
+fn contention_report(node: &Node) -> Option<ContentionReport> {
+    let work_times_reported = node.contention.work_times_reported();
+    work_times_reported.then_some(ContentionReport {
+        work_times_reported,
+        ..ContentionReport::default()
+    })
+}
+
 /// Waits for the shutdown, then refuses a request that can't be forwarded any more.
 pub(crate) async fn refuse_at_shutdown(node: &Node) -> Reply {
     node.shutdown.answers_due().await;
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -279,6 +279,7 @@
         level,
         repeated: repeated_fraction > 0.5,
         names: fingerprints,
+        work_times_reported: node.contention.work_times_reported(),
     };
     let mut call = Call {
         in_force: resolved.in_force,
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -7,6 +7,7 @@
     backend::state::Routed,
     clock::{Clock, unix_ms},
     config::confirmation,
+    config::contention::Contention,
     config::route_staleness::RouteStaleness,
     config::settings::{ListenSettings, RouteSettings, Settings},
     fleet::control_client::ControlLinks,
@@ -336,6 +337,7 @@
     let platform_timeout = Duration::from_millis(settings.platform.timeout_ms);
     let quota_bound = settings.routes.as_ref().map(RouteSettings::quota_bound);
     let quota_validity = settings.routes.as_ref().map(RouteSettings::quota_validity);
+    let contention = settings.routes.as_ref().map(|routes| routes.contention);
     let connect_timeout = Duration::from_millis(settings.backend.connect_ms);
     Ok(Node {
         platform: Platform::new(settings.platform.address, platform_timeout)
@@ -352,6 +354,7 @@
         parents: Arc::new(Parents::default()),
         in_force: ArcSwapOption::empty(),
         route_staleness: RouteStaleness::new(clock.now()),
+        contention: Contention::new(contention.unwrap_or_default()),
         quota: Quota::new(
             incarnation,
             quota_bound.unwrap_or_default(),
--- a/crates/sorrelturn-protocol/src/context.rs
+++ b/crates/sorrelturn-protocol/src/context.rs
@@ -40,6 +40,35 @@
     pub repeated: bool,
     /// Identify the request to the quarantine.
     pub names: RequestFingerprints,
+    /// Whether the sender knows of backend servers that report their work time; see `docs/design/instance-speed.md`.
+    pub work_times_reported: bool,
+}
+
+/// What the owner of a call tells the mechanisms for contention of the forwarding daemon.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ContentionReport {
+    /// Whether the owner knows of backend servers that report their work time; see `docs/design/instance-speed.md`.
+    pub work_times_reported: bool,
+    /// Milliseconds until the backend server would answer a call that arrived now; 0 if unknown.
+    pub expected_ms: u32,
+    /// The load and capacity of the owner's backend server.
+    pub room: InstanceRoom,
+    /// The part of the answer's `threshold` that doesn't follow from `room`: that of the services that the owner calls,
+    /// and of the owner's processor.
+    pub level_without_room: Priority,
+    /// The demand of the call's workspace at the owner relative to its fair share, in steps of 1/256; 0 if unknown.
+    /// See `docs/design/fair-shares.md`.
+    pub share_used: u16,
+}
+
+/// The load and the capacity of one instance, in thousandths of a slot; both 0 if unknown.
+/// See `docs/design/service-room.md`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceRoom {
+    /// The slots that would be in use if no root request were refused.
+    pub offered: u32,
+    /// The slots that the instance should have in use at most.
+    pub capacity: u32,
 }
 
 impl CallContext {
@@ -82,6 +111,8 @@
     pub limit_level: u16,
     /// Milliseconds for which the sender should avoid the owner, after a refusal because of that limit.
     pub pause_ms: u32,
+    /// Present if a mechanism for contention is on at the owner.
+    pub contention: Option<ContentionReport>,
 }
 
 /// The error of decoding a context header.
--- a/crates/sorrelturn-protocol/src/lib.rs
+++ b/crates/sorrelturn-protocol/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use attempt_status::{AttemptId, AttemptStatus, AttemptStatusQuery};
 pub use backend::{Announcement, BackendState};
-pub use context::{AnswerContext, CallContext, HeaderError};
+pub use context::{AnswerContext, CallContext, ContentionReport, HeaderError, InstanceRoom};
 pub use crash::{
     ClearedRequest, CrashId, CrashReport, CrashUpdate, RequestFingerprint, RequestFingerprints,
 };
--- a/crates/sorrelturn-protocol/tests/headers_round_trip.rs
+++ b/crates/sorrelturn-protocol/tests/headers_round_trip.rs
@@ -26,6 +26,7 @@
             path: RequestFingerprint(request as u64),
             with_query: Some(RequestFingerprint(nonce as u64)),
         },
+        work_times_reported: true,
     }
 }
 
