--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -225,6 +225,7 @@
             Field::new("rank", rank),
             Field::new("bucket", bucket),
             Field::new("was_tried", is_retry),
+            Field::new("left_ms", resolved.remaining_ms.unwrap_or(0)),
         ],
     );
     let retry_after =
--- a/crates/sorrelturn-policy/tests/entry_admission.rs
+++ b/crates/sorrelturn-policy/tests/entry_admission.rs
@@ -364,3 +364,44 @@
     assert!((64..first).contains(&retried), "{retried} of {first}");
     assert_eq!(served(0, bucket_for_retry), 0);
 }
+
+// Guards against retries that took the room of first attempts because no two callers had the same timeout.
+#[test]
+fn retries_are_detected_where_timeouts_of_callers_differ() {
+    let mut rng = fastrand::Rng::with_seed(7);
+    let mut detector = RetryDetector::default();
+    let (mut firsts, mut retries) = ([0, 0], [0, 0]);
+    for number in 0..4_000 {
+        let timeout_ms = rng.u32(4_250..=5_000);
+        let is_retry = number >= 100 && rng.f64() < 0.5;
+        // A refused caller returns after a third of its time.
+        let left_ms = if is_retry {
+            timeout_ms * 2 / 3
+        } else {
+            timeout_ms
+        };
+        let detected = usize::from(detector.observe(left_ms));
+        if is_retry {
+            retries[detected] += 1;
+        } else {
+            firsts[detected] += 1;
+        }
+    }
+    assert_eq!(firsts[1], 0, "first attempts taken for retries");
+    assert!(retries[0] * 50 < retries[1], "{retries:?}");
+}
+
+// Guards against one caller with a very long timeout that made retries of all others.
+#[test]
+fn a_caller_with_a_far_longer_timeout_makes_no_retries_of_others() {
+    let mut rng = fastrand::Rng::with_seed(8);
+    let mut detector = RetryDetector::default();
+    for number in 0..4_000 {
+        let timeout_ms = if number % 29 == 0 {
+            60_000
+        } else {
+            rng.u32(4_250..=5_000)
+        };
+        assert!(!detector.observe(timeout_ms), "request {number}");
+    }
+}
