Scarce retries go to the calls of the root requests that come first

Now a call that inherits its parent's deadline carries the precedence of its root, and while a retry of a higher precedence is wanted, lower ones may use up a fifth of the limit. The bound itself is unchanged.

--- a/crates/sorrelturn-bench/src/experiment/daemon.rs
+++ b/crates/sorrelturn-bench/src/experiment/daemon.rs
@@ -7,7 +7,7 @@
     LearnedThreshold, Now, RefusalStreak, RequestOrigins, RetryAfter, RetryDetector, RetryWindow,
     bucket_for_retry, choose, refuses,
 };
-use sorrelturn_protocol::{Importance, Incarnation, Priority};
+use sorrelturn_protocol::{Importance, Incarnation, Precedence, Priority};
 use std::{
     collections::{BTreeMap, HashMap},
     time::Duration,
@@ -355,8 +355,16 @@
     }
 
     /// Counts another attempt if the retry limit allows it; returns whether it does.
-    pub(super) fn try_retry(&mut self, now: Now, service: usize) -> bool {
-        self.retries[service].try_retry(now)
+    pub(super) fn try_retry(
+        &mut self,
+        now: Now,
+        service: usize,
+        precedence: Option<Precedence>,
+    ) -> bool {
+        match precedence {
+            Some(precedence) => self.retries[service].try_retry_of(now, precedence),
+            None => self.retries[service].try_retry(now),
+        }
     }
 }
 
--- a/crates/sorrelturn-bench/src/experiment/file.rs
+++ b/crates/sorrelturn-bench/src/experiment/file.rs
@@ -30,6 +30,9 @@
     /// Whether daemons learn the call graph, as in the product. Otherwise they know it from the start.
     #[serde(default)]
     pub learns_calls: bool,
+    /// Whether scarce retries go to the calls of the root requests that come first.
+    #[serde(default)]
+    pub orders_retries: bool,
     /// The services, by name.
     pub services: BTreeMap<String, ServiceSpec>,
     /// The kinds of requests, by name.
--- a/crates/sorrelturn-bench/src/experiment/simulation/callers.rs
+++ b/crates/sorrelturn-bench/src/experiment/simulation/callers.rs
@@ -5,7 +5,7 @@
 };
 use crate::experiment::outcome::Counts;
 use sorrelturn_policy::bucket_for_at_most_once;
-use sorrelturn_protocol::RequestFingerprint;
+use sorrelturn_protocol::{Precedence, RequestFingerprint};
 use std::time::Duration;
 
 impl Simulation<'_> {
@@ -95,6 +95,7 @@
             caller,
             bucket,
             level: self.daemons[forwarder].shedding_level(now, kind),
+            precedence: Precedence::new(self.kinds[kind].importance, !self.kinds[kind].repeatable),
             repeated: false,
             repeated_fraction: 0.0,
             deadline: self.now + left.min(self.kinds[kind].timeout),
--- a/crates/sorrelturn-bench/src/experiment/simulation/forwarder.rs
+++ b/crates/sorrelturn-bench/src/experiment/simulation/forwarder.rs
@@ -152,7 +152,9 @@
             return false;
         }
         let service = self.kinds[call.kind].service;
-        let mut retry_allowed = || self.daemons[call.forwarder].try_retry(self.now, service);
+        let precedence = self.experiment.orders_retries.then_some(call.precedence);
+        let mut retry_allowed =
+            || self.daemons[call.forwarder].try_retry(self.now, service, precedence);
         match step {
             Step::Reroute if !backend_refused => call.attempts.reroutes += 1,
             Step::Reroute if retry_allowed() => {}
--- a/crates/sorrelturn-bench/src/experiment/simulation/mod.rs
+++ b/crates/sorrelturn-bench/src/experiment/simulation/mod.rs
@@ -13,7 +13,9 @@
 };
 use fastrand::Rng;
 use sorrelturn_policy::{Arrival, Now, Quarantine, TuningSample};
-use sorrelturn_protocol::{CrashUpdate, Importance, Incarnation, Refusal, RequestFingerprint};
+use sorrelturn_protocol::{
+    CrashUpdate, Importance, Incarnation, Precedence, Refusal, RequestFingerprint,
+};
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap, HashMap},
@@ -69,6 +71,8 @@
     bucket: u8,
     /// The shedding level at which its root request was admitted, as far as known.
     level: u16,
+    /// The precedence of its root request, as far as known.
+    precedence: Precedence,
     /// Whether this is a retry, or a nested call of one.
     repeated: bool,
     /// The fraction of its possible parents that are retries.
--- a/crates/sorrelturn-bench/src/experiment/simulation/owner.rs
+++ b/crates/sorrelturn-bench/src/experiment/simulation/owner.rs
@@ -4,7 +4,7 @@
 use crate::experiment::daemon::AnswerContext;
 use crate::experiment::file::Mechanism;
 use sorrelturn_policy::{Arrival, Decision, Outcome as GateOutcome, TuningSample};
-use sorrelturn_protocol::{Priority, Refusal};
+use sorrelturn_protocol::{Precedence, Priority, Refusal};
 use std::time::Duration;
 
 impl Simulation<'_> {
@@ -168,6 +168,13 @@
             return self.finish_run(id, CallResult::Answered);
         };
         run.next_call += 1;
+        let deadline = call.deadline.min(self.now + self.kinds[next].deadline);
+        // A daemon knows the parent of a call by the deadline that it inherits.
+        let precedence = if deadline == call.deadline {
+            call.precedence
+        } else {
+            Precedence::default()
+        };
         let nested_call = Call {
             kind: next,
             forwarder: run.daemon,
@@ -175,9 +182,10 @@
             caller: call.caller,
             bucket: self.rng.u8(..),
             level: self.daemons[run.daemon].in_progress.mean_level(),
+            precedence,
             repeated: run.repeated,
             repeated_fraction: self.daemons[run.daemon].in_progress.repeated_fraction(),
-            deadline: call.deadline.min(self.now + self.kinds[next].deadline),
+            deadline,
             attempts: AttemptState::default(),
         };
         self.forward_nested(nested_call);
--- a/crates/sorrelturn-daemon/src/config/contention.rs
+++ b/crates/sorrelturn-daemon/src/config/contention.rs
@@ -24,6 +24,7 @@
 struct Mechanisms {
     pooled_room: bool,
     entry_queue: bool,
+    retry_order: bool,
     fair_shares: bool,
 }
 
@@ -50,6 +51,7 @@
         let mechanisms = Mechanisms {
             pooled_room: self.pools_room(),
             entry_queue: self.queues_at_entry(in_force),
+            retry_order: self.orders_retries(in_force),
             fair_shares: self.shares_fairly(in_force),
         };
         let mut last_logged = lock(&self.last_logged);
@@ -60,6 +62,7 @@
         Some(vec![
             Field::new("pooled_room", mechanisms.pooled_room),
             Field::new("entry_queue", mechanisms.entry_queue),
+            Field::new("retry_order", mechanisms.retry_order),
             Field::new("fair_shares", mechanisms.fair_shares),
         ])
     }
@@ -76,6 +79,12 @@
         setting.unwrap_or_else(|| self.work_times_reported() || in_force.has_quotas())
     }
 
+    /// Returns whether scarce retries go to the calls of the root requests that come first.
+    pub(crate) fn orders_retries(&self, in_force: &InForce) -> bool {
+        let setting = self.settings.retry_order;
+        setting.unwrap_or_else(|| self.work_times_reported() || in_force.has_quotas())
+    }
+
     /// Returns whether workspaces are refused by their fair shares.
     pub(crate) fn shares_fairly(&self, in_force: &InForce) -> bool {
         let setting = self.settings.fair_shares;
--- a/crates/sorrelturn-daemon/src/config/settings.rs
+++ b/crates/sorrelturn-daemon/src/config/settings.rs
@@ -200,6 +200,10 @@
     /// their work time. See `docs/design/entry-queue.md`.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub entry_queue: Option<bool>,
+    /// Whether scarce retries go to the calls of the root requests that come first. Absent: if workspaces have quotas
+    /// or backend servers report their work time. See `docs/design/retry-order.md`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_order: Option<bool>,
     /// Whether workspaces are refused by their fair shares. Absent: if workspaces have quotas. See
     /// `docs/design/fair-shares.md`.
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/crates/sorrelturn-daemon/src/request/entry.rs
+++ b/crates/sorrelturn-daemon/src/request/entry.rs
@@ -20,7 +20,8 @@
 use serde::Deserialize;
 use sorrelturn_bundle::{CallerEntry, KindEntry};
 use sorrelturn_protocol::{
-    CallContext, ExecutionToken, Refusal, RequestFingerprints, RequestId, SpanId, Verdict,
+    CallContext, ExecutionToken, Precedence, Refusal, RequestFingerprints, RequestId, SpanId,
+    Verdict,
     headers::{IDEMPOTENCY_KEY, TOKEN, TRACEPARENT},
 };
 use sorrelturn_telemetry::{Field, TraceContext, events};
@@ -208,6 +209,7 @@
         repeated: false,
         names: RequestFingerprints::default(),
         work_times_reported: node.contention.work_times_reported(),
+        root_precedence: Precedence::default(),
     };
     Ok(RootRequest {
         kind: Arc::clone(kind),
--- a/crates/sorrelturn-daemon/src/request/forward.rs
+++ b/crates/sorrelturn-daemon/src/request/forward.rs
@@ -443,7 +443,15 @@
 fn take_retry_budget(node: &Node, call: &Call, kind_state: &KindState) -> bool {
     let is_root = call.context.depth == 0;
     let is_within_caller_budget = !is_root || call.in_force.take_caller_retry(call.context.caller);
-    is_within_caller_budget && lock(&kind_state.retries).try_retry(node.now())
+    if !is_within_caller_budget {
+        return false;
+    }
+    let mut retries = lock(&kind_state.retries);
+    if node.contention.orders_retries(&call.in_force) {
+        retries.try_retry_of(node.now(), call.context.root_precedence)
+    } else {
+        retries.try_retry(node.now())
+    }
 }
 
 /// A repeat returns the outcome of the first execution, since the owner runs a token only once.
--- a/crates/sorrelturn-daemon/src/request/nested.rs
+++ b/crates/sorrelturn-daemon/src/request/nested.rs
@@ -19,8 +19,8 @@
 use sorrelturn_bundle::KindEntry;
 use sorrelturn_once::CallKey;
 use sorrelturn_protocol::{
-    CallContext, CallerId, ExecutionToken, Refusal, RequestFingerprints, RequestId, SpanId,
-    Verdict,
+    CallContext, CallerId, ExecutionToken, Precedence, Refusal, RequestFingerprints, RequestId,
+    SpanId, Verdict,
     headers::{IDEMPOTENCY_KEY, PARENT, TRACEPARENT},
 };
 use sorrelturn_telemetry::TraceContext;
@@ -126,6 +126,7 @@
         repeated: parent.is_some_and(|parent| parent.context.repeated),
         names: RequestFingerprints::default(),
         work_times_reported: node.contention.work_times_reported(),
+        root_precedence: Precedence::default(),
     }
 }
 
--- a/crates/sorrelturn-daemon/src/request/parents.rs
+++ b/crates/sorrelturn-daemon/src/request/parents.rs
@@ -4,7 +4,7 @@
 use smol::channel::{self, Receiver, Sender};
 use sorrelturn_once::NestedTokens;
 use sorrelturn_policy::{AttemptPool, Candidate, InProgressRequests, Now};
-use sorrelturn_protocol::{CallContext, SpanId};
+use sorrelturn_protocol::{CallContext, Precedence, SpanId};
 use std::{
     collections::HashMap,
     sync::{
@@ -185,6 +185,18 @@
         lock(&self.inner).totals
     }
 
+    /// Returns the highest precedence of the requests with the deadline of a call, one of which is its parent unless
+    /// the call has a shorter deadline of its own; then the precedence is unknown.
+    pub(crate) fn precedence_of_call(&self, call_deadline: Now) -> Precedence {
+        let inner = lock(&self.inner);
+        let parents = inner.by_span.values();
+        parents
+            .filter(|parent| parent.deadline.abs_diff(call_deadline) <= DEADLINE_TOLERANCE)
+            .map(|parent| parent.context.root_precedence)
+            .max()
+            .unwrap_or_default()
+    }
+
     /// Counts the requests that may have made the call, by kind.
     pub(crate) fn candidate_parents(&self, call_deadline: Now) -> Vec<Candidate> {
         let inner = lock(&self.inner);
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -25,7 +25,7 @@
 use smol::future::FutureExt;
 use sorrelturn_bundle::{KindEntry, WorkspaceEntry};
 use sorrelturn_policy::{Now, bucket_for_at_most_once, bucket_for_retry, refuses};
-use sorrelturn_protocol::{CallContext, CallerId, Refusal, RequestId, SpanId, Verdict};
+use sorrelturn_protocol::{CallContext, CallerId, Precedence, Refusal, RequestId, SpanId, Verdict};
 use sorrelturn_telemetry::{Field, events, metrics};
 use std::{
     sync::{Arc, atomic::Ordering},
@@ -281,6 +281,7 @@
         repeated: repeated_fraction > 0.5,
         names: fingerprints,
         work_times_reported: node.contention.work_times_reported(),
+        root_precedence: root_precedence(node, &resolved),
     };
     let mut call = Call {
         in_force: resolved.in_force,
@@ -303,6 +304,18 @@
     reply
 }
 
+/// Returns the precedence of the root request, if retries are ordered by it. A call has that of the requests in
+/// progress that it may belong to.
+fn root_precedence(node: &Node, resolved: &ResolvedRequest) -> Precedence {
+    if !node.contention.orders_retries(&resolved.in_force) {
+        return Precedence::default();
+    }
+    if resolved.is_nested_call {
+        return node.parents.precedence_of_call(resolved.deadline);
+    }
+    Precedence::new(resolved.kind.importance(), resolved.kind.at_most_once())
+}
+
 fn has_failed(reply: &Reply) -> bool {
     let res = reply.res.as_ref();
     res.is_none_or(|res| res.status().is_server_error())
--- a/crates/sorrelturn-policy/src/retry_window.rs
+++ b/crates/sorrelturn-policy/src/retry_window.rs
@@ -2,6 +2,7 @@
 //! See `docs/design/retries.md`.
 
 use crate::Now;
+use sorrelturn_protocol::Precedence;
 use std::{collections::VecDeque, time::Duration};
 
 /// Number of slices that a window is divided into.
@@ -16,6 +17,12 @@
 /// contain only half as many attempts.
 const LAST_WINDOW_RATIO_FRACTION: f64 = 0.4;
 
+/// Fraction of the allowed retries that those of a lower precedence may use up while others of a higher one are
+/// wanted. A request completes only if all of its calls do, so that retries spread over all complete few.
+const LOWER_PRECEDENCE_FRACTION: f64 = 0.2;
+/// Number of slices for which a wanted retry restricts those of a lower precedence.
+const DEMAND_SLICES: u64 = 2;
+
 /// Attempts in one slice of a window.
 #[derive(Clone, Copy, Debug, Default)]
 struct Slice {
@@ -41,6 +48,8 @@
     allowed: f64,
     /// Retries made in that window.
     retries: f64,
+    /// The highest precedence of a wanted retry, and the slice in which it was wanted last.
+    highest_wanted: (Precedence, u64),
 }
 
 impl RetryWindow {
@@ -53,6 +62,7 @@
             slices: VecDeque::new(),
             allowed: slack,
             retries: 0.0,
+            highest_wanted: (Precedence::default(), 0),
         }
     }
 
@@ -72,8 +82,25 @@
 
     /// Records a retry if the limit allows it. Returns whether it does.
     pub fn try_retry(&mut self, now: Now) -> bool {
+        self.try_retry_within(now, 1.0)
+    }
+
+    /// Records a retry for a root request of this precedence if the limit allows it. Returns whether it does.
+    ///
+    /// While retries of a higher precedence are wanted, most of the limit is left to them.
+    pub fn try_retry_of(&mut self, now: Now, precedence: Precedence) -> bool {
+        let number = self.current_slice(now).number;
+        let (highest, wanted_in) = self.highest_wanted;
+        if precedence < highest && number <= wanted_in + DEMAND_SLICES {
+            return self.try_retry_within(now, LOWER_PRECEDENCE_FRACTION);
+        }
+        self.highest_wanted = (precedence, number);
+        self.try_retry_within(now, 1.0)
+    }
+
+    fn try_retry_within(&mut self, now: Now, fraction: f64) -> bool {
         self.current_slice(now);
-        let is_allowed = self.retries + 1.0 <= self.allowed;
+        let is_allowed = self.retries + 1.0 <= self.allowed * fraction;
         if is_allowed {
             self.current_slice(now).retries += 1.0;
             self.retries += 1.0;
--- a/crates/sorrelturn-policy/tests/retry_window.rs
+++ b/crates/sorrelturn-policy/tests/retry_window.rs
@@ -4,6 +4,7 @@
 
 use proptest::prelude::*;
 use sorrelturn_policy::RetryWindow;
+use sorrelturn_protocol::{Importance, Precedence};
 use std::time::Duration;
 
 const WINDOW: Duration = Duration::from_secs(10);
@@ -165,3 +166,91 @@
     let with = allowed_retries(0.1);
     assert!(with <= without / 2, "{with} of {without}");
 }
+
+/// Calls in a row that a request needs to complete.
+const CALLS_IN_A_ROW: usize = 4;
+/// Attempts of one call at most.
+const MAX_ATTEMPTS: usize = 8;
+
+/// Makes the calls of one request, of which backend servers refuse 55 %; returns whether it completes.
+fn completes(
+    rng: &mut fastrand::Rng,
+    window: &mut RetryWindow,
+    now: Duration,
+    retry: impl Fn(&mut RetryWindow) -> bool,
+) -> bool {
+    (0..CALLS_IN_A_ROW).all(|_| {
+        window.record_first_attempt(now);
+        let mut attempts = 1;
+        while rng.f64() < 0.55 {
+            if attempts == MAX_ATTEMPTS || !retry(window) {
+                return false;
+            }
+            attempts += 1;
+        }
+        true
+    })
+}
+
+/// Plays 8.5 s in which backend servers refuse widely; returns the share of payments and of reads that complete.
+fn play_wide_rejection(is_ordered: bool) -> [f64; 2] {
+    let payment = Precedence::new(Importance::Critical, true);
+    let read = Precedence::new(Importance::Normal, false);
+    let mut rng = fastrand::Rng::with_seed(11);
+    let mut window = RetryWindow::new(WINDOW, RATIO, 1.0);
+    // Before it, nothing is refused: 1,400 calls per second.
+    for step in 0..12_000 {
+        let now = Duration::from_millis(step);
+        window.record_first_attempt(now);
+        if step % 5 < 2 {
+            window.record_first_attempt(now);
+        }
+    }
+    let mut completed = [0, 0];
+    let mut offered = [0, 0];
+    for step in 12_000..20_500 {
+        let now = Duration::from_millis(step);
+        for (index, precedence) in [payment, read].into_iter().enumerate() {
+            let per_second = [35.0, 150.0][index];
+            if rng.f64() >= per_second / 1_000.0 {
+                continue;
+            }
+            offered[index] += 1;
+            let retry = |window: &mut RetryWindow| match is_ordered {
+                true => window.try_retry_of(now, precedence),
+                false => window.try_retry(now),
+            };
+            completed[index] += usize::from(completes(&mut rng, &mut window, now, retry));
+        }
+    }
+    [0, 1].map(|index| completed[index] as f64 / offered[index] as f64)
+}
+
+// Guards against retries that are spread over all calls of a wide rejection, so that hardly any payment completes.
+#[test]
+fn scarce_retries_go_to_the_requests_that_come_first() {
+    let [payments, _] = play_wide_rejection(false);
+    let [ordered_payments, ordered_reads] = play_wide_rejection(true);
+    assert!(
+        ordered_payments > 2.0 * payments,
+        "{payments} of the payments complete, {ordered_payments} in order"
+    );
+    assert!(
+        ordered_reads > 0.03,
+        "first attempts still complete: {ordered_reads}"
+    );
+}
+
+#[test]
+fn retries_of_a_lower_precedence_have_the_whole_limit_while_no_higher_one_is_wanted() {
+    let low = Precedence::new(Importance::Normal, false);
+    let high = Precedence::new(Importance::Critical, true);
+    let now = Duration::from_secs(1);
+    let mut window = RetryWindow::new(WINDOW, RATIO, 10.0);
+    assert!(window.try_retry_of(now, high));
+    assert!(window.try_retry_of(now, low));
+    assert!(!window.try_retry_of(now, low), "above a fifth of the limit");
+    let later = now + Duration::from_secs(2);
+    let granted = (0..20).filter(|_| window.try_retry_of(later, low)).count();
+    assert_eq!(granted, 8);
+}
--- a/crates/sorrelturn-protocol/src/context.rs
+++ b/crates/sorrelturn-protocol/src/context.rs
@@ -1,8 +1,8 @@
 //! Metadata of a call and of its answer, each sent between daemons in one header.
 
 use crate::{
-    CallerId, ExecutionToken, Importance, Incarnation, Priority, Refusal, RequestFingerprints,
-    RequestId, SpanId, Verdict,
+    CallerId, ExecutionToken, Importance, Incarnation, Precedence, Priority, Refusal,
+    RequestFingerprints, RequestId, SpanId, Verdict,
 };
 use data_encoding::BASE64URL_NOPAD;
 use displaydoc::Display;
@@ -42,6 +42,8 @@
     pub names: RequestFingerprints,
     /// Whether the sender knows of backend servers that report their work time; see `docs/design/instance-speed.md`.
     pub work_times_reported: bool,
+    /// The precedence of the root request, if the forwarding daemon knows it and retries are ordered by it.
+    pub root_precedence: Precedence,
 }
 
 /// What the owner of a call tells the mechanisms for contention of the forwarding daemon.
--- a/crates/sorrelturn-protocol/src/importance.rs
+++ b/crates/sorrelturn-protocol/src/importance.rs
@@ -71,3 +71,19 @@
         Importance::ALL[usize::from(self.0 >> 8).min(Importance::ALL.len() - 1)]
     }
 }
+
+/// The order in which root requests get what not all of them can have: the more important first, and among equally
+/// important ones those that run at most once, whose callers can't repeat them. The default is that of a request whose
+/// root is unknown. See `docs/design/retry-order.md`.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Precedence(u8);
+
+impl Precedence {
+    /// Returns the precedence of a root request.
+    pub fn new(importance: Importance, at_most_once: bool) -> Self {
+        let rank = 2 * importance.rank() + u8::from(at_most_once);
+        Self(1 + rank)
+    }
+}
--- a/crates/sorrelturn-protocol/src/lib.rs
+++ b/crates/sorrelturn-protocol/src/lib.rs
@@ -20,7 +20,7 @@
     ClearedRequest, CrashId, CrashReport, CrashUpdate, RequestFingerprint, RequestFingerprints,
 };
 pub use ids::{CallerId, Incarnation, RequestId, SpanId};
-pub use importance::{Importance, Priority};
+pub use importance::{Importance, Precedence, Priority};
 pub use member::{MemberRecord, MemberState};
 pub use rate::RequestRate;
 pub use refusal::Refusal;
