Routing by expected time: the decisions, tested against the product's structs

Calls went to instances by load in percent of their slots, so one that is three times slower, or slow for half a second, got its share and its calls missed their deadlines.

--- a/crates/sorrelturn-policy/src/routing.rs
+++ b/crates/sorrelturn-policy/src/routing.rs
@@ -1,6 +1,9 @@
-//! Chooses the instance that serves a call. See `docs/design/routing.md`.
+//! Chooses the instance that serves a call. See `docs/design/routing.md` and `docs/design/instance-speed.md`.
 
-use crate::{LearnedThreshold, Now};
+use crate::{
+    LearnedThreshold, Now,
+    expected_time::{ExpectedAt, ExpectedTime},
+};
 use sorrelturn_protocol::{Incarnation, Priority};
 use std::{
     sync::atomic::{AtomicU32, AtomicU64, Ordering::Relaxed},
@@ -56,6 +59,8 @@
     /// The last reported load.
     load_percent: AtomicU32,
     load_at_ms: AtomicU64,
+    /// When the instance would answer a call, if its backend server reports work times.
+    expected_time: ExpectedTime,
     consecutive_failures: AtomicU32,
     /// In units of 1/[`ERROR_SCALE`], as of `error_rate_at_ms`.
     error_rate: AtomicU32,
@@ -110,6 +115,7 @@
             in_flight_at_report: AtomicU32::new(0),
             load_percent: AtomicU32::new(0),
             load_at_ms: AtomicU64::new(0),
+            expected_time: ExpectedTime::default(),
             consecutive_failures: AtomicU32::new(0),
             error_rate: AtomicU32::new(0),
             error_rate_at_ms: AtomicU64::new(0),
@@ -166,6 +172,11 @@
         }
     }
 
+    /// Records when the instance would answer a call that reached it now; 0 if it doesn't know.
+    pub fn record_expected(&self, now: Now, expected_ms: u32) {
+        self.expected_time.record(now, expected_ms);
+    }
+
     /// Records the shedding level that the limit of the instance's backend server calls for.
     pub fn record_limit_level(&self, now: Now, level: u16) {
         if level != 0 || self.limit_level(now) != 0 {
@@ -277,7 +288,8 @@
     }
 }
 
-/// Chooses the less loaded of two randomly sampled instances among those that are available.
+/// Chooses the better of two randomly sampled instances among those that are available: the one with less load or,
+/// where both said when they would answer, the one that answers sooner.
 ///
 /// `instances` lists all instances of the service; `tried` holds those that this call must not use
 /// again. Returns the position in `instances`, or `None` if no instance is left. It runs for every
@@ -426,7 +438,35 @@
     }
 }
 
-/// Chooses the sampled candidate with the lowest score; if it is still warming up, some of its calls
+/// By what two candidates are compared.
+#[derive(Clone, Copy)]
+struct Cost {
+    score: u64,
+    expected: ExpectedAt,
+}
+
+impl Cost {
+    fn of(instance: &Instance, now_ms: u64) -> Self {
+        Self {
+            score: instance.score(now_ms),
+            expected: instance.expected_time.at(now_ms),
+        }
+    }
+
+    /// Returns whether this candidate is better than the next one in the list, which may have been sampled first.
+    fn is_preferred_to(self, next: Self, is_next_sampled_first: bool) -> bool {
+        let (own, other) = match self.expected.both_known(next.expected) {
+            None => (self.score, next.score),
+            Some((own_time, other_time)) => (
+                own_time * (100 + self.score),
+                other_time * (100 + next.score),
+            ),
+        };
+        own < other || (own == other && !is_next_sampled_first)
+    }
+}
+
+/// Chooses the sampled candidate with the lowest cost; if it is still warming up, some of its calls
 /// go to the other candidate.
 fn choose_from_sample<'a>(
     sample: Sample,
@@ -436,7 +476,7 @@
 ) -> Option<usize> {
     let (mut same_domain_index, mut other_domains_index) = (0, 0);
     let mut remaining = sample.count;
-    let mut best: Option<(usize, &Instance, u64)> = None;
+    let mut best: Option<(usize, &Instance, Cost)> = None;
     let mut other: Option<(usize, &Instance)> = None;
     for (position, instance) in candidates {
         let (index, sampled) = if instance.in_same_domain {
@@ -451,18 +491,16 @@
             continue;
         }
         remaining -= 1;
-        let score = instance.score(now_ms);
+        let cost = Cost::of(instance, now_ms);
         match best {
             // On a tie, the first sampled one wins, so that the list order does not matter.
-            Some((at, known, best_score))
-                if best_score < score || (best_score == score && !is_first_sampled) =>
-            {
-                best = Some((at, known, best_score));
+            Some((at, known, best_cost)) if best_cost.is_preferred_to(cost, is_first_sampled) => {
+                best = Some((at, known, best_cost));
                 other = other.or(Some((position, instance)));
             }
             before => {
                 other = before.map(|(at, known, _)| (at, known)).or(other);
-                best = Some((position, instance, score));
+                best = Some((position, instance, cost));
             }
         }
         if remaining == 0 {
