--- a/crates/sorrelturn-daemon/src/backend/mod.rs
+++ b/crates/sorrelturn-daemon/src/backend/mod.rs
@@ -6,3 +6,4 @@
 pub(crate) mod report;
 pub(crate) mod signals;
 pub(crate) mod state;
+pub(crate) mod work_times;
--- a/crates/sorrelturn-daemon/src/backend/signals.rs
+++ b/crates/sorrelturn-daemon/src/backend/signals.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     backend::state::{self, Routed},
+    backend::work_times,
     node::{LastTime, Node},
 };
 use hyper::{HeaderMap, header::HeaderValue};
@@ -28,6 +29,8 @@
     pub(crate) at: Now,
     /// The id of the backend server that was to run it.
     pub(crate) backend: Option<HeaderValue>,
+    /// The work time that the backend server had reported, in percent.
+    pub(crate) work_time: Option<u32>,
 }
 
 /// Applies the response to a request.
@@ -50,9 +53,7 @@
         return;
     }
     record_limit(node, routed, sent.at, named_limit(routed, headers));
-    if state::reported_work_time(routed, headers).is_some() {
-        node.record_work_times_reported();
-    }
+    work_times::record_report(node, routed, headers);
     if is_leaving(routed, headers) {
         state::record_leaving_answer(node, routed, responder);
     }
@@ -65,9 +66,13 @@
         record_limit(node, routed, node.now(), named);
     }
     let id = headers.get(&routed.dialect.headers.backend_id);
-    if let Some(id) = id.and_then(|id| id.to_str().ok())
-        && is_leaving(routed, headers)
-    {
+    let Some(id) = id.and_then(|id| id.to_str().ok()) else {
+        return;
+    };
+    if routed.current().is_some_and(|current| current.id == id) {
+        work_times::record_report(node, routed, headers);
+    }
+    if is_leaving(routed, headers) {
         state::record_leaving_answer(node, routed, id);
     }
 }
--- a/crates/sorrelturn-daemon/src/backend/state.rs
+++ b/crates/sorrelturn-daemon/src/backend/state.rs
@@ -2,7 +2,7 @@
 //! themselves: its incarnation, readiness and number of slots.
 
 use crate::{
-    backend::{crash, signals},
+    backend::{crash, signals, work_times},
     fleet::gossip,
     node::{LastTime, Node, lock},
     request::dialect::Dialect,
@@ -11,7 +11,7 @@
 use hyper::{HeaderMap, StatusCode, header::HeaderValue};
 use sorrelturn_bundle::Bundle;
 use sorrelturn_policy::{
-    CallGraph, GateConfig, LeavingCause, Presence, PresenceChange, RequestOrigins,
+    CallGraph, GateConfig, LeavingCause, Presence, PresenceChange, RequestOrigins, WorkTimes,
 };
 use sorrelturn_protocol::{Announcement, BackendState, MemberRecord, RequestRate};
 use sorrelturn_telemetry::{Field, events};
@@ -63,6 +63,8 @@
     pub(crate) is_publishing_rate_limit: AtomicBool,
     /// Where the requests for the backend server come from.
     pub(crate) origins: Mutex<RequestOrigins>,
+    /// How long the backend server takes for requests.
+    pub(crate) work_times: Mutex<WorkTimes>,
     /// When a refused report was logged last.
     last_refused_report_event: LastTime,
     /// Whether the platform's store has the newest state, for the next incarnation of this
@@ -96,6 +98,7 @@
             last_leaving_check: LastTime::default(),
             is_publishing_rate_limit: AtomicBool::new(false),
             origins: Mutex::default(),
+            work_times: Mutex::default(),
             last_refused_report_event: LastTime::default(),
             is_saved: AtomicBool::new(false),
         }
@@ -315,6 +318,7 @@
     }
     node.set_own_backend(backend);
     node.admission.with_gate(|gate, _| gate.reset_tuning());
+    work_times::reset(routed);
     node.backend.drop_idle();
     let stopped_leaving = node.stop_leaving(LeavingCause::Backend);
     // A daemon that leaves for another reason has announced that already.
--- a/crates/sorrelturn-daemon/src/operators/export.rs
+++ b/crates/sorrelturn-daemon/src/operators/export.rs
@@ -1,6 +1,7 @@
 //! Exports metrics to StatsD and spans to the trace collector.
 
 use crate::{
+    backend::work_times,
     node::{Node, lock},
     operators::metrics_page::{MetricsPage, PageSink},
 };
@@ -159,6 +160,7 @@
     ] {
         let _ = node.metrics.gauge(metric.name, value);
     }
+    send_work_time_gauges(node);
     if let Some(age_ms) = node.route_staleness.age_ms(node.now()) {
         let _ = node
             .metrics
@@ -170,6 +172,24 @@
     }
 }
 
+/// Sends the gauges of a backend server that reports work times.
+fn send_work_time_gauges(node: &Node) {
+    let Some(routed) = &node.routed else {
+        return;
+    };
+    let expected_ms = work_times::expected_ms(node);
+    if expected_ms == 0 {
+        return;
+    }
+    let work_time = work_times::reported(routed, node.now()).unwrap_or(0);
+    for (metric, value) in [
+        (&metrics::EXPECTED_MS, expected_ms),
+        (&metrics::WORK_TIME, work_time),
+    ] {
+        let _ = node.metrics.gauge(metric.name, u64::from(value));
+    }
+}
+
 /// Returns the rate in thousandths of a request per second, at least 1, since 0 stands for no limit.
 fn rate_limit_gauge(rate: RequestRate) -> u64 {
     ((rate.per_second() * 1_000.0) as u64).max(1)
--- a/crates/sorrelturn-daemon/src/request/forward.rs
+++ b/crates/sorrelturn-daemon/src/request/forward.rs
@@ -333,7 +333,7 @@
         return;
     }
     if let Some(report) = &answer.contention {
-        apply_contention_report(node, report);
+        apply_contention_report(node, route, report);
     }
     if answer.refusal == Some(Refusal::NoInstanceBelow) {
         kind_state.record_no_instance_below(node.now());
@@ -363,7 +363,8 @@
     );
 }
 
-fn apply_contention_report(node: &Node, report: &ContentionReport) {
+fn apply_contention_report(node: &Node, route: &KnownInstance, report: &ContentionReport) {
+    route.stats.record_expected(node.now(), report.expected_ms);
     if report.work_times_reported {
         node.record_work_times_reported();
     }
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -6,6 +6,7 @@
     backend::link::BackendResponse,
     backend::signals::{self, SentRequest},
     backend::state::{self, ResponseKind, Routed},
+    backend::work_times,
     clock::unix_ns,
     config::in_force::InForce,
     fleet::{gossip, suspects},
@@ -182,6 +183,9 @@
                 self.failure_reply(&guard, Refusal::BackendBroke)
             }
             None => {
+                if let Some(routed) = &node.routed {
+                    work_times::record_timeout(routed, node.now(), &self.kind.name, &sent);
+                }
                 slot.release(Outcome::Overloaded);
                 self.failure_reply(&guard, Refusal::Deadline)
             }
@@ -194,9 +198,11 @@
             let name = &routed.dialect.headers.expected_backend;
             req.headers().get(name).cloned()
         });
+        let now = self.node.now();
         SentRequest {
-            at: self.node.now(),
+            at: now,
             backend,
+            work_time: routed.and_then(|routed| work_times::reported(routed, now)),
         }
     }
 
@@ -340,6 +346,13 @@
             return refund_attempts(self.refusal_reply(Refusal::BackendRefused), attempts);
         }
         let is_server_error = res.status().is_server_error();
+        // Errors may come at once, and the duration of a request that was sent twice is that of its connections.
+        if let Some(routed) = &self.node.routed
+            && !is_server_error
+            && !sent_twice
+        {
+            work_times::record_answered(routed, self.node.now(), &self.kind.name, sent);
+        }
         let parent = guard.parent();
         let context = AnswerContext {
             verdict: Verdict::Ran,
--- a/crates/sorrelturn-daemon/src/request/owner.rs
+++ b/crates/sorrelturn-daemon/src/request/owner.rs
@@ -3,6 +3,7 @@
 use crate::{
     backend::signals,
     backend::state::Routed,
+    backend::work_times,
     clock::unix_ns,
     node::{ActiveRequest, MemoryDemand, Node, lock},
     request::answer::Reply,
@@ -61,8 +62,9 @@
 /// Returns what the forwarding daemon needs for its mechanisms for contention; `None` if none is on.
 fn contention_report(node: &Node) -> Option<ContentionReport> {
     let work_times_reported = node.contention.work_times_reported();
-    work_times_reported.then_some(ContentionReport {
+    work_times_reported.then(|| ContentionReport {
         work_times_reported,
+        expected_ms: work_times::expected_ms(node),
         ..ContentionReport::default()
     })
 }
