--- a/crates/sorrelturn-daemon/src/operators/export.rs
+++ b/crates/sorrelturn-daemon/src/operators/export.rs
@@ -172,15 +172,15 @@
     }
 }
 
-/// Sends the gauges of a backend server that reports work times.
+/// Sends how long the backend server takes, where backend servers report work times.
 fn send_work_time_gauges(node: &Node) {
     let Some(routed) = &node.routed else {
         return;
     };
-    let expected_ms = work_times::expected_ms(node);
-    if expected_ms == 0 {
+    if !node.contention.work_times_reported() {
         return;
     }
+    let expected_ms = work_times::expected_ms(node);
     let work_time = work_times::reported(routed, node.now()).unwrap_or(0);
     for (metric, value) in [
         (&metrics::EXPECTED_MS, expected_ms),
--- a/crates/sorrelturn-telemetry/src/metrics.rs
+++ b/crates/sorrelturn-telemetry/src/metrics.rs
@@ -43,7 +43,7 @@
     WAITING = Gauge "backend.waiting" "Calls queued for a slot.";
     LIMIT = Gauge "backend.limit" "The concurrency limit of the backend server, without the variation while two limits are compared.";
     RATE_LIMIT = Gauge "backend.rate_limit" "The limit on requests that the backend server names, in thousandths of a request per second and at least 1; 0 if it names none.";
-    EXPECTED_MS = Gauge "backend.expected_ms" "The expected time until the backend server would answer a call that arrived now, in milliseconds; absent unless it reports work times.";
+    EXPECTED_MS = Gauge "backend.expected_ms" "The expected time until the backend server would answer a call that arrived now, in milliseconds; 0 if it reports no work times, absent where none does.";
     WORK_TIME = Gauge "backend.work_time" "How long work takes at the backend server by its own report, in percent of the usual; 0 if it hasn't reported lately.";
     BUNDLE_VERSION = Gauge "bundle.version" "The version of the bundle in force.";
     MEMBERS = Gauge "members" "Members of the fleet known to this daemon.";
