The level of a service from the room of all its instances

Entries average what single instances announce, so they refuse requests for the fullest ones while others have room. A gate now tells its load and capacity as slots apart from the rest of its level, an instance keeps the last report, and ServiceRoom makes one level of them. Nothing uses it yet.

--- a/crates/sorrelturn-policy/src/cold_limiter.rs
+++ b/crates/sorrelturn-policy/src/cold_limiter.rs
@@ -70,6 +70,12 @@
         self.rate.is_some() && now < self.cold_until
     }
 
+    /// Returns the sustained rate of admissions while they are limited, in requests per second.
+    pub fn limit_per_second(&self, now: Now) -> Option<f64> {
+        let rate = self.rate.filter(|_| self.is_limiting(now));
+        rate.map(|rate| rate.per_second)
+    }
+
     /// Returns whether a request may be admitted.
     pub fn has_token(&mut self, now: Now) -> bool {
         if !self.is_limiting(now) {
--- a/crates/sorrelturn-policy/src/gate.rs
+++ b/crates/sorrelturn-policy/src/gate.rs
@@ -5,7 +5,7 @@
     AdaptiveLimit, AnnouncedLimit, ColdLimiter, ConcurrencyTuner, Now, Outcome, OverloadDetector,
     SheddingLevel, TuningSample,
 };
-use sorrelturn_protocol::{Importance, Priority, Refusal};
+use sorrelturn_protocol::{Importance, InstanceRoom, Priority, Refusal};
 use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
 /// Critical requests may queue longer because a retry costs their callers more.
@@ -330,6 +330,25 @@
         Priority(self.level.level())
     }
 
+    /// The load and the capacity of the backend server, for the level of its service; both 0 where no levels are in use.
+    /// See `docs/design/service-room.md`.
+    pub fn room(&mut self, now: Now) -> InstanceRoom {
+        if self.cfg.call_queue_timeout.is_none() {
+            return InstanceRoom::default();
+        }
+        self.update_level(now);
+        self.level.room(self.cold.limit_per_second(now))
+    }
+
+    /// The part of the shedding level that doesn't follow from [`Gate::room`].
+    pub fn level_without_room(&mut self, now: Now) -> Priority {
+        if self.cfg.call_queue_timeout.is_none() {
+            return Priority::LOWEST;
+        }
+        self.update_level(now);
+        Priority(self.level.lag_level())
+    }
+
     fn update_level(&mut self, now: Now) {
         let limit = self.steady_limit(now);
         self.level.update(now, self.queue.len(), limit);
--- a/crates/sorrelturn-policy/src/lib.rs
+++ b/crates/sorrelturn-policy/src/lib.rs
@@ -21,6 +21,7 @@
 mod retry_detector;
 mod retry_window;
 mod routing;
+mod service_room;
 mod shedding_level;
 
 pub use announced_limit::{AnnouncedLimit, NamedLimit};
@@ -44,6 +45,7 @@
 pub use retry_detector::{RetryDetector, bucket_for_at_most_once, bucket_for_retry};
 pub use retry_window::RetryWindow;
 pub use routing::{Instance, InstanceReport, choose};
+pub use service_room::{RoomSum, ServiceRoom};
 pub use shedding_level::{LEVEL_STEPS, SheddingLevel, refuses};
 
 /// A point in time: the time since the process started, including time that its VM was suspended.
--- a/crates/sorrelturn-policy/src/routing.rs
+++ b/crates/sorrelturn-policy/src/routing.rs
@@ -1,7 +1,7 @@
 //! Chooses the instance that serves a call. See `docs/design/routing.md`.
 
 use crate::{LearnedThreshold, Now};
-use sorrelturn_protocol::{Incarnation, Priority};
+use sorrelturn_protocol::{Incarnation, InstanceRoom, Priority};
 use std::{
     sync::atomic::{AtomicU32, AtomicU64, Ordering::Relaxed},
     time::Duration,
@@ -69,6 +69,9 @@
     paused_until_ms: AtomicU64,
     /// The later of the ends of ejection and pause, which the common case of a choice reads alone.
     avoided_until_ms: AtomicU64,
+    /// The last report of load and capacity: the offered slots in the upper half, the capacity in the lower one.
+    room: AtomicU64,
+    room_at_ms: AtomicU64,
 }
 
 /// What one exchange reveals about an instance.
@@ -118,6 +121,8 @@
             limit_level: LearnedThreshold::for_shedding_level(),
             paused_until_ms: AtomicU64::new(0),
             avoided_until_ms: AtomicU64::new(0),
+            room: AtomicU64::new(0),
+            room_at_ms: AtomicU64::new(0),
         }
     }
 
@@ -189,6 +194,27 @@
         now_ms < self.paused_until_ms.load(Relaxed)
     }
 
+    /// Records the load and the capacity that the instance reports; one without capacity is unknown and ignored.
+    pub fn record_room(&self, now: Now, room: InstanceRoom) {
+        if room.capacity == 0 {
+            return;
+        }
+        let word = u64::from(room.offered) << 32 | u64::from(room.capacity);
+        self.room.store(word, Relaxed);
+        self.room_at_ms.store(now.as_millis() as u64, Relaxed);
+    }
+
+    /// Returns the last reported load and capacity and the age of the report; `None` without a report.
+    pub fn reported_room(&self, now: Now) -> Option<(InstanceRoom, Duration)> {
+        let word = self.room.load(Relaxed);
+        let age_ms = (now.as_millis() as u64).saturating_sub(self.room_at_ms.load(Relaxed));
+        let room = InstanceRoom {
+            offered: (word >> 32) as u32,
+            capacity: word as u32,
+        };
+        (word != 0).then_some((room, Duration::from_millis(age_ms)))
+    }
+
     /// Returns the number of calls in flight from this daemon.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.load(Relaxed)
--- a/crates/sorrelturn-policy/src/shedding_level.rs
+++ b/crates/sorrelturn-policy/src/shedding_level.rs
@@ -4,6 +4,7 @@
 //! See `docs/design/entry-admission.md`.
 
 use crate::Now;
+use sorrelturn_protocol::InstanceRoom;
 use std::time::Duration;
 
 /// Interval at which the level is recomputed. Shorter windows hold too few requests of a small
@@ -32,6 +33,8 @@
 const LAG_SCALE: Duration = Duration::from_millis(100);
 /// Maximum excess lag, in units of [`LAG_SCALE`], that one window accounts for.
 const MAX_LAG_STEP: f64 = 0.5;
+/// Number of [`InstanceRoom`] units in one slot.
+const ROOM_UNITS_PER_SLOT: f64 = 1_000.0;
 /// Number of steps on the wire that stand for a level of 1.0, which sheds one rank as far as
 /// allowed.
 pub const LEVEL_STEPS: u16 = 256;
@@ -60,6 +63,10 @@
     lag: Duration,
     /// Smoothed offered load as a multiple of the limit.
     load: f64,
+    /// Fraction of the limit that should be in use, less while a backlog drains.
+    target: f64,
+    /// The concurrency limit of the last window.
+    limit: f64,
     /// Level added because of the scheduling lag.
     lag_level: f64,
     level: f64,
@@ -75,6 +82,8 @@
             mean_service_time_s: 0.0,
             lag: Duration::ZERO,
             load: 0.0,
+            target: TARGET_LOAD,
+            limit: 0.0,
             lag_level: 0.0,
             level: 0.0,
             overloaded_since: None,
@@ -116,6 +125,8 @@
             queued as f64 * self.mean_service_time_s / (DRAIN_TIME.as_secs_f64() * capacity);
         let target = (TARGET_LOAD - backlog).max(TARGET_LOAD * MIN_TARGET_FRACTION);
         let load_level = level_that_admits(target / self.load.max(f64::MIN_POSITIVE));
+        self.target = target;
+        self.limit = capacity;
         self.update_lag_level(target, load_level, windows.min(20.0));
         self.level = (load_level + self.lag_level).min(MAX_LEVEL);
         if self.level <= 0.0 {
@@ -146,6 +157,23 @@
         (self.level * f64::from(LEVEL_STEPS)) as u16
     }
 
+    /// Returns the part of the level that follows from the scheduling lag, in steps of 1/[`LEVEL_STEPS`].
+    pub fn lag_level(&self) -> u16 {
+        (self.lag_level * f64::from(LEVEL_STEPS)) as u16
+    }
+
+    /// Returns the load and the capacity from which the other part of the level follows, so that those of several
+    /// instances can be added. `max_per_second` bounds the capacity of a backend server that accepts no more requests.
+    /// Both are 0 before the first window has ended.
+    pub fn room(&self, max_per_second: Option<f64>) -> InstanceRoom {
+        let max_slots = max_per_second.map(|rate| rate * self.mean_service_time_s);
+        let capacity = self.target * self.limit;
+        InstanceRoom {
+            offered: (self.load * self.limit * ROOM_UNITS_PER_SLOT) as u32,
+            capacity: (capacity.min(max_slots.unwrap_or(capacity)) * ROOM_UNITS_PER_SLOT) as u32,
+        }
+    }
+
     /// Returns how long the level has been above zero, or `None` if it is zero.
     pub fn overload_duration(&self, now: Now) -> Option<Duration> {
         self.overloaded_since.map(|since| now.saturating_sub(since))
