--- a/crates/sorrelturn-policy/src/service_room.rs
+++ b/crates/sorrelturn-policy/src/service_room.rs
@@ -13,6 +13,10 @@
 
 /// Maximum age of a report that counts. In a large fleet, a daemon hears an instance about once a second.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
+/// Half-life of the weight of a report, since old reports delay the level when demand rises or falls.
+const WEIGHT_HALF_LIFE: Duration = Duration::from_millis(250);
+/// Weight of a new report; it exceeds that of the oldest one that counts by the halvings in between.
+const MAX_WEIGHT: u64 = 1 << 8;
 /// Minimum percentage of the instances whose reports count.
 const MIN_REPORTED_PERCENT: u64 = 50;
 /// Number of reports that represent a service of any size.
@@ -23,12 +27,13 @@
 /// The bit of [`ServiceRoom::word`] that is set if there is a level.
 const HAS_LEVEL: u64 = 1 << 16;
 
-/// The load and the capacity of the instances of a service, as far as their reports tell.
+/// The load and the capacity of the instances of a service, as far as their reports tell. Newer reports weigh more, so
+/// only the ratio of both sums means something.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RoomSum {
-    /// Slots that would be in use if no root request were refused, in thousandths.
+    /// Weighted sum of the slots that would be in use if no root request were refused.
     pub offered: u64,
-    /// Slots that should be in use at most, in thousandths.
+    /// Weighted sum of the slots that should be in use at most.
     pub capacity: u64,
     /// Instances whose reports count.
     pub reports: u64,
@@ -51,13 +56,19 @@
             if age > MAX_REPORT_AGE {
                 continue;
             }
-            sum.offered += u64::from(room.offered);
-            sum.capacity += u64::from(room.capacity);
+            let weight = weight_of_age(age);
+            sum.offered += weight * u64::from(room.offered);
+            sum.capacity += weight * u64::from(room.capacity);
             sum.reports += 1;
         }
         sum
     }
 
+    /// Returns the load in percent of the capacity; `None` without a report.
+    pub fn used_percent(&self) -> Option<u64> {
+        (self.offered * 100).checked_div(self.capacity)
+    }
+
     /// Returns the level that brings the load to the capacity, in steps of 1/[`LEVEL_STEPS`]; `None` if too few
     /// instances have reported to judge the service.
     pub fn level(&self) -> Option<u16> {
@@ -71,6 +82,12 @@
     }
 }
 
+/// Returns the weight of a report, at least 1.
+fn weight_of_age(age: Duration) -> u64 {
+    let halvings = age.as_millis() / WEIGHT_HALF_LIFE.as_millis();
+    (MAX_WEIGHT >> halvings.min(63)).max(1)
+}
+
 /// The pooled level of one service, recomputed at most once per [`WINDOW`]: it is read for every answer, and adding up
 /// the reports of a large service each time would cost too much.
 #[derive(Debug, Default)]
