Entries refuse by the room of a whole service where pooling is on

An entry whose nearest instances are full refused requests that others had room for, since it averaged the levels of single answers. Where room is pooled, an answer now carries the room of its instance and, apart from it, the level of the services below and of the processor; the forwarding daemon replaces the first part by the pooled level of the service. What a kind learns so is what its daemon announces in turn, so the pooled level travels up the chain. A refusal carries the levels below too, else it would say that they have room. Status, a gauge and S206 show the room. With the switch off, nothing is sent, recorded or decided differently.

--- a/crates/sorrelturn-daemon/src/fleet/instance_table.rs
+++ b/crates/sorrelturn-daemon/src/fleet/instance_table.rs
@@ -2,8 +2,8 @@
 
 use crate::{clock::Clock, fleet::peers::PeerLink};
 use sorrelturn_fleet::Membership;
-use sorrelturn_policy::{Instance, Now};
-use sorrelturn_protocol::{Incarnation, MemberRecord, MemberState};
+use sorrelturn_policy::{Instance, Now, RoomSum, ServiceRoom};
+use sorrelturn_protocol::{ContentionReport, Incarnation, MemberRecord, MemberState, Priority};
 use std::{
     collections::{BTreeSet, HashMap},
     sync::{
@@ -48,10 +48,23 @@
     }
 }
 
+/// The live instances of a service.
+#[derive(Default)]
+struct LiveInstances {
+    instances: Vec<Arc<KnownInstance>>,
+    room: ServiceRoom,
+}
+
+impl LiveInstances {
+    fn stats(&self) -> impl Iterator<Item = &Instance> {
+        self.instances.iter().map(|instance| &*instance.stats)
+    }
+}
+
 /// Snapshot of the instances that are not gone, and of all services.
 #[derive(Default)]
 pub(crate) struct InstanceTable {
-    by_service: HashMap<String, Vec<Arc<KnownInstance>>>,
+    by_service: HashMap<String, LiveInstances>,
     by_incarnation: HashMap<Incarnation, Arc<KnownInstance>>,
     /// All services that have or had members.
     services: BTreeSet<String>,
@@ -73,7 +86,33 @@
 
     /// Returns the live instances of a service.
     pub(crate) fn live_of_service(&self, service: &str) -> &[Arc<KnownInstance>] {
-        self.by_service.get(service).map_or(&[], Vec::as_slice)
+        self.by_service
+            .get(service)
+            .map_or(&[], |live| live.instances.as_slice())
+    }
+
+    /// Returns the level that follows from an answer of an instance of a service: the pooled level of the service
+    /// instead of what the instance announces for its own room, if enough instances have reported theirs.
+    pub(crate) fn level_of_answer(
+        &self,
+        service: &str,
+        now: Now,
+        announced: Priority,
+        report: &ContentionReport,
+    ) -> Priority {
+        let live = self.by_service.get(service);
+        live.map_or(announced, |live| {
+            let without_room = report.level_without_room;
+            live.room
+                .level_of_answer(now, live.stats(), announced, without_room)
+        })
+    }
+
+    /// Returns the room of each service, as far as this daemon knows it.
+    pub(crate) fn rooms(&self, now: Now) -> impl Iterator<Item = (&str, RoomSum)> {
+        self.by_service
+            .iter()
+            .map(move |(service, live)| (service.as_str(), RoomSum::of(now, live.stats())))
     }
 
     /// Returns the shedding level that the limits of a service's backend servers call for: that of the instance with the
@@ -92,7 +131,11 @@
 
     /// Returns the fraction of all live instances that belong to a service, or 1 if the service has none.
     pub(crate) fn instance_fraction(&self, service: &str) -> f64 {
-        let all: usize = self.by_service.values().map(Vec::len).sum();
+        let all: usize = self
+            .by_service
+            .values()
+            .map(|live| live.instances.len())
+            .sum();
         let own = self.live_of_service(service).len();
         if own == 0 {
             return 1.0;
@@ -158,6 +201,7 @@
                     .by_service
                     .entry(record.service.clone())
                     .or_default()
+                    .instances
                     .push(Arc::clone(&instance));
             }
             table.by_incarnation.insert(record.incarnation, instance);
--- a/crates/sorrelturn-daemon/src/lib.rs
+++ b/crates/sorrelturn-daemon/src/lib.rs
@@ -21,7 +21,7 @@
     TraceSettings,
 };
 pub use net::stream::fleet_client_stream;
-pub use operators::status::StatusReport;
+pub use operators::status::{RoomStatus, StatusReport};
 pub use operators::workspaces::{WorkspaceUsage, WorkspacesReport};
 pub use request::dialect::{Dialect, HeaderNames};
 pub use run::{Daemon, StartError};
--- a/crates/sorrelturn-daemon/src/operators/admin.rs
+++ b/crates/sorrelturn-daemon/src/operators/admin.rs
@@ -6,7 +6,7 @@
     net::serve::status,
     node::{Node, lock},
     operators::explain,
-    operators::status::StatusReport,
+    operators::status::{RoomStatus, StatusReport},
     operators::workspaces,
     request::body::{self, Body},
 };
@@ -16,7 +16,10 @@
 use sorrelturn_bundle::{ContentHash, SectionBytes, SignedManifest};
 use sorrelturn_policy::LeavingCause;
 use sorrelturn_telemetry::{Field, events};
-use std::sync::{Arc, atomic::Ordering};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, atomic::Ordering},
+};
 
 /// The maximum size of a bundle that an operator uploads.
 const MAX_BUNDLE_BYTES: usize = 64 << 20;
@@ -69,9 +72,18 @@
         control_bytes: node.counts.control_bytes.load(Ordering::Relaxed),
         platform_calls: node.platform.call_count(),
         watcher: node.counts.watching.load(Ordering::Relaxed),
+        rooms: rooms(node),
     }
 }
 
+fn rooms(node: &Node) -> BTreeMap<String, RoomStatus> {
+    let instances = node.instances.load();
+    let rooms = instances.rooms(node.now());
+    rooms
+        .filter_map(|(service, sum)| Some((service.to_owned(), RoomStatus::of(&sum)?)))
+        .collect()
+}
+
 fn reload_keys(node: &Node) -> Response<Body> {
     match node.keys.reload() {
         Ok(()) => {
--- a/crates/sorrelturn-daemon/src/operators/export.rs
+++ b/crates/sorrelturn-daemon/src/operators/export.rs
@@ -125,16 +125,27 @@
         )
     });
     if threshold > Priority::LOWEST {
-        let fields = vec![
+        let mut fields = vec![
             Field::new("in_flight", in_flight),
             Field::new("waiting", waiting),
             Field::new("limit", limit),
             Field::new("threshold", threshold.0),
         ];
+        let room_used = own_room_used_percent(node);
+        fields.extend(room_used.map(|percent| Field::new("room_used_percent", percent)));
         node.record_event(&events::UNDER_LOAD, fields);
     }
 }
 
+/// Returns the load of the own backend server in percent of its room; `None` if unknown or if room isn't pooled.
+fn own_room_used_percent(node: &Node) -> Option<u64> {
+    if !node.contention.pools_room() {
+        return None;
+    }
+    let room = node.admission.with_gate(|gate, now| gate.room(now));
+    (u64::from(room.offered) * 100).checked_div(u64::from(room.capacity))
+}
+
 fn send_gauges(node: &Node) {
     if !node.has_metrics() {
         return;
@@ -164,6 +175,9 @@
             .metrics
             .gauge(metrics::KNOWLEDGE_AGE.name, u64::from(age_ms));
     }
+    if let Some(percent) = own_room_used_percent(node) {
+        let _ = node.metrics.gauge(metrics::ROOM_USED.name, percent);
+    }
     let dropped = node.spans.take_dropped();
     if dropped > 0 {
         let _ = node.metrics.count(metrics::SPANS_DROPPED.name, dropped);
--- a/crates/sorrelturn-daemon/src/request/forward.rs
+++ b/crates/sorrelturn-daemon/src/request/forward.rs
@@ -24,7 +24,8 @@
     next_step, step_after_backend_refusal,
 };
 use sorrelturn_protocol::{
-    AnswerContext, CallContext, ContentionReport, Incarnation, Refusal, RequestId, SpanId, Verdict,
+    AnswerContext, CallContext, ContentionReport, Incarnation, Priority, Refusal, RequestId,
+    SpanId, Verdict,
 };
 use sorrelturn_telemetry::{Field, Span, SpanKind, events, metrics};
 use std::{borrow::Cow, sync::Arc, time::Duration};
@@ -333,13 +334,14 @@
         return;
     }
     if let Some(report) = &answer.contention {
-        apply_contention_report(node, report);
+        apply_contention_report(node, route, report);
     }
     if answer.refusal == Some(Refusal::NoInstanceBelow) {
         kind_state.record_no_instance_below(node.now());
     }
     if answer.refusal.is_none_or(Refusal::indicates_service_load) {
-        kind_state.threshold.observe(node.now(), answer.threshold);
+        let level = level_of_answer(node, &call.kind.service, answer);
+        kind_state.threshold.observe(node.now(), level);
     }
     route
         .stats
@@ -363,10 +365,22 @@
     );
 }
 
-fn apply_contention_report(node: &Node, report: &ContentionReport) {
+fn apply_contention_report(node: &Node, route: &KnownInstance, report: &ContentionReport) {
     if report.work_times_reported {
         node.record_work_times_reported();
     }
+    route.stats.record_room(node.now(), report.room);
+}
+
+/// Returns the level by which an answer tells to refuse root requests: with pooled room, that of the whole service.
+fn level_of_answer(node: &Node, service: &str, answer: &AnswerContext) -> Priority {
+    let report = answer.contention.as_ref();
+    // An owner that doesn't know its room, or whose mechanism is off, still announces its level.
+    let report = report.filter(|report| report.room.capacity > 0 && node.contention.pools_room());
+    report.map_or(answer.threshold, |report| {
+        let instances = node.instances.load();
+        instances.level_of_answer(service, node.now(), answer.threshold, report)
+    })
 }
 
 fn should_retry(
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -394,17 +394,7 @@
             self.node.events.record(&events::CALLS_LEARNT, None, fields);
         }
         let calls = graph.calls(&self.kind.name);
-        let threshold = self
-            .in_force
-            .max_threshold(calls.iter().map(String::as_str), now);
-        let instances = self.node.instances.load();
-        let kinds = calls
-            .iter()
-            .filter_map(|call| self.in_force.bundle.kind(call));
-        let limit_level = kinds
-            .map(|kind| instances.limit_level(&kind.service, now))
-            .max();
-        threshold.max(Priority(limit_level.unwrap_or(0)))
+        threshold_of_calls(&self.node, &self.in_force, calls, now)
     }
 
     /// The end of the body releases the connection, the parent's registration and, if the body is small, the slot.
@@ -511,3 +501,19 @@
         });
     }
 }
+
+/// Returns the highest threshold of the kinds that a kind calls, in routed mode.
+pub(crate) fn threshold_of_calls(
+    node: &Node,
+    in_force: &InForce,
+    calls: &[String],
+    now: Now,
+) -> Priority {
+    let threshold = in_force.max_threshold(calls.iter().map(String::as_str), now);
+    let instances = node.instances.load();
+    let kinds = calls.iter().filter_map(|call| in_force.bundle.kind(call));
+    let limit_level = kinds
+        .map(|kind| instances.limit_level(&kind.service, now))
+        .max();
+    threshold.max(Priority(limit_level.unwrap_or(0)))
+}
--- a/crates/sorrelturn-daemon/src/request/owner.rs
+++ b/crates/sorrelturn-daemon/src/request/owner.rs
@@ -8,14 +8,14 @@
     request::answer::Reply,
     request::body::Body,
     request::headers,
-    request::hop::Hop,
+    request::hop::{self, Hop},
     request::tokens,
 };
 use hyper::Request;
 use sorrelturn_bundle::{Execution, Kind, KindEntry};
 use sorrelturn_once::{BeginResult, Fingerprint};
 use sorrelturn_policy::RetryAfter;
-use sorrelturn_protocol::{CallContext, ContentionReport, Refusal, SpanId, Verdict};
+use sorrelturn_protocol::{CallContext, ContentionReport, Priority, Refusal, SpanId, Verdict};
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 pub(crate) async fn serve(node: &Arc<Node>, context: CallContext, req: Request<Body>) -> Reply {
@@ -32,15 +32,19 @@
         admit(node, context, req).await
     };
     let answer = &mut reply.context;
+    let mut level_below = answer.threshold;
     if let Some((routed, kind)) = routed_kind {
         answer.is_call = is_nested_kind(node, routed, &kind);
+        if answer.refusal.is_some() && node.contention.pools_room() {
+            level_below = threshold_of_calls(node, routed, &kind);
+        }
     }
     // Read before the version: otherwise the age of a newer version could be reported with an older one.
     answer.knowledge_age_ms = node.knowledge_age_ms();
     answer.bundle_version = node.bundle_version();
     answer.incarnation = node.incarnation;
     answer.leaving = node.is_leaving();
-    answer.contention = contention_report(node);
+    answer.contention = contention_report(node, level_below);
     node.admission.with_gate(|gate, now| {
         answer.load = gate.load_percent(now);
         answer.threshold = answer.threshold.max(gate.threshold(now));
@@ -58,12 +62,39 @@
     reply
 }
 
-/// Returns what the forwarding daemon needs for its mechanisms for contention; `None` if none is on.
-fn contention_report(node: &Node) -> Option<ContentionReport> {
+/// Returns what the forwarding daemon needs for its mechanisms for contention; `None` if none is on. `level_below` is the
+/// level of the services that the kind calls.
+fn contention_report(node: &Node, level_below: Priority) -> Option<ContentionReport> {
     let work_times_reported = node.contention.work_times_reported();
-    work_times_reported.then_some(ContentionReport {
+    let pools_room = node.contention.pools_room();
+    if !(work_times_reported || pools_room) {
+        return None;
+    }
+    let mut report = ContentionReport {
         work_times_reported,
         ..ContentionReport::default()
+    };
+    if pools_room {
+        add_room(node, &mut report, level_below);
+    }
+    Some(report)
+}
+
+/// Adds the load and the capacity of the own backend server, and the level that follows from neither.
+fn add_room(node: &Node, report: &mut ContentionReport, level_below: Priority) {
+    node.admission.with_gate(|gate, now| {
+        report.room = gate.room(now);
+        report.level_without_room = level_below.max(gate.level_without_room(now));
+    });
+}
+
+/// Returns the level of the services that a kind calls. Answers that ran carry it; a refusal without it would make the
+/// forwarding daemon believe that they have room.
+fn threshold_of_calls(node: &Node, routed: &Routed, kind: &str) -> Priority {
+    let in_force = node.in_force.load();
+    in_force.as_deref().map_or(Priority::LOWEST, |in_force| {
+        let graph = lock(&routed.graph);
+        hop::threshold_of_calls(node, in_force, graph.calls(kind), node.now())
     })
 }
 
--- a/crates/sorrelturn-telemetry/src/metrics.rs
+++ b/crates/sorrelturn-telemetry/src/metrics.rs
@@ -43,6 +43,7 @@
     WAITING = Gauge "backend.waiting" "Calls queued for a slot.";
     LIMIT = Gauge "backend.limit" "The concurrency limit of the backend server, without the variation while two limits are compared.";
     RATE_LIMIT = Gauge "backend.rate_limit" "The limit on requests that the backend server names, in thousandths of a request per second and at least 1; 0 if it names none.";
+    ROOM_USED = Gauge "backend.room_used" "The slots that would be in use if no root request were refused, in percent of those that should be in use at most; absent where room isn't pooled.";
     BUNDLE_VERSION = Gauge "bundle.version" "The version of the bundle in force.";
     MEMBERS = Gauge "members" "Members of the fleet known to this daemon.";
     TOKENS = Gauge "tokens" "Outstanding execution tokens that have not expired.";
