--- a/crates/sorrelturn-daemon/src/lib.rs
+++ b/crates/sorrelturn-daemon/src/lib.rs
@@ -16,9 +16,9 @@
 pub use backend::report::{Deregistration, Heartbeat, read_deregistration, read_heartbeat};
 pub use clock::{Clock, since_boot};
 pub use config::settings::{
-    AdvertiseSettings, BackendSettings, EventSettings, FleetKeySettings, ListenSettings,
-    MetricsSettings, OnceSettings, PlatformSettings, RouteSettings, Settings, StopSettings,
-    TraceSettings,
+    AdvertiseSettings, BackendSettings, ContentionSettings, EventSettings, FleetKeySettings,
+    ListenSettings, MetricsSettings, OnceSettings, PlatformSettings, RouteSettings, Settings,
+    StopSettings, TraceSettings,
 };
 pub use net::stream::fleet_client_stream;
 pub use operators::status::{RoomStatus, StatusReport};
