--- a/crates/sorrelturn-daemon/src/lib.rs
+++ b/crates/sorrelturn-daemon/src/lib.rs
@@ -16,12 +16,12 @@
 pub use backend::report::{Deregistration, Heartbeat, read_deregistration, read_heartbeat};
 pub use clock::{Clock, since_boot};
 pub use config::settings::{
-    AdvertiseSettings, BackendSettings, EventSettings, FleetKeySettings, ListenSettings,
-    MetricsSettings, OnceSettings, PlatformSettings, RouteSettings, Settings, StopSettings,
-    TraceSettings,
+    AdvertiseSettings, BackendSettings, ContentionSettings, EventSettings, FleetKeySettings,
+    ListenSettings, MetricsSettings, OnceSettings, PlatformSettings, RouteSettings, Settings,
+    StopSettings, TraceSettings,
 };
 pub use net::stream::fleet_client_stream;
-pub use operators::status::StatusReport;
+pub use operators::status::{RoomStatus, StatusReport};
 pub use operators::workspaces::{WorkspaceUsage, WorkspacesReport};
 pub use request::dialect::{Dialect, HeaderNames};
 pub use run::{Daemon, StartError};
--- a/crates/sorrelturn-telemetry/src/metrics.rs
+++ b/crates/sorrelturn-telemetry/src/metrics.rs
@@ -45,6 +45,7 @@
     RATE_LIMIT = Gauge "backend.rate_limit" "The limit on requests that the backend server names, in thousandths of a request per second and at least 1; 0 if it names none.";
     EXPECTED_MS = Gauge "backend.expected_ms" "The expected time until the backend server would answer a call that arrived now, in milliseconds; 0 if it reports no work times, absent where none does.";
     WORK_TIME = Gauge "backend.work_time" "How long work takes at the backend server by its own report, in percent of the usual; 0 if it hasn't reported lately.";
+    ROOM_USED = Gauge "backend.room_used" "The slots that would be in use if no root request were refused, in percent of those that should be in use at most; absent where room isn't pooled.";
     BUNDLE_VERSION = Gauge "bundle.version" "The version of the bundle in force.";
     MEMBERS = Gauge "members" "Members of the fleet known to this daemon.";
     TOKENS = Gauge "tokens" "Outstanding execution tokens that have not expired.";
