Decisions for fair shares among workspaces: demand at owners, shares at entries

Within a rank, requests are refused by a hash of their id, so a workspace that presses takes the room of the others by its numbers. Owners estimate the demand of each workspace from its highest buckets, which entries don't thin, and say how it stands to its max-min fair share; entries move buckets by it. Nothing calls this yet.

--- /dev/null
+++ b/crates/sorrelturn-policy/src/fair_shares.rs
@@ -0,0 +1,234 @@
+//! The demand of workspaces at one owner, and their max-min fair shares of the room that a shedding level leaves.
+//! See `docs/design/fair-shares.md`.
+
+use crate::Now;
+use sorrelturn_protocol::CallerId;
+use std::{collections::HashMap, time::Duration};
+
+/// Interval at which demand decays and the workspaces are ranked anew.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
+/// Time constant of the decay of demand.
+const DECAY_TIME: Duration = Duration::from_secs(3);
+/// The maximum number of workspaces that are counted one by one; all others are counted together.
+const MAX_WORKSPACES: usize = 1_024;
+/// The divisor for the number of workspaces, those with the least demand, that are removed when the table is full.
+const EVICTED_DIVISOR: usize = 4;
+/// Workspaces with fewer recent requests are removed.
+const MIN_REQUESTS: f64 = 0.05;
+/// The number of requests that the average over all workspaces counts for in the estimate for one of them. Without it,
+/// the few requests that one owner gets of a small workspace would often look like too many.
+const PRIOR_REQUESTS: f64 = 2.0;
+/// How much further than expected a workspace may be thinned at the entries without distorting its estimated demand.
+const THINNING_MARGIN: f64 = 1.5;
+/// The minimum number of buckets that are counted.
+const MIN_COUNTED_BUCKETS: f64 = 4.0;
+/// The number of shedding buckets of a rank.
+const BUCKETS: f64 = 256.0;
+/// The minimum weight, so that a workspace whose quota is zero can be compared with others.
+const MIN_WEIGHT: f64 = 0.001;
+
+/// Number of steps on the wire that stand for a demand that equals the fair share.
+pub const SHARE_STEPS: u16 = 256;
+
+/// Counts the demand of each workspace among the root requests that reach an owner.
+///
+/// Entries refuse the lowest shedding buckets of a workspace. So the demand of one that is thinned is estimated from
+/// its highest buckets alone, and doesn't depend on how much of it is refused: nothing swings between owners and
+/// entries.
+#[derive(Clone, Debug, Default)]
+pub struct WorkspaceDemand {
+    workspaces: HashMap<CallerId, Demand>,
+    /// All workspaces without an entry of their own.
+    others: Demand,
+    /// The workspaces by demand per weight, highest first.
+    ranking: Vec<Ranked>,
+    /// The sum of the estimated demand.
+    total: f64,
+    /// The demand per weight of all workspaces together.
+    mean_ratio: f64,
+    refreshed_at: Now,
+}
+
+/// Recent demand.
+#[derive(Clone, Copy, Debug, Default)]
+struct Demand {
+    /// The counted requests, each with those that it stands for.
+    estimate: f64,
+    /// The counted requests.
+    requests: f64,
+    weight: f64,
+}
+
+/// A workspace in the ranking.
+#[derive(Clone, Copy, Debug)]
+struct Ranked {
+    /// The demand per weight.
+    ratio: f64,
+    /// The demand of this workspace and those before it.
+    demand: f64,
+    /// The weight of this workspace and those before it.
+    weight: f64,
+}
+
+impl Demand {
+    fn add(&mut self, represented: f64) {
+        self.estimate += represented;
+        self.requests += 1.0;
+    }
+
+    fn decay(&mut self, kept: f64) {
+        self.estimate *= kept;
+        self.requests *= kept;
+    }
+
+    /// Returns the estimated demand per weight.
+    fn ratio(&self, mean_ratio: f64) -> f64 {
+        let own = self.requests * self.estimate / self.weight.max(MIN_WEIGHT);
+        (own + PRIOR_REQUESTS * mean_ratio) / (self.requests + PRIOR_REQUESTS)
+    }
+}
+
+impl WorkspaceDemand {
+    /// Records a root request of a workspace, whose entry refuses `refused_fraction` of the request's rank. Returns the
+    /// demand of the workspace relative to its fair share in steps of 1/[`SHARE_STEPS`], or 0 if nothing is known yet.
+    ///
+    /// The request itself isn't included in the returned value: a workspace that rarely sends would otherwise be judged
+    /// only at times when it has just sent.
+    pub fn observe(
+        &mut self,
+        now: Now,
+        workspace: CallerId,
+        weight: f64,
+        bucket: u8,
+        refused_fraction: f64,
+    ) -> u16 {
+        self.refresh(now);
+        let share_used = self.share_used(workspace, refused_fraction);
+        let counted_buckets = counted_buckets(share_used.unwrap_or(0.0));
+        if f64::from(bucket) >= BUCKETS - counted_buckets {
+            self.count(workspace, weight, BUCKETS / counted_buckets);
+        }
+        share_used.map_or(0, to_steps)
+    }
+
+    /// Returns the number of workspaces that are counted one by one.
+    pub fn workspace_count(&self) -> usize {
+        self.workspaces.len()
+    }
+
+    fn count(&mut self, workspace: CallerId, weight: f64, represented: f64) {
+        let weight = weight.max(MIN_WEIGHT);
+        let is_full = self.workspaces.len() >= MAX_WORKSPACES;
+        if is_full && !self.workspaces.contains_key(&workspace) {
+            self.others.add(represented);
+            self.others.weight += weight;
+            return;
+        }
+        let demand = self.workspaces.entry(workspace).or_default();
+        demand.add(represented);
+        demand.weight = weight;
+    }
+
+    /// Returns the demand of a workspace relative to its fair share; `None` before the first ranking.
+    fn share_used(&self, workspace: CallerId, refused_fraction: f64) -> Option<f64> {
+        let fair_ratio = self.fair_ratio(refused_fraction)?;
+        let demand = self.workspaces.get(&workspace).unwrap_or(&self.others);
+        Some(demand.ratio(self.mean_ratio) / fair_ratio)
+    }
+
+    /// Returns the demand per weight up to which workspaces are served in full, so that cutting all others to it
+    /// refuses this fraction of the total demand.
+    fn fair_ratio(&self, refused_fraction: f64) -> Option<f64> {
+        let refused = refused_fraction * self.total;
+        let cut_count = self
+            .ranking
+            .partition_point(|ranked| ranked.demand - ranked.ratio * ranked.weight <= refused);
+        let last_cut = self.ranking.get(cut_count.saturating_sub(1))?;
+        let ratio = (last_cut.demand - refused) / last_cut.weight;
+        (ratio > 0.0).then_some(ratio)
+    }
+
+    fn refresh(&mut self, now: Now) {
+        let elapsed = now.saturating_sub(self.refreshed_at);
+        if elapsed < REFRESH_INTERVAL {
+            return;
+        }
+        self.refreshed_at = now;
+        let kept = (-elapsed.as_secs_f64() / DECAY_TIME.as_secs_f64()).exp();
+        self.others.decay(kept);
+        self.others.weight *= kept;
+        for demand in self.workspaces.values_mut() {
+            demand.decay(kept);
+        }
+        self.workspaces
+            .retain(|_, demand| demand.requests >= MIN_REQUESTS);
+        if self.workspaces.len() >= MAX_WORKSPACES {
+            self.evict();
+        }
+        self.rank();
+    }
+
+    /// Removes the workspaces with the least demand per weight and counts them with the others.
+    fn evict(&mut self) {
+        let mut ratios: Vec<f64> = self
+            .workspaces
+            .values()
+            .map(|demand| demand.estimate / demand.weight)
+            .collect();
+        let evicted_count = ratios.len() / EVICTED_DIVISOR;
+        let (_, highest_evicted, _) = ratios.select_nth_unstable_by(evicted_count, f64::total_cmp);
+        let highest_evicted = *highest_evicted;
+        let others = &mut self.others;
+        self.workspaces.retain(|_, demand| {
+            let is_kept = demand.estimate / demand.weight > highest_evicted;
+            if !is_kept {
+                others.estimate += demand.estimate;
+                others.requests += demand.requests;
+                others.weight += demand.weight * demand.requests.min(1.0);
+            }
+            is_kept
+        });
+    }
+
+    fn rank(&mut self) {
+        let demands = self.workspaces.values().chain([&self.others]);
+        let (estimate, weight) = demands
+            .clone()
+            .fold((0.0, 0.0), |(estimate, weight), demand| {
+                (estimate + demand.estimate, weight + demand.weight)
+            });
+        self.mean_ratio = estimate / f64::max(weight, MIN_WEIGHT);
+        let mean_ratio = self.mean_ratio;
+        self.ranking.clear();
+        let ranked = demands
+            .filter(|demand| demand.requests > 0.0)
+            .map(|demand| {
+                let ratio = demand.ratio(mean_ratio);
+                Ranked {
+                    ratio,
+                    demand: ratio * demand.weight,
+                    weight: demand.weight,
+                }
+            });
+        self.ranking.extend(ranked);
+        self.ranking
+            .sort_unstable_by(|a, b| b.ratio.total_cmp(&a.ratio));
+        let (mut demand, mut weight) = (0.0, 0.0);
+        for ranked in &mut self.ranking {
+            demand += ranked.demand;
+            weight += ranked.weight;
+            (ranked.demand, ranked.weight) = (demand, weight);
+        }
+        self.total = demand;
+    }
+}
+
+/// Returns how many of the highest buckets are counted for a workspace, few enough that its entries refuse none.
+fn counted_buckets(share_used: f64) -> f64 {
+    let fraction = 1.0 / (share_used * THINNING_MARGIN).max(1.0);
+    (fraction * BUCKETS).floor().max(MIN_COUNTED_BUCKETS)
+}
+
+fn to_steps(share_used: f64) -> u16 {
+    (share_used * f64::from(SHARE_STEPS)).clamp(1.0, f64::from(u16::MAX)) as u16
+}
--- a/crates/sorrelturn-policy/src/lib.rs
+++ b/crates/sorrelturn-policy/src/lib.rs
@@ -6,6 +6,7 @@
 mod call_graph;
 mod cold_limiter;
 mod concurrency_tuner;
+mod fair_shares;
 mod freshness;
 mod gate;
 mod in_progress;
@@ -21,6 +22,7 @@
 mod retry_detector;
 mod retry_window;
 mod routing;
+mod share_table;
 mod shedding_level;
 
 pub use announced_limit::{AnnouncedLimit, NamedLimit};
@@ -29,6 +31,7 @@
 pub use call_graph::{CallGraph, Candidate};
 pub use cold_limiter::{ColdLimiter, ColdRate};
 pub use concurrency_tuner::{ConcurrencyTuner, TuningSample};
+pub use fair_shares::{SHARE_STEPS, WorkspaceDemand};
 pub use freshness::Freshness;
 pub use gate::{Arrival, Decision, Gate, GateConfig, Released};
 pub use in_progress::InProgressRequests;
@@ -44,7 +47,8 @@
 pub use retry_detector::{RetryDetector, bucket_for_at_most_once, bucket_for_retry};
 pub use retry_window::RetryWindow;
 pub use routing::{Instance, InstanceReport, choose};
-pub use shedding_level::{LEVEL_STEPS, SheddingLevel, refuses};
+pub use share_table::ShareTable;
+pub use shedding_level::{LEVEL_STEPS, SheddingLevel, refused_fraction, refuses};
 
 /// A point in time: the time since the process started, including time that its VM was suspended.
 pub type Now = std::time::Duration;
