--- a/crates/sorrelturn-policy/src/fair_shares.rs
+++ b/crates/sorrelturn-policy/src/fair_shares.rs
@@ -17,11 +17,17 @@
 const MIN_REQUESTS: f64 = 0.05;
 /// The number of requests that the average over all workspaces counts for in the estimate for one of them. Without it,
 /// the few requests that one owner gets of a small workspace would often look like too many.
-const PRIOR_REQUESTS: f64 = 2.0;
+const PRIOR_REQUESTS: f64 = 8.0;
 /// How much further than expected a workspace may be thinned at the entries without distorting its estimated demand.
 const THINNING_MARGIN: f64 = 1.5;
 /// The minimum number of buckets that are counted.
 const MIN_COUNTED_BUCKETS: f64 = 4.0;
+/// Time constant of the correction of the refused fraction.
+const CORRECTION_TIME: Duration = Duration::from_secs(5);
+/// The maximum correction of the refused fraction, as a natural logarithm.
+const MAX_CORRECTION: f64 = 0.35;
+/// The maximum fraction that is refused, so that a fair share is never zero.
+const MAX_REFUSED_FRACTION: f64 = 0.96;
 /// The number of shedding buckets of a rank.
 const BUCKETS: f64 = 256.0;
 /// The minimum weight, so that a workspace whose quota is zero can be compared with others.
@@ -38,12 +44,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct WorkspaceDemand {
     workspaces: HashMap<CallerId, Demand>,
-    /// All workspaces without an entry of their own.
+    /// All workspaces without an entry of their own. Each is taken to be average.
     others: Demand,
     /// The workspaces by demand per weight, highest first.
     ranking: Vec<Ranked>,
     /// The sum of the estimated demand.
     total: f64,
+    /// The demand that the requests stand for according to the levels at which they were admitted.
+    total_by_level: f64,
+    /// The logarithm of the factor by which the refused fraction is corrected.
+    correction: f64,
     /// The demand per weight of all workspaces together.
     mean_ratio: f64,
     refreshed_at: Now,
@@ -66,16 +76,33 @@
     ratio: f64,
     /// The demand of this workspace and those before it.
     demand: f64,
-    /// The weight of this workspace and those before it.
+    /// The sum over the same workspaces of the weights at which their demand has their ratio.
     weight: f64,
 }
 
+impl Ranked {
+    fn new(demand: &Demand, ratio: f64) -> Self {
+        Self {
+            ratio,
+            demand: demand.estimate,
+            weight: demand.estimate / ratio,
+        }
+    }
+}
+
 impl Demand {
     fn add(&mut self, represented: f64) {
         self.estimate += represented;
         self.requests += 1.0;
     }
 
+    /// Adds the demand of a workspace that is no longer counted by itself.
+    fn include(&mut self, demand: &Demand) {
+        self.estimate += demand.estimate;
+        self.requests += demand.requests;
+        self.weight += demand.weight * demand.requests.min(1.0);
+    }
+
     fn decay(&mut self, kept: f64) {
         self.estimate *= kept;
         self.requests *= kept;
@@ -103,6 +130,7 @@
         refused_fraction: f64,
     ) -> u16 {
         self.refresh(now);
+        self.total_by_level += 1.0 / (1.0 - refused_fraction.min(MAX_REFUSED_FRACTION));
         let share_used = self.share_used(workspace, refused_fraction);
         let counted_buckets = counted_buckets(share_used.unwrap_or(0.0));
         if f64::from(bucket) >= BUCKETS - counted_buckets {
@@ -132,14 +160,16 @@
     /// Returns the demand of a workspace relative to its fair share; `None` before the first ranking.
     fn share_used(&self, workspace: CallerId, refused_fraction: f64) -> Option<f64> {
         let fair_ratio = self.fair_ratio(refused_fraction)?;
-        let demand = self.workspaces.get(&workspace).unwrap_or(&self.others);
-        Some(demand.ratio(self.mean_ratio) / fair_ratio)
+        let demand = self.workspaces.get(&workspace);
+        let ratio = demand.map_or(self.mean_ratio, |demand| demand.ratio(self.mean_ratio));
+        Some(ratio / fair_ratio)
     }
 
     /// Returns the demand per weight up to which workspaces are served in full, so that cutting all others to it
     /// refuses this fraction of the total demand.
     fn fair_ratio(&self, refused_fraction: f64) -> Option<f64> {
-        let refused = refused_fraction * self.total;
+        let fraction = (refused_fraction * self.correction.exp()).min(MAX_REFUSED_FRACTION);
+        let refused = fraction * self.total;
         let cut_count = self
             .ranking
             .partition_point(|ranked| ranked.demand - ranked.ratio * ranked.weight <= refused);
@@ -160,12 +190,25 @@
         for demand in self.workspaces.values_mut() {
             demand.decay(kept);
         }
-        self.workspaces
-            .retain(|_, demand| demand.requests >= MIN_REQUESTS);
+        self.remove(|demand| demand.requests < MIN_REQUESTS);
         if self.workspaces.len() >= MAX_WORKSPACES {
             self.evict();
         }
         self.rank();
+        self.total_by_level *= kept;
+        self.correct(elapsed);
+    }
+
+    /// Adapts the correction to how much the entries let in. They refuse by shares that were estimated from few
+    /// requests, so that the sum may differ from what the level says.
+    fn correct(&mut self, elapsed: Duration) {
+        if self.total <= 0.0 || self.total_by_level <= 0.0 {
+            return;
+        }
+        let error = (self.total_by_level / self.total).ln();
+        let gain = (elapsed.as_secs_f64() / CORRECTION_TIME.as_secs_f64()).min(1.0);
+        let correction = self.correction + error * gain;
+        self.correction = correction.clamp(-MAX_CORRECTION, MAX_CORRECTION);
     }
 
     /// Removes the workspaces with the least demand per weight and counts them with the others.
@@ -178,13 +221,16 @@
         let evicted_count = ratios.len() / EVICTED_DIVISOR;
         let (_, highest_evicted, _) = ratios.select_nth_unstable_by(evicted_count, f64::total_cmp);
         let highest_evicted = *highest_evicted;
+        self.remove(|demand| demand.estimate / demand.weight <= highest_evicted);
+    }
+
+    /// Removes workspaces and counts them with the others.
+    fn remove(&mut self, is_removed: impl Fn(&Demand) -> bool) {
         let others = &mut self.others;
         self.workspaces.retain(|_, demand| {
-            let is_kept = demand.estimate / demand.weight > highest_evicted;
+            let is_kept = !is_removed(demand);
             if !is_kept {
-                others.estimate += demand.estimate;
-                others.requests += demand.requests;
-                others.weight += demand.weight * demand.requests.min(1.0);
+                others.include(demand);
             }
             is_kept
         });
@@ -192,25 +238,19 @@
 
     fn rank(&mut self) {
         let demands = self.workspaces.values().chain([&self.others]);
-        let (estimate, weight) = demands
-            .clone()
-            .fold((0.0, 0.0), |(estimate, weight), demand| {
-                (estimate + demand.estimate, weight + demand.weight)
-            });
-        self.mean_ratio = estimate / f64::max(weight, MIN_WEIGHT);
-        let mean_ratio = self.mean_ratio;
+        let (estimate, weight) = demands.fold((0.0, 0.0), |(estimate, weight), demand| {
+            (estimate + demand.estimate, weight + demand.weight)
+        });
+        let mean_ratio = estimate / f64::max(weight, MIN_WEIGHT);
+        let others = Ranked::new(&self.others, mean_ratio);
+        let others = (self.others.estimate > 0.0).then_some(others);
+        let ranked = self
+            .workspaces
+            .values()
+            .map(|demand| Ranked::new(demand, demand.ratio(mean_ratio)));
         self.ranking.clear();
-        let ranked = demands
-            .filter(|demand| demand.requests > 0.0)
-            .map(|demand| {
-                let ratio = demand.ratio(mean_ratio);
-                Ranked {
-                    ratio,
-                    demand: ratio * demand.weight,
-                    weight: demand.weight,
-                }
-            });
-        self.ranking.extend(ranked);
+        self.ranking.extend(ranked.chain(others));
+        self.mean_ratio = mean_ratio;
         self.ranking
             .sort_unstable_by(|a, b| b.ratio.total_cmp(&a.ratio));
         let (mut demand, mut weight) = (0.0, 0.0);
