Entries refuse workspaces above their fair share first

A workspace that pressed took the room of all others in its rank, because the order within a rank was that of a hash of ids. Where shares decide (routes.contention.fair_shares, or quotas), an entry says in each call which fraction of the rank it refuses; the owner answers with the workspace's demand relative to its share at that fraction, and the entry moves the buckets of later requests by it. Without a statement, and where the switch is off, every bucket is as before; a call's header grows by one byte.

--- a/crates/sorrelturn-command/src/commands/workspaces.rs
+++ b/crates/sorrelturn-command/src/commands/workspaces.rs
@@ -51,6 +51,8 @@
         "LET IN",
         "OVER QUOTA",
         "UNDECIDED",
+        "NO ROOM",
+        "SHARE USED",
         "KNOWLEDGE",
     ];
     Ok(Output::table(&heads, &rows, &reports))
@@ -69,6 +71,8 @@
         leased,
         empty_cell(),
         empty_cell(),
+        empty_cell(),
+        empty_cell(),
         age,
     ]
 }
@@ -76,6 +80,8 @@
 fn workspace_row(name: &str, usage: &WorkspaceUsage) -> Vec<String> {
     let limit =
         |limit: Option<f64>| limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+    let share_used = usage.share_used;
+    let share_used = share_used.map_or_else(String::new, |used| format!("{used:.2}"));
     vec![
         name.to_owned(),
         limit(usage.rate_per_second),
@@ -83,6 +89,8 @@
         usage.let_in.to_string(),
         usage.over_quota.to_string(),
         usage.undecided.to_string(),
+        usage.refused_for_load.to_string(),
+        share_used,
         String::new(),
     ]
 }
@@ -97,6 +105,12 @@
         sum.let_in += usage.let_in;
         sum.over_quota += usage.over_quota;
         sum.undecided += usage.undecided;
+        sum.refused_for_load += usage.refused_for_load;
+        sum.share_used = higher(sum.share_used, usage.share_used);
     }
     sums
 }
+
+fn higher(a: Option<f64>, b: Option<f64>) -> Option<f64> {
+    a.into_iter().chain(b).reduce(f64::max)
+}
--- a/crates/sorrelturn-daemon/src/config/in_force.rs
+++ b/crates/sorrelturn-daemon/src/config/in_force.rs
@@ -7,6 +7,7 @@
 };
 use sorrelturn_policy::{
     LearnedThreshold, Now, RateBucket, RefusalStreak, RetryBucket, RetryDetector, RetryWindow,
+    ShareTable,
 };
 use sorrelturn_protocol::{CallerId, Importance, Priority};
 use std::{
@@ -109,6 +110,8 @@
     callee_unavailable_at: LastTime,
     /// Detects retries of callers by the remaining time of their requests.
     pub(crate) retry_detector: Mutex<RetryDetector>,
+    /// The fair shares of workspaces, according to the responses.
+    pub(crate) shares: Mutex<ShareTable>,
     /// How long this daemon has been refusing requests of this kind as the entry.
     pub(crate) refusal_streak: Mutex<RefusalStreak>,
 }
@@ -240,6 +243,15 @@
         )
     }
 
+    /// Returns the highest demand of a workspace relative to its fair share over all kinds, in steps of
+    /// 1/[`SHARE_STEPS`](sorrelturn_policy::SHARE_STEPS); `None` if no response stated any lately.
+    pub(crate) fn share_used(&self, now: Now, workspace: CallerId) -> Option<u16> {
+        let states = self.kinds.values();
+        states
+            .filter_map(|state| lock(&state.shares).share_used(now, workspace))
+            .max()
+    }
+
     /// Returns the highest known threshold of the kinds that a kind calls.
     pub(crate) fn threshold_below(&self, kind: &KindEntry, now: Now) -> Priority {
         self.max_threshold(kind.kind.calls.keys().map(String::as_str), now)
@@ -314,6 +326,7 @@
             was_answered: AtomicBool::new(false),
             callee_unavailable_at: LastTime::default(),
             retry_detector: Mutex::default(),
+            shares: Mutex::default(),
             refusal_streak: Mutex::default(),
         })
     }
--- a/crates/sorrelturn-daemon/src/operators/workspaces.rs
+++ b/crates/sorrelturn-daemon/src/operators/workspaces.rs
@@ -3,6 +3,7 @@
 use crate::node::{Node, lock};
 use serde::{Deserialize, Serialize};
 use sorrelturn_bundle::WorkspaceEntry;
+use sorrelturn_policy::SHARE_STEPS;
 use sorrelturn_protocol::CallerId;
 use std::{collections::BTreeMap, sync::Mutex};
 
@@ -35,6 +36,13 @@
     pub over_quota: u64,
     /// Requests refused at this entry because the remaining quota was unknown.
     pub undecided: u64,
+    /// Requests refused at this entry because a service lacked room.
+    #[serde(default)]
+    pub refused_for_load: u64,
+    /// The demand relative to the fair share, the highest over all kinds of requests; above 1, the workspace is refused
+    /// first. Absent if no answer stated it lately.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub share_used: Option<f64>,
 }
 
 /// The counts of all workspaces at one entry.
@@ -63,12 +71,23 @@
     }
 }
 
+fn usage(node: &Node, workspace: &WorkspaceEntry) -> WorkspaceUsage {
+    let in_force = node.in_force.load();
+    let share_used = in_force
+        .as_ref()
+        .and_then(|in_force| in_force.share_used(node.now(), workspace.id));
+    WorkspaceUsage {
+        share_used: share_used.map(|steps| f64::from(steps) / f64::from(SHARE_STEPS)),
+        ..node.quota.counts.usage(workspace)
+    }
+}
+
 pub(crate) fn report(node: &Node) -> WorkspacesReport {
     let in_force = node.in_force.load();
     let workspaces = in_force
         .iter()
         .flat_map(|in_force| in_force.bundle.workspaces())
-        .map(|workspace| (workspace.name.clone(), node.quota.counts.usage(workspace)))
+        .map(|workspace| (workspace.name.clone(), usage(node, workspace)))
         .collect();
     WorkspacesReport {
         instance: node.settings.instance.clone(),
--- a/crates/sorrelturn-daemon/src/request/entry.rs
+++ b/crates/sorrelturn-daemon/src/request/entry.rs
@@ -205,6 +205,7 @@
         token: None,
         caller: caller.id,
         level: 0,
+        refused_fraction: 0,
         repeated: false,
         names: RequestFingerprints::default(),
         work_times_reported: node.contention.work_times_reported(),
--- a/crates/sorrelturn-daemon/src/request/forward.rs
+++ b/crates/sorrelturn-daemon/src/request/forward.rs
@@ -12,6 +12,7 @@
     request::answer::Reply,
     request::body::Body,
     request::exchange::{Failure, exchange, instance_report},
+    request::fair_shares,
     request::owner,
     request::payload::Payload,
     request::tokens,
@@ -334,6 +335,7 @@
     }
     if let Some(report) = &answer.contention {
         apply_contention_report(node, report);
+        fair_shares::record_share(node.now(), kind_state, &call.context, report.share_used);
     }
     if answer.refusal == Some(Refusal::NoInstanceBelow) {
         kind_state.record_no_instance_below(node.now());
--- a/crates/sorrelturn-daemon/src/request/mod.rs
+++ b/crates/sorrelturn-daemon/src/request/mod.rs
@@ -15,6 +15,7 @@
 pub(crate) mod dialect;
 pub(crate) mod entry;
 pub(crate) mod exchange;
+pub(crate) mod fair_shares;
 pub(crate) mod fingerprint;
 pub(crate) mod forward;
 pub(crate) mod headers;
--- a/crates/sorrelturn-daemon/src/request/nested.rs
+++ b/crates/sorrelturn-daemon/src/request/nested.rs
@@ -123,6 +123,7 @@
         token: None,
         caller: parent.map_or(CallerId::default(), |parent| parent.context.caller),
         level: 0,
+        refused_fraction: 0,
         repeated: parent.is_some_and(|parent| parent.context.repeated),
         names: RequestFingerprints::default(),
         work_times_reported: node.contention.work_times_reported(),
--- a/crates/sorrelturn-daemon/src/request/owner.rs
+++ b/crates/sorrelturn-daemon/src/request/owner.rs
@@ -7,6 +7,7 @@
     node::{ActiveRequest, MemoryDemand, Node, lock},
     request::answer::Reply,
     request::body::Body,
+    request::fair_shares,
     request::headers,
     request::hop::Hop,
     request::tokens,
@@ -26,6 +27,7 @@
     if context.work_times_reported {
         node.record_work_times_reported();
     }
+    let share_used = fair_shares::observe_demand(node, &context);
     let mut reply = if req.uri().path() == tokens::ISSUE_PATH {
         refund_attempts(tokens::issue(node), context.attempts)
     } else {
@@ -40,7 +42,7 @@
     answer.bundle_version = node.bundle_version();
     answer.incarnation = node.incarnation;
     answer.leaving = node.is_leaving();
-    answer.contention = contention_report(node);
+    answer.contention = contention_report(node, share_used);
     node.admission.with_gate(|gate, now| {
         answer.load = gate.load_percent(now);
         answer.threshold = answer.threshold.max(gate.threshold(now));
@@ -59,10 +61,12 @@
 }
 
 /// Returns what the forwarding daemon needs for its mechanisms for contention; `None` if none is on.
-fn contention_report(node: &Node) -> Option<ContentionReport> {
+fn contention_report(node: &Node, share_used: u16) -> Option<ContentionReport> {
     let work_times_reported = node.contention.work_times_reported();
-    work_times_reported.then_some(ContentionReport {
+    let is_needed = work_times_reported || share_used > 0;
+    is_needed.then_some(ContentionReport {
         work_times_reported,
+        share_used,
         ..ContentionReport::default()
     })
 }
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -10,6 +10,7 @@
     request::answer::Reply,
     request::body::{self, Body},
     request::entry::target,
+    request::fair_shares,
     request::fingerprint,
     request::forward::{self, Call},
     request::headers,
@@ -24,7 +25,9 @@
 };
 use smol::future::FutureExt;
 use sorrelturn_bundle::{KindEntry, WorkspaceEntry};
-use sorrelturn_policy::{Now, bucket_for_at_most_once, bucket_for_retry, refuses};
+use sorrelturn_policy::{
+    Now, bucket_for_at_most_once, bucket_for_retry, refused_fraction, refuses,
+};
 use sorrelturn_protocol::{CallContext, CallerId, Refusal, RequestId, SpanId, Verdict};
 use sorrelturn_telemetry::{Field, events, metrics};
 use std::{
@@ -196,40 +199,76 @@
     let is_retry = resolved
         .remaining_ms
         .is_some_and(|remaining_ms| lock(&state.retry_detector).observe(remaining_ms));
-    let (kind_rank, rank_count) = resolved.in_force.root_rank(resolved.kind.importance());
-    // A workspace of higher importance raises the rank of its requests.
-    let rank = kind_rank
-        + resolved
-            .in_force
-            .rank_above_lowest(resolved.workspace.as_deref());
+    let (rank, rank_count) = root_rank(resolved);
+    let (bucket, share_used) = shedding_bucket(node, resolved, state, is_retry);
+    if !refuses(resolved.level, rank, rank_count, bucket) {
+        return Ok(());
+    }
+    let mut fields = vec![
+        Field::new("kind", &resolved.kind.name),
+        Field::new("reason", Refusal::Overload.name()),
+        Field::new("level", resolved.level),
+        Field::new("rank", rank),
+        Field::new("bucket", bucket),
+        Field::new("was_tried", is_retry),
+    ];
+    if let Some(share_used) = share_used {
+        fields.push(Field::new("share_used", share_used));
+    }
+    if let Some(workspace) = &resolved.workspace {
+        fair_shares::count_refusal(node, workspace, share_used);
+    }
+    node.events
+        .record(&events::REFUSED, Some(resolved.request_id), fields);
+    let retry_after =
+        lock(&state.refusal_streak).record_refusal(node.now(), &mut fastrand::Rng::new());
+    Err(Reply::not_run(Refusal::Overload).with_retry_after(retry_after))
+}
+
+/// Returns the rank of a root request, and how many ranks there are. A workspace of higher importance raises the rank of
+/// its requests.
+fn root_rank(resolved: &ResolvedRequest) -> (usize, usize) {
+    let in_force = &resolved.in_force;
+    let (kind_rank, rank_count) = in_force.root_rank(resolved.kind.importance());
+    let rank = kind_rank + in_force.rank_above_lowest(resolved.workspace.as_deref());
+    (rank, rank_count)
+}
+
+/// Returns the bucket of a root request within its rank, and the demand of its workspace relative to the fair share that
+/// the bucket follows from, if any.
+fn shedding_bucket(
+    node: &Node,
+    resolved: &ResolvedRequest,
+    state: &KindState,
+    is_retry: bool,
+) -> (u8, Option<u16>) {
+    let in_force = &resolved.in_force;
     let mut bucket = resolved.request_id.shedding_bucket();
-    if resolved
-        .in_force
-        .is_at_most_once_among_repeatable(&resolved.kind)
-    {
+    if in_force.is_at_most_once_among_repeatable(&resolved.kind) {
         bucket = bucket_for_at_most_once(bucket);
     }
     if is_retry {
+        let (rank, _) = root_rank(resolved);
         bucket = bucket_for_retry(bucket, rank);
     }
-    if !refuses(resolved.level, rank, rank_count, bucket) {
-        return Ok(());
+    let Some(fraction) = fraction_to_share(node, resolved) else {
+        return (bucket, None);
+    };
+    let workspace = resolved.workspace.as_ref().map(|workspace| workspace.id);
+    let (now, workspace) = (node.now(), workspace.unwrap_or_default());
+    let shares = lock(&state.shares);
+    let bucket = shares.bucket(now, workspace, fraction, bucket);
+    (bucket, shares.share_used(now, workspace))
+}
+
+/// Returns the fraction of a root request's rank that is refused, if workspaces are refused by their fair shares.
+fn fraction_to_share(node: &Node, resolved: &ResolvedRequest) -> Option<f64> {
+    let shares_fairly = node.contention.shares_fairly(&resolved.in_force);
+    if resolved.is_nested_call || resolved.workspace.is_none() || !shares_fairly {
+        return None;
     }
-    node.events.record(
-        &events::REFUSED,
-        Some(resolved.request_id),
-        vec![
-            Field::new("kind", &resolved.kind.name),
-            Field::new("reason", Refusal::Overload.name()),
-            Field::new("level", resolved.level),
-            Field::new("rank", rank),
-            Field::new("bucket", bucket),
-            Field::new("was_tried", is_retry),
-        ],
-    );
-    let retry_after =
-        lock(&state.refusal_streak).record_refusal(node.now(), &mut fastrand::Rng::new());
-    Err(Reply::not_run(Refusal::Overload).with_retry_after(retry_after))
+    let (rank, rank_count) = root_rank(resolved);
+    Some(refused_fraction(resolved.level, rank, rank_count))
 }
 
 async fn forward_request(
@@ -264,6 +303,7 @@
         true => (in_progress.mean_level(), in_progress.repeated_fraction()),
         false => (resolved.level, 0.0),
     };
+    let refused_fraction = fraction_to_share(node, &resolved).map_or(0, fair_shares::to_steps);
     let context = CallContext {
         request: resolved.request_id,
         trace: resolved.request_id.0,
@@ -277,6 +317,7 @@
         token: None,
         caller,
         level,
+        refused_fraction,
         repeated: repeated_fraction > 0.5,
         names: fingerprints,
         work_times_reported: node.contention.work_times_reported(),
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -355,6 +355,7 @@
         in_force: ArcSwapOption::empty(),
         route_staleness: RouteStaleness::new(clock.now()),
         contention: Contention::new(contention.unwrap_or_default()),
+        workspace_demand: Mutex::default(),
         quota: Quota::new(
             incarnation,
             quota_bound.unwrap_or_default(),
--- a/crates/sorrelturn-protocol/src/context.rs
+++ b/crates/sorrelturn-protocol/src/context.rs
@@ -36,6 +36,9 @@
     /// The shedding level at which the root request was admitted, in steps of 1/256. If a nested call's parent is
     /// unknown: the mean level of the requests in progress at the calling backend server.
     pub level: u16,
+    /// The fraction of the root request's rank that its entry refused, in steps of 1/256; 0 if fair shares don't
+    /// matter. See `docs/design/fair-shares.md`.
+    pub refused_fraction: u8,
     /// Whether the request may have run before, so that nested calls may be repeats.
     pub repeated: bool,
     /// Identify the request to the quarantine.
--- a/crates/sorrelturn-protocol/tests/headers_round_trip.rs
+++ b/crates/sorrelturn-protocol/tests/headers_round_trip.rs
@@ -27,6 +27,7 @@
             with_query: Some(RequestFingerprint(nonce as u64)),
         },
         work_times_reported: true,
+        refused_fraction: nonce as u8,
     }
 }
 
--- a/crates/sorrelturn-telemetry/src/metrics.rs
+++ b/crates/sorrelturn-telemetry/src/metrics.rs
@@ -36,6 +36,7 @@
     REQUESTS = Counter "requests" "Root requests by importance and verdict.";
     REFUSALS = Counter "refusals" "Refusals on this daemon by importance and reason.";
     ENTRY_REFUSALS = Counter "entry.refusals" "Refusals of requests at their entry daemon, by reason.";
+    SHARE_REFUSALS = Counter "entry.share_refusals" "Refusals for load at the entry, by whether the workspace was above or below its fair share.";
     KNOWLEDGE_AGE = Gauge "knowledge.age" "The staleness of the route table, in milliseconds.";
     RETRIES = Counter "retries" "Retries that may have caused an additional execution.";
     HOP_TIME = Timer "hop.time" "The time from a root request's arrival at its entry to the head of its answer, by importance.";
