--- a/crates/sorrelturn-daemon/src/request/owner.rs
+++ b/crates/sorrelturn-daemon/src/request/owner.rs
@@ -8,6 +8,7 @@
     node::{ActiveRequest, MemoryDemand, Node, lock},
     request::answer::Reply,
     request::body::Body,
+    request::fair_shares,
     request::headers,
     request::hop::{self, Hop},
     request::tokens,
@@ -27,6 +28,7 @@
     if context.work_times_reported {
         node.record_work_times_reported();
     }
+    let share_used = fair_shares::observe_demand(node, &context);
     let mut reply = if req.uri().path() == tokens::ISSUE_PATH {
         refund_attempts(tokens::issue(node), context.attempts)
     } else {
@@ -45,7 +47,7 @@
     answer.bundle_version = node.bundle_version();
     answer.incarnation = node.incarnation;
     answer.leaving = node.is_leaving();
-    answer.contention = contention_report(node, level_below);
+    answer.contention = contention_report(node, level_below, share_used);
     node.admission.with_gate(|gate, now| {
         answer.load = gate.load_percent(now);
         answer.threshold = answer.threshold.max(gate.threshold(now));
@@ -65,15 +67,20 @@
 
 /// Returns what the forwarding daemon needs for its mechanisms for contention; `None` if none is on. `level_below` is the
 /// level of the services that the kind calls.
-fn contention_report(node: &Node, level_below: Priority) -> Option<ContentionReport> {
+fn contention_report(
+    node: &Node,
+    level_below: Priority,
+    share_used: u16,
+) -> Option<ContentionReport> {
     let work_times_reported = node.contention.work_times_reported();
     let pools_room = node.contention.pools_room();
-    if !(work_times_reported || pools_room) {
+    if !(work_times_reported || pools_room || share_used > 0) {
         return None;
     }
     let mut report = ContentionReport {
         work_times_reported,
         expected_ms: work_times::expected_ms(node),
+        share_used,
         ..ContentionReport::default()
     };
     if pools_room {
--- a/crates/sorrelturn-protocol/tests/headers_round_trip.rs
+++ b/crates/sorrelturn-protocol/tests/headers_round_trip.rs
@@ -28,6 +28,7 @@
         },
         work_times_reported: true,
         root_precedence: Precedence::new(Importance::High, true),
+        refused_fraction: nonce as u8,
     }
 }
 
