--- /dev/null
+++ b/crates/sorrelturn-policy/src/entry_rate.rs
@@ -0,0 +1,107 @@
+//! The rate at which an entry daemon may let in root requests of one kind.
+//! See `docs/design/entry-queue.md`.
+
+use crate::{Now, shedding_level::refused_fraction};
+use std::time::Duration;
+
+/// Time over which arrivals are averaged. It equals that of the load in the shedding level, so that
+/// the arrivals times the share that the level admits is the room, also while both change.
+const ARRIVAL_SMOOTHING_TIME: Duration = Duration::from_millis(600);
+/// Time over which the known room rises towards what the level admits.
+const ROOM_RISE_TIME: Duration = Duration::from_secs(1);
+/// Time over which the known room falls after arrivals have become fewer. Room stays when arrivals
+/// fall; it is lost only if the level rises.
+const ROOM_FALL_TIME: Duration = Duration::from_secs(3);
+/// Rate without any refusals by the level, as a multiple of the arrivals, when no room is known.
+const UNREFUSED_RATE_FACTOR: f64 = 1.1;
+/// Number of ranks that are told apart; higher ones count as the highest of them.
+const MAX_RANKS: usize = 8;
+
+/// A learned shedding level and the number of ranks that it applies to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LevelInForce {
+    /// The level in steps of 1/[`LEVEL_STEPS`](crate::LEVEL_STEPS).
+    pub level: u16,
+    /// The number of ranks of root requests.
+    pub rank_count: usize,
+}
+
+/// Estimates the room of a kind at one entry daemon from its own arrivals and the learned level.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EntryRate {
+    updated_at: Now,
+    /// Smoothed first attempts per second, by rank.
+    arrivals: [f64; MAX_RANKS],
+    /// Requests per second that the level admits, or admitted before arrivals became fewer. Zero if
+    /// the level has refused nothing yet.
+    room: f64,
+    last_level: u16,
+}
+
+impl EntryRate {
+    /// Records the arrival of a first attempt. Retries aren't counted, since nearly all of them are
+    /// refused.
+    pub(crate) fn record_arrival(&mut self, rank: usize) {
+        self.arrivals[rank.min(MAX_RANKS - 1)] += 1.0 / ARRIVAL_SMOOTHING_TIME.as_secs_f64();
+    }
+
+    /// Updates the estimate. Returns the time since the last update in seconds.
+    pub(crate) fn update(&mut self, now: Now, level: LevelInForce) -> f64 {
+        let elapsed_s = now.saturating_sub(self.updated_at).as_secs_f64();
+        self.updated_at = self.updated_at.max(now);
+        let decay = (-elapsed_s / ARRIVAL_SMOOTHING_TIME.as_secs_f64()).exp();
+        for arrivals in &mut self.arrivals {
+            *arrivals *= decay;
+        }
+        self.update_room(elapsed_s, level);
+        self.last_level = level.level;
+        elapsed_s
+    }
+
+    fn update_room(&mut self, elapsed_s: f64, level: LevelInForce) {
+        let admitted = self.admitted(level);
+        if level.level > self.last_level {
+            let before = LevelInForce {
+                level: self.last_level,
+                ..level
+            };
+            let admitted_before = self.admitted(before);
+            if admitted_before > 0.0 {
+                self.room *= admitted / admitted_before;
+            }
+        }
+        if level.level == 0 {
+            self.room *= (-elapsed_s / ROOM_FALL_TIME.as_secs_f64()).exp();
+            return;
+        }
+        if self.room < admitted && self.last_level == 0 {
+            self.room = admitted;
+        }
+        let smoothing_time = match admitted > self.room {
+            true => ROOM_RISE_TIME,
+            false => ROOM_FALL_TIME,
+        };
+        let step = 1.0 - (-elapsed_s / smoothing_time.as_secs_f64()).exp();
+        self.room += (admitted - self.room) * step;
+    }
+
+    /// Returns the rate in requests per second at which requests may be let in.
+    pub(crate) fn per_second(&self) -> f64 {
+        if self.last_level > 0 {
+            return self.room;
+        }
+        let arrivals: f64 = self.arrivals.iter().sum();
+        self.room.max(arrivals * UNREFUSED_RATE_FACTOR)
+    }
+
+    /// Returns how many of the arrivals per second a level admits.
+    fn admitted(&self, level: LevelInForce) -> f64 {
+        let by_rank = self.arrivals.iter().enumerate();
+        by_rank
+            .map(|(rank, arrivals)| {
+                let refused = refused_fraction(level.level, rank, level.rank_count);
+                arrivals * (1.0 - refused).max(0.0)
+            })
+            .sum()
+    }
+}
--- a/crates/sorrelturn-policy/src/shedding_level.rs
+++ b/crates/sorrelturn-policy/src/shedding_level.rs
@@ -179,8 +179,13 @@
 /// `ranks` refuse more of all ranks alike, which protects a service that has lost nearly all of its
 /// instances.
 pub fn refuses(level: u16, rank: usize, ranks: usize, bucket: u8) -> bool {
+    f64::from(bucket) < refused_fraction(level, rank, ranks) * 256.0
+}
+
+/// Returns the fraction of a rank's root requests that a level refuses; see [`refuses`].
+pub(crate) fn refused_fraction(level: u16, rank: usize, ranks: usize) -> f64 {
     let level = f64::from(level) / f64::from(LEVEL_STEPS);
     let of_rank = refused_fraction_of_rank(level, rank);
     let extra = (level - ranks as f64).clamp(0.0, 1.0) * MAX_EXTRA_REFUSED_FRACTION;
-    f64::from(bucket) < (of_rank + extra) * 256.0
+    of_rank + extra
 }
