Root requests wait for room at their entry

Where the queue is on, a root request that the learnt level refuses may wait before its quota is taken and its body is read. After a wait the route and the credential are checked again, and the level sent on is that of the moment at which the request is let in. S120 and three metrics tell of waits. With the switch off, admission is unchanged.

--- a/crates/sorrelturn-daemon/src/config/in_force.rs
+++ b/crates/sorrelturn-daemon/src/config/in_force.rs
@@ -1,7 +1,10 @@
 //! The bundle in force, and the state that the daemon keeps for it: caller budgets, learned
 //! thresholds and retry windows.
 
-use crate::node::{LastTime, lock};
+use crate::{
+    node::{LastTime, lock},
+    request::entry_queue::WaitingRequests,
+};
 use sorrelturn_bundle::{
     Bundle, CallerEntry, KindEntry, SectionBytes, SignedManifest, WorkspaceEntry,
 };
@@ -111,6 +114,8 @@
     pub(crate) retry_detector: Mutex<RetryDetector>,
     /// How long this daemon has been refusing requests of this kind as the entry.
     pub(crate) refusal_streak: Mutex<RefusalStreak>,
+    /// The requests of this kind that wait here for room.
+    pub(crate) waiting: WaitingRequests,
 }
 
 impl InForce {
@@ -315,6 +320,7 @@
             callee_unavailable_at: LastTime::default(),
             retry_detector: Mutex::default(),
             refusal_streak: Mutex::default(),
+            waiting: WaitingRequests::default(),
         })
     }
 }
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -122,6 +122,8 @@
 pub(crate) struct Counts {
     /// Requests that this daemon handles now, in any role.
     pub(crate) active_requests: AtomicUsize,
+    /// Those of them that wait for room at their entry.
+    pub(crate) waiting_at_entry: AtomicUsize,
     /// Bytes of the buffered bodies of these requests.
     pub(crate) buffered_body_bytes: AtomicUsize,
     /// Open connections over all listeners.
--- a/crates/sorrelturn-daemon/src/operators/export.rs
+++ b/crates/sorrelturn-daemon/src/operators/export.rs
@@ -20,7 +20,7 @@
 use std::{
     io,
     net::{SocketAddr, UdpSocket},
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
@@ -145,12 +145,14 @@
     let rate_limit = node
         .admission
         .with_gate(|gate, _| gate.announced_limit().rate());
+    let waiting_at_entry = node.counts.waiting_at_entry.load(Ordering::Relaxed);
     let members = lock(&node.membership).present().count();
     let tokens = lock(&node.ledger).unexpired_count();
     let version = lock(&node.bundle_tracker).in_force();
     for (metric, value) in [
         (&metrics::IN_FLIGHT, u64::from(in_flight)),
         (&metrics::WAITING, waiting as u64),
+        (&metrics::ENTRY_WAITING, waiting_at_entry as u64),
         (&metrics::LIMIT, u64::from(limit)),
         (&metrics::RATE_LIMIT, rate_limit.map_or(0, rate_limit_gauge)),
         (&metrics::MEMBERS, members as u64),
--- a/crates/sorrelturn-daemon/src/request/mod.rs
+++ b/crates/sorrelturn-daemon/src/request/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod body;
 pub(crate) mod dialect;
 pub(crate) mod entry;
+pub(crate) mod entry_queue;
 pub(crate) mod exchange;
 pub(crate) mod fingerprint;
 pub(crate) mod forward;
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -10,6 +10,7 @@
     request::answer::Reply,
     request::body::{self, Body},
     request::entry::target,
+    request::entry_queue::{self, Admission},
     request::fingerprint,
     request::forward::{self, Call},
     request::headers,
@@ -24,7 +25,9 @@
 };
 use smol::future::FutureExt;
 use sorrelturn_bundle::{KindEntry, WorkspaceEntry};
-use sorrelturn_policy::{Now, bucket_for_at_most_once, bucket_for_retry, refuses};
+use sorrelturn_policy::{
+    EntryRequest, LevelInForce, Now, bucket_for_at_most_once, bucket_for_retry, refuses,
+};
 use sorrelturn_protocol::{CallContext, CallerId, Refusal, RequestId, SpanId, Verdict};
 use sorrelturn_telemetry::{Field, events, metrics};
 use std::{
@@ -148,10 +151,8 @@
         .and_then(|text| text.trim().parse::<u32>().ok());
     let deadline_ms = remaining_ms.unwrap_or(u32::MAX).min(kind.kind.deadline_ms);
     let state = in_force.kind_state(&kind);
-    let now = node.now();
-    let limit_level = node.instances.load().limit_level(&kind.service, now);
-    let resolved = ResolvedRequest {
-        level: state.threshold.current(now).0.max(limit_level),
+    let mut resolved = ResolvedRequest {
+        level: current_level(node, &kind, &state, node.now()),
         in_force,
         kind,
         request_id,
@@ -160,7 +161,13 @@
         deadline: arrived_at + Duration::from_millis(deadline_ms.into()),
         workspace,
     };
-    admit(node, routed, &resolved, &state, phase)?;
+    if let Some(shedding) = admit(node, routed, &resolved, &state, phase)? {
+        let has_waited = shed(node, &mut resolved, &state, &shedding, arrived_at).await?;
+        if has_waited {
+            // Its route may be gone, or its credential revoked.
+            identity::identify(node, routed, headers, host_and_path, arrived_at).await?;
+        }
+    }
     // The quota comes last, so that requests refused by load shedding don't count against it.
     if let Some(workspace) = &resolved.workspace {
         quota::consume(node, workspace, request_id).await?;
@@ -168,15 +175,30 @@
     Ok(resolved)
 }
 
-/// Refuses requests during the shutdown, and those that a service further down the call tree would shed. Nested calls
-/// belong to requests in progress and are always admitted.
+/// Returns the shedding level for a kind: the learned one, or that of the limits which backend servers name.
+fn current_level(node: &Node, kind: &KindEntry, state: &KindState, now: Now) -> u16 {
+    let limit_level = node.instances.load().limit_level(&kind.service, now);
+    state.threshold.current(now).0.max(limit_level)
+}
+
+/// What the shedding level says about a root request, with the inputs.
+struct Shedding {
+    is_refused: bool,
+    is_retry: bool,
+    rank: usize,
+    rank_count: usize,
+    bucket: u8,
+}
+
+/// Refuses requests during the shutdown. Returns what the shedding level says about the others; `None` for nested calls,
+/// which belong to requests in progress and are always admitted.
 fn admit(
     node: &Node,
     routed: &Routed,
     resolved: &ResolvedRequest,
     state: &KindState,
     phase: ConnectionPhase,
-) -> Result<(), Reply> {
+) -> Result<Option<Shedding>, Reply> {
     let demand = match resolved.is_nested_call {
         true => MemoryDemand::NestedCall,
         false => MemoryDemand::RootRequest,
@@ -188,7 +210,7 @@
     if resolved.is_nested_call {
         let candidates = node.parents.candidate_parents(resolved.deadline);
         lock(&routed.graph).record_call(&resolved.kind.name, &candidates);
-        return Ok(());
+        return Ok(None);
     }
     if phase == ConnectionPhase::Draining {
         return Err(Reply::not_run(Refusal::Leaving).with_retry_after(owner::retry_after(node)));
@@ -212,9 +234,84 @@
     if is_retry {
         bucket = bucket_for_retry(bucket, rank);
     }
-    if !refuses(resolved.level, rank, rank_count, bucket) {
-        return Ok(());
+    Ok(Some(Shedding {
+        is_refused: refuses(resolved.level, rank, rank_count, bucket),
+        is_retry,
+        rank,
+        rank_count,
+        bucket,
+    }))
+}
+
+/// Refuses a root request that a service further down the call tree would shed, unless it may wait here for room.
+/// Returns whether it has waited.
+async fn shed(
+    node: &Arc<Node>,
+    resolved: &mut ResolvedRequest,
+    state: &Arc<KindState>,
+    shedding: &Shedding,
+    arrived_at: Now,
+) -> Result<bool, Reply> {
+    let may_wait = node.contention.queues_at_entry(&resolved.in_force);
+    let admission = if may_wait && !node.shutdown.has_begun() {
+        wait_for_room(node, resolved, state, shedding, arrived_at).await
+    } else if shedding.is_refused {
+        Admission::Refused
+    } else {
+        Admission::LetIn
+    };
+    match admission {
+        Admission::LetIn => Ok(false),
+        Admission::LetInAfterWait => {
+            resolved.level = current_level(node, &resolved.kind, state, node.now());
+            Ok(true)
+        }
+        Admission::Refused => Err(refuse_overload(node, resolved, state, shedding)),
+        Admission::Stopped => {
+            Err(Reply::not_run(Refusal::Leaving).with_retry_after(owner::retry_after(node)))
+        }
     }
+}
+
+async fn wait_for_room(
+    node: &Arc<Node>,
+    resolved: &ResolvedRequest,
+    state: &Arc<KindState>,
+    shedding: &Shedding,
+    arrived_at: Now,
+) -> Admission {
+    let deadline = resolved.deadline;
+    let target = resolved.kind.target;
+    let request = EntryRequest {
+        id: 0,
+        rank: shedding.rank,
+        is_refused: shedding.is_refused,
+        is_retry: shedding.is_retry,
+        arrived_at,
+        target: target.unwrap_or_else(|| deadline.saturating_sub(arrived_at)),
+        deadline,
+    };
+    let level = LevelInForce {
+        level: resolved.level,
+        rank_count: shedding.rank_count,
+    };
+    let arrival = entry_queue::Arrival {
+        request_id: resolved.request_id,
+        kind: &resolved.kind.name,
+        level,
+        request,
+    };
+    let (kind, kind_state) = (Arc::clone(&resolved.kind), Arc::clone(state));
+    let level_now = move |node: &Node, now| current_level(node, &kind, &kind_state, now);
+    entry_queue::admit(node, state, arrival, level_now).await
+}
+
+fn refuse_overload(
+    node: &Node,
+    resolved: &ResolvedRequest,
+    state: &KindState,
+    shedding: &Shedding,
+) -> Reply {
     node.events.record(
         &events::REFUSED,
         Some(resolved.request_id),
@@ -222,14 +319,14 @@
             Field::new("kind", &resolved.kind.name),
             Field::new("reason", Refusal::Overload.name()),
             Field::new("level", resolved.level),
-            Field::new("rank", rank),
-            Field::new("bucket", bucket),
-            Field::new("was_tried", is_retry),
+            Field::new("rank", shedding.rank),
+            Field::new("bucket", shedding.bucket),
+            Field::new("was_tried", shedding.is_retry),
         ],
     );
     let retry_after =
         lock(&state.refusal_streak).record_refusal(node.now(), &mut fastrand::Rng::new());
-    Err(Reply::not_run(Refusal::Overload).with_retry_after(retry_after))
+    Reply::not_run(Refusal::Overload).with_retry_after(retry_after)
 }
 
 async fn forward_request(
@@ -238,6 +335,7 @@
     resolved: ResolvedRequest,
     req: Request<Incoming>,
 ) -> Reply {
+    let let_in_at = node.now();
     let (mut parts, incoming) = req.into_parts();
     let read = Payload::read(&node.timers, incoming);
     let shutdown = async { Err(owner::refuse_at_shutdown(node).await) };
@@ -293,6 +391,11 @@
         repeated_fraction,
     };
     let reply = forward::call(node, &mut call).await;
+    let learns_duration = !resolved.is_nested_call && !has_failed(&reply);
+    if learns_duration && node.contention.queues_at_entry(&call.in_force) {
+        let state = call.in_force.kind_state(&call.kind);
+        state.waiting.record_duration(node.now() - let_in_at);
+    }
     // A refusal because of a shutdown isn't recorded: another instance may succeed, so the failure of the parent may be
     // retried.
     let is_shutdown = reply.context.refusal == Some(Refusal::Leaving);
--- a/crates/sorrelturn-telemetry/src/events.rs
+++ b/crates/sorrelturn-telemetry/src/events.rs
@@ -46,6 +46,7 @@
 
     CREDENTIAL_UNKNOWN = 118 "credential-unknown" Info "A request had an unknown credential or lacked a required one; logged at most once per second.";
     QUOTA_USED_UP = 119 "quota-used-up" Debug "A request was refused because its workspace has used up its quota.";
+    WAITED = 120 "waited" Debug "A request waited for room at its entry, and the wait ended.";
 
     BACKEND_LOST = 200 "backend-lost" Warn "The backend server can't be reached.";
     BACKEND_BACK = 201 "backend-back" Info "The backend server can be reached again and is treated as cold.";
--- a/crates/sorrelturn-telemetry/src/metrics.rs
+++ b/crates/sorrelturn-telemetry/src/metrics.rs
@@ -36,6 +36,9 @@
     REQUESTS = Counter "requests" "Root requests by importance and verdict.";
     REFUSALS = Counter "refusals" "Refusals on this daemon by importance and reason.";
     ENTRY_REFUSALS = Counter "entry.refusals" "Refusals of requests at their entry daemon, by reason.";
+    ENTRY_WAITING = Gauge "entry.waiting" "Requests that wait for room at their entry daemon.";
+    ENTRY_WAITS = Counter "entry.waits" "Requests that waited for room at their entry daemon, by outcome.";
+    ENTRY_WAIT = Timer "entry.wait" "The time that requests waited for room at their entry daemon, by outcome.";
     KNOWLEDGE_AGE = Gauge "knowledge.age" "The staleness of the route table, in milliseconds.";
     RETRIES = Counter "retries" "Retries that may have caused an additional execution.";
     HOP_TIME = Timer "hop.time" "The time from a root request's arrival at its entry to the head of its answer, by importance.";
