An event of a request allocates its list of fields only, and is logged in one piece

Each side of a hop records one or two events of four to seven fields. Each value was a string of its own, allocated for the event and freed when the ring of recent events had gone round, long after it had left the processor's caches; a line for the log was written in some thirty pieces, each through the logger's own layers.

Lines, pages and answers of the admin listener stay as they were.

--- a/crates/sorrelturn-telemetry/src/event.rs
+++ b/crates/sorrelturn-telemetry/src/event.rs
@@ -1,5 +1,6 @@
 //! Event kinds and event records.
 
+use crate::Field;
 use log::Level;
 use serde::{Deserialize, Serialize};
 use sorrelturn_protocol::RequestId;
@@ -18,43 +19,6 @@
     pub text: &'static str,
 }
 
-/// A named value of an event, such as an input of a decision.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Field {
-    /// The name; mostly a literal, which avoids an allocation per request.
-    pub name: Cow<'static, str>,
-    /// The value as text.
-    pub value: String,
-}
-
-impl Field {
-    /// Formats any value that implements `Display`.
-    pub fn new(name: &'static str, value: impl fmt::Display) -> Self {
-        Self {
-            name: Cow::Borrowed(name),
-            value: value.to_string(),
-        }
-    }
-}
-
-impl fmt::Display for Field {
-    /// Escapes control characters, so that a value from a backend server or peer can't inject a log line.
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}=", self.name)?;
-        if !self.value.contains(char::is_control) {
-            return f.write_str(&self.value);
-        }
-        for c in self.value.chars() {
-            if c.is_control() {
-                write!(f, "{}", c.escape_default())?;
-            } else {
-                write!(f, "{c}")?;
-            }
-        }
-        Ok(())
-    }
-}
-
 /// One recorded event.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EventRecord {
@@ -100,9 +64,9 @@
             match (word.split_once('='), fields.last_mut()) {
                 (Some((name, value)), _) => fields.push(Field {
                     name: Cow::Owned(name.to_owned()),
-                    value: value.to_owned(),
+                    value: value.into(),
                 }),
-                (None, Some(last)) => last.value = format!("{} {word}", last.value),
+                (None, Some(last)) => last.value = format!("{} {word}", last.value).into(),
                 (None, None) => return None,
             }
         }
--- a/crates/sorrelturn-telemetry/src/ring.rs
+++ b/crates/sorrelturn-telemetry/src/ring.rs
@@ -3,12 +3,23 @@
 use crate::{EventKind, EventRecord, Field};
 use sorrelturn_protocol::RequestId;
 use std::{
+    cell::Cell,
     collections::VecDeque,
-    fmt,
+    fmt::{self, Write},
     sync::Mutex,
     time::{SystemTime, UNIX_EPOCH},
 };
 
+/// The target of all log lines of events.
+const LOG_TARGET: &str = "sorrelturn";
+/// The capacity of a line's buffer that is retained for the next line.
+const RETAINED_LINE_BYTES: usize = 1 << 10;
+
+thread_local! {
+    /// The buffer of the last log line, reused to save an allocation.
+    static LOG_LINE: Cell<String> = const { Cell::new(String::new()) };
+}
+
 /// Logs events and retains the most recent ones.
 #[derive(Debug)]
 pub struct EventRing {
@@ -26,17 +37,34 @@
     fields: Vec<Field>,
 }
 
-impl fmt::Display for BufferedEvent {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "S{:03} {}", self.kind.number, self.kind.name)?;
+impl BufferedEvent {
+    /// Writes the log line of the event.
+    fn write_to(&self, instance: &str, out: &mut impl Write) -> fmt::Result {
+        let (number, name) = (self.kind.number, self.kind.name);
+        write!(out, "{} {instance} S{number:03} {name}", self.at_ms)?;
         if let Some(request) = &self.request {
-            write!(f, " request={request}")?;
+            write!(out, " request={request}")?;
         }
         for field in &self.fields {
-            write!(f, " {field}")?;
+            out.write_char(' ')?;
+            field.write_to(out)?;
         }
         Ok(())
     }
+
+    /// Logs the event, if events of its level are logged.
+    fn log(&self, instance: &str) {
+        if !log::log_enabled!(target: LOG_TARGET, self.kind.level) {
+            return;
+        }
+        // Written in one piece, since the logger handles each piece of a line by itself.
+        let mut line = LOG_LINE.take();
+        line.clear();
+        let _ = self.write_to(instance, &mut line);
+        log::log!(target: LOG_TARGET, self.kind.level, "{line}");
+        line.shrink_to(RETAINED_LINE_BYTES);
+        LOG_LINE.set(line);
+    }
 }
 
 impl EventRing {
@@ -57,8 +85,7 @@
             request,
             fields,
         };
-        let (at_ms, instance) = (event.at_ms, &self.instance);
-        log::log!(target: "sorrelturn", kind.level, "{at_ms} {instance} {event}");
+        event.log(&self.instance);
         let mut events = self.lock();
         if events.len() == self.capacity {
             events.pop_front();
--- a/crates/sorrelturn-telemetry/tests/log_lines.rs
+++ b/crates/sorrelturn-telemetry/tests/log_lines.rs
@@ -38,3 +38,23 @@
     let line = field.to_string();
     assert_eq!(line, r"backend=b\nINFO 1 i-1 S002 stopped \u{1b}[31m");
 }
+
+#[test]
+fn values_of_any_length_are_kept_whole() {
+    for len in 0..60 {
+        let text: String = "kind ü of 123 requests\t"
+            .chars()
+            .cycle()
+            .take(len)
+            .collect();
+        let number = len * 7;
+        let field = Field::new("value", format_args!("{text}{number}"));
+        let whole = format!("{text}{number}");
+        assert_eq!(field.value.as_str(), whole);
+        let json = serde_json::to_string(&field).expect("a field is JSON");
+        let value = serde_json::to_string(&whole).expect("a text is JSON");
+        assert_eq!(json, format!(r#"{{"name":"value","value":{value}}}"#));
+        let parsed: Field = serde_json::from_str(&json).expect("it is a field");
+        assert_eq!(parsed, field);
+    }
+}
