A backend server that names a limit has only the room of that rate

With the room of all its slots it would hide from the pooled level that the other instances are full, and the requests that count on it would be refused deep.

--- a/crates/sorrelturn-policy/src/gate.rs
+++ b/crates/sorrelturn-policy/src/gate.rs
@@ -337,7 +337,10 @@
             return InstanceRoom::default();
         }
         self.update_level(now);
-        self.level.room(self.cold.limit_per_second(now))
+        let cold_rate = self.cold.limit_per_second(now);
+        let named_rate = self.announced.rate().map(|rate| rate.per_second());
+        let max_per_second = cold_rate.into_iter().chain(named_rate).reduce(f64::min);
+        self.level.room(max_per_second)
     }
 
     /// The part of the shedding level that doesn't follow from [`Gate::room`].
--- a/crates/sorrelturn-policy/tests/service_room.rs
+++ b/crates/sorrelturn-policy/tests/service_room.rs
@@ -6,7 +6,7 @@
     Arrival, ColdRate, Decision, Gate, GateConfig, Instance, InstanceReport, LearnedThreshold, Now,
     Outcome, RoomSum, ServiceRoom, choose, refuses,
 };
-use sorrelturn_protocol::{Importance, Incarnation, InstanceRoom, Priority};
+use sorrelturn_protocol::{Importance, Incarnation, InstanceRoom, Priority, RequestRate};
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
 const DOMAINS: usize = 3;
@@ -444,6 +444,17 @@
     assert_eq!(gate.room(OLD + WORK).capacity, 18_400);
 }
 
+/// Guards against room that other instances count on though the backend server refuses to give it.
+#[test]
+fn a_backend_server_that_names_a_limit_has_the_room_of_that_rate() {
+    let mut gate = gate(20);
+    gate.finish(Duration::from_secs(1), Outcome::Answered, WORK);
+    assert_eq!(gate.room(Duration::from_secs(2)).capacity, 18_400);
+    let rate = RequestRate::new(50.0).expect("a valid rate");
+    gate.announced_limit().restore(Now::ZERO, "b-0", rate);
+    assert_eq!(gate.room(Duration::from_secs(3)).capacity, 5_000);
+}
+
 #[test]
 fn levels_of_other_services_and_of_the_processor_add_to_pooled_room() {
     let instances = reporting(&[IDLE], Now::ZERO);
