--- a/crates/sorrelturn-daemon/src/request/forward.rs
+++ b/crates/sorrelturn-daemon/src/request/forward.rs
@@ -369,7 +369,9 @@
     if report.work_times_reported {
         node.record_work_times_reported();
     }
-    route.stats.record_room(node.now(), report.room);
+    if node.contention.pools_room() {
+        route.stats.record_room(node.now(), report.room);
+    }
 }
 
 /// Returns the level by which an answer tells to refuse root requests: with pooled room, that of the whole service.
