--- a/crates/sorrelturn-policy/tests/instance_speed.rs
+++ b/crates/sorrelturn-policy/tests/instance_speed.rs
@@ -448,3 +448,48 @@
         prop_assert!(chosen.is_none_or(is_available));
     }
 }
+
+// Guards against an instance that looks fast because its last requests were of a short kind.
+#[test]
+fn the_mixture_of_the_last_requests_does_not_change_the_expected_time() {
+    let mut times = WorkTimes::default();
+    let add = |times: &mut WorkTimes, at_ms: u64, kind: u64| {
+        times.report(ms(at_ms), 100);
+        let request = AnsweredRequest {
+            kind,
+            duration: ms(if kind == 1 { 20 } else { 200 }),
+            percent_when_sent: Some(100),
+        };
+        times.finished(ms(at_ms), &request);
+    };
+    for at in 0..2_000 {
+        add(&mut times, at, at % 2);
+    }
+    let mixed = expected_ms(&times, ms(2_000));
+    for at in 2_000..2_020 {
+        add(&mut times, at, 1);
+    }
+    let after_short_ones = expected_ms(&times, ms(2_020));
+    assert!((100..120).contains(&mixed), "{mixed}");
+    assert!(
+        after_short_ones > mixed * 9 / 10,
+        "{after_short_ones}, {mixed}"
+    );
+    // One mean over all requests would lie near 20 ms by now.
+}
+
+#[test]
+fn kinds_beyond_the_bound_replace_the_rarest() {
+    let mut times = WorkTimes::default();
+    times.report(ms(0), 100);
+    for at in 0..10_000 {
+        let kind = if at % 2 == 0 { 0 } else { at };
+        let request = AnsweredRequest {
+            kind,
+            duration: ms(100),
+            percent_when_sent: None,
+        };
+        times.finished(ms(at), &request);
+    }
+    assert_eq!(expected_ms(&times, ms(10_000)), 100);
+}
