The room at an entry follows a smoothed level

The instances of a service tell different levels, so the learnt one jumps with every answer. The estimated room fell with each rise and didn't come back with each fall: requests were refused at once though there was room, and a test at real daemons had none that waited. The level is averaged over 0.3 s, and room falls fast only while the level rises above that average.

--- a/crates/sorrelturn-policy/src/entry_rate.rs
+++ b/crates/sorrelturn-policy/src/entry_rate.rs
@@ -9,9 +9,14 @@
 const ARRIVAL_SMOOTHING_TIME: Duration = Duration::from_millis(600);
 /// Time over which the known room rises towards what the level admits.
 const ROOM_RISE_TIME: Duration = Duration::from_secs(1);
-/// Time over which the known room falls after arrivals have become fewer. Room stays when arrivals
-/// fall; it is lost only if the level rises.
+/// Time over which the known room falls after arrivals have become fewer, which takes no room away.
 const ROOM_FALL_TIME: Duration = Duration::from_secs(3);
+/// Time over which the known room falls while the level rises.
+const ROOM_LOSS_TIME: Duration = Duration::from_millis(600);
+/// Time over which the level is averaged.
+const LEVEL_SMOOTHING_TIME: Duration = Duration::from_millis(300);
+/// Steps by which a level must exceed its average to count as rising.
+const MIN_LEVEL_RISE: f64 = 16.0;
 /// Rate without any refusals by the level, as a multiple of the arrivals, when no room is known.
 const UNREFUSED_RATE_FACTOR: f64 = 1.1;
 /// Number of ranks that are told apart; higher ones count as the highest of them.
@@ -35,7 +40,8 @@
     /// Requests per second that the level admits, or admitted before arrivals became fewer. Zero if
     /// the level has refused nothing yet.
     room: f64,
-    last_level: u16,
+    /// The smoothed level, since the instances of a service tell different ones.
+    level: f64,
 }
 
 impl EntryRate {
@@ -54,40 +60,32 @@
             *arrivals *= decay;
         }
         self.update_room(elapsed_s, level);
-        self.last_level = level.level;
         elapsed_s
     }
 
     fn update_room(&mut self, elapsed_s: f64, level: LevelInForce) {
-        let admitted = self.admitted(level);
-        if level.level > self.last_level {
-            let before = LevelInForce {
-                level: self.last_level,
-                ..level
-            };
-            let admitted_before = self.admitted(before);
-            if admitted_before > 0.0 {
-                self.room *= admitted / admitted_before;
-            }
-        }
-        if level.level == 0 {
-            self.room *= (-elapsed_s / ROOM_FALL_TIME.as_secs_f64()).exp();
-            return;
-        }
-        if self.room < admitted && self.last_level == 0 {
-            self.room = admitted;
+        let had_no_level = self.level < 1.0;
+        let told = f64::from(level.level);
+        let is_rising = told > self.level + MIN_LEVEL_RISE;
+        self.level += (told - self.level) * smoothing_step(elapsed_s, LEVEL_SMOOTHING_TIME);
+        let admitted = self.admitted(LevelInForce {
+            level: self.level as u16,
+            ..level
+        });
+        if had_no_level && self.level >= 1.0 {
+            self.room = self.room.max(admitted);
         }
         let smoothing_time = match admitted > self.room {
             true => ROOM_RISE_TIME,
+            false if is_rising => ROOM_LOSS_TIME,
             false => ROOM_FALL_TIME,
         };
-        let step = 1.0 - (-elapsed_s / smoothing_time.as_secs_f64()).exp();
-        self.room += (admitted - self.room) * step;
+        self.room += (admitted - self.room) * smoothing_step(elapsed_s, smoothing_time);
     }
 
     /// Returns the rate in requests per second at which requests may be let in.
     pub(crate) fn per_second(&self) -> f64 {
-        if self.last_level > 0 {
+        if self.level >= 1.0 {
             return self.room;
         }
         let arrivals: f64 = self.arrivals.iter().sum();
@@ -105,3 +103,8 @@
             .sum()
     }
 }
+
+/// Returns the weight of a new value after a time.
+fn smoothing_step(elapsed_s: f64, smoothing_time: Duration) -> f64 {
+    1.0 - (-elapsed_s / smoothing_time.as_secs_f64()).exp()
+}
