--- a/crates/sorrelturn-policy/tests/allocations.rs
+++ b/crates/sorrelturn-policy/tests/allocations.rs
@@ -51,6 +51,28 @@
     });
     assert!(idle <= 0.0, "an admission with a free slot: {idle} blocks");
 
+    let mut queue = EntryQueue::default();
+    let level = LevelInForce {
+        level: 0,
+        rank_count: 2,
+    };
+    let entry = blocks_per_round(|round| {
+        let now = Duration::from_millis(round);
+        let request = EntryRequest {
+            id: round,
+            rank: 0,
+            is_refused: false,
+            is_retry: false,
+            arrived_at: now,
+            target: Duration::from_secs(1),
+            deadline: now + Duration::from_secs(1),
+        };
+        assert_eq!(queue.offer(now, level, &request), Offer::LetIn);
+        queue.release(now, level, |_, _| {});
+        queue.record_duration(Duration::from_millis(1));
+    });
+    assert!(entry <= 0.0, "an entry where nobody waits: {entry} blocks");
+
     let instances: Vec<Instance> = (0..36)
         .map(|id| Instance::new(Incarnation(id), true, Duration::ZERO, Duration::ZERO))
         .collect();
