--- a/crates/sorrelturn-policy/src/fair_shares.rs
+++ b/crates/sorrelturn-policy/src/fair_shares.rs
@@ -15,7 +15,7 @@
 const EVICTED_DIVISOR: usize = 4;
 /// Workspaces with fewer recent requests are removed.
 const MIN_REQUESTS: f64 = 0.05;
-/// The number of requests that the average over all workspaces counts for in the estimate for one of them. Without it,
+/// The number of requests that the median over all workspaces counts for in the estimate for one of them. Without it,
 /// the few requests that one owner gets of a small workspace would often look like too many.
 const PRIOR_REQUESTS: f64 = 8.0;
 /// How much further than expected a workspace may be thinned at the entries without distorting its estimated demand.
@@ -44,7 +44,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct WorkspaceDemand {
     workspaces: HashMap<CallerId, Demand>,
-    /// All workspaces without an entry of their own. Each is taken to be average.
+    /// All workspaces without an entry of their own. Each is taken to be typical.
     others: Demand,
     /// The workspaces by demand per weight, highest first.
     ranking: Vec<Ranked>,
@@ -54,8 +54,8 @@
     total_by_level: f64,
     /// The logarithm of the factor by which the refused fraction is corrected.
     correction: f64,
-    /// The demand per weight of all workspaces together.
-    mean_ratio: f64,
+    /// The median demand per weight.
+    typical_ratio: f64,
     refreshed_at: Now,
 }
 
@@ -109,9 +109,9 @@
     }
 
     /// Returns the estimated demand per weight.
-    fn ratio(&self, mean_ratio: f64) -> f64 {
+    fn ratio(&self, typical_ratio: f64) -> f64 {
         let own = self.requests * self.estimate / self.weight.max(MIN_WEIGHT);
-        (own + PRIOR_REQUESTS * mean_ratio) / (self.requests + PRIOR_REQUESTS)
+        (own + PRIOR_REQUESTS * typical_ratio) / (self.requests + PRIOR_REQUESTS)
     }
 }
 
@@ -161,7 +161,9 @@
     fn share_used(&self, workspace: CallerId, refused_fraction: f64) -> Option<f64> {
         let fair_ratio = self.fair_ratio(refused_fraction)?;
         let demand = self.workspaces.get(&workspace);
-        let ratio = demand.map_or(self.mean_ratio, |demand| demand.ratio(self.mean_ratio));
+        let ratio = demand.map_or(self.typical_ratio, |demand| {
+            demand.ratio(self.typical_ratio)
+        });
         Some(ratio / fair_ratio)
     }
 
@@ -213,11 +215,7 @@
 
     /// Removes the workspaces with the least demand per weight and counts them with the others.
     fn evict(&mut self) {
-        let mut ratios: Vec<f64> = self
-            .workspaces
-            .values()
-            .map(|demand| demand.estimate / demand.weight)
-            .collect();
+        let mut ratios = self.ratios();
         let evicted_count = ratios.len() / EVICTED_DIVISOR;
         let (_, highest_evicted, _) = ratios.select_nth_unstable_by(evicted_count, f64::total_cmp);
         let highest_evicted = *highest_evicted;
@@ -236,21 +234,34 @@
         });
     }
 
+    /// Returns the median demand per weight. The mean would be that of a single workspace that presses.
+    fn find_typical_ratio(&self) -> f64 {
+        let mut ratios = self.ratios();
+        if ratios.is_empty() {
+            return self.others.estimate / self.others.weight.max(MIN_WEIGHT);
+        }
+        let middle = (ratios.len() - 1) / 2;
+        *ratios.select_nth_unstable_by(middle, f64::total_cmp).1
+    }
+
+    fn ratios(&self) -> Vec<f64> {
+        let demands = self.workspaces.values();
+        demands
+            .map(|demand| demand.estimate / demand.weight)
+            .collect()
+    }
+
     fn rank(&mut self) {
-        let demands = self.workspaces.values().chain([&self.others]);
-        let (estimate, weight) = demands.fold((0.0, 0.0), |(estimate, weight), demand| {
-            (estimate + demand.estimate, weight + demand.weight)
-        });
-        let mean_ratio = estimate / f64::max(weight, MIN_WEIGHT);
-        let others = Ranked::new(&self.others, mean_ratio);
+        let typical_ratio = self.find_typical_ratio();
+        let others = Ranked::new(&self.others, typical_ratio);
         let others = (self.others.estimate > 0.0).then_some(others);
         let ranked = self
             .workspaces
             .values()
-            .map(|demand| Ranked::new(demand, demand.ratio(mean_ratio)));
+            .map(|demand| Ranked::new(demand, demand.ratio(typical_ratio)));
         self.ranking.clear();
         self.ranking.extend(ranked.chain(others));
-        self.mean_ratio = mean_ratio;
+        self.typical_ratio = typical_ratio;
         self.ranking
             .sort_unstable_by(|a, b| b.ratio.total_cmp(&a.ratio));
         let (mut demand, mut weight) = (0.0, 0.0);
--- a/crates/sorrelturn-policy/tests/fair_shares.rs
+++ b/crates/sorrelturn-policy/tests/fair_shares.rs
@@ -231,6 +231,19 @@
     assert!(plain[30].fraction() < 0.9, "{}", plain[30].fraction());
 }
 
+// Guards against an estimate for a small workspace that is drawn towards the one that presses.
+#[test]
+fn one_of_two_workspaces_is_served_while_the_other_presses() {
+    let workspace = |rate| Workspace {
+        rate,
+        weight: 1.0,
+        entries: vec![0],
+    };
+    let (fair, plain) = play_both(&[workspace(600.0), workspace(8.0)], 0.7);
+    assert!(fair[1].fraction() >= 0.98, "{}", fair[1].fraction());
+    assert!(plain[1].fraction() < 0.5, "{}", plain[1].fraction());
+}
+
 // Guards against large workspaces that pay for being large while they stay within what their quota grants.
 #[test]
 fn shares_follow_quotas() {
