Findings of the review of the parts: errors, incarnations, lower precedences, workspaces above their share

- An instance that fails often is judged by its score alone: errors come at once, so its expected time stayed low and it won over healthy ones.
- Durations of requests to an earlier incarnation, of error responses and of kinds that were never answered aren't learnt.
- A report that another thread recorded a millisecond later no longer counts as hours old.
- Retries of a lower precedence have a fifth of the limit of their own while higher ones are wanted, and leave a fifth for a window after that.
- The precedence follows the importance of the workspace where it has one.
- Only workspaces at more than twice their fair share don't wait at the entry: in a burst of all, everybody is above the share.
- A very long log line no longer stays in its thread's buffer.

--- a/crates/sorrelturn-daemon/src/backend/work_times.rs
+++ b/crates/sorrelturn-daemon/src/backend/work_times.rs
@@ -26,14 +26,20 @@
     lock(&routed.work_times).reported(now)
 }
 
-/// Records a request that the backend server answered.
+/// Records a request that the backend server answered. Requests to an earlier incarnation tell nothing of this one.
 pub(crate) fn record_answered(routed: &Routed, now: Now, kind: &str, sent: &SentRequest) {
+    if !was_sent_to_current(routed, sent) {
+        return;
+    }
     let request = answered_request(now, kind, sent);
     lock(&routed.work_times).finished(now, &request);
 }
 
 /// Records a request that the backend server didn't answer in time.
 pub(crate) fn record_timeout(routed: &Routed, now: Now, kind: &str, sent: &SentRequest) {
+    if !was_sent_to_current(routed, sent) {
+        return;
+    }
     let request = answered_request(now, kind, sent);
     lock(&routed.work_times).timed_out(now, &request);
 }
@@ -58,7 +64,11 @@
 
 /// Forgets what was learnt, for a new incarnation of the backend server.
 pub(crate) fn reset(routed: &Routed) {
-    *lock(&routed.work_times) = WorkTimes::default();
+    lock(&routed.work_times).reset();
+}
+
+fn was_sent_to_current(routed: &Routed, sent: &SentRequest) -> bool {
+    sent.backend.is_some() && sent.backend == routed.serving_id()
 }
 
 fn answered_request(now: Now, kind: &str, sent: &SentRequest) -> AnsweredRequest {
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -347,9 +347,11 @@
         }
         let is_server_error = res.status().is_server_error();
         // Errors may come at once, and the duration of a request that was sent twice is that of its connections.
+        let is_error = is_server_error || res.status().is_client_error();
         if let Some(routed) = &self.node.routed
-            && !is_server_error
+            && !is_error
             && !sent_twice
+            && self.node.contention.work_times_reported()
         {
             work_times::record_answered(routed, self.node.now(), &self.kind.name, sent);
         }
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -40,6 +40,10 @@
 /// The minimum time until a caller returns that was refused for lack of memory.
 const MIN_RETRY_AFTER_WITHOUT_MEMORY: Duration = Duration::from_millis(500);
 
+/// The demand of a workspace relative to its fair share, in steps of 1/256, up to which its requests may wait for room. If
+/// a service has half of the room for the demand of equal workspaces, each is at twice its share.
+const MAX_SHARE_USED_TO_WAIT: u16 = 2 * SHARE_STEPS;
+
 /// When the connection of a request was opened.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ConnectionPhase {
@@ -195,9 +199,10 @@
 }
 
 impl Shedding {
-    /// Returns whether the request's workspace is above its fair share. Room that others wait for isn't kept for it.
-    fn is_over_share(&self) -> bool {
-        self.share_used.is_some_and(|used| used > SHARE_STEPS)
+    /// Returns whether the request's workspace is far above its fair share. Room that others wait for isn't kept for it.
+    fn is_far_over_share(&self) -> bool {
+        self.share_used
+            .is_some_and(|used| used > MAX_SHARE_USED_TO_WAIT)
     }
 }
 
@@ -250,7 +255,8 @@
     shedding: &Shedding,
     arrived_at: Now,
 ) -> Result<bool, Reply> {
-    let may_wait = node.contention.queues_at_entry(&resolved.in_force) && !shedding.is_over_share();
+    let may_wait =
+        node.contention.queues_at_entry(&resolved.in_force) && !shedding.is_far_over_share();
     let admission = if may_wait && !node.shutdown.has_begun() {
         wait_for_room(node, resolved, state, shedding, arrived_at).await
     } else if shedding.is_refused {
@@ -466,7 +472,10 @@
     if resolved.is_nested_call {
         return node.parents.precedence_of_call(resolved.deadline);
     }
-    Precedence::new(resolved.kind.importance(), resolved.kind.at_most_once())
+    let workspace = resolved.workspace.as_deref();
+    let importance = workspace.and_then(|workspace| workspace.importance);
+    let importance = importance.unwrap_or_else(|| resolved.kind.importance());
+    Precedence::new(importance, resolved.kind.at_most_once())
 }
 
 fn has_failed(reply: &Reply) -> bool {
--- a/crates/sorrelturn-policy/src/expected_time.rs
+++ b/crates/sorrelturn-policy/src/expected_time.rs
@@ -106,8 +106,10 @@
         at_ms << (LAST_BITS + MEAN_BITS) | self.last_ms << MEAN_BITS | self.mean
     }
 
+    /// Returns 0 for a report that another thread recorded slightly later.
     fn age_ms(self, now_ms: u64) -> u64 {
-        now_ms.wrapping_sub(self.at_ms) & TIME_MASK
+        let age_ms = now_ms.wrapping_sub(self.at_ms) & TIME_MASK;
+        if age_ms > TIME_MASK / 2 { 0 } else { age_ms }
     }
 
     /// Weights reports by the time since the one before, so that many in a short time don't make up the whole mean. One
@@ -145,7 +147,7 @@
 }
 
 impl ExpectedAt {
-    const UNKNOWN: Self = Self { time: 0, weight: 0 };
+    pub(crate) const UNKNOWN: Self = Self { time: 0, weight: 0 };
 
     /// Returns both times, or `None` if one is unknown. The older report's weight brings them closer, so that old
     /// differences count less.
--- a/crates/sorrelturn-policy/src/instance_speed.rs
+++ b/crates/sorrelturn-policy/src/instance_speed.rs
@@ -100,11 +100,11 @@
     }
 
     /// Records a request that wasn't answered in time. It took longer than `request.duration`, so it counts only if that
-    /// is more than the usual.
+    /// is known to be more than the usual.
     pub fn timed_out(&mut self, now: Now, request: &AnsweredRequest) {
         let known = self.kinds.iter().find(|times| times.kind == request.kind);
         let duration = request.duration.as_secs_f64();
-        if known.is_none_or(|times| duration > times.mean) {
+        if known.is_some_and(|times| duration > times.mean) {
             self.finished(now, request);
         }
     }
--- a/crates/sorrelturn-policy/src/retry_window.rs
+++ b/crates/sorrelturn-policy/src/retry_window.rs
@@ -17,10 +17,13 @@
 /// contain only half as many attempts.
 const LAST_WINDOW_RATIO_FRACTION: f64 = 0.4;
 
-/// Fraction of the allowed retries that those of a lower precedence may use up while others of a higher one are
-/// wanted. A request completes only if all of its calls do, so that retries spread over all complete few.
+/// Fraction of the allowed retries for those of a lower precedence while others of a higher one are wanted. A request
+/// completes only if all of its calls do, so that retries spread over all complete few.
 const LOWER_PRECEDENCE_FRACTION: f64 = 0.2;
-/// Number of slices for which a wanted retry restricts those of a lower precedence.
+/// Fraction of the allowed retries beyond which those of a lower precedence leave the rest to others, if some of a higher
+/// one were wanted within the window.
+const UNRESERVED_FRACTION: f64 = 0.8;
+/// Number of slices for which a wanted retry counts as wanted now.
 const DEMAND_SLICES: u64 = 2;
 
 /// Attempts in one slice of a window.
@@ -29,6 +32,8 @@
     number: u64,
     first_attempts: f64,
     retries: f64,
+    /// Those of the retries that had a lower precedence than others.
+    lower_retries: f64,
 }
 
 /// Counts first attempts and retries in a sliding window.
@@ -48,6 +53,8 @@
     allowed: f64,
     /// Retries made in that window.
     retries: f64,
+    /// Those of the retries that had a lower precedence than others.
+    lower_retries: f64,
     /// The highest precedence of a wanted retry, and the slice in which it was wanted last.
     highest_wanted: (Precedence, u64),
 }
@@ -62,6 +69,7 @@
             slices: VecDeque::new(),
             allowed: slack,
             retries: 0.0,
+            lower_retries: 0.0,
             highest_wanted: (Precedence::default(), 0),
         }
     }
@@ -82,7 +90,13 @@
 
     /// Records a retry if the limit allows it. Returns whether it does.
     pub fn try_retry(&mut self, now: Now) -> bool {
-        self.try_retry_within(now, 1.0)
+        self.current_slice(now);
+        let is_allowed = self.retries + 1.0 <= self.allowed;
+        if is_allowed {
+            self.current_slice(now).retries += 1.0;
+            self.retries += 1.0;
+        }
+        is_allowed
     }
 
     /// Records a retry for a root request of this precedence if the limit allows it. Returns whether it does.
@@ -91,19 +105,19 @@
     pub fn try_retry_of(&mut self, now: Now, precedence: Precedence) -> bool {
         let number = self.current_slice(now).number;
         let (highest, wanted_in) = self.highest_wanted;
-        if precedence < highest && number <= wanted_in + DEMAND_SLICES {
-            return self.try_retry_within(now, LOWER_PRECEDENCE_FRACTION);
+        if precedence >= highest || number > wanted_in + SLICES as u64 {
+            self.highest_wanted = (precedence, number);
+            return self.try_retry(now);
         }
-        self.highest_wanted = (precedence, number);
-        self.try_retry_within(now, 1.0)
-    }
-
-    fn try_retry_within(&mut self, now: Now, fraction: f64) -> bool {
-        self.current_slice(now);
-        let is_allowed = self.retries + 1.0 <= self.allowed * fraction;
+        let is_wanted_now = number <= wanted_in + DEMAND_SLICES;
+        let is_left_to_others = match is_wanted_now {
+            true => self.lower_retries + 1.0 > self.allowed * LOWER_PRECEDENCE_FRACTION,
+            false => self.retries + 1.0 > self.allowed * UNRESERVED_FRACTION,
+        };
+        let is_allowed = !is_left_to_others && self.try_retry(now);
         if is_allowed {
-            self.current_slice(now).retries += 1.0;
-            self.retries += 1.0;
+            self.current_slice(now).lower_retries += 1.0;
+            self.lower_retries += 1.0;
         }
         is_allowed
     }
@@ -122,7 +136,9 @@
         let counted = (minimum * RATIO_FRACTION).max(last * LAST_WINDOW_RATIO_FRACTION);
         self.allowed = self.slack + self.ratio * counted;
         // Includes the slice before the window, whose end may lie in it.
-        self.retries = self.sum_between(number - window_slices, number, |slice| slice.retries);
+        let oldest = number - window_slices;
+        self.retries = self.sum_between(oldest, number, |slice| slice.retries);
+        self.lower_retries = self.sum_between(oldest, number, |slice| slice.lower_retries);
     }
 
     /// Sums over the slices from one number to another, both inclusive.
--- a/crates/sorrelturn-policy/src/routing.rs
+++ b/crates/sorrelturn-policy/src/routing.rs
@@ -464,6 +464,10 @@
     }
 }
 
+/// The error rate, in units of 1/[`ERROR_SCALE`], from which an instance is judged by its score alone. Errors may come at
+/// once, so that they don't count in its expected time.
+const MAX_ERROR_RATE_OF_EXPECTED_TIMES: u32 = ERROR_SCALE / 16;
+
 /// By what two candidates are compared.
 #[derive(Clone, Copy)]
 struct Cost {
@@ -473,9 +477,14 @@
 
 impl Cost {
     fn of(instance: &Instance, now_ms: u64) -> Self {
+        let fails_often = instance.error_rate_at(now_ms) > MAX_ERROR_RATE_OF_EXPECTED_TIMES;
+        let expected = match fails_often {
+            true => ExpectedAt::UNKNOWN,
+            false => instance.expected_time.at(now_ms),
+        };
         Self {
             score: instance.score(now_ms),
-            expected: instance.expected_time.at(now_ms),
+            expected,
         }
     }
 
--- a/crates/sorrelturn-telemetry/src/ring.rs
+++ b/crates/sorrelturn-telemetry/src/ring.rs
@@ -62,6 +62,7 @@
         line.clear();
         let _ = self.write_to(instance, &mut line);
         log::log!(target: LOG_TARGET, self.kind.level, "{line}");
+        line.clear();
         line.shrink_to(RETAINED_LINE_BYTES);
         LOG_LINE.set(line);
     }
