Fair shares: requests of a pressing workspace no longer come first in the owner's queue

Its entries let only its highest buckets pass, and the gate takes the highest first. The owner now moves buckets for its queue as entries do.

--- a/crates/sorrelturn-daemon/src/request/fair_shares.rs
+++ b/crates/sorrelturn-daemon/src/request/fair_shares.rs
@@ -8,7 +8,7 @@
 };
 use sorrelturn_bundle::WorkspaceEntry;
 use sorrelturn_policy::{Now, SHARE_STEPS};
-use sorrelturn_protocol::{CallContext, CallerId};
+use sorrelturn_protocol::{CallContext, CallerId, Priority};
 use sorrelturn_telemetry::metrics;
 
 /// Number of steps on the wire that stand for all of a rank.
@@ -42,6 +42,19 @@
     )
 }
 
+/// Returns the priority of a call in its owner's queue: that of its root request, moved within its importance by the
+/// fair share of its workspace.
+pub(crate) fn queue_priority(node: &Node, context: &CallContext) -> Priority {
+    if context.refused_fraction == 0 {
+        return context.priority();
+    }
+    let bucket = context.request.shedding_bucket();
+    let refused_fraction = from_steps(context.refused_fraction);
+    let demand = lock(&node.workspace_demand);
+    let bucket = demand.queue_bucket(context.caller, bucket, refused_fraction);
+    Priority::new(context.importance, bucket)
+}
+
 /// Records what the owner of a call states about the call's workspace.
 pub(crate) fn record_share(now: Now, state: &KindState, context: &CallContext, share_used: u16) {
     if share_used > 0 {
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -15,6 +15,7 @@
     request::admission::Slot,
     request::answer::Reply,
     request::body::{self, Body},
+    request::fair_shares,
     request::headers,
     request::owner::refund_attempts,
     request::parents::{Parent, ParentGuard},
@@ -100,7 +101,7 @@
     }
 
     pub(crate) async fn acquire_slot(&self) -> Result<Slot, Refusal> {
-        let priority = self.context.priority();
+        let priority = fair_shares::queue_priority(&self.node, &self.context);
         let is_nested = self.context.depth > 0;
         let admission = &self.node.admission;
         let mut slot = admission
--- a/crates/sorrelturn-policy/src/fair_shares.rs
+++ b/crates/sorrelturn-policy/src/fair_shares.rs
@@ -1,7 +1,10 @@
 //! The demand of workspaces at one owner, and their max-min fair shares of the room that a shedding level leaves.
 //! See `docs/design/fair-shares.md`.
 
-use crate::Now;
+use crate::{
+    Now,
+    share_table::{fraction_above_share, moved_bucket},
+};
 use sorrelturn_protocol::CallerId;
 use std::{collections::HashMap, time::Duration};
 
@@ -139,6 +142,18 @@
         share_used.map_or(0, to_steps)
     }
 
+    /// Returns the bucket of a root request for its place in the owner's queue, given its bucket among the requests of
+    /// the same workspace. Entries let only the highest buckets of a workspace above its share pass; without this, they
+    /// would come before all requests of other workspaces.
+    pub fn queue_bucket(&self, workspace: CallerId, bucket: u8, refused_fraction: f64) -> u8 {
+        match self.share_used(workspace, refused_fraction) {
+            Some(share_used) if refused_fraction > 0.0 => {
+                moved_bucket(bucket, fraction_above_share(share_used), refused_fraction)
+            }
+            _ => bucket,
+        }
+    }
+
     /// Returns the number of workspaces that are counted one by one.
     pub fn workspace_count(&self) -> usize {
         self.workspaces.len()
--- a/crates/sorrelturn-policy/src/share_table.rs
+++ b/crates/sorrelturn-policy/src/share_table.rs
@@ -153,12 +153,12 @@
 }
 
 /// Returns the fraction of a workspace's demand that lies above its fair share.
-fn fraction_above_share(used: f64) -> f64 {
+pub(crate) fn fraction_above_share(used: f64) -> f64 {
     1.0 - 1.0 / used.max(1.0)
 }
 
 /// Moves a bucket so that the level refuses `own_fraction` of a workspace instead of `refused_fraction`.
-fn moved_bucket(bucket: u8, own_fraction: f64, refused_fraction: f64) -> u8 {
+pub(crate) fn moved_bucket(bucket: u8, own_fraction: f64, refused_fraction: f64) -> u8 {
     let bucket = f64::from(bucket);
     let (own_limit, limit) = (own_fraction * BUCKETS, refused_fraction * BUCKETS);
     if bucket < own_limit {
--- a/crates/sorrelturn-policy/tests/fair_shares.rs
+++ b/crates/sorrelturn-policy/tests/fair_shares.rs
@@ -244,6 +244,25 @@
     assert!(plain[1].fraction() < 0.5, "{}", plain[1].fraction());
 }
 
+// Guards against an owner's queue in which the requests that were let in of a pressing workspace come before all others.
+#[test]
+fn in_the_queue_workspaces_are_alike_whatever_their_entries_refuse() {
+    let mut fleet = Fleet::new(true);
+    let workspace = |rate| Workspace {
+        rate,
+        weight: 1.0,
+        entries: vec![0],
+    };
+    let workspaces = [workspace(600.0), workspace(8.0)];
+    let level = level_that_refuses(0.5);
+    fleet.play(&workspaces, level, (Now::ZERO, WARM_UP, WARM_UP));
+    let owner = &fleet.owners[0];
+    // The workspace that presses has only buckets above its cut, at half of the rank.
+    assert!(owner.queue_bucket(CallerId(1), 140, 0.5) < 150);
+    assert!(owner.queue_bucket(CallerId(2), 0, 0.5) >= 128);
+    assert_eq!(owner.queue_bucket(CallerId(1), 140, 0.0), 140);
+}
+
 // Guards against large workspaces that pay for being large while they stay within what their quota grants.
 #[test]
 fn shares_follow_quotas() {
