Those that wait are let in when nobody else arrives

When a route was removed, arrivals let in ended and the known room fell to nothing within seconds, also after the level had reached zero: the requests that waited got 503 instead of 404, and would have been refused in the same way after a burst that ends in silence. The room now falls over 10 s while the level refuses nothing.

--- a/crates/sorrelturn-policy/src/entry_rate.rs
+++ b/crates/sorrelturn-policy/src/entry_rate.rs
@@ -11,6 +11,8 @@
 const ROOM_RISE_TIME: Duration = Duration::from_secs(1);
 /// Time over which the known room falls after arrivals have become fewer, which takes no room away.
 const ROOM_FALL_TIME: Duration = Duration::from_secs(3);
+/// The same while the level refuses nothing, so that those that wait are let in if nobody else arrives.
+const UNUSED_ROOM_FALL_TIME: Duration = Duration::from_secs(10);
 /// Time over which the known room falls while the level rises.
 const ROOM_LOSS_TIME: Duration = Duration::from_millis(600);
 /// Time over which the level is averaged.
@@ -78,6 +80,7 @@
         let smoothing_time = match admitted > self.room {
             true => ROOM_RISE_TIME,
             false if is_rising => ROOM_LOSS_TIME,
+            false if level.level == 0 => UNUSED_ROOM_FALL_TIME,
             false => ROOM_FALL_TIME,
         };
         self.room += (admitted - self.room) * smoothing_step(elapsed_s, smoothing_time);
--- a/crates/sorrelturn-policy/tests/entry_queue.rs
+++ b/crates/sorrelturn-policy/tests/entry_queue.rs
@@ -389,6 +389,38 @@
     assert!(!queue.is_empty(), "the first ones are still in time");
 }
 
+/// Guards against refusals of those that wait because nobody else arrives any more.
+#[test]
+fn when_arrivals_end_those_that_wait_are_let_in() {
+    let mut queue = queue_under_load();
+    let arrival_at = |id| START + Duration::from_millis(10) * id as u32;
+    let held = (0..250).filter(|id| {
+        let now = arrival_at(*id);
+        let patient = EntryRequest {
+            target: TARGET * 10,
+            deadline: now + TARGET * 10,
+            ..refused(*id, now)
+        };
+        waits(&mut queue, now, &patient)
+    });
+    let held = held.count();
+    let mut let_in = 0;
+    for step in 0..4_000 {
+        let now = arrival_at(250) + STEP * step;
+        // The level of an entry without answers falls to zero after a while.
+        let level = LevelInForce {
+            level: if step < 400 { OVERLOADED.level } else { 0 },
+            ..OVERLOADED
+        };
+        let ends = ends(&mut queue, now, level);
+        let_in += ends
+            .iter()
+            .filter(|(_, end)| *end == WaitEnd::LetIn)
+            .count();
+    }
+    assert_eq!(let_in, held);
+}
+
 #[test]
 fn the_number_that_waits_is_bounded() {
     let mut queue = EntryQueue::default();
