--- a/crates/sorrelturn-daemon/src/operators/metrics_page.rs
+++ b/crates/sorrelturn-daemon/src/operators/metrics_page.rs
@@ -58,8 +58,11 @@
             return;
         };
         let tags = parts.next().unwrap_or_default().trim_start_matches('#');
+        let mut key = String::with_capacity(name.len() + tags.len() + "{}".len());
+        for part in [name, "{", tags, "}"] {
+            key.push_str(part);
+        }
         let mut values = lock(&self.values);
-        let key = format!("{name}{{{tags}}}");
         let value = values.entry(key).or_insert_with(|| empty_value(kind));
         match value {
             Value::Counter(sum) => *sum += number,
