Hop-by-hop headers are looked for among those present

Requests and responses mostly have none of the eight, and looking up each hashed its name. Names are compared first, and what is found is removed as before. 1,800 sides of hops took 3.30 million instructions for it under callgrind and take 1.50 million now.

--- a/crates/sorrelturn-daemon/src/request/headers.rs
+++ b/crates/sorrelturn-daemon/src/request/headers.rs
@@ -10,7 +10,7 @@
 use sorrelturn_protocol::headers::PREFIX;
 
 /// Hop-by-hop headers, which apply to a single connection.
-const HOP_BY_HOP: [HeaderName; 8] = [
+static HOP_BY_HOP: [HeaderName; 8] = [
     CONNECTION,
     TE,
     TRAILER,
@@ -30,7 +30,12 @@
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
         .collect();
-    for name in connection_headers.iter().chain(&HOP_BY_HOP) {
+    for name in &connection_headers {
+        headers.remove(name);
+    }
+    // Mostly there is none, and comparing names costs less than looking up each of the list.
+    while let Some(name) = headers.keys().find(|name| HOP_BY_HOP.contains(name)) {
+        let name = name.clone();
         headers.remove(name);
     }
 }
