The id of a response's backend server is compared where it lies

Each response copied the whole last announcement, two strings, to compare its id. It is compared under the same lock now. By itself its gain is too small to tell in a count of whole hops.

--- a/crates/sorrelturn-daemon/src/backend/signals.rs
+++ b/crates/sorrelturn-daemon/src/backend/signals.rs
@@ -42,10 +42,7 @@
     let Some(responder) = responder.and_then(|id| id.to_str().ok()) else {
         return;
     };
-    if routed
-        .current()
-        .is_none_or(|current| current.id != responder)
-    {
+    if !routed.is_current(responder) {
         // The backend server was replaced in the meantime.
         return;
     }
--- a/crates/sorrelturn-daemon/src/backend/state.rs
+++ b/crates/sorrelturn-daemon/src/backend/state.rs
@@ -112,6 +112,12 @@
         lock(&self.presence).current().cloned()
     }
 
+    /// Returns whether the last known backend server has this id.
+    pub(crate) fn is_current(&self, id: &str) -> bool {
+        let presence = lock(&self.presence);
+        presence.current().is_some_and(|current| current.id == id)
+    }
+
     /// Returns the configuration of the gate in front of the backend server.
     pub(crate) fn gate_config(&self) -> GateConfig {
         let slots = self.slots.load(Ordering::Relaxed).max(1);
