--- a/crates/sorrelturn-daemon/src/backend/work_times.rs
+++ b/crates/sorrelturn-daemon/src/backend/work_times.rs
@@ -6,7 +6,7 @@
     node::{Node, lock},
 };
 use hyper::HeaderMap;
-use sorrelturn_policy::{AnsweredRequest, Now, WorkTimes};
+use sorrelturn_policy::{AnsweredRequest, Now};
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
     time::Duration,
