A play of alternating levels for the room at an entry

Where the instances of a service tell different levels, the level in force alternates with every answer.

--- a/crates/sorrelturn-policy/tests/entry_queue.rs
+++ b/crates/sorrelturn-policy/tests/entry_queue.rs
@@ -455,3 +455,46 @@
     let all = (0..4_000).map(|step| ends(&mut queue, START + STEP * step, OVERLOADED).len());
     assert_eq!(ended + all.sum::<usize>(), held);
 }
+
+/// Plays 100 arrivals a second for 10 s under alternating levels, then returns the expected wait of the last of 40.
+fn expected_wait_under(levels: [u16; 2], in_force: LevelInForce) -> Duration {
+    let mut queue = EntryQueue::default();
+    let mut now = Duration::ZERO;
+    for id in 0..1_000 {
+        now += Duration::from_millis(10);
+        let level = levels[id as usize % 2];
+        let in_force = LevelInForce { level, ..in_force };
+        // Nothing waits as long as the usual duration isn't known.
+        let offer = queue.offer(now, in_force, &refused(id, now));
+        assert_eq!(offer, Offer::Refuse);
+        queue.release(now, in_force, |_, _| {});
+    }
+    for _ in 0..8 {
+        queue.record_duration(Duration::from_millis(10));
+    }
+    let mut last = Duration::ZERO;
+    for id in 1_000..1_040 {
+        let request = EntryRequest {
+            target: Duration::from_secs(60),
+            deadline: now + Duration::from_secs(60),
+            ..refused(id, now)
+        };
+        match queue.offer(now, in_force, &request) {
+            Offer::Wait(expected_wait) => last = expected_wait,
+            other => panic!("{other:?}"),
+        }
+    }
+    last
+}
+
+/// Guards against a known room that sinks wherever instances tell different levels.
+#[test]
+fn levels_that_alternate_give_the_room_of_their_mean() {
+    let steady = expected_wait_under([OVERLOADED.level; 2], OVERLOADED);
+    for difference in [7, 40] {
+        let levels = [OVERLOADED.level - difference, OVERLOADED.level + difference];
+        let alternating = expected_wait_under(levels, OVERLOADED);
+        let ratio = alternating.as_secs_f64() / steady.as_secs_f64();
+        assert!((0.9..1.1).contains(&ratio), "{difference}: {ratio}");
+    }
+}
