The rate of an entry's queue follows from what is let in

The queue reckoned the level's refused fraction of a rank for every kind. Kinds at most once have the upper half of the shedding buckets, so at a refused fraction of 0.6 the level admits 0.8 of them, not 0.4, and their requests were refused though there was room for them. Now the kind's lowest bucket goes with the level.

Requests of a workspace far above its fair share bypassed the queue, so they neither counted as arrivals nor took room. Now they go through it, but never wait.

--- a/crates/sorrelturn-daemon/src/request/entry_queue.rs
+++ b/crates/sorrelturn-daemon/src/request/entry_queue.rs
@@ -29,8 +29,8 @@
     queue: EntryQueue,
     waiters: HashMap<u64, Sender<WaitEnd>>,
     next_id: u64,
-    /// The number of ranks when the last request arrived.
-    rank_count: usize,
+    /// What was in force when the last request arrived.
+    in_force: LevelInForce,
     /// Whether a task checks the queue.
     is_ticking: bool,
 }
@@ -140,7 +140,7 @@
     fn offer(&self, now: Now, arrival: &Arrival<'_>) -> Offered {
         let mut inner = lock(&self.inner);
         inner.next_id += 1;
-        inner.rank_count = arrival.level.rank_count;
+        inner.in_force = arrival.level;
         let id = inner.next_id;
         let request = EntryRequest {
             id,
@@ -172,7 +172,7 @@
         let mut inner = lock(&self.inner);
         let level = LevelInForce {
             level,
-            rank_count: inner.rank_count,
+            ..inner.in_force
         };
         match is_stopping {
             true => inner.drain(),
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -255,9 +255,8 @@
     shedding: &Shedding,
     arrived_at: Now,
 ) -> Result<bool, Reply> {
-    let may_wait =
-        node.contention.queues_at_entry(&resolved.in_force) && !shedding.is_far_over_share();
-    let admission = if may_wait && !node.shutdown.has_begun() {
+    let queues = node.contention.queues_at_entry(&resolved.in_force);
+    let admission = if queues && !node.shutdown.has_begun() {
         wait_for_room(node, resolved, state, shedding, arrived_at).await
     } else if shedding.is_refused {
         Admission::Refused
@@ -291,6 +290,7 @@
         rank: shedding.rank,
         is_refused: shedding.is_refused,
         is_retry: shedding.is_retry,
+        may_wait: !shedding.is_far_over_share(),
         arrived_at,
         target: target.unwrap_or_else(|| deadline.saturating_sub(arrived_at)),
         deadline,
@@ -298,6 +298,7 @@
     let level = LevelInForce {
         level: resolved.level,
         rank_count: shedding.rank_count,
+        lowest_bucket: first_attempt_bucket(resolved, 0),
     };
     let arrival = entry_queue::Arrival {
         request_id: resolved.request_id,
@@ -355,11 +356,7 @@
     state: &KindState,
     is_retry: bool,
 ) -> (u8, Option<u16>) {
-    let in_force = &resolved.in_force;
-    let mut bucket = resolved.request_id.shedding_bucket();
-    if in_force.is_at_most_once_among_repeatable(&resolved.kind) {
-        bucket = bucket_for_at_most_once(bucket);
-    }
+    let mut bucket = first_attempt_bucket(resolved, resolved.request_id.shedding_bucket());
     if is_retry {
         let (rank, _) = root_rank(resolved);
         bucket = bucket_for_retry(bucket, rank);
@@ -374,6 +371,15 @@
     (bucket, shares.share_used(now, workspace))
 }
 
+/// Returns the shedding bucket of a first attempt, given its bucket among all requests.
+fn first_attempt_bucket(resolved: &ResolvedRequest, bucket: u8) -> u8 {
+    let in_force = &resolved.in_force;
+    match in_force.is_at_most_once_among_repeatable(&resolved.kind) {
+        true => bucket_for_at_most_once(bucket),
+        false => bucket,
+    }
+}
+
 /// Returns the fraction of a root request's rank that is refused, if workspaces are refused by their fair shares.
 fn fraction_to_share(node: &Node, resolved: &ResolvedRequest) -> Option<f64> {
     let shares_fairly = node.contention.shares_fairly(&resolved.in_force);
--- a/crates/sorrelturn-policy/src/entry_queue.rs
+++ b/crates/sorrelturn-policy/src/entry_queue.rs
@@ -40,6 +40,8 @@
     pub is_refused: bool,
     /// Whether it was tried before. It would hardly be answered within its target, so it doesn't wait.
     pub is_retry: bool,
+    /// Whether it may wait. If not, the level alone decides, but it counts as an arrival and takes room.
+    pub may_wait: bool,
     /// When it arrived.
     pub arrived_at: Now,
     /// The time from its arrival within which an answer is useful.
@@ -215,7 +217,7 @@
     /// Returns when a request must be let in to be answered within its target. Returns `None` if it
     /// doesn't wait in any case.
     fn latest_start(&self, request: &EntryRequest) -> Option<Now> {
-        if request.is_retry {
+        if request.is_retry || !request.may_wait {
             return None;
         }
         let useful_until = (request.arrived_at + request.target).min(request.deadline);
--- a/crates/sorrelturn-policy/src/entry_rate.rs
+++ b/crates/sorrelturn-policy/src/entry_rate.rs
@@ -21,16 +21,29 @@
 const MIN_LEVEL_RISE: f64 = 16.0;
 /// Rate without any refusals by the level, as a multiple of the arrivals, when no room is known.
 const UNREFUSED_RATE_FACTOR: f64 = 1.1;
+/// Number of shedding buckets of a rank.
+const BUCKETS: f64 = 256.0;
 /// Number of ranks that are told apart; higher ones count as the highest of them.
 const MAX_RANKS: usize = 8;
 
 /// A learned shedding level and the number of ranks that it applies to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LevelInForce {
     /// The level in steps of 1/[`LEVEL_STEPS`](crate::LEVEL_STEPS).
     pub level: u16,
     /// The number of ranks of root requests.
     pub rank_count: usize,
+    /// The lowest shedding bucket that requests of the kind can have. Fewer of them are refused if it is above 0.
+    pub lowest_bucket: u8,
+}
+
+impl LevelInForce {
+    /// Returns the fraction of the kind's first attempts in a rank that the level refuses.
+    fn refused_fraction(&self, rank: usize) -> f64 {
+        let spared = f64::from(self.lowest_bucket) / BUCKETS;
+        let refused = refused_fraction(self.level, rank, self.rank_count);
+        ((refused - spared) / (1.0 - spared)).clamp(0.0, 1.0)
+    }
 }
 
 /// Estimates the room of a kind at one entry daemon from its own arrivals and the learned level.
@@ -99,10 +112,7 @@
     fn admitted(&self, level: LevelInForce) -> f64 {
         let by_rank = self.arrivals.iter().enumerate();
         by_rank
-            .map(|(rank, arrivals)| {
-                let refused = refused_fraction(level.level, rank, level.rank_count);
-                arrivals * (1.0 - refused).max(0.0)
-            })
+            .map(|(rank, arrivals)| arrivals * (1.0 - level.refused_fraction(rank)))
             .sum()
     }
 }
--- a/crates/sorrelturn-policy/tests/allocations.rs
+++ b/crates/sorrelturn-policy/tests/allocations.rs
@@ -55,6 +55,7 @@
     let level = LevelInForce {
         level: 0,
         rank_count: 2,
+        lowest_bucket: 0,
     };
     let entry = blocks_per_round(|round| {
         let now = Duration::from_millis(round);
@@ -63,6 +64,7 @@
             rank: 0,
             is_refused: false,
             is_retry: false,
+            may_wait: true,
             arrived_at: now,
             target: Duration::from_secs(1),
             deadline: now + Duration::from_secs(1),
--- a/crates/sorrelturn-policy/tests/entry_queue.rs
+++ b/crates/sorrelturn-policy/tests/entry_queue.rs
@@ -3,7 +3,7 @@
 
 use sorrelturn_policy::{
     EntryQueue, EntryRequest, LEVEL_STEPS, LevelInForce, Now, Offer, SheddingLevel, WaitEnd,
-    refuses,
+    bucket_for_at_most_once, refuses,
 };
 use std::{collections::VecDeque, time::Duration};
 
@@ -76,6 +76,7 @@
         let in_force = LevelInForce {
             level: known,
             rank_count: 2,
+            lowest_bucket: 0,
         };
         // Arrivals at random times with the mean of the load.
         let mean_arrivals = load(now) * room * STEP.as_secs_f64();
@@ -96,6 +97,7 @@
                 rank: 0,
                 is_refused: refuses(known, 0, 2, bucket),
                 is_retry: false,
+                may_wait: true,
                 arrived_at: now,
                 target: kind.target,
                 deadline: now + kind.target * 2,
@@ -229,6 +231,7 @@
 const OVERLOADED: LevelInForce = LevelInForce {
     level: LEVEL_STEPS / 2,
     rank_count: 2,
+    lowest_bucket: 0,
 };
 const TARGET: Duration = Duration::from_secs(2);
 const START: Now = Duration::from_secs(10);
@@ -250,6 +253,7 @@
         rank: 0,
         is_refused: false,
         is_retry: false,
+        may_wait: true,
         arrived_at: now,
         target: TARGET,
         deadline: now + TARGET * 2,
@@ -375,6 +379,7 @@
     let highest = LevelInForce {
         level: LEVEL_STEPS * 3,
         rank_count: 2,
+        lowest_bucket: 0,
     };
     let mut late = 0;
     // Within half of the target.
@@ -465,8 +470,11 @@
         let level = levels[id as usize % 2];
         let in_force = LevelInForce { level, ..in_force };
         // Nothing waits as long as the usual duration isn't known.
-        let offer = queue.offer(now, in_force, &refused(id, now));
-        assert_eq!(offer, Offer::Refuse);
+        let request = EntryRequest {
+            may_wait: id % 4 < 2,
+            ..refused(id, now)
+        };
+        assert_eq!(queue.offer(now, in_force, &request), Offer::Refuse);
         queue.release(now, in_force, |_, _| {});
     }
     for _ in 0..8 {
@@ -498,3 +506,53 @@
         assert!((0.9..1.1).contains(&ratio), "{difference}: {ratio}");
     }
 }
+
+/// Guards against a room of kinds at most once that is reckoned from all buckets, though theirs are the upper half.
+#[test]
+fn the_room_of_a_kind_follows_from_the_shedding_buckets_of_its_requests() {
+    let in_force = LevelInForce {
+        level: LEVEL_STEPS * 3 / 4,
+        rank_count: 2,
+        lowest_bucket: bucket_for_at_most_once(0),
+    };
+    let admitted_buckets = (0..=255).filter(|bucket| {
+        let bucket = bucket_for_at_most_once(*bucket);
+        !refuses(in_force.level, 0, in_force.rank_count, bucket)
+    });
+    let admitted_fraction = admitted_buckets.count() as f64 / 256.0;
+    let expected_wait = expected_wait_under([in_force.level; 2], in_force);
+    let expected_rate = 40.0 / expected_wait.as_secs_f64();
+    let ratio = expected_rate / (100.0 * admitted_fraction);
+    assert!((0.9..1.1).contains(&ratio), "{ratio}");
+}
+
+/// Guards against requests that take room without being counted, because they may not wait.
+#[test]
+fn requests_that_may_not_wait_count_as_arrivals_and_take_room() {
+    let may_not_wait = |request| EntryRequest {
+        may_wait: false,
+        ..request
+    };
+    let mut queue = queue_under_load();
+    let late = may_not_wait(refused(1, START));
+    assert_eq!(queue.offer(START, OVERLOADED, &late), Offer::Refuse);
+    assert!(waits(&mut queue, START, &refused(2, START)));
+    assert_eq!(
+        queue.offer(START, OVERLOADED, &may_not_wait(admitted(3, START))),
+        Offer::LetIn
+    );
+    assert_eq!(queue.len(), 1, "it doesn't cede its place");
+    let wait_after = |taken: u64| {
+        let mut queue = queue_under_load();
+        let now = START + Duration::from_millis(500);
+        for id in 0..taken {
+            queue.offer(now, OVERLOADED, &may_not_wait(admitted(id, now)));
+        }
+        ends(&mut queue, now, OVERLOADED);
+        match queue.offer(now, OVERLOADED, &refused(100, now)) {
+            Offer::Wait(expected_wait) => expected_wait,
+            other => panic!("{other:?}"),
+        }
+    };
+    assert!(wait_after(10) > wait_after(0), "they take no room");
+}
