Leave every workspace a bucket when the level rises after its statement

A workspace whose share was stated while 0.2 of its rank was refused got no request in at all once the level refused 0.9: the fraction above its share rounded to all of its 256 buckets. At most 255 are refused now, so that the highest bucket always lies above what the level cuts off. The new test failed before the change.

--- a/crates/sorrelturn-policy/src/share_table.rs
+++ b/crates/sorrelturn-policy/src/share_table.rs
@@ -15,6 +15,8 @@
 const SMOOTHING_ANSWERS: u32 = 8;
 /// The number of buckets of a rank.
 const BUCKETS: f64 = 256.0;
+/// The maximum number of buckets of a workspace that are refused, so that none is shut out.
+const MAX_REFUSED_BUCKETS: f64 = 255.0;
 
 /// The fair shares of workspaces for one kind of request, as answers state them.
 #[derive(Clone, Debug, Default)]
@@ -160,7 +162,8 @@
 /// Moves a bucket so that the level refuses `own_fraction` of a workspace instead of `refused_fraction`.
 fn moved_bucket(bucket: u8, own_fraction: f64, refused_fraction: f64) -> u8 {
     let bucket = f64::from(bucket);
-    let (own_limit, limit) = (own_fraction * BUCKETS, refused_fraction * BUCKETS);
+    let own_limit = (own_fraction * BUCKETS).min(MAX_REFUSED_BUCKETS);
+    let limit = refused_fraction * BUCKETS;
     if bucket < own_limit {
         // Below the limit even after rounding down.
         return (bucket * limit / own_limit) as u8;
--- a/crates/sorrelturn-policy/tests/fair_shares.rs
+++ b/crates/sorrelturn-policy/tests/fair_shares.rs
@@ -1,9 +1,11 @@
 //! Workspaces that press at the same time as others: guards against room that goes to whoever sends most.
 
 use fastrand::Rng;
-use sorrelturn_policy::{LEVEL_STEPS, Now, SHARE_STEPS, ShareTable, WorkspaceDemand};
+use sorrelturn_policy::{
+    DemandByClass, LEVEL_STEPS, Now, SHARE_STEPS, ShareTable, WorkspaceDemand,
+};
 use sorrelturn_policy::{refused_fraction, refuses};
-use sorrelturn_protocol::CallerId;
+use sorrelturn_protocol::{CallerId, Importance};
 use std::{collections::VecDeque, time::Duration};
 
 const STEP: Duration = Duration::from_millis(10);
@@ -384,3 +386,20 @@
     assert!(is_unchanged(&table, Duration::from_secs(6)));
     assert_eq!(table.share_used(Duration::from_secs(6), CallerId(1)), None);
 }
+
+// Guards against a workspace that is shut out when the level refuses far more than its last statement was computed for.
+#[test]
+fn a_workspace_keeps_some_of_its_requests_when_the_level_rises_after_the_statement() {
+    for share_used in [200, 3 * SHARE_STEPS, 40 * SHARE_STEPS, u16::MAX] {
+        for fraction in [0.5, 0.8, 0.9, 0.96] {
+            let mut table = ShareTable::default();
+            table.record(Now::ZERO, CallerId(1), share_used, 0.2);
+            let is_served = |bucket: &u8| {
+                let moved = table.bucket(Now::ZERO, CallerId(1), fraction, *bucket);
+                f64::from(moved) >= fraction * 256.0
+            };
+            let served = (0..=u8::MAX).filter(is_served).count();
+            assert!(served >= 1, "{share_used}, {fraction}");
+        }
+    }
+}
