Count the demand of workspaces separately for each rank

An owner applied the fraction that entries refuse of one rank to the demand of all ranks, so that workspaces of a rank that isn't refused changed the shares of the others. Demand is now kept by the importance of the request and of its workspace, which determine the rank at every entry; at most 16 tables. The new test compares the share in a rank with that of the rank alone, and shows that one table for both states another.

--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -31,7 +31,7 @@
 use sorrelturn_fleet::{BundleTracker, DomainView, Membership};
 use sorrelturn_once::{AttemptRegister, Ledger};
 use sorrelturn_platform::Platform;
-use sorrelturn_policy::{ColdRate, GateConfig, Leaving, LeavingCause, Now, WorkspaceDemand};
+use sorrelturn_policy::{ColdRate, DemandByClass, GateConfig, Leaving, LeavingCause, Now};
 use sorrelturn_protocol::{Announcement, Incarnation, MemberRecord, MemberState, RequestRate};
 use sorrelturn_telemetry::{EventKind, EventRing, Field, SpanBuffer, events};
 use std::{
@@ -87,7 +87,7 @@
     /// The quotas of workspaces.
     pub(crate) quota: Quota,
     /// The demand of workspaces among the requests that reach the own backend server.
-    pub(crate) workspace_demand: Mutex<WorkspaceDemand>,
+    pub(crate) workspace_demand: Mutex<DemandByClass>,
     /// The known instances that are not gone, by service.
     pub(crate) instances: ArcSwap<InstanceTable>,
     pub(crate) ledger: Mutex<Ledger>,
--- a/crates/sorrelturn-daemon/src/request/fair_shares.rs
+++ b/crates/sorrelturn-daemon/src/request/fair_shares.rs
@@ -33,7 +33,9 @@
     }
     let workspace = in_force.bundle.workspace(context.caller);
     let weight = workspace.map_or(DEFAULT_WEIGHT, |workspace| weight_of(workspace));
-    lock(&node.workspace_demand).observe(
+    let workspace_importance = workspace.and_then(|workspace| workspace.importance);
+    let class = (context.importance, workspace_importance.unwrap_or_default());
+    lock(&node.workspace_demand).class(class).observe(
         node.now(),
         context.caller,
         weight,
--- a/crates/sorrelturn-policy/src/fair_shares.rs
+++ b/crates/sorrelturn-policy/src/fair_shares.rs
@@ -2,7 +2,7 @@
 //! See `docs/design/fair-shares.md`.
 
 use crate::Now;
-use sorrelturn_protocol::CallerId;
+use sorrelturn_protocol::{CallerId, Importance};
 use std::{collections::HashMap, time::Duration};
 
 /// Interval at which demand decays and the workspaces are ranked anew.
@@ -36,7 +36,24 @@
 /// Number of steps on the wire that stand for a demand that equals the fair share.
 pub const SHARE_STEPS: u16 = 256;
 
-/// Counts the demand of each workspace among the root requests that reach an owner.
+/// What determines the rank of a root request: its importance, and that of its workspace.
+pub type DemandClass = (Importance, Importance);
+
+/// The demand of workspaces among the root requests that reach an owner, separately for each class, since entries refuse
+/// different fractions of different ranks. The number of classes is bounded by that of importances.
+#[derive(Clone, Debug, Default)]
+pub struct DemandByClass {
+    classes: HashMap<DemandClass, WorkspaceDemand>,
+}
+
+impl DemandByClass {
+    /// Returns the demand of a class.
+    pub fn class(&mut self, class: DemandClass) -> &mut WorkspaceDemand {
+        self.classes.entry(class).or_default()
+    }
+}
+
+/// Counts the demand of each workspace among the root requests of a rank that reach an owner.
 ///
 /// Entries refuse the lowest shedding buckets of a workspace. So the demand of one that is thinned is estimated from
 /// its highest buckets alone, and doesn't depend on how much of it is refused: nothing swings between owners and
--- a/crates/sorrelturn-policy/src/lib.rs
+++ b/crates/sorrelturn-policy/src/lib.rs
@@ -38,7 +38,7 @@
 pub use concurrency_tuner::{ConcurrencyTuner, TuningSample};
 pub use entry_queue::{EntryQueue, EntryRequest, Offer, WaitEnd};
 pub use entry_rate::LevelInForce;
-pub use fair_shares::{SHARE_STEPS, WorkspaceDemand};
+pub use fair_shares::{DemandByClass, DemandClass, SHARE_STEPS, WorkspaceDemand};
 pub use freshness::Freshness;
 pub use gate::{Arrival, Decision, Gate, GateConfig, Released};
 pub use in_progress::InProgressRequests;
--- a/crates/sorrelturn-policy/tests/fair_shares.rs
+++ b/crates/sorrelturn-policy/tests/fair_shares.rs
@@ -403,3 +403,42 @@
         }
     }
 }
+
+// Guards against workspaces of a rank that isn't refused that change the shares of the others.
+#[test]
+fn shares_of_a_rank_do_not_depend_on_the_demand_of_other_ranks() {
+    let low = (Importance::Normal, Importance::Background);
+    let share_of_low = |high, high_rate: u32| {
+        let mut rng = Rng::with_seed(3);
+        let mut demand = DemandByClass::default();
+        let mut share = 0;
+        for ms in 0..10_000_u32 {
+            let now = Duration::from_millis(ms.into());
+            // The first of four workspaces sends as much as the others together; half of the rank is refused.
+            let id = [1, 2, 1, 3, 1, 4][ms as usize % 6];
+            let bucket = rng.u8(..);
+            if bucket >= if id == 1 { 213 } else { 43 } {
+                let stated = demand
+                    .class(low)
+                    .observe(now, CallerId(id), 1.0, bucket, 0.5);
+                share = if id == 1 { stated } else { share };
+            }
+            for n in 0..high_rate {
+                let id = CallerId(u64::from(100 + n));
+                demand
+                    .class(high)
+                    .observe(now, id, 1.0, (ms * 7) as u8, 0.0);
+            }
+        }
+        f64::from(share) / f64::from(SHARE_STEPS)
+    };
+    let high = (Importance::Critical, Importance::Background);
+    let important_workspace = (Importance::Normal, Importance::High);
+    let alone = share_of_low(high, 0);
+    assert!(alone > 1.5, "{alone}");
+    for class in [high, important_workspace] {
+        assert_eq!(share_of_low(class, 5), alone);
+    }
+    let mixed = share_of_low(low, 5);
+    assert!((mixed - alone).abs() > 0.25, "{mixed} instead of {alone}");
+}
