Report only what was stated of a workspace's share

GET /workspaces, event S110, the counter of refusals and the entry queue took the average of newcomers for a statement about each workspace without one: after a single answer, all workspaces were reported above or below their share. That average now only places requests; the reported share is the workspace's own. The new test failed before the change.

--- a/crates/sorrelturn-policy/src/share_table.rs
+++ b/crates/sorrelturn-policy/src/share_table.rs
@@ -112,7 +112,8 @@
     /// share have lower buckets than others; the order within each workspace stays. Without a statement the bucket is
     /// unchanged.
     pub fn bucket(&self, now: Now, workspace: CallerId, refused_fraction: f64, bucket: u8) -> u8 {
-        match self.share(now, workspace) {
+        let share = self.own_share(now, workspace);
+        match share.or_else(|| self.newcomers_share(now)) {
             Some(share) if refused_fraction > 0.0 => {
                 let own_fraction = share.fraction_to_refuse(refused_fraction);
                 moved_bucket(bucket, own_fraction, refused_fraction)
@@ -122,9 +123,9 @@
     }
 
     /// Returns the demand of a workspace relative to its fair share in steps of 1/[`SHARE_STEPS`]; `None` without a
-    /// statement.
+    /// current statement of its own.
     pub fn share_used(&self, now: Now, workspace: CallerId) -> Option<u16> {
-        let share = self.share(now, workspace)?;
+        let share = self.own_share(now, workspace)?;
         Some((share.used * f64::from(SHARE_STEPS)) as u16)
     }
 
@@ -133,13 +134,14 @@
         self.shares.len()
     }
 
-    fn share(&self, now: Now, workspace: CallerId) -> Option<&Share> {
-        let own = self
-            .shares
-            .get(&workspace)
-            .filter(|share| share.is_current(now));
-        let newcomers = self.newcomers.as_ref();
-        own.or(newcomers.filter(|share| share.is_current(now)))
+    fn own_share(&self, now: Now, workspace: CallerId) -> Option<&Share> {
+        let share = self.shares.get(&workspace);
+        share.filter(|share| share.is_current(now))
+    }
+
+    fn newcomers_share(&self, now: Now) -> Option<&Share> {
+        let share = self.newcomers.as_ref();
+        share.filter(|share| share.is_current(now))
     }
 
     /// Removes outdated shares, and those below their fair share, from a full table.
--- a/crates/sorrelturn-policy/tests/fair_shares.rs
+++ b/crates/sorrelturn-policy/tests/fair_shares.rs
@@ -442,3 +442,14 @@
     let mixed = share_of_low(low, 5);
     assert!((mixed - alone).abs() > 0.25, "{mixed} instead of {alone}");
 }
+
+// Guards against reports of statements that nobody made: what newcomers have on average only places their requests.
+#[test]
+fn a_workspace_without_a_statement_of_its_own_has_no_share_to_report() {
+    let mut table = ShareTable::default();
+    table.record(Now::ZERO, CallerId(1), 3 * SHARE_STEPS, 0.3);
+    assert_ne!(table.bucket(Now::ZERO, CallerId(2), 0.3, 100), 100);
+    assert_eq!(table.share_used(Now::ZERO, CallerId(2)), None);
+    let own = table.share_used(Now::ZERO, CallerId(1));
+    assert_eq!(own, Some(3 * SHARE_STEPS));
+}
