--- a/crates/sorrelturn-policy/src/share_table.rs
+++ b/crates/sorrelturn-policy/src/share_table.rs
@@ -15,6 +15,8 @@
 const SMOOTHING_ANSWERS: u32 = 8;
 /// The number of buckets of a rank.
 const BUCKETS: f64 = 256.0;
+/// The maximum number of buckets of a workspace that are refused, so that none is shut out.
+const MAX_REFUSED_BUCKETS: f64 = 255.0;
 
 /// The fair shares of workspaces for one kind of request, as answers state them.
 #[derive(Clone, Debug, Default)]
@@ -110,7 +112,8 @@
     /// share have lower buckets than others; the order within each workspace stays. Without a statement the bucket is
     /// unchanged.
     pub fn bucket(&self, now: Now, workspace: CallerId, refused_fraction: f64, bucket: u8) -> u8 {
-        match self.share(now, workspace) {
+        let share = self.own_share(now, workspace);
+        match share.or_else(|| self.newcomers_share(now)) {
             Some(share) if refused_fraction > 0.0 => {
                 let own_fraction = share.fraction_to_refuse(refused_fraction);
                 moved_bucket(bucket, own_fraction, refused_fraction)
@@ -120,9 +123,9 @@
     }
 
     /// Returns the demand of a workspace relative to its fair share in steps of 1/[`SHARE_STEPS`]; `None` without a
-    /// statement.
+    /// current statement of its own.
     pub fn share_used(&self, now: Now, workspace: CallerId) -> Option<u16> {
-        let share = self.share(now, workspace)?;
+        let share = self.own_share(now, workspace)?;
         Some((share.used * f64::from(SHARE_STEPS)) as u16)
     }
 
@@ -131,13 +134,14 @@
         self.shares.len()
     }
 
-    fn share(&self, now: Now, workspace: CallerId) -> Option<&Share> {
-        let own = self
-            .shares
-            .get(&workspace)
-            .filter(|share| share.is_current(now));
-        let newcomers = self.newcomers.as_ref();
-        own.or(newcomers.filter(|share| share.is_current(now)))
+    fn own_share(&self, now: Now, workspace: CallerId) -> Option<&Share> {
+        let share = self.shares.get(&workspace);
+        share.filter(|share| share.is_current(now))
+    }
+
+    fn newcomers_share(&self, now: Now) -> Option<&Share> {
+        let share = self.newcomers.as_ref();
+        share.filter(|share| share.is_current(now))
     }
 
     /// Removes outdated shares, and those below their fair share, from a full table.
@@ -160,7 +164,8 @@
 /// Moves a bucket so that the level refuses `own_fraction` of a workspace instead of `refused_fraction`.
 pub(crate) fn moved_bucket(bucket: u8, own_fraction: f64, refused_fraction: f64) -> u8 {
     let bucket = f64::from(bucket);
-    let (own_limit, limit) = (own_fraction * BUCKETS, refused_fraction * BUCKETS);
+    let own_limit = (own_fraction * BUCKETS).min(MAX_REFUSED_BUCKETS);
+    let limit = refused_fraction * BUCKETS;
     if bucket < own_limit {
         // Below the limit even after rounding down.
         return (bucket * limit / own_limit) as u8;
--- a/crates/sorrelturn-policy/tests/fair_shares.rs
+++ b/crates/sorrelturn-policy/tests/fair_shares.rs
@@ -1,9 +1,11 @@
 //! Workspaces that press at the same time as others: guards against room that goes to whoever sends most.
 
 use fastrand::Rng;
-use sorrelturn_policy::{LEVEL_STEPS, Now, SHARE_STEPS, ShareTable, WorkspaceDemand};
+use sorrelturn_policy::{
+    DemandByClass, LEVEL_STEPS, Now, SHARE_STEPS, ShareTable, WorkspaceDemand,
+};
 use sorrelturn_policy::{refused_fraction, refuses};
-use sorrelturn_protocol::CallerId;
+use sorrelturn_protocol::{CallerId, Importance};
 use std::{collections::VecDeque, time::Duration};
 
 const STEP: Duration = Duration::from_millis(10);
@@ -403,3 +405,70 @@
     assert!(is_unchanged(&table, Duration::from_secs(6)));
     assert_eq!(table.share_used(Duration::from_secs(6), CallerId(1)), None);
 }
+
+// Guards against a workspace that is shut out when the level refuses far more than its last statement was computed for.
+#[test]
+fn a_workspace_keeps_some_of_its_requests_when_the_level_rises_after_the_statement() {
+    for share_used in [200, 3 * SHARE_STEPS, 40 * SHARE_STEPS, u16::MAX] {
+        for fraction in [0.5, 0.8, 0.9, 0.96] {
+            let mut table = ShareTable::default();
+            table.record(Now::ZERO, CallerId(1), share_used, 0.2);
+            let is_served = |bucket: &u8| {
+                let moved = table.bucket(Now::ZERO, CallerId(1), fraction, *bucket);
+                f64::from(moved) >= fraction * 256.0
+            };
+            let served = (0..=u8::MAX).filter(is_served).count();
+            assert!(served >= 1, "{share_used}, {fraction}");
+        }
+    }
+}
+
+// Guards against workspaces of a rank that isn't refused that change the shares of the others.
+#[test]
+fn shares_of_a_rank_do_not_depend_on_the_demand_of_other_ranks() {
+    let low = (Importance::Normal, Importance::Background);
+    let share_of_low = |high, high_rate: u32| {
+        let mut rng = Rng::with_seed(3);
+        let mut demand = DemandByClass::default();
+        let mut share = 0;
+        for ms in 0..10_000_u32 {
+            let now = Duration::from_millis(ms.into());
+            // The first of four workspaces sends as much as the others together; half of the rank is refused.
+            let id = [1, 2, 1, 3, 1, 4][ms as usize % 6];
+            let bucket = rng.u8(..);
+            if bucket >= if id == 1 { 213 } else { 43 } {
+                let stated = demand
+                    .class(low)
+                    .observe(now, CallerId(id), 1.0, bucket, 0.5);
+                share = if id == 1 { stated } else { share };
+            }
+            for n in 0..high_rate {
+                let id = CallerId(u64::from(100 + n));
+                demand
+                    .class(high)
+                    .observe(now, id, 1.0, (ms * 7) as u8, 0.0);
+            }
+        }
+        f64::from(share) / f64::from(SHARE_STEPS)
+    };
+    let high = (Importance::Critical, Importance::Background);
+    let important_workspace = (Importance::Normal, Importance::High);
+    let alone = share_of_low(high, 0);
+    assert!(alone > 1.5, "{alone}");
+    for class in [high, important_workspace] {
+        assert_eq!(share_of_low(class, 5), alone);
+    }
+    let mixed = share_of_low(low, 5);
+    assert!((mixed - alone).abs() > 0.25, "{mixed} instead of {alone}");
+}
+
+// Guards against reports of statements that nobody made: what newcomers have on average only places their requests.
+#[test]
+fn a_workspace_without_a_statement_of_its_own_has_no_share_to_report() {
+    let mut table = ShareTable::default();
+    table.record(Now::ZERO, CallerId(1), 3 * SHARE_STEPS, 0.3);
+    assert_ne!(table.bucket(Now::ZERO, CallerId(2), 0.3, 100), 100);
+    assert_eq!(table.share_used(Now::ZERO, CallerId(2)), None);
+    let own = table.share_used(Now::ZERO, CallerId(1));
+    assert_eq!(own, Some(3 * SHARE_STEPS));
+}
