Returns don't pass the first attempts that wait at an entry

While somebody of its rank or a higher one waits, a return is now refused as the level would in a peak.

--- a/crates/sorrelturn-daemon/src/request/fair_shares.rs
+++ b/crates/sorrelturn-daemon/src/request/fair_shares.rs
@@ -2,13 +2,13 @@
 //! See `docs/design/fair-shares.md`.
 
 use crate::{
-    config::in_force::KindState,
+    config::in_force::{InForce, KindState},
     node::{Node, lock},
     operators::export,
 };
 use sorrelturn_bundle::WorkspaceEntry;
 use sorrelturn_policy::{Now, SHARE_STEPS};
-use sorrelturn_protocol::{CallContext, CallerId, Priority};
+use sorrelturn_protocol::{CallContext, CallerId, Importance, Priority};
 use sorrelturn_telemetry::metrics;
 
 /// Number of steps on the wire that stand for all of a rank.
@@ -33,8 +33,7 @@
     }
     let workspace = in_force.bundle.workspace(context.caller);
     let weight = workspace.map_or(DEFAULT_WEIGHT, |workspace| weight_of(workspace));
-    let workspace_importance = workspace.and_then(|workspace| workspace.importance);
-    let class = (context.importance, workspace_importance.unwrap_or_default());
+    let class = demand_class(in_force, context);
     lock(&node.workspace_demand).class(class).observe(
         node.now(),
         context.caller,
@@ -52,11 +51,24 @@
     }
     let bucket = context.request.shedding_bucket();
     let refused_fraction = from_steps(context.refused_fraction);
-    let demand = lock(&node.workspace_demand);
+    let in_force = node.in_force.load();
+    let Some(in_force) = in_force.as_deref() else {
+        return context.priority();
+    };
+    let class = demand_class(in_force, context);
+    let mut demand = lock(&node.workspace_demand);
+    let demand = demand.class(class);
     let bucket = demand.queue_bucket(context.caller, bucket, refused_fraction);
     Priority::new(context.importance, bucket)
 }
 
+/// Returns the class in which the demand of a workspace is counted: requests of one class have one rank.
+fn demand_class(in_force: &InForce, context: &CallContext) -> (Importance, Importance) {
+    let workspace = in_force.bundle.workspace(context.caller);
+    let importance = workspace.and_then(|workspace| workspace.importance);
+    (context.importance, importance.unwrap_or_default())
+}
+
 /// Records what the owner of a call states about the call's workspace.
 pub(crate) fn record_share(now: Now, state: &KindState, context: &CallContext, share_used: u16) {
     if share_used > 0 {
--- a/crates/sorrelturn-policy/src/entry_queue.rs
+++ b/crates/sorrelturn-policy/src/entry_queue.rs
@@ -147,7 +147,7 @@
         }
         match self.wait(now, request) {
             Some(expected_wait) => Offer::Wait(expected_wait),
-            None if request.is_refused => Offer::Refuse,
+            None if request.is_refused || self.passes_others(request) => Offer::Refuse,
             None => {
                 self.take_room();
                 Offer::LetIn
@@ -184,6 +184,13 @@
         }
     }
 
+    /// Returns whether a request that was tried before would be let in before others that wait and may still be answered
+    /// within their target.
+    fn passes_others(&self, request: &EntryRequest) -> bool {
+        let first = self.waiting.first();
+        request.is_retry && first.is_some_and(|first| first.rank.0 >= request.rank)
+    }
+
     /// Queues a request if it has to wait and can. Returns its expected wait.
     fn wait(&mut self, now: Now, request: &EntryRequest) -> Option<Duration> {
         let waiting = Waiting {
--- a/crates/sorrelturn-policy/tests/entry_queue.rs
+++ b/crates/sorrelturn-policy/tests/entry_queue.rs
@@ -327,6 +327,21 @@
     assert_eq!(queue.offer(START, OVERLOADED, &retry), Offer::Refuse);
 }
 
+// Guards against returns that are served late in the room for which first attempts wait.
+#[test]
+fn a_request_that_was_tried_before_does_not_pass_those_that_wait() {
+    let mut queue = queue_under_load();
+    let retry = EntryRequest {
+        is_retry: true,
+        ..admitted(2, START)
+    };
+    assert_eq!(queue.offer(START, OVERLOADED, &retry), Offer::LetIn);
+    assert!(waits(&mut queue, START, &refused(1, START)));
+    assert_eq!(queue.offer(START, OVERLOADED, &retry), Offer::Refuse);
+    let higher = EntryRequest { rank: 1, ..retry };
+    assert_eq!(queue.offer(START, OVERLOADED, &higher), Offer::LetIn);
+}
+
 #[test]
 fn nothing_waits_until_the_usual_duration_is_known_or_if_it_leaves_no_time() {
     let mut queue = EntryQueue::default();
