--- a/crates/sorrelturn-policy/src/routing.rs
+++ b/crates/sorrelturn-policy/src/routing.rs
@@ -501,6 +501,15 @@
     }
 }
 
+/// A sampled candidate.
+#[derive(Clone, Copy)]
+struct Candidate<'a> {
+    /// The position among all instances.
+    position: usize,
+    instance: &'a Instance,
+    is_first_sampled: bool,
+}
+
 /// Chooses the sampled candidate with the lowest cost; if it is still warming up, some of its calls
 /// go to the other candidate.
 fn choose_from_sample<'a>(
@@ -509,10 +518,34 @@
     now_ms: u64,
     rng: &mut fastrand::Rng,
 ) -> Option<usize> {
+    let [first, second] = find_sampled(sample, candidates);
+    let first = first?;
+    let Some(second) = second else {
+        return Some(first.position);
+    };
+    let first_cost = Cost::of(first.instance, now_ms);
+    let second_cost = Cost::of(second.instance, now_ms);
+    // On a tie, the first sampled one wins, so that the list order does not matter.
+    let (best, other) = match first_cost.is_preferred_to(second_cost, second.is_first_sampled) {
+        true => (first, second),
+        false => (second, first),
+    };
+    let warm_up_percent = best.instance.warm_up_percent(now_ms);
+    let is_given_call = warm_up_percent == 100 || rng.u64(..100) < warm_up_percent;
+    if !is_given_call && other.instance.warm_up_percent(now_ms) > warm_up_percent {
+        return Some(other.position);
+    }
+    Some(best.position)
+}
+
+/// Returns the sampled candidates in the order of the list.
+fn find_sampled<'a>(
+    sample: Sample,
+    candidates: impl Iterator<Item = (usize, &'a Instance)>,
+) -> [Option<Candidate<'a>>; 2] {
     let (mut same_domain_index, mut other_domains_index) = (0, 0);
-    let mut remaining = sample.count;
-    let mut best: Option<(usize, &Instance, Cost)> = None;
-    let mut other: Option<(usize, &Instance)> = None;
+    let mut found = [None; 2];
+    let mut count = 0;
     for (position, instance) in candidates {
         let (index, sampled) = if instance.in_same_domain {
             (&mut same_domain_index, &sample.same_domain)
@@ -525,30 +558,15 @@
         if !is_sampled {
             continue;
         }
-        remaining -= 1;
-        let cost = Cost::of(instance, now_ms);
-        match best {
-            // On a tie, the first sampled one wins, so that the list order does not matter.
-            Some((at, known, best_cost)) if best_cost.is_preferred_to(cost, is_first_sampled) => {
-                best = Some((at, known, best_cost));
-                other = other.or(Some((position, instance)));
-            }
-            before => {
-                other = before.map(|(at, known, _)| (at, known)).or(other);
-                best = Some((position, instance, cost));
-            }
-        }
-        if remaining == 0 {
+        found[count] = Some(Candidate {
+            position,
+            instance,
+            is_first_sampled,
+        });
+        count += 1;
+        if count == sample.count {
             break;
         }
     }
-    let (position, instance, _) = best?;
-    let warm_up_percent = instance.warm_up_percent(now_ms);
-    let is_given_call = warm_up_percent == 100 || rng.u64(..100) < warm_up_percent;
-    match other {
-        Some((at, other)) if !is_given_call && other.warm_up_percent(now_ms) > warm_up_percent => {
-            Some(at)
-        }
-        _ => Some(position),
-    }
+    found
 }
