Reverted: requests on a connection that carries others behind it don't wait at the entry

The try told such connections by a request that was read within a millisecond after the answer before it. A test with a real daemon showed that it doesn't hold: 2 of 10 requests on such a connection waited with the try, 3 of 10 without it (debug build on a busy machine), since writing the answer alone takes longer. What would tell exactly: whether any byte was read from the socket between an answer and the next request.

--- a/crates/sorrelturn-daemon/src/net/serve.rs
+++ b/crates/sorrelturn-daemon/src/net/serve.rs
@@ -12,8 +12,7 @@
     request::headers,
     request::nested,
     request::owner,
-    request::routed,
-    request::routed_connection::{ConnectionPhase, RoutedConnection},
+    request::routed::{self, ConnectionPhase},
 };
 use hyper::{
     HeaderMap, Request, Response, StatusCode, body::Incoming, server::conn::http1,
@@ -158,19 +157,14 @@
 
 /// Serves a connection for requests that match routes.
 pub(crate) async fn routed(node: Arc<Node>, accepted: Accepted, closing: Closing) {
-    let (phase, head_timeout) = match closing.is_closed() {
-        true => (ConnectionPhase::Draining, STOPPING_HEAD_TIMEOUT),
-        false => (ConnectionPhase::Accepting, ROUTED_IDLE_TIMEOUT),
-    };
-    let Accepted { tcp, conn } = accepted;
-    let timers = node.timers.clone();
-    let routed_conn = Arc::new(RoutedConnection::new(phase));
-    let answer = move |req| {
-        let (node, routed_conn) = (Arc::clone(&node), Arc::clone(&routed_conn));
-        async move { routed::serve(&node, req, &routed_conn).await }
-    };
-    let stream = ReadySocket::for_server(tcp);
-    let _ = http1(timers, stream, Some(&conn), head_timeout, closing, answer).await;
+    if closing.is_closed() {
+        let serve =
+            async |node: &Arc<Node>, req| routed::serve(node, req, ConnectionPhase::Draining).await;
+        return plain(node, accepted, STOPPING_HEAD_TIMEOUT, closing, serve).await;
+    }
+    let serve =
+        async |node: &Arc<Node>, req| routed::serve(node, req, ConnectionPhase::Accepting).await;
+    plain(node, accepted, ROUTED_IDLE_TIMEOUT, closing, serve).await;
 }
 
 /// Serves a connection for announcements of the own backend server.
--- a/crates/sorrelturn-daemon/src/request/mod.rs
+++ b/crates/sorrelturn-daemon/src/request/mod.rs
@@ -28,5 +28,4 @@
 pub(crate) mod parents;
 pub(crate) mod payload;
 pub(crate) mod routed;
-pub(crate) mod routed_connection;
 pub(crate) mod tokens;
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -18,7 +18,6 @@
     request::identity::{self, Identified},
     request::owner,
     request::payload::Payload,
-    request::routed_connection::{ConnectionPhase, RoutedConnection},
 };
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
@@ -45,6 +44,15 @@
 /// a service has half of the room for the demand of equal workspaces, each is at twice its share.
 const MAX_SHARE_USED_TO_WAIT: u16 = 2 * SHARE_STEPS;
 
+/// When the connection of a request was opened.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ConnectionPhase {
+    /// Before the shutdown: normal admission.
+    Accepting,
+    /// During the shutdown: only nested calls of this daemon's backend server are admitted.
+    Draining,
+}
+
 /// A request whose route and caller are known, before it is forwarded.
 struct ResolvedRequest {
     in_force: Arc<InForce>,
@@ -57,25 +65,23 @@
     is_nested_call: bool,
     /// The remaining time that the caller sent.
     remaining_ms: Option<u32>,
-    arrived_at: Now,
     deadline: Now,
 }
 
 pub(crate) async fn serve(
     node: &Arc<Node>,
     req: Request<Incoming>,
-    conn: &RoutedConnection,
+    phase: ConnectionPhase,
 ) -> Response<Body> {
     let Some(routed) = &node.routed else {
         return crate::net::serve::status(StatusCode::NOT_FOUND);
     };
     let active_request = ActiveRequest::new(node);
     let arrived_at = node.now();
-    conn.record_request(arrived_at);
     let caller_request_id = req.headers().get(&routed.dialect.headers.request_id);
     let caller_request_id = caller_request_id.cloned();
     let request_id = parse_or_hash_id(caller_request_id.as_ref());
-    let resolved = resolve(node, routed, &req, request_id, arrived_at, conn).await;
+    let resolved = resolve(node, routed, &req, request_id, arrived_at, phase).await;
     let (importance, kind, reply) = match resolved {
         Ok(resolved) => {
             let (importance, kind) = (resolved.kind.importance(), Arc::clone(&resolved.kind));
@@ -101,7 +107,6 @@
         reply.context.verdict,
         node.now() - arrived_at,
     );
-    conn.record_answer(node.now());
     into_response(routed, caller_request_id, reply, active_request)
 }
 
@@ -122,7 +127,7 @@
     req: &Request<Incoming>,
     request_id: RequestId,
     arrived_at: Now,
-    conn: &RoutedConnection,
+    phase: ConnectionPhase,
 ) -> Result<ResolvedRequest, Reply> {
     let headers = req.headers();
     if has_ambiguous_length(req) || !headers.contains_key(&routed.dialect.headers.request_id) {
@@ -159,12 +164,11 @@
         request_id,
         is_nested_call: workspace.is_none() && state.is_call.load(Ordering::Relaxed),
         remaining_ms,
-        arrived_at,
         deadline: arrived_at + Duration::from_millis(deadline_ms.into()),
         workspace,
     };
-    if let Some(shedding) = admit(node, routed, &resolved, &state, conn.phase)? {
-        let has_waited = shed(node, &mut resolved, &state, &shedding, conn).await?;
+    if let Some(shedding) = admit(node, routed, &resolved, &state, phase)? {
+        let has_waited = shed(node, &mut resolved, &state, &shedding, arrived_at).await?;
         if has_waited {
             // Its route may be gone, or its credential revoked.
             identity::identify(node, routed, headers, host_and_path, arrived_at).await?;
@@ -257,11 +261,11 @@
     resolved: &mut ResolvedRequest,
     state: &Arc<KindState>,
     shedding: &Shedding,
-    conn: &RoutedConnection,
+    arrived_at: Now,
 ) -> Result<bool, Reply> {
     let queues = node.contention.queues_at_entry(&resolved.in_force);
     let admission = if queues && !node.shutdown.has_begun() {
-        wait_for_room(node, resolved, state, shedding, conn).await
+        wait_for_room(node, resolved, state, shedding, arrived_at).await
     } else if shedding.is_refused {
         Admission::Refused
     } else {
@@ -285,16 +289,16 @@
     resolved: &ResolvedRequest,
     state: &Arc<KindState>,
     shedding: &Shedding,
-    conn: &RoutedConnection,
+    arrived_at: Now,
 ) -> Admission {
-    let (arrived_at, deadline) = (resolved.arrived_at, resolved.deadline);
+    let deadline = resolved.deadline;
     let target = resolved.kind.target;
     let request = EntryRequest {
         id: 0,
         rank: shedding.rank,
         is_refused: shedding.is_refused,
         is_retry: shedding.is_retry,
-        may_wait: !shedding.is_far_over_share() && !conn.sends_behind(),
+        may_wait: !shedding.is_far_over_share(),
         arrived_at,
         target: target.unwrap_or_else(|| deadline.saturating_sub(arrived_at)),
         deadline,
