Review, case 2: requests reach a leaving instance late behind an early answer

Cause: a connection to the instance goes back to the pool when the response is complete, although the body of its request is still being sent. The next request takes that connection first and waits until the body is through. Whether the instance still accepts requests was checked before that wait.

Adds a script in which two of three instances answer long requests before they have read them and read on 4 s later, while instances leave as planned, one at a time. Nothing is fixed.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -22,6 +22,7 @@
 };
 
 mod case1;
+mod case2;
 
 pub const HELD: i32 = 0;
 pub const BROKEN: i32 = 1;
@@ -39,6 +40,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match case.as_str() {
         "1" => case1::run(trouble),
+        "2" => case2::run(trouble),
         _ => Err(format!("unknown case {case:?}")),
     };
     let code = result.unwrap_or_else(|error| {
