Metrics and S603 say which connections a daemon holds

A daemon that took no new connection said only that accept had failed. Now the gauges connections{listener}, connections.to_peers and connections.idle_to_peers say it at any time, and S603 at the moment of the shortage. No behaviour changes.

--- a/crates/sorrelturn-daemon/src/backend/link.rs
+++ b/crates/sorrelturn-daemon/src/backend/link.rs
@@ -46,7 +46,7 @@
             clock,
             addr,
             connect_timeout,
-            pool: Pool::new(CONNECTIONS_BEFORE_BUNDLE, clock),
+            pool: Pool::new(CONNECTIONS_BEFORE_BUNDLE, clock, &Arc::default()),
             connections_opened: AtomicU64::new(0),
         }
     }
--- a/crates/sorrelturn-daemon/src/fleet/instance_table.rs
+++ b/crates/sorrelturn-daemon/src/fleet/instance_table.rs
@@ -1,6 +1,6 @@
 //! Snapshot of the instances that calls can be routed to, which requests read without locking.
 
-use crate::{clock::Clock, fleet::peers::PeerLink};
+use crate::{clock::Clock, fleet::peers::PeerLink, net::pool::PoolTotals};
 use sorrelturn_fleet::Membership;
 use sorrelturn_policy::{Instance, Now, RoomSum, ServiceRoom};
 use sorrelturn_protocol::{ContentionReport, Incarnation, MemberRecord, MemberState, Priority};
@@ -157,6 +157,7 @@
         own_domain: &str,
         evacuated: &BTreeSet<String>,
         clock: Clock,
+        peer_connections: &Arc<PoolTotals>,
         warm_up_time: impl Fn(&str) -> Duration,
     ) -> Self {
         let mut table = Self {
@@ -187,7 +188,7 @@
                             warm_up,
                             clock.now(),
                         )),
-                        link: Arc::new(PeerLink::new(record.peer_addr, clock)),
+                        link: Arc::new(PeerLink::new(record.peer_addr, clock, peer_connections)),
                         is_incarnation_queried: AtomicBool::new(false),
                         record: record.clone(),
                     })
--- a/crates/sorrelturn-daemon/src/fleet/peers.rs
+++ b/crates/sorrelturn-daemon/src/fleet/peers.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     clock::Clock,
-    net::pool::{Lease, MAX_BUF_BYTES, Opened, Pool, SendError},
+    net::pool::{Lease, MAX_BUF_BYTES, Opened, Pool, PoolTotals, SendError},
     net::stream::FleetKeys,
     net::timers::Timers,
     request::body::{self, Body},
@@ -80,12 +80,13 @@
 }
 
 impl PeerLink {
-    pub(crate) fn new(addr: SocketAddr, clock: Clock) -> Self {
+    /// Creates a link without connections; they count in `totals`.
+    pub(crate) fn new(addr: SocketAddr, clock: Clock, totals: &Arc<PoolTotals>) -> Self {
         Self {
             clock,
             addr,
-            pool_with_timeouts: Pool::new(MAX_CONNECTIONS, clock),
-            pool_without_timeouts: Pool::new(MAX_CONNECTIONS, clock),
+            pool_with_timeouts: Pool::new(MAX_CONNECTIONS, clock, totals),
+            pool_without_timeouts: Pool::new(MAX_CONNECTIONS, clock, totals),
         }
     }
 
--- a/crates/sorrelturn-daemon/src/net/connections.rs
+++ b/crates/sorrelturn-daemon/src/net/connections.rs
@@ -10,16 +10,57 @@
     collections::HashMap,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
 };
 
 /// Marks a connection that carries a request, in place of a sequence number.
 const ACTIVE: u64 = u64::MAX;
 
+/// The listeners of a daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ListenerKind {
+    Callers,
+    Local,
+    Peers,
+    Control,
+    Admin,
+    Routed,
+    Announce,
+    Ready,
+}
+
+impl ListenerKind {
+    pub(crate) const ALL: [Self; 8] = [
+        Self::Callers,
+        Self::Local,
+        Self::Peers,
+        Self::Control,
+        Self::Admin,
+        Self::Routed,
+        Self::Announce,
+        Self::Ready,
+    ];
+
+    /// Returns the name of the listener's setting.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Callers => "callers",
+            Self::Local => "local",
+            Self::Peers => "peers",
+            Self::Control => "control",
+            Self::Admin => "admin",
+            Self::Routed => "routed",
+            Self::Announce => "announce",
+            Self::Ready => "ready",
+        }
+    }
+}
+
 /// The open connections of a daemon.
 pub(crate) struct Connections {
     max_open: usize,
+    open_by_listener: [AtomicUsize; ListenerKind::ALL.len()],
     /// The next sequence number, for connection ids and the order in which connections became idle;
     /// saves a clock reading per request.
     sequence_counter: AtomicU64,
@@ -35,6 +76,7 @@
 /// One open connection; it counts as open until it is dropped.
 pub(crate) struct Connection {
     connections: Arc<Connections>,
+    listener: ListenerKind,
     id: u64,
     state: Arc<State>,
     closed: Receiver<()>,
@@ -48,13 +90,19 @@
     pub(crate) fn new(max_open: usize) -> Arc<Self> {
         Arc::new(Self {
             max_open,
+            open_by_listener: Default::default(),
             sequence_counter: AtomicU64::new(0),
             open: Mutex::default(),
         })
     }
 
+    /// Returns the number of open connections of a listener.
+    pub(crate) fn open_count(&self, listener: ListenerKind) -> usize {
+        self.open_by_listener[listener as usize].load(Ordering::Relaxed)
+    }
+
     /// Adds a connection; at the limit, the one that has been idle longest is closed.
-    pub(crate) fn open(self: &Arc<Self>) -> Connection {
+    pub(crate) fn open(self: &Arc<Self>, listener: ListenerKind) -> Connection {
         if lock(&self.open).len() >= self.max_open {
             self.close_idle(1);
         }
@@ -65,8 +113,10 @@
             close,
         });
         lock(&self.open).insert(id, Arc::clone(&state));
+        self.open_by_listener[listener as usize].fetch_add(1, Ordering::Relaxed);
         Connection {
             connections: Arc::clone(self),
+            listener,
             id,
             state,
             closed,
@@ -113,6 +163,7 @@
 impl Drop for Connection {
     fn drop(&mut self) {
         lock(&self.connections.open).remove(&self.id);
+        self.connections.open_by_listener[self.listener as usize].fetch_sub(1, Ordering::Relaxed);
     }
 }
 
--- a/crates/sorrelturn-daemon/src/net/listeners.rs
+++ b/crates/sorrelturn-daemon/src/net/listeners.rs
@@ -3,6 +3,7 @@
 use crate::{
     config::settings::{ListenSettings, Settings},
     fleet::control,
+    net::connections::ListenerKind,
     net::serve::{self, Accepted, Closing},
     node::Node,
     run::StartError,
@@ -72,45 +73,62 @@
     /// Accepts connections until `closing` closes; those of the callers' listener until
     /// `closing_entries` does.
     pub(crate) fn serve(self, node: &Arc<Node>, closing_entries: &Closing, closing: &Closing) {
-        let spawn = |listener, serve: fn(Arc<Node>, Accepted, Closing) -> _| {
-            let task = serve::accept(Arc::clone(node), listener, closing.clone(), serve);
+        let spawn = |listener, kind, serve: fn(Arc<Node>, Accepted, Closing) -> _| {
+            let task = serve::accept(Arc::clone(node), listener, kind, closing.clone(), serve);
             node.ex.spawn(task).detach();
         };
         let callers = serve::accept(
             Arc::clone(node),
             self.callers,
+            ListenerKind::Callers,
             closing_entries.clone(),
             serve::caller,
         );
         node.ex.spawn(callers).detach();
-        spawn(self.local, |node, accepted, closing| {
-            serve::local(node, accepted, closing).boxed()
-        });
-        spawn(self.peers, |node, accepted, closing| {
-            serve::peer(node, accepted, closing).boxed()
-        });
-        spawn(self.control, |node, accepted, closing| {
-            control::serve(node, accepted, closing).boxed()
-        });
-        spawn(self.admin, |node, accepted, closing| {
-            serve::admin(node, accepted, closing).boxed()
-        });
+        spawn(
+            self.local,
+            ListenerKind::Local,
+            |node, accepted, closing| serve::local(node, accepted, closing).boxed(),
+        );
+        spawn(
+            self.peers,
+            ListenerKind::Peers,
+            |node, accepted, closing| serve::peer(node, accepted, closing).boxed(),
+        );
+        spawn(
+            self.control,
+            ListenerKind::Control,
+            |node, accepted, closing| control::serve(node, accepted, closing).boxed(),
+        );
+        spawn(
+            self.admin,
+            ListenerKind::Admin,
+            |node, accepted, closing| serve::admin(node, accepted, closing).boxed(),
+        );
         if let Some(routed) = self.routed {
             // The own backend server sends its calls here, too, until it has no request in
             // progress.
             let closing_entries = closing_entries.clone();
             let serve =
                 move |node, accepted, _| serve::routed(node, accepted, closing_entries.clone());
-            let task = serve::accept(Arc::clone(node), routed, closing.clone(), serve);
+            let task = serve::accept(
+                Arc::clone(node),
+                routed,
+                ListenerKind::Routed,
+                closing.clone(),
+                serve,
+            );
             node.ex.spawn(task).detach();
         }
         if let Some(announce) = self.announce {
-            spawn(announce, |node, accepted, closing| {
-                serve::announce(node, accepted, closing).boxed()
-            });
+            spawn(
+                announce,
+                ListenerKind::Announce,
+                |node, accepted, closing| serve::announce(node, accepted, closing).boxed(),
+            );
         }
         if let Some(ready) = self.ready {
-            spawn(ready, |node, accepted, closing| {
+            spawn(ready, ListenerKind::Ready, |node, accepted, closing| {
                 serve::ready(node, accepted, closing).boxed()
             });
         }
--- a/crates/sorrelturn-daemon/src/net/pool.rs
+++ b/crates/sorrelturn-daemon/src/net/pool.rs
@@ -62,9 +62,29 @@
     AnswerLost,
 }
 
+/// The number of connections of several pools.
+#[derive(Default)]
+pub(crate) struct PoolTotals {
+    open: AtomicUsize,
+    idle: AtomicUsize,
+}
+
+impl PoolTotals {
+    /// Returns the number of open connections, idle ones included.
+    pub(crate) fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of idle connections.
+    pub(crate) fn idle(&self) -> usize {
+        self.idle.load(Ordering::Relaxed)
+    }
+}
+
 /// The connections to one address.
 pub(crate) struct Pool {
     clock: Clock,
+    totals: Arc<PoolTotals>,
     max_open: AtomicUsize,
     idle_timeout_ms: AtomicU64,
     open_count: Arc<AtomicUsize>,
@@ -118,6 +138,23 @@
 struct Idle {
     conn: Conn,
     since: Now,
+    _count: IdleCountGuard,
+}
+
+/// Counts a connection in the totals while it is idle.
+struct IdleCountGuard(Arc<PoolTotals>);
+
+impl IdleCountGuard {
+    fn new(totals: &Arc<PoolTotals>) -> Self {
+        totals.idle.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(totals))
+    }
+}
+
+impl Drop for IdleCountGuard {
+    fn drop(&mut self) {
+        self.0.idle.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// An open connection. It counts as open until nothing can be sent over it, even if its task
@@ -165,6 +202,7 @@
             idle.push_back(Idle {
                 conn: self.conn,
                 since: now,
+                _count: IdleCountGuard::new(&self.pool.totals),
             });
         }
     }
@@ -178,19 +216,24 @@
 }
 
 /// Counts a connection while it is open.
-struct OpenCountGuard(Arc<AtomicUsize>);
+struct OpenCountGuard {
+    count: Arc<AtomicUsize>,
+    totals: Arc<PoolTotals>,
+}
 
 impl Drop for OpenCountGuard {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.count.fetch_sub(1, Ordering::Relaxed);
+        self.totals.open.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
 impl Pool {
-    /// Creates a pool of at most `max_open` connections.
-    pub(crate) fn new(max_open: usize, clock: Clock) -> Arc<Self> {
+    /// Creates a pool of at most `max_open` connections, which count in `totals`.
+    pub(crate) fn new(max_open: usize, clock: Clock, totals: &Arc<PoolTotals>) -> Arc<Self> {
         Arc::new(Self {
             clock,
+            totals: Arc::clone(totals),
             max_open: AtomicUsize::new(max_open),
             idle_timeout_ms: AtomicU64::new(IDLE_TIMEOUT.as_millis() as u64),
             open_count: Arc::default(),
@@ -344,7 +387,11 @@
         connect_timeout: Duration,
         connect: impl Future<Output = io::Result<Opened>>,
     ) -> Result<Conn, SendError> {
-        let count_guard = OpenCountGuard(Arc::clone(&self.open_count));
+        self.totals.open.fetch_add(1, Ordering::Relaxed);
+        let count_guard = OpenCountGuard {
+            count: Arc::clone(&self.open_count),
+            totals: Arc::clone(&self.totals),
+        };
         if self.open_count.fetch_add(1, Ordering::Relaxed) >= self.max_open.load(Ordering::Relaxed)
         {
             return Err(SendError::Full);
--- a/crates/sorrelturn-daemon/src/net/serve.rs
+++ b/crates/sorrelturn-daemon/src/net/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     backend::announce,
-    net::connections::Connection,
+    net::connections::{Connection, ListenerKind},
     net::timers::Timers,
     node::{ActiveRequest, Node, lock},
     request::answer::Reply,
@@ -80,6 +80,7 @@
 pub(crate) async fn accept<F>(
     node: Arc<Node>,
     listener: TcpListener,
+    kind: ListenerKind,
     closing: Closing,
     serve: impl Fn(Arc<Node>, Accepted, Closing) -> F + Send + 'static,
 ) where
@@ -97,7 +98,7 @@
                 if lacks_descriptors(&error) {
                     node.connections.close_idle(IDLE_CLOSED_ON_SHORTAGE);
                 }
-                node.record_event(&events::ACCEPT_FAILED, vec![Field::new("error", error)]);
+                record_accept_failure(&node, kind, error);
                 Timer::after(ACCEPT_RETRY_DELAY).await;
                 continue;
             }
@@ -112,7 +113,7 @@
         }
         let accepted = Accepted {
             tcp,
-            conn: node.connections.open(),
+            conn: node.connections.open(kind),
         };
         let conn = serve(Arc::clone(&node), accepted, closing.clone());
         let counted = async move {
@@ -125,6 +126,20 @@
     }
 }
 
+/// Records a failed accept with what holds the file descriptors.
+fn record_accept_failure(node: &Node, kind: ListenerKind, error: io::Error) {
+    let mut fields = vec![
+        Field::new("error", error),
+        Field::new("listener", kind.name()),
+    ];
+    for kind in ListenerKind::ALL {
+        fields.push(Field::new(kind.name(), node.connections.open_count(kind)));
+    }
+    fields.push(Field::new("to_peers", node.peer_connections.open()));
+    fields.push(Field::new("idle_to_peers", node.peer_connections.idle()));
+    node.record_event(&events::ACCEPT_FAILED, fields);
+}
+
 fn lacks_descriptors(error: &io::Error) -> bool {
     matches!(error.raw_os_error(), Some(libc::EMFILE | libc::ENFILE))
 }
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -16,6 +16,7 @@
     fleet::quota::Quota,
     fleet::suspects::SuspectedRequests,
     net::connections::Connections,
+    net::pool::PoolTotals,
     net::stream::FleetKeys,
     net::timers::Timers,
     operators::metrics_page::MetricsPage,
@@ -115,7 +116,10 @@
     pub(crate) spans: SpanBuffer,
     pub(crate) metrics: StatsdClient,
     pub(crate) metrics_page: Arc<MetricsPage>,
+    /// The connections that others opened to this daemon.
     pub(crate) connections: Arc<Connections>,
+    /// The connections to the peer ports of other daemons.
+    pub(crate) peer_connections: Arc<PoolTotals>,
     pub(crate) counts: Counts,
 }
 
@@ -495,7 +499,14 @@
         let domain = &self.settings.failure_domain;
         let before = self.instances.load();
         let evacuated = self.evacuation.domains();
-        let table = before.rebuild(membership, domain, &evacuated, self.clock, cold_start);
+        let table = before.rebuild(
+            membership,
+            domain,
+            &evacuated,
+            self.clock,
+            &self.peer_connections,
+            cold_start,
+        );
         self.instances.store(Arc::new(table));
     }
 
--- a/crates/sorrelturn-daemon/src/operators/export.rs
+++ b/crates/sorrelturn-daemon/src/operators/export.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     backend::work_times,
+    net::connections::ListenerKind,
     node::{Node, lock},
     operators::metrics_page::{MetricsPage, PageSink},
 };
@@ -170,9 +171,19 @@
         (&metrics::MEMBERS, members as u64),
         (&metrics::TOKENS, tokens as u64),
         (&metrics::BUNDLE_VERSION, version),
+        (&metrics::TO_PEERS, node.peer_connections.open() as u64),
+        (&metrics::IDLE_TO_PEERS, node.peer_connections.idle() as u64),
     ] {
         let _ = node.metrics.gauge(metric.name, value);
     }
+    for kind in ListenerKind::ALL {
+        let open = node.connections.open_count(kind) as u64;
+        let _ = node
+            .metrics
+            .gauge_with_tags(metrics::CONNECTIONS.name, open)
+            .with_tag("listener", kind.name())
+            .try_send();
+    }
     send_work_time_gauges(node);
     if let Some(age_ms) = node.route_staleness.age_ms(node.now()) {
         let _ = node
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -381,6 +381,7 @@
         metrics,
         metrics_page,
         connections: Connections::new(settings.connections),
+        peer_connections: Arc::default(),
         counts: Counts::default(),
         ex,
         clock,
--- a/crates/sorrelturn-telemetry/src/metrics.rs
+++ b/crates/sorrelturn-telemetry/src/metrics.rs
@@ -53,5 +53,8 @@
     BUNDLE_VERSION = Gauge "bundle.version" "The version of the bundle in force.";
     MEMBERS = Gauge "members" "Members of the fleet known to this daemon.";
     TOKENS = Gauge "tokens" "Outstanding execution tokens that have not expired.";
+    CONNECTIONS = Gauge "connections" "Open connections from others, by listener.";
+    TO_PEERS = Gauge "connections.to_peers" "Open connections for calls to other daemons.";
+    IDLE_TO_PEERS = Gauge "connections.idle_to_peers" "Those of them that carry no call.";
     SPANS_DROPPED = Counter "spans.dropped" "Spans dropped because the buffer was full.";
 }
