Connections between daemons are limited over all peers, so that new clients are taken

What callers saw: a daemon whose file descriptors are held by connections of other daemons takes no new client for as long as those rest, up to 60 s.

Cause: any daemon may call any other, and each pair kept up to four rested connections for 30 to 60 s. Nothing bounded them over all peers, and a shortage closed rested connections of clients only: connections of peers and control connections never counted as idle. They also counted against the limit of all listeners, so that beyond it clients that connected together ended one another's connections before their first request.

Now: beyond their limit, connections of peers end with a response. The peer sends nothing meanwhile, so no call can cross the close and count as one that may have run. Beyond one and a half times the limit they wait in the queue. Control connections count as clients', with the last call as their last use. Rested connections to peers are limited over all of them, and those that are closed or too old are dropped every 2 s; they held descriptors until the next call to that peer. All limits follow from the setting connections.

--- a/crates/sorrelturn-daemon/src/backend/link.rs
+++ b/crates/sorrelturn-daemon/src/backend/link.rs
@@ -2,13 +2,14 @@
 
 use crate::{
     clock::Clock,
-    net::pool::{Lease, Opened, Pool, SendError},
+    net::pool::{Lease, Opened, Pool, PoolTotals, SendError},
     net::timers::Timers,
     request::body::Body,
 };
 use hyper::{Request, Response, body::Incoming};
 use smol::{Executor, future::FutureExt, net::TcpStream};
 use sorrelturn_platform::ReadySocket;
+use sorrelturn_policy::ConnectionLimits;
 use std::{
     net::SocketAddr,
     pin::pin,
@@ -46,7 +47,11 @@
             clock,
             addr,
             connect_timeout,
-            pool: Pool::new(CONNECTIONS_BEFORE_BUNDLE, clock, &Arc::default()),
+            pool: Pool::new(
+                CONNECTIONS_BEFORE_BUNDLE,
+                clock,
+                &PoolTotals::new(ConnectionLimits::NONE),
+            ),
             connections_opened: AtomicU64::new(0),
         }
     }
--- a/crates/sorrelturn-daemon/src/fleet/control.rs
+++ b/crates/sorrelturn-daemon/src/fleet/control.rs
@@ -197,8 +197,6 @@
 /// Serves control calls on one connection until it ends or the listener closes.
 pub(crate) async fn serve(node: Arc<Node>, accepted: Accepted, closing: Closing) {
     let Accepted { tcp, conn } = accepted;
-    // Control messages may arrive at any time, so the connection never counts as idle.
-    let _active_guard = conn.mark_active();
     let Ok(stream) = node.keys.accept(tcp).await else {
         node.record_event(&events::BAD_PEER, vec![Field::new("port", "control")]);
         return;
@@ -208,16 +206,18 @@
         node: Arc::clone(&node),
     };
     let ex = Arc::clone(&node.ex);
+    let mark_used = || conn.mark_used();
     let serve_calls = async move {
         let mut calls = std::pin::pin!(channel.execute(server.serve()));
         while let Some(call) = calls.next().await {
+            mark_used();
             ex.spawn(Compat::new(call)).detach();
         }
     };
     let closed = async {
         let _ = closing.recv().await;
     };
-    Compat::new(serve_calls.or(closed)).await;
+    Compat::new(serve_calls.or(closed).or(conn.wait_for_close())).await;
 }
 
 type ControlTransport<Item, SinkItem> = tarpc::serde_transport::Transport<
--- a/crates/sorrelturn-daemon/src/fleet/gossip.rs
+++ b/crates/sorrelturn-daemon/src/fleet/gossip.rs
@@ -185,6 +185,7 @@
         Timer::after(delay.mul_f64(jitter)).await;
         lock(&node.membership).forget_gone(node.now());
         node.control_links.close_idle(node.now());
+        node.instances.load().drop_expired_connections();
     }
 }
 
--- a/crates/sorrelturn-daemon/src/fleet/instance_table.rs
+++ b/crates/sorrelturn-daemon/src/fleet/instance_table.rs
@@ -148,6 +148,20 @@
         self.by_incarnation.get(&incarnation)
     }
 
+    /// Drops idle connections to all instances that are closed or that have been idle too long.
+    pub(crate) fn drop_expired_connections(&self) {
+        for instance in self.by_incarnation.values() {
+            instance.link.drop_expired();
+        }
+    }
+
+    /// Drops all idle connections to instances; calls in progress on others continue.
+    pub(crate) fn drop_idle_connections(&self) {
+        for instance in self.by_incarnation.values() {
+            instance.link.drop_idle();
+        }
+    }
+
     /// Builds a new snapshot from the membership and reuses the entries of unchanged members.
     ///
     /// Instances in `evacuated` failure domains receive no calls. `warm_up_time` returns the warm-up time of a service.
--- a/crates/sorrelturn-daemon/src/fleet/peers.rs
+++ b/crates/sorrelturn-daemon/src/fleet/peers.rs
@@ -200,6 +200,12 @@
         AttemptStatus::decode(status.as_bytes()).ok()
     }
 
+    /// Drops the idle connections that are closed or that have been idle too long.
+    pub(crate) fn drop_expired(&self) {
+        self.pool_with_timeouts.drop_expired();
+        self.pool_without_timeouts.drop_expired();
+    }
+
     /// Drops the idle connections; calls in progress on others continue.
     pub(crate) fn drop_idle(&self) {
         self.pool_with_timeouts.drop_idle();
--- a/crates/sorrelturn-daemon/src/net/connections.rs
+++ b/crates/sorrelturn-daemon/src/net/connections.rs
@@ -2,15 +2,18 @@
 //!
 //! Clients keep connections open for later use. At the limit, a new connection replaces the one
 //! that has been idle longest, whose client reconnects when it needs to. Refusing the new one
-//! instead would deny its client service for as long as others stay idle.
+//! instead would deny its client service for as long as others stay idle. Control connections of
+//! other daemons count as clients. Connections for calls of other daemons don't: closing an idle
+//! one could cut off a call, so beyond their own limit they end with a response.
 
 use crate::node::lock;
 use smol::channel::{self, Receiver, Sender};
+use sorrelturn_policy::ConnectionLimits;
 use std::{
     collections::HashMap,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
 };
 
@@ -59,12 +62,16 @@
 
 /// The open connections of a daemon.
 pub(crate) struct Connections {
-    max_open: usize,
+    max_clients: usize,
+    limits: ConnectionLimits,
+    /// Whether the last accept found no free file descriptor.
+    lacks_descriptors: AtomicBool,
     open_by_listener: [AtomicUsize; ListenerKind::ALL.len()],
     /// The next sequence number, for connection ids and the order in which connections became idle;
     /// saves a clock reading per request.
     sequence_counter: AtomicU64,
-    open: Mutex<HashMap<u64, Arc<State>>>,
+    /// The connections that may be closed for a new one, which are all but those of peers.
+    clients: Mutex<HashMap<u64, Arc<State>>>,
 }
 
 struct State {
@@ -86,13 +93,15 @@
 pub(crate) struct ActiveGuard<'a>(&'a Connection);
 
 impl Connections {
-    /// Creates an empty set; from `max_open` connections on, idle ones are closed.
-    pub(crate) fn new(max_open: usize) -> Arc<Self> {
+    /// Creates an empty set; from `max_clients` connections of clients on, idle ones are closed.
+    pub(crate) fn new(max_clients: usize) -> Arc<Self> {
         Arc::new(Self {
-            max_open,
+            max_clients,
+            limits: ConnectionLimits::new(max_clients),
+            lacks_descriptors: AtomicBool::new(false),
             open_by_listener: Default::default(),
             sequence_counter: AtomicU64::new(0),
-            open: Mutex::default(),
+            clients: Mutex::default(),
         })
     }
 
@@ -101,9 +110,28 @@
         self.open_by_listener[listener as usize].load(Ordering::Relaxed)
     }
 
-    /// Adds a connection; at the limit, the one that has been idle longest is closed.
+    /// Returns whether a listener has room for another connection. Those of clients replace idle ones.
+    pub(crate) fn has_room(&self, listener: ListenerKind) -> bool {
+        listener != ListenerKind::Peers || self.limits.accepts_inbound(self.open_count(listener))
+    }
+
+    /// Returns whether a peer's connection stays open after a response.
+    pub(crate) fn keeps_peer(&self) -> bool {
+        !self.lacks_descriptors.load(Ordering::Relaxed)
+            && self
+                .limits
+                .keeps_inbound(self.open_count(ListenerKind::Peers))
+    }
+
+    /// Records whether an accept found no free file descriptor.
+    pub(crate) fn set_lacks_descriptors(&self, lacks: bool) {
+        self.lacks_descriptors.store(lacks, Ordering::Relaxed);
+    }
+
+    /// Adds a connection; at the limit of clients, the one that has been idle longest is closed.
     pub(crate) fn open(self: &Arc<Self>, listener: ListenerKind) -> Connection {
-        if lock(&self.open).len() >= self.max_open {
+        let is_client = listener != ListenerKind::Peers;
+        if is_client && lock(&self.clients).len() >= self.max_clients {
             self.close_idle(1);
         }
         let (close, closed) = channel::bounded(1);
@@ -112,7 +140,9 @@
             idle_sequence: AtomicU64::new(id),
             close,
         });
-        lock(&self.open).insert(id, Arc::clone(&state));
+        if is_client {
+            lock(&self.clients).insert(id, Arc::clone(&state));
+        }
         self.open_by_listener[listener as usize].fetch_add(1, Ordering::Relaxed);
         Connection {
             connections: Arc::clone(self),
@@ -123,16 +153,18 @@
         }
     }
 
-    /// Closes up to `count` connections, those that have been idle longest first.
-    pub(crate) fn close_idle(&self, count: usize) {
-        let open = lock(&self.open);
-        let mut idle: Vec<_> = open.values().filter_map(State::idle_sender).collect();
+    /// Closes up to `count` connections of clients, those that have been idle longest first. Returns whether any was idle.
+    pub(crate) fn close_idle(&self, count: usize) -> bool {
+        let clients = lock(&self.clients);
+        let mut idle: Vec<_> = clients.values().filter_map(State::idle_sender).collect();
         if count < idle.len() {
             idle.select_nth_unstable_by_key(count, |(sequence, _)| *sequence);
         }
+        let has_idle = !idle.is_empty();
         for (_, close) in idle.into_iter().take(count) {
             close.close();
         }
+        has_idle
     }
 
     fn next_sequence(&self) -> u64 {
@@ -154,6 +186,11 @@
         ActiveGuard(self)
     }
 
+    /// Makes the connection the one that was used last.
+    pub(crate) fn mark_used(&self) {
+        drop(self.mark_active());
+    }
+
     /// Waits until the connection has to close.
     pub(crate) async fn wait_for_close(&self) {
         let _ = self.closed.recv().await;
@@ -162,7 +199,7 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        lock(&self.connections.open).remove(&self.id);
+        lock(&self.connections.clients).remove(&self.id);
         self.connections.open_by_listener[self.listener as usize].fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/sorrelturn-daemon/src/net/pool.rs
+++ b/crates/sorrelturn-daemon/src/net/pool.rs
@@ -11,7 +11,7 @@
 };
 use smol::{Executor, Timer, future::FutureExt, net::TcpStream};
 use sorrelturn_platform::hyper_io;
-use sorrelturn_policy::Now;
+use sorrelturn_policy::{ConnectionLimits, Now};
 use std::{
     collections::VecDeque,
     io,
@@ -62,14 +62,22 @@
     AnswerLost,
 }
 
-/// The number of connections of several pools.
-#[derive(Default)]
+/// The number of connections of several pools, and its limits.
 pub(crate) struct PoolTotals {
+    limits: ConnectionLimits,
     open: AtomicUsize,
     idle: AtomicUsize,
 }
 
 impl PoolTotals {
+    pub(crate) fn new(limits: ConnectionLimits) -> Arc<Self> {
+        Arc::new(Self {
+            limits,
+            open: AtomicUsize::new(0),
+            idle: AtomicUsize::new(0),
+        })
+    }
+
     /// Returns the number of open connections, idle ones included.
     pub(crate) fn open(&self) -> usize {
         self.open.load(Ordering::Relaxed)
@@ -198,7 +206,12 @@
         if has_surplus_idle(&idle, now) {
             idle.pop_front();
         }
-        if idle.len() < MAX_IDLE_CONNECTIONS {
+        let totals = &self.pool.totals;
+        if !totals.limits.keeps_outbound(totals.idle()) {
+            // A connection that was just used is more likely to be used again.
+            idle.pop_front();
+        }
+        if idle.len() < MAX_IDLE_CONNECTIONS && totals.limits.keeps_outbound(totals.idle()) {
             idle.push_back(Idle {
                 conn: self.conn,
                 since: now,
@@ -265,6 +278,15 @@
         lock(&self.idle).clear();
     }
 
+    /// Drops connections that the peer closed, and those that have been idle too long for the number of all idle ones.
+    pub(crate) fn drop_expired(&self) {
+        let idle_timeout = self.totals.limits.idle_timeout(self.totals.idle());
+        let now = self.clock.now();
+        lock(&self.idle).retain(|idle| {
+            !idle.conn.sender.is_closed() && now.saturating_sub(idle.since) < idle_timeout
+        });
+    }
+
     /// Returns whether the peer has left an idle connection open.
     pub(crate) fn has_open_idle(&self) -> bool {
         let idle = lock(&self.idle);
--- a/crates/sorrelturn-daemon/src/net/serve.rs
+++ b/crates/sorrelturn-daemon/src/net/serve.rs
@@ -15,7 +15,10 @@
     request::routed::{self, ConnectionPhase},
 };
 use hyper::{
-    HeaderMap, Request, Response, StatusCode, body::Incoming, server::conn::http1,
+    HeaderMap, Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue},
+    server::conn::http1,
     service::service_fn,
 };
 use smol::{
@@ -54,13 +57,17 @@
 /// The timeout for the head of a request on a connection that was opened while the daemon stops,
 /// so that an unused one doesn't delay the exit.
 const STOPPING_HEAD_TIMEOUT: Duration = Duration::from_millis(500);
+/// The timeout for the head of a request on a connection of a peer that closes after one response,
+/// so that an unused one soon makes room. A peer sends its request as soon as it is connected.
+const SURPLUS_PEER_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+const CLOSE: HeaderValue = HeaderValue::from_static("close");
 /// The maximum size of the head of a request, and of the unread part of a response, in bytes.
 const MAX_BUF_BYTES: usize = 64 << 10;
 /// The timeout for the TLS handshake of a peer.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 /// The maximum number of connections per listener.
 const MAX_CONNECTIONS: usize = 8_192;
-/// The delay after a failed accept.
+/// The delay after a failed accept, and between checks whether there is room for another connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// The number of idle connections to close when no file descriptor is free. With the pause between
 /// two shortages, that makes room for 400 new clients per second.
@@ -88,7 +95,12 @@
 {
     let open = Arc::new(AtomicUsize::new(0));
     loop {
-        let next = async { Some(listener.accept().await) };
+        let next = async {
+            while !node.connections.has_room(kind) {
+                Timer::after(ACCEPT_RETRY_DELAY).await;
+            }
+            Some(listener.accept().await)
+        };
         let Some(accepted) = next.or(closed(&closing)).await else {
             return;
         };
@@ -96,13 +108,14 @@
             Ok((tcp, _)) => tcp,
             Err(error) => {
                 if lacks_descriptors(&error) {
-                    node.connections.close_idle(IDLE_CLOSED_ON_SHORTAGE);
+                    free_descriptors(&node);
                 }
                 record_accept_failure(&node, kind, error);
                 Timer::after(ACCEPT_RETRY_DELAY).await;
                 continue;
             }
         };
+        node.connections.set_lacks_descriptors(false);
         let is_full = open.load(Ordering::Relaxed) >= MAX_CONNECTIONS;
         if is_full || tcp.set_nodelay(true).is_err() {
             continue;
@@ -126,6 +139,14 @@
     }
 }
 
+/// Makes room for new connections while no file descriptor is free.
+fn free_descriptors(node: &Node) {
+    node.connections.set_lacks_descriptors(true);
+    if !node.connections.close_idle(IDLE_CLOSED_ON_SHORTAGE) {
+        node.instances.load().drop_idle_connections();
+    }
+}
+
 /// Records a failed accept with what holds the file descriptors.
 fn record_accept_failure(node: &Node, kind: ListenerKind, error: io::Error) {
     let mut fields = vec![
@@ -278,10 +299,8 @@
 
 /// Serves a connection of another daemon.
 pub(crate) async fn peer(node: Arc<Node>, accepted: Accepted, closing: Closing) {
-    let Accepted { tcp, conn } = accepted;
-    // Never closed for a new connection: a call that is sent at the same time would count as one
-    // that may have run.
-    let _active_guard = conn.mark_active();
+    // The connection counts as open until the end of this task.
+    let Accepted { tcp, conn: _conn } = accepted;
     let timed_out = async {
         Timer::after(HANDSHAKE_TIMEOUT).await;
         Err(std::io::ErrorKind::TimedOut.into())
@@ -296,10 +315,21 @@
     let for_service = Arc::clone(&node);
     let answer = move |req: Request<Incoming>| {
         let node = Arc::clone(&for_service);
-        async move { peer_call(&node, req).await }
+        async move {
+            let mut res = peer_call(&node, req).await;
+            if !node.connections.keeps_peer() {
+                res.headers_mut().insert(CONNECTION, CLOSE);
+            }
+            res
+        }
     };
     let timers = node.timers.clone();
-    let result = http1(timers, stream, None, KEEP_ALIVE_TIMEOUT, closing, answer).await;
+    let head_timeout = if node.connections.keeps_peer() {
+        KEEP_ALIVE_TIMEOUT
+    } else {
+        SURPLUS_PEER_HEAD_TIMEOUT
+    };
+    let result = http1(timers, stream, None, head_timeout, closing, answer).await;
     if let Err(error) = result
         && error.is_parse()
     {
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -21,6 +21,7 @@
     fleet::watch,
     net::connections::Connections,
     net::listeners::Listeners,
+    net::pool::PoolTotals,
     net::stream::{FleetKeys, KeysError},
     net::timers::Timers,
     node::{Counts, Node, lock},
@@ -44,7 +45,7 @@
 use sorrelturn_fleet::{BundleTracker, DomainView, Membership};
 use sorrelturn_once::{Ledger, LedgerConfig};
 use sorrelturn_platform::Platform;
-use sorrelturn_policy::{Gate, GateConfig, Leaving, LeavingCause, Now};
+use sorrelturn_policy::{ConnectionLimits, Gate, GateConfig, Leaving, LeavingCause, Now};
 use sorrelturn_protocol::{Incarnation, MemberRecord, MemberState};
 use sorrelturn_telemetry::{EventRing, Field, SpanBuffer, events};
 use std::{
@@ -381,7 +382,7 @@
         metrics,
         metrics_page,
         connections: Connections::new(settings.connections),
-        peer_connections: Arc::default(),
+        peer_connections: PoolTotals::new(ConnectionLimits::new(settings.connections)),
         counts: Counts::default(),
         ex,
         clock,
