Calls that wait for a control connection to a daemon share one

Concurrent calls to a daemon without an open connection each opened one of their own. Now the first call connects, and the others wait for it, each within its own timeout.

--- a/crates/sorrelturn-daemon/src/fleet/control_client.rs
+++ b/crates/sorrelturn-daemon/src/fleet/control_client.rs
@@ -8,7 +8,7 @@
 };
 use async_compat::Compat;
 use displaydoc::Display;
-use smol::{Timer, future::FutureExt, net::TcpStream};
+use smol::{Timer, future::FutureExt, lock::Mutex as AsyncMutex, net::TcpStream};
 use sorrelturn_policy::Now;
 use sorrelturn_protocol::{Incarnation, MemberRecord};
 use std::{
@@ -37,6 +37,9 @@
 #[derive(Default)]
 pub(crate) struct ControlLinks {
     open: Mutex<HashMap<Incarnation, ControlLink>>,
+    /// Held while a connection to a daemon is opened, so that all calls that wait for one share it. Without that, a
+    /// burst of updates would open as many connections to each neighbour.
+    connecting: Mutex<HashMap<Incarnation, Arc<AsyncMutex<()>>>>,
 }
 
 struct ControlLink {
@@ -69,8 +72,14 @@
         }
     }
 
+    /// Returns the lock that is held while a connection to a daemon is opened.
+    fn connect_lock(&self, incarnation: Incarnation) -> Arc<AsyncMutex<()>> {
+        Arc::clone(lock(&self.connecting).entry(incarnation).or_default())
+    }
+
     /// Closes connections that were unused for [`IDLE_TIMEOUT`].
     pub(crate) fn close_idle(&self, now: Now) {
+        lock(&self.connecting).retain(|_, connecting| Arc::strong_count(connecting) > 1);
         lock(&self.open).retain(|_, link| now.saturating_sub(link.last_used) < IDLE_TIMEOUT);
     }
 
@@ -117,7 +126,7 @@
     let result = async {
         let client = match open_client {
             Some(client) => client,
-            None => connect(node, to).await?,
+            None => connect_once(node, to).await?,
         };
         let mut cx = context::current();
         cx.deadline = Instant::now() + timeout;
@@ -137,6 +146,16 @@
     result
 }
 
+/// Connects to a daemon, unless another call has done so meanwhile.
+async fn connect_once(node: &Arc<Node>, to: &MemberRecord) -> Result<ControlClient, ControlError> {
+    let connecting = node.control_links.connect_lock(to.incarnation);
+    let _guard = connecting.lock().await;
+    match node.control_links.get(node.now(), to.incarnation) {
+        Some(client) => Ok(client),
+        None => connect(node, to).await,
+    }
+}
+
 async fn connect(node: &Arc<Node>, to: &MemberRecord) -> Result<ControlClient, ControlError> {
     let tcp = TcpStream::connect(to.control_addr)
         .await
