Member records that arrive together are merged and told on together

Cause: a list of members was merged one record at a time: a rebuild of the table of all instances and a message to each neighbour for every record. A daemon that knew nobody chose its neighbours after the first five records, so all daemons that started together chose the same five, the first of the list.

Now a batch costs one rebuild and one message a neighbour, and neighbours are chosen after it.

--- a/crates/sorrelturn-daemon/src/fleet/control.rs
+++ b/crates/sorrelturn-daemon/src/fleet/control.rs
@@ -86,7 +86,7 @@
     async fn exchange(self, _: context::Context, request: ExchangeRequest) -> ExchangeReply {
         let from = request.from.instance.clone();
         gossip::record_inbound_peer(&self.node, &from);
-        gossip::receive_member_record(&self.node, request.from);
+        gossip::receive_member_records(&self.node, vec![request.from]);
         evacuation::receive(&self.node, &request.evacuations);
         fetch::fetch_if_newer(
             &self.node,
@@ -110,9 +110,7 @@
     }
 
     async fn update_members(self, _: context::Context, records: Vec<MemberRecord>) {
-        for record in records {
-            gossip::receive_member_record(&self.node, record);
-        }
+        gossip::receive_member_records(&self.node, records);
     }
 
     async fn announce(
--- a/crates/sorrelturn-daemon/src/fleet/gossip.rs
+++ b/crates/sorrelturn-daemon/src/fleet/gossip.rs
@@ -35,23 +35,33 @@
 /// One neighbour is replaced after this many exchanges in total, so that the gossip graph keeps changing.
 const EXCHANGES_PER_REPLACEMENT: u32 = 30;
 
-/// Merges a member record from any source and pushes it to the neighbours if it is new.
-pub(crate) fn receive_member_record(node: &Arc<Node>, record: MemberRecord) {
-    let is_own = record.instance == node.settings.instance;
-    if is_own && record.incarnation != node.incarnation {
-        state::restore(node, &record);
-    }
-    if !node.merge_member(record.clone()) {
-        return;
+/// Merges member records from any source and pushes those that are new to the neighbours, in one message to each.
+///
+/// Neighbours are chosen after all records are merged. Chosen after the first ones of a list, they would be the same at
+/// all daemons that start together.
+pub(crate) fn receive_member_records(node: &Arc<Node>, records: Vec<MemberRecord>) {
+    let own_instance = &node.settings.instance;
+    let (own, others): (Vec<_>, Vec<_>) = records
+        .into_iter()
+        .partition(|record| record.instance == *own_instance);
+    for record in own {
+        if record.incarnation != node.incarnation {
+            state::restore(node, &record);
+        }
+        if node.merge_own_record(&record) {
+            push_own_record(node);
+        }
     }
-    if is_own {
-        push_own_record(node);
-        return;
+    let updates = node.merge_members(others);
+    for record in &updates {
+        node.record_member_change(record);
+        if record.state == MemberState::Gone {
+            next_incarnation::start_search(node, record);
+        }
     }
-    if record.state == MemberState::Gone {
-        next_incarnation::start_search(node, &record);
+    if !updates.is_empty() {
+        push_members(node, updates);
     }
-    push_members(node, vec![record]);
 }
 
 /// Records the sender of an incoming exchange, up to [`MAX_INBOUND_PEERS`], so that updates are also pushed to it.
--- a/crates/sorrelturn-daemon/src/fleet/watch.rs
+++ b/crates/sorrelturn-daemon/src/fleet/watch.rs
@@ -268,11 +268,12 @@
         None => Duration::ZERO,
     };
     watch_prefix(node, keys::MEMBERS, delay_after, restart, |changes| {
-        for object in changes.objects {
-            if let Some(record) = member_record::parse(node, &object) {
-                gossip::receive_member_record(node, record);
-            }
-        }
+        let records = changes
+            .objects
+            .iter()
+            .filter_map(|object| member_record::parse(node, object))
+            .collect();
+        gossip::receive_member_records(node, records);
     })
     .await;
 }
@@ -414,7 +415,7 @@
 async fn declare_gone(node: &Arc<Node>, mut record: MemberRecord) {
     record.sequence += 1;
     record.state = MemberState::Gone;
-    gossip::receive_member_record(node, record.clone());
+    gossip::receive_member_records(node, vec![record.clone()]);
     if let Err(error) = member_record::put(node, &record, Expected::Anything).await {
         member_record::log_unsaved(node, &record, error);
     }
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -411,11 +411,8 @@
         }
     }
 
-    /// Merges the record of a member. Returns whether it changed anything.
-    pub(crate) fn merge_member(&self, record: MemberRecord) -> bool {
-        if record.instance == self.settings.instance {
-            return self.merge_own_record(&record);
-        }
+    /// Records an event about the changed record of another member.
+    pub(crate) fn record_member_change(&self, record: &MemberRecord) {
         let kind = match record.state {
             MemberState::Live => &events::MEMBER_JOINED,
             MemberState::Leaving => &events::MEMBER_LEAVING,
@@ -425,18 +422,11 @@
             Field::new("member", &record.instance),
             Field::new("incarnation", record.incarnation),
         ];
-        let mut membership = lock(&self.membership);
-        if !membership.merge(self.now(), record) {
-            return false;
-        }
-        self.rebuild_instance_table(&membership);
-        drop(membership);
         self.record_event(kind, fields);
-        true
     }
 
     /// Merges a record of this instance that a peer has. Returns whether the own record changed.
-    fn merge_own_record(&self, record: &MemberRecord) -> bool {
+    pub(crate) fn merge_own_record(&self, record: &MemberRecord) -> bool {
         if record.incarnation != self.incarnation {
             return self.outrank_earlier_incarnation(record);
         }
@@ -472,7 +462,7 @@
         true
     }
 
-    /// Merges many records with one rebuild of the instance table. Returns those that changed anything.
+    /// Merges the records of other members with one rebuild of the instance table. Returns those that changed anything.
     pub(crate) fn merge_members(&self, records: Vec<MemberRecord>) -> Vec<MemberRecord> {
         let mut membership = lock(&self.membership);
         let now = self.now();
