A connection attempt that others wait for is given up after half of a call's time

Found when reading the change: calls share one attempt to connect, so on a path that drops packets a call could wait for another one's attempt until its own time was over, and a daemon would notice up to a second later that the path is back.

--- a/crates/sorrelturn-daemon/src/fleet/control_client.rs
+++ b/crates/sorrelturn-daemon/src/fleet/control_client.rs
@@ -20,6 +20,9 @@
 
 /// The timeout of [`call`].
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// The timeout for opening a connection. Half of [`CALL_TIMEOUT`], so that a call that has waited for another one's attempt
+/// on a broken path has time for its own.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Reasons why a control call failed.
@@ -150,10 +153,14 @@
 async fn connect_once(node: &Arc<Node>, to: &MemberRecord) -> Result<ControlClient, ControlError> {
     let connecting = node.control_links.connect_lock(to.incarnation);
     let _guard = connecting.lock().await;
-    match node.control_links.get(node.now(), to.incarnation) {
-        Some(client) => Ok(client),
-        None => connect(node, to).await,
+    if let Some(client) = node.control_links.get(node.now(), to.incarnation) {
+        return Ok(client);
     }
+    let timed_out = async {
+        Timer::after(CONNECT_TIMEOUT).await;
+        Err(ControlError::Timeout)
+    };
+    connect(node, to).or(timed_out).await
 }
 
 async fn connect(node: &Arc<Node>, to: &MemberRecord) -> Result<ControlClient, ControlError> {
