--- a/crates/sorrelturn-daemon/src/net/pool.rs
+++ b/crates/sorrelturn-daemon/src/net/pool.rs
@@ -11,7 +11,7 @@
 };
 use smol::{Executor, Timer, future::FutureExt, net::TcpStream};
 use sorrelturn_platform::hyper_io;
-use sorrelturn_policy::{ConnectionLimits, Now};
+use sorrelturn_policy::{ConnectionLimits, IDLE_TIMEOUT, Now, SPARE_IDLE_TIMEOUT};
 use std::{
     collections::VecDeque,
     io,
@@ -24,13 +24,8 @@
 
 /// The maximum number of idle connections.
 const MAX_IDLE_CONNECTIONS: usize = 256;
-/// The maximum idle time of a reused connection. The peer may close it after that, and a request
-/// that is sent at the same time may have run.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// The idle time after which connections opened for a burst are dropped, to free their memory.
-/// [`MIN_RETAINED_IDLE`] are retained for infrequent calls. A connection takes about 20 KB at each
-/// end.
-const SPARE_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+/// The number of connections that are retained for infrequent calls when those opened for a burst are dropped after
+/// [`SPARE_IDLE_TIMEOUT`]. A connection takes about 20 KB of memory at each end.
 const MIN_RETAINED_IDLE: usize = 4;
 /// The percentage of the peer's idle timeout for which a connection is reused.
 const PEER_IDLE_TIMEOUT_PERCENT: u64 = 60;
--- a/crates/sorrelturn-daemon/src/net/serve.rs
+++ b/crates/sorrelturn-daemon/src/net/serve.rs
@@ -38,10 +38,7 @@
     convert::Infallible,
     io,
     pin::pin,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
+    sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
@@ -93,7 +90,6 @@
 ) where
     F: Future<Output = ()> + Send + 'static,
 {
-    let open = Arc::new(AtomicUsize::new(0));
     loop {
         let next = async {
             while !node.connections.has_room(kind) {
@@ -116,14 +112,12 @@
             }
         };
         node.connections.set_lacks_descriptors(false);
-        let is_full = open.load(Ordering::Relaxed) >= MAX_CONNECTIONS;
+        let is_full = node.connections.open_count(kind) >= MAX_CONNECTIONS;
         if is_full || tcp.set_nodelay(true).is_err() {
             continue;
         }
-        let counts = [Arc::clone(&open), Arc::clone(&node.counts.connections)];
-        for count in &counts {
-            count.fetch_add(1, Ordering::Relaxed);
-        }
+        let count = Arc::clone(&node.counts.connections);
+        count.fetch_add(1, Ordering::Relaxed);
         let accepted = Accepted {
             tcp,
             conn: node.connections.open(kind),
@@ -131,9 +125,7 @@
         let conn = serve(Arc::clone(&node), accepted, closing.clone());
         let counted = async move {
             conn.await;
-            for count in counts {
-                count.fetch_sub(1, Ordering::Relaxed);
-            }
+            count.fetch_sub(1, Ordering::Relaxed);
         };
         node.ex.spawn(counted).detach();
     }
--- a/crates/sorrelturn-policy/src/connection_limits.rs
+++ b/crates/sorrelturn-policy/src/connection_limits.rs
@@ -5,11 +5,12 @@
 
 use std::time::Duration;
 
-/// The maximum idle time of a connection that is used again. The peer may close it after that, and a request that is
-/// sent at the same time may have run.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// The maximum idle time while the limit of idle connections is near.
-const SPARE_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+/// The maximum idle time of a reused connection. The peer may close it after that, and a request that is sent at the
+/// same time may have run.
+pub const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// The idle time after which connections opened for a burst are dropped, and all of them while the limit of idle ones is
+/// near.
+pub const SPARE_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 /// The divisors of the limit for clients, which is half of the file descriptors. A quarter remains for connections that
 /// carry requests.
 const INBOUND_DIVISOR: usize = 2;
--- a/crates/sorrelturn-policy/src/lib.rs
+++ b/crates/sorrelturn-policy/src/lib.rs
@@ -37,7 +37,7 @@
 pub use call_graph::{CallGraph, Candidate};
 pub use cold_limiter::{ColdLimiter, ColdRate};
 pub use concurrency_tuner::{ConcurrencyTuner, TuningSample};
-pub use connection_limits::ConnectionLimits;
+pub use connection_limits::{ConnectionLimits, IDLE_TIMEOUT, SPARE_IDLE_TIMEOUT};
 pub use entry_queue::{EntryQueue, EntryRequest, Offer, WaitEnd};
 pub use entry_rate::LevelInForce;
 pub use fair_shares::{DemandByClass, DemandClass, SHARE_STEPS, WorkspaceDemand};
