Logs say when a request was written to its backend server, and how a leave is known

No line told whether a request that reached a leaving backend server was written before or after the acknowledgement, on what the acknowledgement rested, or how a restarted daemon came to believe that its backend server is ready.

- S100 and S110 of an owner say how long ago the request was written to a connection (written_ms_ago).
- S214 leave-acknowledged: whether the store has it, and how many requests are at the backend server.
- S204 and S205 name their source: a report, a response, a health check, or an earlier incarnation of the daemon.

No decision changes.

--- a/crates/sorrelturn-daemon/src/backend/announce.rs
+++ b/crates/sorrelturn-daemon/src/backend/announce.rs
@@ -9,7 +9,8 @@
     backend::report::{read_deregistration, read_heartbeat},
     backend::signals,
     backend::state::{
-        self, Routed, announced_slots, receive_announcement, record_answering_backend, update_slots,
+        self, Routed, Source, announced_slots, receive_announcement, record_answering_backend,
+        update_slots,
     },
     net::serve::status,
     node::Node,
@@ -23,6 +24,7 @@
 use sorrelturn_platform::http::exchange;
 use sorrelturn_policy::PresenceChange;
 use sorrelturn_protocol::{Announcement, BackendState};
+use sorrelturn_telemetry::{Field, events};
 use std::{
     sync::{Arc, atomic::Ordering},
     time::Duration,
@@ -127,10 +129,11 @@
         return ok_response();
     }
     let leaving = report.announcement.state != BackendState::Ready;
+    let id = report.announcement.id.clone();
     if state::may_have_stopped_leaving(routed, &report.announcement) {
         check_leaving(node, routed);
     }
-    match receive_announcement(node, routed, report.announcement) {
+    match receive_announcement(node, routed, report.announcement, Source::Report) {
         PresenceChange::Foreign => return status(StatusCode::BAD_REQUEST),
         // An acknowledgement would promise that the backend server gets no more requests.
         PresenceChange::Unconfirmed if leaving => return status(StatusCode::SERVICE_UNAVAILABLE),
@@ -143,11 +146,23 @@
     }
     if leaving {
         let save = state::save(node, routed);
-        member_record::write_within(node, ACKNOWLEDGE_TIMEOUT, save).await;
+        let is_saved = member_record::write_within(node, ACKNOWLEDGE_TIMEOUT, save).await;
+        record_acknowledged_leave(node, &id, is_saved);
     }
     ok_response()
 }
 
+/// Records that a leave is acknowledged, with the number of requests that are at the backend server by then.
+fn record_acknowledged_leave(node: &Node, id: &str, is_saved: bool) {
+    let in_flight = node.admission.with_gate(|gate, _| gate.in_flight());
+    let fields = vec![
+        Field::new("backend", id),
+        Field::new("saved", is_saved),
+        Field::new("in_flight", in_flight),
+    ];
+    node.record_event(&events::LEAVE_ACKNOWLEDGED, fields);
+}
+
 fn ok_response() -> Response<Body> {
     Response::new(body::full("{}"))
 }
@@ -265,7 +280,7 @@
         if headers.is_some_and(|headers| signals::is_leaving(routed, headers)) {
             report.announcement.state = BackendState::Draining;
         }
-        receive_announcement(&node, routed, report.announcement);
+        receive_announcement(&node, routed, report.announcement, Source::Report);
         update_slots(&node, routed, report.slots);
         if let Some(headers) = headers {
             signals::record_probe(&node, routed, headers);
@@ -295,7 +310,7 @@
         if let Some(slots) = announced_slots(routed, res.headers()) {
             update_slots(node, routed, slots);
         }
-        record_answering_backend(node, routed, res.headers());
+        record_answering_backend(node, routed, res.headers(), Source::HealthCheck);
         if let Some(remaining) = state::cold_remaining(routed, res.headers()) {
             state::record_cold_remaining(node, remaining);
         }
--- a/crates/sorrelturn-daemon/src/backend/link.rs
+++ b/crates/sorrelturn-daemon/src/backend/link.rs
@@ -94,6 +94,8 @@
     /// then sent once more if `make_copy` gave a copy and `may_send_again` allows it, and the first
     /// response counts. The first attempt continues, since it may only be slow. See
     /// `docs/design/silent-connections.md`.
+    ///
+    /// `on_write` is called each time the request is written to a connection.
     pub(crate) async fn send(
         &self,
         ex: &Executor<'static>,
@@ -101,14 +103,15 @@
         req: Request<Body>,
         make_copy: impl FnOnce(&Request<Body>) -> Option<Request<Body>>,
         may_send_again: impl FnOnce() -> bool,
+        on_write: impl Fn(),
     ) -> Result<BackendResponse, SendError> {
         if !self.pool.has_idle() {
             // It uses a new connection.
-            return self.send_once(ex, req).await;
+            return self.send_once(ex, req, &on_write).await;
         }
         let copy = make_copy(&req);
         let sent = self.clock.now();
-        let mut first = pin!(self.send_once(ex, req));
+        let mut first = pin!(self.send_once(ex, req, &on_write));
         let suspect = async {
             self.pool.wait_until_suspect(timers, sent).await;
             None
@@ -122,7 +125,7 @@
             return first.await;
         };
         // Boxed to keep the future of the common case small.
-        let mut second = Box::pin(self.send_once(ex, copy));
+        let mut second = Box::pin(self.send_once(ex, copy, &on_write));
         let first_response = async { (first.as_mut().await, true) };
         let second_response = async { (second.as_mut().await, false) };
         let response = match first_response.or(second_response).await {
@@ -140,6 +143,7 @@
         &self,
         ex: &Executor<'static>,
         req: Request<Body>,
+        on_write: impl Fn(),
     ) -> Result<BackendResponse, SendError> {
         let connect = || async {
             let tcp = TcpStream::connect(self.addr).await?;
@@ -152,7 +156,7 @@
         };
         let (res, lease) = self
             .pool
-            .send(ex, req, self.connect_timeout, connect)
+            .send(ex, req, self.connect_timeout, connect, on_write)
             .await?;
         Ok(BackendResponse {
             res,
--- a/crates/sorrelturn-daemon/src/backend/signals.rs
+++ b/crates/sorrelturn-daemon/src/backend/signals.rs
@@ -1,7 +1,7 @@
 //! What a backend server says of itself in its responses. See `docs/design/announced-limits.md`.
 
 use crate::{
-    backend::state::{self, Routed},
+    backend::state::{self, Routed, Source},
     backend::work_times,
     node::{LastTime, Node},
 };
@@ -52,7 +52,7 @@
     record_limit(node, routed, sent.at, named_limit(routed, headers));
     work_times::record_report(node, routed, headers);
     if is_leaving(routed, headers) {
-        state::record_leaving_answer(node, routed, responder);
+        state::record_leaving_answer(node, routed, responder, Source::Response);
     }
 }
 
@@ -70,7 +70,7 @@
         work_times::record_report(node, routed, headers);
     }
     if is_leaving(routed, headers) {
-        state::record_leaving_answer(node, routed, id);
+        state::record_leaving_answer(node, routed, id, Source::HealthCheck);
     }
 }
 
--- a/crates/sorrelturn-daemon/src/backend/state.rs
+++ b/crates/sorrelturn-daemon/src/backend/state.rs
@@ -14,7 +14,7 @@
     CallGraph, GateConfig, LeavingCause, Presence, PresenceChange, RequestOrigins, WorkTimes,
 };
 use sorrelturn_protocol::{Announcement, BackendState, MemberRecord, RequestRate};
-use sorrelturn_telemetry::{Field, events};
+use sorrelturn_telemetry::{EventKind, Field, events};
 use std::{
     ops::RangeInclusive,
     sync::{
@@ -72,6 +72,30 @@
     is_saved: AtomicBool,
 }
 
+/// How something about the backend server became known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// The backend server reported it.
+    Report,
+    /// The response to a request said so.
+    Response,
+    /// The response to a health check said so.
+    HealthCheck,
+    /// An earlier incarnation of this daemon published it.
+    EarlierIncarnation,
+}
+
+impl Source {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Report => "report",
+            Self::Response => "response",
+            Self::HealthCheck => "health-check",
+            Self::EarlierIncarnation => "earlier-incarnation",
+        }
+    }
+}
+
 /// What a response of the backend server means for the request.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum ResponseKind {
@@ -190,12 +214,14 @@
     node: &Arc<Node>,
     routed: &Routed,
     announcement: Announcement,
+    source: Source,
 ) -> PresenceChange {
     let fields = vec![
         Field::new("backend", &announcement.id),
         Field::new("born", announcement.born.unwrap_or_default()),
         Field::new("state", format!("{:?}", announcement.state).to_lowercase()),
         Field::new("sequence", announcement.sequence),
+        Field::new("source", source.name()),
     ];
     let before = routed.current();
     let change = lock(&routed.presence).receive(node.now(), announcement);
@@ -218,7 +244,12 @@
 }
 
 /// Records the id of the backend server that responded, which may be another one than expected.
-pub(crate) fn record_answering_backend(node: &Arc<Node>, routed: &Routed, headers: &HeaderMap) {
+pub(crate) fn record_answering_backend(
+    node: &Arc<Node>,
+    routed: &Routed,
+    headers: &HeaderMap,
+    source: Source,
+) {
     let id = headers.get(&routed.dialect.headers.backend_id);
     let Some(id) = id.and_then(|id| id.to_str().ok()) else {
         return;
@@ -226,19 +257,27 @@
     let before = routed.current();
     if lock(&routed.presence).record_answer_from(node.now(), id) {
         report_if_replaced(node, routed, before.as_ref());
-        let fields = vec![Field::new("backend", id), Field::new("state", "answered")];
-        node.record_event(&events::BACKEND_READY, fields);
+        record_answer_event(node, &events::BACKEND_READY, id, source);
         on_backend_ready(node, routed);
     }
 }
 
+/// Records an event about what a response of the backend server with this id said.
+fn record_answer_event(node: &Node, kind: &'static EventKind, id: &str, source: Source) {
+    let fields = vec![
+        Field::new("backend", id),
+        Field::new("state", "answered"),
+        Field::new("source", source.name()),
+    ];
+    node.record_event(kind, fields);
+}
+
 /// Records that a response of the backend server with this id says that it is leaving.
-pub(crate) fn record_leaving_answer(node: &Arc<Node>, routed: &Routed, id: &str) {
+pub(crate) fn record_leaving_answer(node: &Arc<Node>, routed: &Routed, id: &str, source: Source) {
     if !lock(&routed.presence).record_leaving_answer(node.now(), id) {
         return;
     }
-    let fields = vec![Field::new("backend", id), Field::new("state", "answered")];
-    node.record_event(&events::BACKEND_LEAVING, fields);
+    record_answer_event(node, &events::BACKEND_LEAVING, id, source);
     on_backend_leaving(node, routed);
     spawn_save(node);
 }
@@ -251,8 +290,7 @@
 /// Accepts requests again for the backend server with this id, if only a response said that it is leaving.
 pub(crate) fn stop_leaving(node: &Arc<Node>, routed: &Routed, id: &str) {
     if lock(&routed.presence).stop_leaving(node.now(), id) {
-        let fields = vec![Field::new("backend", id), Field::new("state", "answered")];
-        node.record_event(&events::BACKEND_READY, fields);
+        record_answer_event(node, &events::BACKEND_READY, id, Source::HealthCheck);
         on_backend_ready(node, routed);
     }
 }
@@ -361,7 +399,7 @@
     };
     let is_unknown = routed.current().is_none();
     if backend.state != BackendState::Ready {
-        receive_announcement(node, routed, backend.clone());
+        receive_announcement(node, routed, backend.clone(), Source::EarlierIncarnation);
     } else if let Some(rate) = earlier.rate_limit {
         signals::restore_limit(node, routed, &backend.id, rate);
     } else {
--- a/crates/sorrelturn-daemon/src/net/pool.rs
+++ b/crates/sorrelturn-daemon/src/net/pool.rs
@@ -324,7 +324,8 @@
     }
 
     /// Sends a request and waits for the head of the response; `connect` opens a new connection
-    /// within `connect_timeout`.
+    /// within `connect_timeout`, and `on_write` is called when nothing is left to wait for before
+    /// the first byte.
     ///
     /// If an idle connection turns out to be closed, nothing was sent, and the request is sent
     /// over the next one.
@@ -334,6 +335,7 @@
         mut req: Request<Body>,
         connect_timeout: Duration,
         connect: impl Fn() -> F,
+        on_write: impl Fn(),
     ) -> Result<(Response<Incoming>, Lease), SendError>
     where
         F: Future<Output = io::Result<Opened>>,
@@ -352,6 +354,7 @@
                 }
                 return Err(SendError::NotSent);
             }
+            on_write();
             let sent = self.clock.now();
             match conn.sender.try_send_request(req).await {
                 Ok(res) => {
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -5,13 +5,13 @@
     backend::crash::{self, BackendRequestGuard},
     backend::link::BackendResponse,
     backend::signals::{self, SentRequest},
-    backend::state::{self, ResponseKind, Routed},
+    backend::state::{self, ResponseKind, Routed, Source},
     backend::work_times,
     clock::unix_ns,
     config::in_force::InForce,
     fleet::{gossip, suspects},
     net::pool::{Lease, SendError},
-    node::{ActiveRequest, Node, lock},
+    node::{ActiveRequest, LastTime, Node, lock},
     operators::export,
     request::admission::Slot,
     request::answer::Reply,
@@ -59,6 +59,8 @@
     pub(crate) deadline: Now,
     pub(crate) started_unix_ns: u64,
     pub(crate) started_at: Now,
+    /// When it was last written to a connection to the backend server.
+    pub(crate) written_at: LastTime,
     pub(crate) _active_request: ActiveRequest,
     /// In routed mode only.
     pub(crate) caller_request_id: Option<HeaderValue>,
@@ -143,10 +145,16 @@
         let in_progress = BackendRequestGuard::new(&node, self.context.names);
         let copy_request = |req: &Request<Body>| self.copy_request(req);
         let take_retry = || self.take_retry_for_resend();
+        let on_write = || self.written_at.set(self.node.now());
         let sent = self.sent_request(&req);
-        let send = node
-            .backend
-            .send(&node.ex, &node.timers, req, copy_request, take_retry);
+        let send = node.backend.send(
+            &node.ex,
+            &node.timers,
+            req,
+            copy_request,
+            take_retry,
+            on_write,
+        );
         let exchange = async { Some(send.await) };
         let timeout = async {
             let deadline = node.timers.at(self.deadline + DEADLINE_GRACE);
@@ -309,7 +317,12 @@
                 res.headers(),
             );
             if response_kind == ResponseKind::NotRun {
-                state::record_answering_backend(&self.node, routed, res.headers());
+                state::record_answering_backend(
+                    &self.node,
+                    routed,
+                    res.headers(),
+                    Source::Response,
+                );
             }
             if response_kind != ResponseKind::Mismatched {
                 signals::record_answer(&self.node, routed, sent, res.headers());
@@ -372,6 +385,7 @@
                 Field::new("depth", self.context.depth),
                 Field::new("status", status),
                 Field::new("took_ms", (self.node.now() - self.started_at).as_millis()),
+                Field::new("written_ms_ago", self.written_ms_ago()),
             ],
         );
         self.record_span(is_server_error, status);
@@ -482,6 +496,7 @@
                 Field::new("threshold", threshold.0),
                 Field::new("load_percent", load),
                 Field::new("fingerprint", self.context.names.path),
+                Field::new("written_ms_ago", self.written_ms_ago()),
             ],
         );
         export::count(
@@ -495,6 +510,14 @@
         Reply::not_run(refusal)
     }
 
+    /// Returns how long ago the request was last written to the backend server, or `never`.
+    fn written_ms_ago(&self) -> String {
+        match self.written_at.elapsed_since(self.node.now()) {
+            Duration::MAX => "never".to_owned(),
+            elapsed => elapsed.as_millis().to_string(),
+        }
+    }
+
     pub(crate) fn record_event(&self, kind: &'static EventKind, fields: Vec<Field>) {
         self.node
             .events
--- a/crates/sorrelturn-daemon/src/request/owner.rs
+++ b/crates/sorrelturn-daemon/src/request/owner.rs
@@ -5,7 +5,7 @@
     backend::state::Routed,
     backend::work_times,
     clock::unix_ns,
-    node::{ActiveRequest, MemoryDemand, Node, lock},
+    node::{ActiveRequest, LastTime, MemoryDemand, Node, lock},
     request::answer::Reply,
     request::body::Body,
     request::fair_shares,
@@ -161,6 +161,7 @@
         deadline,
         started_unix_ns: unix_ns(),
         started_at: node.now(),
+        written_at: LastTime::default(),
         caller_request_id,
     };
     match hop.context.token {
--- a/crates/sorrelturn-telemetry/src/events.rs
+++ b/crates/sorrelturn-telemetry/src/events.rs
@@ -69,6 +69,8 @@
 
     BACKEND_RATE_LIMIT = 213 "backend-rate-limit" Info "The backend server began, changed or ended the limit on requests that its responses name; changes are logged at most once per second.";
 
+    LEAVE_ACKNOWLEDGED = 214 "leave-acknowledged" Info "The daemon acknowledged that the backend server is leaving.";
+
     BUNDLE_IN_FORCE = 300 "bundle-in-force" Info "A higher bundle version is in force on this daemon.";
     BUNDLE_REFUSED = 301 "bundle-refused" Error "A bundle was rejected.";
     BUNDLE_FETCH_FAILED = 302 "bundle-fetch-failed" Warn "A higher bundle version is known but could not be fetched.";
