A connection isn't used again while its request may still be unread

Cause: a connection went back to the pool when its response was complete, although the body of its request was still being sent, or lay unread in the buffers of the sockets: a backend server may answer before it has read a long body. The pool takes the connection that was used last, so the next request waited in ready(), or was written behind those bytes.

Mend: a connection whose response began before its request was sent isn't used again; it closes once the body is through. To a backend server the same holds after a body of more than 16 KB, since what the buffers hold can't be seen from here. Daemons read bodies to the end, so between them only the first holds.

Price: a new connection after each body over 16 KB.

--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -64,6 +64,8 @@
     AnswersLarge,
     /// Calls [`CALL_PATH`] through its own daemon, and responds when the call has ended.
     Calls,
+    /// Responds to a long request after a part of its body, and reads the rest after [`RoutedBackend::read_on`].
+    AnswersEarly,
 }
 
 /// A request that was dropped because its connection was closed.
@@ -120,6 +122,8 @@
     cancelled: Vec<Cancelled>,
     connection_count: usize,
     daemon: Option<SocketAddr>,
+    /// Whether the bodies of requests that were answered early are read.
+    reads_on: bool,
 }
 
 /// The body of each response.
@@ -136,6 +140,9 @@
 const HANG_DURATION: Duration = Duration::from_secs(60);
 const LATE_DELAY: Duration = Duration::from_millis(300);
 const VERY_LATE_DELAY: Duration = Duration::from_secs(3);
+/// How much of a body [`Script::AnswersEarly`] reads before its response.
+const EARLY_READ_BYTES: usize = 16 << 10;
+const READ_ON_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// The header that marks responses of a backend server.
 pub const SIGNATURE: &str = "x-signature";
 
@@ -158,6 +165,7 @@
             cancelled: Vec::new(),
             connection_count: 0,
             daemon: None,
+            reads_on: false,
         };
         Self {
             names: names.clone(),
@@ -288,6 +296,11 @@
         self.lock().daemon = Some(daemon);
     }
 
+    /// Reads the bodies of requests that were answered early.
+    pub fn read_on(&self) {
+        self.lock().reads_on = true;
+    }
+
     /// Makes the backend server another incarnation with this id.
     pub fn restart_with_id(&self, id: &str) {
         self.lock().id = id.to_owned();
@@ -324,7 +337,16 @@
 
     async fn serve_connection(&self, tcp: TcpStream) -> io::Result<()> {
         let mut tcp = BufReader::new(tcp);
-        while let Some(req) = read_request(&mut tcp).await? {
+        while let Some(mut req) = read_head(&mut tcp).await? {
+            let length = body_length(&req);
+            let answers_early =
+                self.lock().script == Script::AnswersEarly && length > EARLY_READ_BYTES;
+            let first_length = if answers_early {
+                EARLY_READ_BYTES
+            } else {
+                length
+            };
+            read_body(&mut tcp, &mut req, first_length).await?;
             let (script, id) = {
                 let mut state = self.lock();
                 if self.observer.is_none() {
@@ -350,6 +372,10 @@
                 self.crash();
                 return Ok(());
             }
+            if answers_early {
+                self.answer_early(&mut tcp, &mut req, length).await?;
+                continue;
+            }
             let sender = tcp.get_ref().clone();
             let response = self.respond(&mut tcp, &req, script);
             match response.or(wait_for_close(&sender)).await {
@@ -366,6 +392,20 @@
         Ok(())
     }
 
+    /// Responds, and reads the rest of the body once [`RoutedBackend::read_on`] was called.
+    async fn answer_early(
+        &self,
+        tcp: &mut BufReader<TcpStream>,
+        req: &mut ReceivedRequest,
+        length: usize,
+    ) -> io::Result<()> {
+        self.respond(tcp, req, Script::Answers).await?;
+        while !self.lock().reads_on {
+            smol::Timer::after(READ_ON_POLL_INTERVAL).await;
+        }
+        read_body(tcp, req, length).await
+    }
+
     /// Returns whether the connection stays open.
     async fn respond(
         &self,
@@ -468,6 +508,8 @@
                 self.call(&request_id).await?;
                 (full_response, true)
             }
+            // Short requests have no rest to read.
+            Script::AnswersEarly => (full_response, true),
             Script::AnswersVeryLate => {
                 smol::Timer::after(VERY_LATE_DELAY).await;
                 (full_response, true)
@@ -508,7 +550,8 @@
     text + "\r\n"
 }
 
-async fn read_request(tcp: &mut BufReader<TcpStream>) -> io::Result<Option<ReceivedRequest>> {
+/// Reads a request without its body. Returns `None` at the end of the connection.
+async fn read_head(tcp: &mut BufReader<TcpStream>) -> io::Result<Option<ReceivedRequest>> {
     let mut line = String::new();
     if tcp.read_line(&mut line).await? == 0 {
         return Ok(None);
@@ -522,14 +565,28 @@
         };
         headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
     }
-    let length = headers.get("content-length");
-    let length = length.and_then(|text| text.parse().ok()).unwrap_or(0);
-    let mut body = vec![0; length];
-    tcp.read_exact(&mut body).await?;
     Ok(Some(ReceivedRequest {
         line: line.trim().to_owned(),
         headers,
-        body,
+        body: Vec::new(),
         at: Instant::now(),
     }))
 }
+
+fn body_length(req: &ReceivedRequest) -> usize {
+    let length = req.headers.get("content-length");
+    length.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+/// Reads on until `length` bytes of the body are read.
+async fn read_body(
+    tcp: &mut BufReader<TcpStream>,
+    req: &mut ReceivedRequest,
+    length: usize,
+) -> io::Result<()> {
+    let start = req.body.len();
+    req.body.resize(length, 0);
+    tcp.read_exact(&mut req.body[start..]).await?;
+    req.at = Instant::now();
+    Ok(())
+}
--- a/crates/sorrelturn-daemon/src/backend/link.rs
+++ b/crates/sorrelturn-daemon/src/backend/link.rs
@@ -23,6 +23,9 @@
 /// No connections are opened before a bundle states their limit.
 const CONNECTIONS_BEFORE_BUNDLE: usize = 0;
 
+/// After a longer body, a connection to a backend server isn't reused: it may have answered before reading the body.
+const MAX_BODY_BYTES_BEFORE_REUSE: u64 = 16 << 10;
+
 /// The connections to the backend server.
 pub(crate) struct Backend {
     clock: Clock,
@@ -49,6 +52,7 @@
             connect_timeout,
             pool: Pool::new(
                 CONNECTIONS_BEFORE_BUNDLE,
+                MAX_BODY_BYTES_BEFORE_REUSE,
                 clock,
                 &PoolTotals::new(ConnectionLimits::NONE),
             ),
--- a/crates/sorrelturn-daemon/src/fleet/peers.rs
+++ b/crates/sorrelturn-daemon/src/fleet/peers.rs
@@ -37,6 +37,8 @@
 const RESPONSE_TRANSIT_TIME: Duration = Duration::from_millis(50);
 /// Maximum number of connections in each pool of a peer; higher than the number of slots of a backend server.
 const MAX_CONNECTIONS: usize = 1_024;
+/// Daemons read the whole body of a call, or close its connection.
+const MAX_BODY_BYTES_BEFORE_REUSE: u64 = u64::MAX;
 
 /// Connections to one daemon, opened on demand.
 pub(crate) struct PeerLink {
@@ -82,11 +84,12 @@
 impl PeerLink {
     /// Creates a link without connections; they count in `totals`.
     pub(crate) fn new(addr: SocketAddr, clock: Clock, totals: &Arc<PoolTotals>) -> Self {
+        let new_pool = || Pool::new(MAX_CONNECTIONS, MAX_BODY_BYTES_BEFORE_REUSE, clock, totals);
         Self {
             clock,
             addr,
-            pool_with_timeouts: Pool::new(MAX_CONNECTIONS, clock, totals),
-            pool_without_timeouts: Pool::new(MAX_CONNECTIONS, clock, totals),
+            pool_with_timeouts: new_pool(),
+            pool_without_timeouts: new_pool(),
         }
     }
 
--- a/crates/sorrelturn-daemon/src/net/mod.rs
+++ b/crates/sorrelturn-daemon/src/net/mod.rs
@@ -6,3 +6,4 @@
 pub(crate) mod serve;
 pub(crate) mod stream;
 pub(crate) mod timers;
+pub(crate) mod upload;
--- a/crates/sorrelturn-daemon/src/net/pool.rs
+++ b/crates/sorrelturn-daemon/src/net/pool.rs
@@ -2,7 +2,10 @@
 //! `docs/design/between-daemons.md`.
 
 use crate::{
-    clock::Clock, net::stream::BoxStream, net::timers::Timers, node::lock, request::body::Body,
+    clock::Clock,
+    net::{stream::BoxStream, timers::Timers, upload::Upload},
+    node::lock,
+    request::body::Body,
 };
 use hyper::{
     Request, Response,
@@ -90,6 +93,7 @@
     totals: Arc<PoolTotals>,
     max_open: AtomicUsize,
     idle_timeout_ms: AtomicU64,
+    max_body_bytes_before_reuse: u64,
     open_count: Arc<AtomicUsize>,
     /// The most recently used connection is at the back.
     idle: Mutex<VecDeque<Idle>>,
@@ -184,6 +188,7 @@
 pub(crate) struct Lease {
     pool: Arc<Pool>,
     conn: Conn,
+    is_reusable: bool,
 }
 
 impl Lease {
@@ -192,8 +197,12 @@
         &self.conn.socket
     }
 
-    /// Returns the connection to the pool after a complete exchange.
+    /// Returns the connection to the pool after a complete exchange, or closes it once its request is sent, if the peer
+    /// may still have to read that request.
     pub(crate) fn give_back(self) {
+        if !self.is_reusable {
+            return;
+        }
         let mut idle = lock(&self.pool.idle);
         // Read under the lock, so that the queue is ordered by time.
         let now = self.pool.clock.now();
@@ -237,13 +246,20 @@
 }
 
 impl Pool {
-    /// Creates a pool of at most `max_open` connections, which count in `totals`.
-    pub(crate) fn new(max_open: usize, clock: Clock, totals: &Arc<PoolTotals>) -> Arc<Self> {
+    /// Creates a pool of at most `max_open` connections, which count in `totals`. A connection isn't reused after a
+    /// request whose body is longer than `max_body_bytes_before_reuse`.
+    pub(crate) fn new(
+        max_open: usize,
+        max_body_bytes_before_reuse: u64,
+        clock: Clock,
+        totals: &Arc<PoolTotals>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             clock,
             totals: Arc::clone(totals),
             max_open: AtomicUsize::new(max_open),
             idle_timeout_ms: AtomicU64::new(IDLE_TIMEOUT.as_millis() as u64),
+            max_body_bytes_before_reuse,
             open_count: Arc::default(),
             idle: Mutex::default(),
             response_times: ResponseTimes::new(clock),
@@ -332,7 +348,7 @@
     pub(crate) async fn send<F>(
         self: &Arc<Self>,
         ex: &Executor<'static>,
-        mut req: Request<Body>,
+        req: Request<Body>,
         connect_timeout: Duration,
         connect: impl Fn() -> F,
         on_write: impl Fn(),
@@ -340,6 +356,9 @@
     where
         F: Future<Output = io::Result<Opened>>,
     {
+        let (head, body) = req.into_parts();
+        let (body, upload) = Upload::track(body);
+        let mut req = Request::from_parts(head, body);
         loop {
             let idle = self.take_idle();
             let was_idle = idle.is_some();
@@ -359,8 +378,12 @@
             match conn.sender.try_send_request(req).await {
                 Ok(res) => {
                     self.response_times.record(sent, conn.opened_at);
-                    let pool = Arc::clone(self);
-                    return Ok((res, Lease { pool, conn }));
+                    let lease = Lease {
+                        pool: Arc::clone(self),
+                        conn,
+                        is_reusable: upload.is_none_or(|upload| self.has_read_request(&upload)),
+                    };
+                    return Ok((res, lease));
                 }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if was_idle => req = unsent,
@@ -385,7 +408,20 @@
         let res = conn.sender.send_request(req).await;
         let res = res.map_err(|_| SendError::Interrupted)?;
         let pool = Arc::clone(self);
-        Ok((res, Lease { pool, conn }))
+        Ok((
+            res,
+            Lease {
+                pool,
+                conn,
+                is_reusable: true,
+            },
+        ))
+    }
+
+    /// Returns whether a peer that has begun its response has read the whole request, as far as this end can know: the
+    /// buffers of the sockets may hold a long body for as long as the peer likes, and the next request would lie behind.
+    fn has_read_request(&self, upload: &Upload) -> bool {
+        upload.is_complete() && upload.bytes() <= self.max_body_bytes_before_reuse
     }
 
     /// Takes the most recently used connection, so that the others reach the idle timeout.
