What allows a request to be sent is checked after the last wait before its first byte

What callers saw: a request reached a backend server after its leaving had been acknowledged (DRAIN).

Cause: hop.rs looked whether the backend server accepts requests, and then waited: for a connection to open, for one whose request before was still being sent, or for the second sending of an overdue request. Nothing looked again. The same holds for a quarantine and an evacuation, and the time left that the backend server was told was that before the wait.

Mend: the pool calls the sender when nothing is left to wait for. It refuses there what has become wrong, or sets the time left. The request has not run then; the connection goes back unused, and the request is offered to another instance.

--- a/crates/sorrelturn-daemon/src/backend/link.rs
+++ b/crates/sorrelturn-daemon/src/backend/link.rs
@@ -10,6 +10,7 @@
 use smol::{Executor, future::FutureExt, net::TcpStream};
 use sorrelturn_platform::ReadySocket;
 use sorrelturn_policy::ConnectionLimits;
+use sorrelturn_protocol::Refusal;
 use std::{
     net::SocketAddr,
     pin::pin,
@@ -99,7 +100,7 @@
     /// response counts. The first attempt continues, since it may only be slow. See
     /// `docs/design/silent-connections.md`.
     ///
-    /// `on_write` is called each time the request is written to a connection.
+    /// `prepare` decides each time that the request is about to be written, after all waits, as in [`Pool::send`].
     pub(crate) async fn send(
         &self,
         ex: &Executor<'static>,
@@ -107,15 +108,15 @@
         req: Request<Body>,
         make_copy: impl FnOnce(&Request<Body>) -> Option<Request<Body>>,
         may_send_again: impl FnOnce() -> bool,
-        on_write: impl Fn(),
+        prepare: impl Fn(&mut Request<Body>) -> Result<(), Refusal>,
     ) -> Result<BackendResponse, SendError> {
         if !self.pool.has_idle() {
             // It uses a new connection.
-            return self.send_once(ex, req, &on_write).await;
+            return self.send_once(ex, req, &prepare).await;
         }
         let copy = make_copy(&req);
         let sent = self.clock.now();
-        let mut first = pin!(self.send_once(ex, req, &on_write));
+        let mut first = pin!(self.send_once(ex, req, &prepare));
         let suspect = async {
             self.pool.wait_until_suspect(timers, sent).await;
             None
@@ -129,7 +130,7 @@
             return first.await;
         };
         // Boxed to keep the future of the common case small.
-        let mut second = Box::pin(self.send_once(ex, copy, &on_write));
+        let mut second = Box::pin(self.send_once(ex, copy, &prepare));
         let first_response = async { (first.as_mut().await, true) };
         let second_response = async { (second.as_mut().await, false) };
         let response = match first_response.or(second_response).await {
@@ -147,7 +148,7 @@
         &self,
         ex: &Executor<'static>,
         req: Request<Body>,
-        on_write: impl Fn(),
+        prepare: impl Fn(&mut Request<Body>) -> Result<(), Refusal>,
     ) -> Result<BackendResponse, SendError> {
         let connect = || async {
             let tcp = TcpStream::connect(self.addr).await?;
@@ -160,7 +161,7 @@
         };
         let (res, lease) = self
             .pool
-            .send(ex, req, self.connect_timeout, connect, on_write)
+            .send(ex, req, self.connect_timeout, connect, prepare)
             .await?;
         Ok(BackendResponse {
             res,
--- a/crates/sorrelturn-daemon/src/fleet/peers.rs
+++ b/crates/sorrelturn-daemon/src/fleet/peers.rs
@@ -114,7 +114,7 @@
             &self.pool_without_timeouts
         };
         let sent = self.clock.now();
-        let response = pool.send(runtime.ex, req, CONNECT_TIMEOUT, connect, || ());
+        let response = pool.send(runtime.ex, req, CONNECT_TIMEOUT, connect, |_| Ok(()));
         let unresponsive = async {
             if !has_timeouts {
                 // The response to a long request may legitimately take long.
--- a/crates/sorrelturn-daemon/src/net/pool.rs
+++ b/crates/sorrelturn-daemon/src/net/pool.rs
@@ -15,6 +15,7 @@
 use smol::{Executor, Timer, future::FutureExt, net::TcpStream};
 use sorrelturn_platform::hyper_io;
 use sorrelturn_policy::{ConnectionLimits, IDLE_TIMEOUT, Now, SPARE_IDLE_TIMEOUT};
+use sorrelturn_protocol::Refusal;
 use std::{
     collections::VecDeque,
     io,
@@ -51,6 +52,8 @@
     Full,
     /// Nothing was sent.
     NotSent,
+    /// Nothing was sent: the request was refused after the wait for a connection.
+    Refused(Refusal),
     /// All or part of the request was sent.
     Interrupted,
     /// The request was sent over a broken path; the peer never received it and will refuse it
@@ -340,8 +343,8 @@
     }
 
     /// Sends a request and waits for the head of the response; `connect` opens a new connection
-    /// within `connect_timeout`, and `on_write` is called when nothing is left to wait for before
-    /// the first byte.
+    /// within `connect_timeout`. `prepare` is called when nothing is left to wait for before the
+    /// first byte: it completes the request, or refuses it, and then nothing is sent.
     ///
     /// If an idle connection turns out to be closed, nothing was sent, and the request is sent
     /// over the next one.
@@ -351,7 +354,7 @@
         req: Request<Body>,
         connect_timeout: Duration,
         connect: impl Fn() -> F,
-        on_write: impl Fn(),
+        prepare: impl Fn(&mut Request<Body>) -> Result<(), Refusal>,
     ) -> Result<(Response<Incoming>, Lease), SendError>
     where
         F: Future<Output = io::Result<Opened>>,
@@ -373,7 +376,10 @@
                 }
                 return Err(SendError::NotSent);
             }
-            on_write();
+            if let Err(refusal) = prepare(&mut req) {
+                self.take_back_unused(conn);
+                return Err(SendError::Refused(refusal));
+            }
             let sent = self.clock.now();
             match conn.sender.try_send_request(req).await {
                 Ok(res) => {
@@ -418,6 +424,16 @@
         ))
     }
 
+    /// Returns a connection to the pool over which nothing was sent.
+    fn take_back_unused(self: &Arc<Self>, conn: Conn) {
+        let lease = Lease {
+            pool: Arc::clone(self),
+            conn,
+            is_reusable: true,
+        };
+        lease.give_back();
+    }
+
     /// Returns whether a peer that has begun its response has read the whole request, as far as this end can know: the
     /// buffers of the sockets may hold a long body for as long as the peer likes, and the next request would lie behind.
     fn has_read_request(&self, upload: &Upload) -> bool {
--- a/crates/sorrelturn-daemon/src/request/exchange.rs
+++ b/crates/sorrelturn-daemon/src/request/exchange.rs
@@ -90,7 +90,7 @@
         match route.link.send(&runtime, req, attempt).await {
             Ok((res, lease)) => read_reply(node, call, res, lease),
             Err(SendError::Full) => Err(Failure::Full),
-            Err(SendError::NotSent) => Err(Failure::NotSent),
+            Err(SendError::NotSent | SendError::Refused(_)) => Err(Failure::NotSent),
             Err(SendError::Interrupted) => Err(Failure::Interrupted),
             Err(SendError::NeverArrived) => Err(Failure::NeverArrived),
             Err(SendError::AnswerLost) => Err(Failure::AnswerLost),
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -111,11 +111,6 @@
         let mut slot = admission
             .acquire_slot(priority, is_nested, self.deadline, self.context.level)
             .await?;
-        // The request may have been quarantined while it was queued.
-        if self.is_quarantined() {
-            slot.release(Outcome::Cancelled);
-            return Err(Refusal::Quarantined);
-        }
         let graph = self.node.routed.as_ref().map(|routed| &routed.graph);
         if graph.is_some_and(|graph| lock(graph).is_leaf(&self.kind.name)) {
             slot.set_leaf_kind(&self.kind.name);
@@ -145,7 +140,7 @@
         let in_progress = BackendRequestGuard::new(&node, self.context.names);
         let copy_request = |req: &Request<Body>| self.copy_request(req);
         let take_retry = || self.take_retry_for_resend();
-        let on_write = || self.written_at.set(self.node.now());
+        let prepare = |req: &mut Request<Body>| self.prepare_to_write(req);
         let sent = self.sent_request(&req);
         let send = node.backend.send(
             &node.ex,
@@ -153,7 +148,7 @@
             req,
             copy_request,
             take_retry,
-            on_write,
+            prepare,
         );
         let exchange = async { Some(send.await) };
         let timeout = async {
@@ -172,6 +167,12 @@
                 let attempts = self.context.attempts;
                 refund_attempts(self.refusal_reply(Refusal::Overload), attempts)
             }
+            Some(Err(SendError::Refused(refusal))) => {
+                in_progress.mark_finished();
+                slot.release(Outcome::Cancelled);
+                let attempts = self.context.attempts;
+                refund_attempts(self.refusal_reply(refusal), attempts)
+            }
             Some(Err(SendError::NotSent)) => {
                 in_progress.mark_finished();
                 node.record_backend_reachability(false);
@@ -259,34 +260,69 @@
         routed: &Routed,
         mut req: Request<Body>,
     ) -> Option<Request<Body>> {
-        let header_names = &routed.dialect.headers;
-        let time_left = self.deadline.saturating_sub(self.node.now()).as_millis();
-        let headers = req.headers_mut();
-        headers.insert(header_names.expected_backend.clone(), routed.serving_id()?);
-        headers.insert(header_names.time_left_ms.clone(), (time_left as u64).into());
+        let name = routed.dialect.headers.expected_backend.clone();
+        req.headers_mut().insert(name, routed.serving_id()?);
         Some(req)
     }
 
+    /// Decides after the last wait before the first byte: what was checked before a connection was available may have
+    /// changed. Sets the time that is left by then.
+    fn prepare_to_write(&self, req: &mut Request<Body>) -> Result<(), Refusal> {
+        if self.is_quarantined() {
+            return Err(Refusal::Quarantined);
+        }
+        if self.node.evacuation.includes_own_domain() {
+            return Err(Refusal::Evacuated);
+        }
+        if !self.backend_still_accepts(req) {
+            return Err(Refusal::Leaving);
+        }
+        self.set_time_left(req);
+        self.written_at.set(self.node.now());
+        Ok(())
+    }
+
+    /// Returns whether the backend server that the request is meant for accepts requests.
+    fn backend_still_accepts(&self, req: &Request<Body>) -> bool {
+        let Some(routed) = &self.node.routed else {
+            return lock(&self.node.leaving).cause() != Some(LeavingCause::Backend);
+        };
+        let expected = req.headers().get(&routed.dialect.headers.expected_backend);
+        expected.is_some() && expected == routed.serving_id().as_ref()
+    }
+
+    /// Tells the backend server how much time is left for the request.
+    fn set_time_left(&self, req: &mut Request<Body>) {
+        let time_left = self.deadline.saturating_sub(self.node.now()).as_millis() as u64;
+        let headers = req.headers_mut();
+        if let Some(routed) = &self.node.routed {
+            headers.insert(
+                routed.dialect.headers.time_left_ms.clone(),
+                time_left.into(),
+            );
+            return;
+        }
+        headers::set(headers, DEADLINE_MS, &time_left.to_string());
+        let service = self.in_force.bundle.service(&self.kind.service);
+        let name = service.and_then(|service| service.deadline_header.as_deref());
+        if let Some(Ok(name)) = name.map(str::parse::<hyper::header::HeaderName>) {
+            headers.insert(name, time_left.into());
+        }
+    }
+
     /// Describes the call's context to a backend server outside routed mode.
     fn with_context_headers(&self, mut req: Request<Body>) -> Request<Body> {
-        let time_left = self.deadline.saturating_sub(self.node.now()).as_millis();
         let trace = TraceContext {
             trace: self.context.trace,
             parent: self.span,
             sampled: self.node.spans.is_enabled(),
         };
-        let service = self.in_force.bundle.service(&self.kind.service);
-        let deadline_header = service.and_then(|service| service.deadline_header.as_deref());
         let headers = req.headers_mut();
         headers::set(headers, HOST.as_str(), &self.kind.service);
         headers::set(headers, REQUEST_ID, &self.context.request.to_string());
         headers::set(headers, PARENT, &self.span.to_string());
         headers::set(headers, IMPORTANCE, self.context.importance.name());
-        headers::set(headers, DEADLINE_MS, &time_left.to_string());
         headers::set(headers, TRACEPARENT, &trace.to_string());
-        if let Some(Ok(name)) = deadline_header.map(str::parse::<hyper::header::HeaderName>) {
-            headers.insert(name, (time_left as u64).into());
-        }
         req
     }
 
