Peers remember a leave that the next incarnation of a daemon doesn't know

What callers saw: requests reached a backend server that had left, after the daemon beside it was restarted (DRAIN).

Mend: the membership keeps the last record with a leave, one an instance, until a record of its current incarnation says that too or names another backend server. An exchange in either direction tells it to that incarnation before it ends, so what grows with the fleet is one record for each instance that left and was restarted, and messages go to partners of exchanges alone. What a daemon is told of an earlier backend server no longer replaces a later one.

--- a/crates/sorrelturn-daemon/src/backend/state.rs
+++ b/crates/sorrelturn-daemon/src/backend/state.rs
@@ -295,6 +295,13 @@
     }
 }
 
+/// Whether two announcements are of different incarnations. If only one of them states its start, the same id counts as
+/// the same incarnation.
+fn is_another(one: &Announcement, other: &Announcement) -> bool {
+    let have_start_times = one.born.is_some() && other.born.is_some();
+    one.id != other.id || (have_start_times && one.born != other.born)
+}
+
 /// Reports a crash if another incarnation is ready and the one before never announced that it was
 /// leaving. If only one of them states its start, the same id counts as the same incarnation.
 fn report_if_replaced(node: &Arc<Node>, routed: &Routed, before: Option<&Announcement>) {
@@ -302,9 +309,7 @@
     let (Some(before), Some(now)) = (before, now) else {
         return;
     };
-    let have_start_times = before.born.is_some() && now.born.is_some();
-    let is_another = before.id != now.id || (have_start_times && before.born != now.born);
-    if before.state == BackendState::Ready && is_another {
+    if before.state == BackendState::Ready && is_another(before, &now) {
         crash::report_replaced(node);
     }
 }
@@ -391,13 +396,19 @@
     gossip::push_own_record(node);
 }
 
-/// Restores what an earlier incarnation of this daemon published of its backend server: that it is leaving, and the
-/// limit that it names.
+/// Restores what an earlier incarnation of this daemon published of its backend server, unless that was replaced
+/// meanwhile: that it is leaving, and the limit that it names.
 pub(crate) fn restore(node: &Arc<Node>, earlier: &MemberRecord) {
     let (Some(routed), Some(backend)) = (&node.routed, &earlier.backend) else {
         return;
     };
-    let is_unknown = routed.current().is_none();
+    let current = routed.current();
+    if current
+        .as_ref()
+        .is_some_and(|current| is_another(current, backend))
+    {
+        return;
+    }
     if backend.state != BackendState::Ready {
         receive_announcement(node, routed, backend.clone(), Source::EarlierIncarnation);
     } else if let Some(rate) = earlier.rate_limit {
@@ -405,13 +416,14 @@
     } else {
         return;
     }
-    if is_unknown {
+    if current.is_none() {
         // This incarnation may end before the backend server announces itself again.
         routed.is_saved.store(false, Ordering::Relaxed);
         node.restore_own_backend(earlier);
         gossip::push_own_record(node);
-        spawn_save(node);
+
     }
+    spawn_save(node);
 }
 
 /// Publishes the limit that the backend server names now, for the next incarnation of this daemon.
--- a/crates/sorrelturn-daemon/src/fleet/control.rs
+++ b/crates/sorrelturn-daemon/src/fleet/control.rs
@@ -87,6 +87,7 @@
         let from = request.from.instance.clone();
         gossip::record_inbound_peer(&self.node, &from);
         gossip::receive_member_records(&self.node, vec![request.from]);
+        gossip::tell_unknown_leave(&self.node, &from).await;
         evacuation::receive(&self.node, &request.evacuations);
         fetch::fetch_if_newer(
             &self.node,
--- a/crates/sorrelturn-daemon/src/fleet/gossip.rs
+++ b/crates/sorrelturn-daemon/src/fleet/gossip.rs
@@ -32,6 +32,8 @@
 /// How long an inbound peer, a daemon that started an exchange with this one, receives updates after its last exchange.
 const INBOUND_PEER_TIMEOUT: Duration = Duration::from_secs(15);
 const MAX_INBOUND_PEERS: usize = 10;
+/// Shorter than the timeout of the exchange in which a member is told.
+const TELL_TIMEOUT: Duration = Duration::from_millis(300);
 /// One neighbour is replaced after this many exchanges in total, so that the gossip graph keeps changing.
 const EXCHANGES_PER_REPLACEMENT: u32 = 30;
 
@@ -78,6 +80,21 @@
     reports::spawn_report(node);
 }
 
+/// Tells a member that its earlier incarnation knew of a leave of its backend server that it doesn't know.
+pub(crate) async fn tell_unknown_leave(node: &Arc<Node>, instance: &str) {
+    let told = {
+        let membership = lock(&node.membership);
+        let earlier = membership.unknown_leave(instance).cloned();
+        earlier.zip(membership.get(instance).cloned())
+    };
+    if let Some((earlier, member)) = told {
+        // A member that wasn't reached is told by the next exchange.
+        let update =
+            async |client: ControlClient, cx| client.update_members(cx, vec![earlier]).await;
+        let _ = control_client::call_within(node, &member, TELL_TIMEOUT, update).await;
+    }
+}
+
 /// Starts leaving for the given cause and notifies the neighbours if the state changed.
 pub(crate) fn leave(node: &Arc<Node>, cause: LeavingCause) {
     if node.start_leaving(cause) {
@@ -257,6 +274,7 @@
         .await?;
     }
     let Some(theirs) = reply.members else {
+        tell_unknown_leave(node, &peer.instance).await;
         return Ok(());
     };
     // The peer may have learned of this daemon through this exchange, so compare the digests again.
@@ -282,6 +300,7 @@
         }
     }
     node.merge_members(records);
+    tell_unknown_leave(node, &peer.instance).await;
     if !newer_records.is_empty() {
         control_client::call(node, peer, |client, cx| async move {
             client.update_members(cx, newer_records).await
--- a/crates/sorrelturn-fleet/src/membership.rs
+++ b/crates/sorrelturn-fleet/src/membership.rs
@@ -51,6 +51,8 @@
     members: BTreeMap<String, KnownMember>,
     by_service: HashMap<String, Vec<String>>,
     checksums: Vec<u64>,
+    /// Records of earlier incarnations by instance, at most one of each, whose leave the current one doesn't know.
+    unknown_leaves: BTreeMap<String, MemberRecord>,
 }
 
 impl Default for Membership {
@@ -59,6 +61,7 @@
             members: BTreeMap::new(),
             by_service: HashMap::new(),
             checksums: vec![0; BUCKET_COUNT],
+            unknown_leaves: BTreeMap::new(),
         }
     }
 }
@@ -71,6 +74,15 @@
             if !record.supersedes(&known.record) {
                 return false;
             }
+            let earlier = self.unknown_leaves.remove(&instance);
+            let earlier = match known.record.incarnation == record.incarnation {
+                true => earlier,
+                false if known.record.has_leave_unknown_to(&record) => Some(known.record.clone()),
+                false => earlier,
+            };
+            let unknown = earlier.filter(|earlier| earlier.has_leave_unknown_to(&record));
+            self.unknown_leaves
+                .extend(unknown.map(|earlier| (instance.clone(), earlier)));
             self.remove(&instance);
         }
         let checksum = checksum(&record);
@@ -99,6 +111,7 @@
             .collect();
         for instance in expired {
             self.remove(&instance);
+            self.unknown_leaves.remove(&instance);
         }
     }
 
@@ -107,6 +120,12 @@
         self.members.get(instance).map(|known| &known.record)
     }
 
+    /// The record of an earlier incarnation of an instance that says that its backend server is leaving, as long as the
+    /// record of the current incarnation says neither that nor names another backend server.
+    pub fn unknown_leave(&self, instance: &str) -> Option<&MemberRecord> {
+        self.unknown_leaves.get(instance)
+    }
+
     /// All records, including those in state `Gone`.
     pub fn all(&self) -> impl Iterator<Item = &MemberRecord> {
         self.members.values().map(|known| &known.record)
--- a/crates/sorrelturn-fleet/tests/membership.rs
+++ b/crates/sorrelturn-fleet/tests/membership.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use sorrelturn_fleet::*;
-use sorrelturn_protocol::{Incarnation, MemberRecord, MemberState};
+use sorrelturn_protocol::{Announcement, BackendState, Incarnation, MemberRecord, MemberState};
 use std::{collections::BTreeMap, time::Duration};
 
 const NOW: Duration = Duration::ZERO;
@@ -44,6 +44,56 @@
     assert_eq!(known.live_of("s1").count(), 0);
 }
 
+fn with_backend(mut record: MemberRecord, id: &str, state: BackendState) -> MemberRecord {
+    record.backend = Some(Announcement {
+        id: id.to_owned(),
+        born: None,
+        state,
+        sequence: 1,
+    });
+    record
+}
+
+/// Guards against a leave that its daemon's next incarnation overwrites at all who know it, before it has learned of it.
+#[test]
+fn a_leave_is_remembered_until_the_current_incarnation_knows_it_or_has_another_backend_server() {
+    let leave = with_backend(
+        record(1, 1, 3, MemberState::Leaving),
+        "b",
+        BackendState::Draining,
+    );
+    let mut known = membership([leave.clone()]);
+    assert_eq!(known.unknown_leave("i1"), None, "its own record says it");
+    // Two incarnations that know of no backend server, one that believes a late report, and one that is gone.
+    for unaware in [
+        record(1, 2, 0, MemberState::Leaving),
+        record(1, 3, 0, MemberState::Leaving),
+        with_backend(record(1, 3, 1, MemberState::Live), "b", BackendState::Ready),
+        record(1, 3, 2, MemberState::Gone),
+    ] {
+        assert!(known.merge(NOW, unaware));
+        assert_eq!(known.unknown_leave("i1"), Some(&leave));
+    }
+    for aware in [
+        with_backend(
+            record(1, 4, 0, MemberState::Leaving),
+            "b",
+            BackendState::Draining,
+        ),
+        with_backend(record(1, 4, 0, MemberState::Live), "c", BackendState::Ready),
+    ] {
+        let mut known = known.clone();
+        assert!(known.merge(NOW, aware));
+        assert_eq!(known.unknown_leave("i1"), None);
+    }
+    known.forget_gone(NOW + Duration::from_secs(3_600));
+    assert_eq!(
+        known.unknown_leave("i1"),
+        None,
+        "it is forgotten with its instance"
+    );
+}
+
 #[test]
 fn the_next_ranked_members_replace_watchers_that_are_gone() {
     let known = membership((0..20).map(live));
--- a/crates/sorrelturn-protocol/src/member.rs
+++ b/crates/sorrelturn-protocol/src/member.rs
@@ -1,6 +1,6 @@
 //! The membership record of a daemon.
 
-use crate::{Announcement, Incarnation, RequestRate};
+use crate::{Announcement, BackendState, Incarnation, RequestRate};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -52,6 +52,20 @@
         self.recency_key() > other.recency_key()
     }
 
+    /// Whether this record says that its backend server is leaving, which `next`, a record of the next incarnation of the
+    /// same daemon, doesn't know.
+    pub fn has_leave_unknown_to(&self, next: &Self) -> bool {
+        let Some(backend) = &self.backend else {
+            return false;
+        };
+        let is_leaving = backend.state != BackendState::Ready;
+        let is_known = next.backend.as_ref().is_some_and(|known| {
+            let is_same = known.id == backend.id && known.born == backend.born;
+            !is_same || known.state != BackendState::Ready
+        });
+        is_leaving && !is_known
+    }
+
     fn recency_key(&self) -> (u64, Incarnation, u32, MemberState) {
         (self.started_ms, self.incarnation, self.sequence, self.state)
     }
