A restarted daemon takes no health check's word that its backend server isn't leaving

Cause: find_backend took a successful health check for a backend server that accepts requests. One that only deregistered goes on answering 200 while it serves what it has. The store's record may be from before the leave, if the store was away when the leave was acknowledged. A first report, which may be seconds old, was believed even if the health check failed.

Mend: without the members in the store there is no probe; the next report is waited for, 1.5 s at most on the users' platform. With them, a daemon that has an earlier incarnation first exchanges what is known with three members, which tell it of a leave, for 0.5 s at most. The same comes before a first report, which is ignored while the health check fails for another reason than room.

Price: after a restart in an outage of the store requests come with the next report and not with a probe.

--- a/crates/sorrelturn-daemon/src/backend/announce.rs
+++ b/crates/sorrelturn-daemon/src/backend/announce.rs
@@ -12,6 +12,7 @@
         self, Routed, Source, announced_slots, receive_announcement, record_answering_backend,
         update_slots,
     },
+    fleet::gossip,
     net::serve::status,
     node::Node,
     request::body::{self, Body},
@@ -191,11 +192,19 @@
     })
 }
 
-/// Probes the backend server after a start, instead of waiting for its next announcement.
+/// Probes the backend server after a start, instead of waiting for its next announcement. A successful health check
+/// doesn't say that the backend server isn't leaving, so without the members in the store there is no probe, and if an
+/// earlier incarnation of this daemon is among them, some of the others are asked first.
 pub(crate) async fn find_backend(node: Arc<Node>) {
     let Some(routed) = &node.routed else {
         return;
     };
+    if !routed.has_listed_members.load(Ordering::Relaxed) {
+        return;
+    }
+    if !routed.is_first_incarnation.load(Ordering::Relaxed) {
+        gossip::ask_members(&node).await;
+    }
     let mut probes = 0;
     while routed.current().is_none() && probes < MAX_PROBES {
         Timer::after(PROBE_INTERVAL).await;
@@ -246,14 +255,15 @@
     Some(path.to_owned())
 }
 
-/// Applies the first report of a backend server in the background, once its health check has told whether it is leaving
-/// or limits its requests. Without a bundle there is no health check yet, and no request is sent either.
+/// Applies the first report of a backend server in the background, once other daemons and its health check have told
+/// whether it is leaving or limits its requests. A report may be seconds old, so one is ignored whose health check fails.
+/// Without a bundle there is no health check yet, and no request is sent either.
 ///
 /// The returned future ends when the report is applied, or at once if a task applies one already.
 fn ask_before_first_report(
     node: &Arc<Node>,
     routed: &Routed,
-    mut report: Report,
+    report: Report,
 ) -> impl Future<Output = ()> + use<> {
     let (applied_tx, applied_rx) = channel::bounded::<()>(1);
     let applied = async move {
@@ -272,21 +282,13 @@
         while node.in_force.load().is_none() {
             Timer::after(BUNDLE_POLL_INTERVAL).await;
         }
+        gossip::ask_members(&node).await;
         let health = match probe_path(&node) {
             Some(path) => ask_health(&node, &path, FIRST_PROBE_TIMEOUT).await,
             None => None,
         };
-        let headers = health.as_ref().map(Response::headers);
-        if headers.is_some_and(|headers| signals::is_leaving(routed, headers)) {
-            report.announcement.state = BackendState::Draining;
-        }
-        receive_announcement(&node, routed, report.announcement, Source::Report);
-        update_slots(&node, routed, report.slots);
-        if let Some(headers) = headers {
-            signals::record_probe(&node, routed, headers);
-        }
-        if let Some(remaining) = report.cold_remaining {
-            state::record_cold_remaining(&node, remaining);
+        if health.as_ref().is_none_or(|res| is_healthy(routed, res)) {
+            apply_first_report(&node, routed, report, health.as_ref());
         }
         routed
             .is_asking_before_report
@@ -297,6 +299,35 @@
     applied
 }
 
+/// Returns whether a health check doesn't say that the backend server is leaving or failing. One that was turned away for
+/// lack of room says nothing.
+fn is_healthy(routed: &Routed, health: &Response<Bytes>) -> bool {
+    let was_turned_away = health
+        .headers()
+        .contains_key(&routed.dialect.headers.not_run);
+    health.status().is_success() || was_turned_away
+}
+
+fn apply_first_report(
+    node: &Arc<Node>,
+    routed: &Routed,
+    mut report: Report,
+    health: Option<&Response<Bytes>>,
+) {
+    let headers = health.map(Response::headers);
+    if headers.is_some_and(|headers| signals::is_leaving(routed, headers)) {
+        report.announcement.state = BackendState::Draining;
+    }
+    receive_announcement(node, routed, report.announcement, Source::Report);
+    update_slots(node, routed, report.slots);
+    if let Some(headers) = headers {
+        signals::record_probe(node, routed, headers);
+    }
+    if let Some(remaining) = report.cold_remaining {
+        state::record_cold_remaining(node, remaining);
+    }
+}
+
 /// Returns the response to a health check.
 async fn ask_health(node: &Node, path: &str, timeout: Duration) -> Option<Response<Bytes>> {
     let req = Request::get(path).body(Bytes::new()).ok()?;
--- a/crates/sorrelturn-daemon/src/backend/state.rs
+++ b/crates/sorrelturn-daemon/src/backend/state.rs
@@ -55,6 +55,8 @@
     pub(crate) last_rate_limit_event: LastTime,
     /// Whether the store has no record of an earlier incarnation of this daemon.
     pub(crate) is_first_incarnation: AtomicBool,
+    /// Whether the members in the store were listed at the start.
+    pub(crate) has_listed_members: AtomicBool,
     /// Whether a task asks the backend server before its first report is applied.
     pub(crate) is_asking_before_report: AtomicBool,
     /// When it was last checked whether the backend server has stopped leaving.
@@ -118,6 +120,7 @@
             last_unknown_credential_event: LastTime::default(),
             last_rate_limit_event: LastTime::default(),
             is_first_incarnation: AtomicBool::new(false),
+            has_listed_members: AtomicBool::new(false),
             is_asking_before_report: AtomicBool::new(false),
             last_leaving_check: LastTime::default(),
             is_publishing_rate_limit: AtomicBool::new(false),
--- a/crates/sorrelturn-daemon/src/fleet/gossip.rs
+++ b/crates/sorrelturn-daemon/src/fleet/gossip.rs
@@ -14,7 +14,7 @@
     fleet::suspects,
     node::{Node, lock},
 };
-use smol::Timer;
+use smol::{Timer, future::FutureExt};
 use sorrelturn_fleet::{Evacuations, ExchangeRequest, PUSH_FAN_OUT, Source, sample_peers};
 use sorrelturn_policy::LeavingCause;
 use sorrelturn_protocol::{CrashUpdate, MemberRecord, MemberState};
@@ -32,7 +32,11 @@
 /// How long an inbound peer, a daemon that started an exchange with this one, receives updates after its last exchange.
 const INBOUND_PEER_TIMEOUT: Duration = Duration::from_secs(15);
 const MAX_INBOUND_PEERS: usize = 10;
-/// Shorter than the timeout of the exchange in which a member is told.
+/// Number of members that a starting daemon asks what they know of its earlier incarnation.
+const ASKED_MEMBER_COUNT: usize = 3;
+/// How long it waits for them; a member may be down.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Shorter than [`ASK_TIMEOUT`], in which a member is told.
 const TELL_TIMEOUT: Duration = Duration::from_millis(300);
 /// One neighbour is replaced after this many exchanges in total, so that the gossip graph keeps changing.
 const EXCHANGES_PER_REPLACEMENT: u32 = 30;
@@ -80,6 +84,34 @@
     reports::spawn_report(node);
 }
 
+/// Exchanges what is known with a few members, which have what the earlier incarnation of this daemon told them.
+pub(crate) async fn ask_members(node: &Arc<Node>) {
+    let members: Vec<MemberRecord> = {
+        let own = node.own_record.load();
+        let membership = lock(&node.membership);
+        let mut rng = fastrand::Rng::new();
+        let sampled = sample_peers(membership.present(), &own, ASKED_MEMBER_COUNT, &mut rng);
+        sampled.into_iter().cloned().collect()
+    };
+    let asked: Vec<_> = members
+        .into_iter()
+        .map(|member| {
+            let (node, ex) = (Arc::clone(node), Arc::clone(&node.ex));
+            ex.spawn(async move { exchange(&node, &member).await.is_ok() })
+        })
+        .collect();
+    let answered = async {
+        for task in asked {
+            // One that doesn't answer tells nothing; the others may.
+            task.await;
+        }
+    };
+    let timed_out = async {
+        Timer::after(ASK_TIMEOUT).await;
+    };
+    answered.or(timed_out).await;
+}
+
 /// Tells a member that its earlier incarnation knew of a leave of its backend server that it doesn't know.
 pub(crate) async fn tell_unknown_leave(node: &Arc<Node>, instance: &str) {
     let told = {
--- a/crates/sorrelturn-daemon/src/fleet/join.rs
+++ b/crates/sorrelturn-daemon/src/fleet/join.rs
@@ -49,6 +49,7 @@
         node.merge_members(records);
         if let Some(routed) = &node.routed {
             routed.is_first_incarnation.store(is_new, Ordering::Relaxed);
+            routed.has_listed_members.store(true, Ordering::Relaxed);
         }
     }
     let is_leaving = lock(&node.leaving).cause().is_some();
