--- a/crates/sorrelturn-daemon/src/backend/state.rs
+++ b/crates/sorrelturn-daemon/src/backend/state.rs
@@ -9,6 +9,7 @@
     store::member_record,
 };
 use hyper::{HeaderMap, StatusCode, header::HeaderValue};
+use smol::Timer;
 use sorrelturn_bundle::Bundle;
 use sorrelturn_policy::{
     CallGraph, GateConfig, LeavingCause, Presence, PresenceChange, RequestOrigins, WorkTimes,
@@ -40,6 +41,10 @@
 /// The minimum interval between log entries about refused reports.
 const REFUSED_REPORT_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
+/// The delay after the first failed write of the own record; it doubles with each further one.
+const MIN_SAVE_DELAY: Duration = Duration::from_secs(1);
+const MAX_SAVE_DELAY: Duration = Duration::from_secs(8);
+
 /// The backend server beside this daemon, and its dialect.
 pub(crate) struct Routed {
     pub(crate) dialect: Dialect,
@@ -72,6 +77,8 @@
     /// Whether the platform's store has the newest state, for the next incarnation of this
     /// daemon.
     is_saved: AtomicBool,
+    /// Whether a task saves the state until the store has it.
+    is_saving: AtomicBool,
 }
 
 /// How something about the backend server became known.
@@ -128,6 +135,7 @@
             work_times: Mutex::default(),
             last_refused_report_event: LastTime::default(),
             is_saved: AtomicBool::new(false),
+            is_saving: AtomicBool::new(false),
         }
     }
 
@@ -306,7 +314,7 @@
 }
 
 /// Reports a crash if another incarnation is ready and the one before never announced that it was
-/// leaving. If only one of them states its start, the same id counts as the same incarnation.
+/// leaving.
 fn report_if_replaced(node: &Arc<Node>, routed: &Routed, before: Option<&Announcement>) {
     let now = routed.current();
     let (Some(before), Some(now)) = (before, now) else {
@@ -380,18 +388,33 @@
     spawn_save(node);
 }
 
-/// Saves the own record in the background.
-fn spawn_save(node: &Arc<Node>) {
+/// Saves the own record in the background, again and again until the store has it, unless a task does so already.
+pub(crate) fn spawn_save(node: &Arc<Node>) {
     let node = Arc::clone(node);
     let ex = Arc::clone(&node.ex);
     let save = async move {
-        if let Some(routed) = &node.routed {
-            save(&node, routed).await;
+        if let Some(routed) = &node.routed
+            && !routed.is_saving.swap(true, Ordering::AcqRel)
+        {
+            save_until_saved(&node, routed).await;
         }
     };
     ex.spawn(save).detach();
 }
 
+async fn save_until_saved(node: &Arc<Node>, routed: &Routed) {
+    let mut delay = MIN_SAVE_DELAY;
+    while !save(node, routed).await && !node.shutdown.has_begun() {
+        Timer::after(delay).await;
+        delay = (delay * 2).min(MAX_SAVE_DELAY);
+    }
+    routed.is_saving.store(false, Ordering::Release);
+    // A change after the last save found this task still running.
+    if !routed.is_saved.load(Ordering::Relaxed) && !node.shutdown.has_begun() {
+        spawn_save(node);
+    }
+}
+
 fn on_backend_leaving(node: &Arc<Node>, routed: &Routed) {
     routed.is_saved.store(false, Ordering::Relaxed);
     node.set_own_backend(routed.current());
@@ -424,7 +447,6 @@
         routed.is_saved.store(false, Ordering::Relaxed);
         node.restore_own_backend(earlier);
         gossip::push_own_record(node);
-
     }
     spawn_save(node);
 }
