Responses without end stop neither the daemon nor fill its memory

What callers saw: nothing answered any more at a daemon whose backend server answered its health check with interim responses (1xx) without end: the readiness endpoint had no answer within 60 s, with one thread.

Cause: hyper's parser skips interim responses and reads on for as long as there is anything to read, without limit and without giving way; in a health check the time-out is polled by the same task, so it never came. The body of a health check was read up to 64 MB, of the 160 to 260 MB that a daemon may use.

Mend: what comes before a response is limited to 256 KB (ReadLimit; to a daemon's other connections the same), a health check to 64 KB of body, and HyperIo gives way after 64 reads in a row that found bytes. One load and one store more a request, a comparison a read.

Tests: seven forms of responses without end, as a response and to a health check. The health check failed before at the interim responses; the responses to requests passed before as well, since the connection's task is another one there.

--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -66,6 +66,60 @@
     Calls,
     /// Responds to a long request after a part of its body, and reads the rest after [`RoutedBackend::read_on`].
     AnswersEarly,
+    /// Sends a response, health checks included, until the daemon closes the connection.
+    AnswersWithoutEnd(EndlessPart),
+}
+
+/// The part of a response that has no end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndlessPart {
+    /// The first line.
+    StatusLine,
+    /// A header.
+    Header,
+    /// Responses with status 102 before the final one.
+    InterimResponses,
+    /// A body without a length.
+    Body,
+    /// A body in chunks.
+    ChunkedBody,
+    /// An extension of a chunk.
+    ChunkExtension,
+    /// The trailers after a chunked body.
+    Trailers,
+}
+
+impl EndlessPart {
+    /// All parts.
+    pub const ALL: [Self; 7] = [
+        Self::StatusLine,
+        Self::Header,
+        Self::InterimResponses,
+        Self::Body,
+        Self::ChunkedBody,
+        Self::ChunkExtension,
+        Self::Trailers,
+    ];
+
+    /// Returns what comes before the endless part, and what is repeated then.
+    fn bytes(self, headers: &str) -> (String, &'static str) {
+        let ok = response_head(200, "OK", headers, None);
+        let chunked = response_head(
+            200,
+            "OK",
+            &format!("{headers}transfer-encoding: chunked\r\n"),
+            None,
+        );
+        match self {
+            Self::StatusLine => ("HTTP/1.1 200 ".to_owned(), "x"),
+            Self::Header => ("HTTP/1.1 200 OK\r\nx-long: ".to_owned(), "x"),
+            Self::InterimResponses => (String::new(), "HTTP/1.1 102 Processing\r\n\r\n"),
+            Self::Body => (ok, "x"),
+            Self::ChunkedBody => (chunked, "4\r\nxxxx\r\n"),
+            Self::ChunkExtension => (chunked + "4;x=", "x"),
+            Self::Trailers => (chunked + "4\r\nxxxx\r\n0\r\n", "x-trailer: x\r\n"),
+        }
+    }
 }
 
 /// A request that was dropped because its connection was closed.
@@ -142,6 +196,8 @@
 const VERY_LATE_DELAY: Duration = Duration::from_secs(3);
 /// How much of a body [`Script::AnswersEarly`] reads before its response.
 const EARLY_READ_BYTES: usize = 16 << 10;
+/// How often [`Script::AnswersWithoutEnd`] repeats its endless part in one write.
+const REPETITIONS: usize = 4096;
 const READ_ON_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// The header that marks responses of a backend server.
 pub const SIGNATURE: &str = "x-signature";
@@ -508,6 +564,15 @@
                 self.call(&request_id).await?;
                 (full_response, true)
             }
+            Script::AnswersWithoutEnd(part) => {
+                let (start, repeated) = part.bytes(&response_headers);
+                tcp.get_mut().write_all(start.as_bytes()).await?;
+                let repeated = repeated.repeat(REPETITIONS);
+                loop {
+                    tcp.get_mut().write_all(repeated.as_bytes()).await?;
+                    smol::future::yield_now().await;
+                }
+            }
             // Short requests have no rest to read.
             Script::AnswersEarly => (full_response, true),
             Script::AnswersVeryLate => {
--- a/crates/sorrelturn-daemon/src/backend/announce.rs
+++ b/crates/sorrelturn-daemon/src/backend/announce.rs
@@ -21,7 +21,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use smol::{Timer, channel, future::FutureExt};
-use sorrelturn_platform::http::exchange;
+use sorrelturn_platform::http::exchange_limited;
 use sorrelturn_policy::PresenceChange;
 use sorrelturn_protocol::{Announcement, BackendState};
 use sorrelturn_telemetry::{Field, events};
@@ -37,6 +37,8 @@
 const SAVE_TIMEOUT: Duration = Duration::from_millis(300);
 /// The maximum time until a peer has confirmed a leave.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(300);
+/// The limit of the body of a response to a health check, whose head alone counts.
+const MAX_HEALTH_BYTES: usize = 64 << 10;
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 /// A first report waits no longer for the health check of a slow backend server.
 const FIRST_PROBE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -368,7 +370,8 @@
 /// Returns the response to a health check.
 async fn ask_health(node: &Node, path: &str, timeout: Duration) -> Option<Response<Bytes>> {
     let req = Request::get(path).body(Bytes::new()).ok()?;
-    let res = exchange(node.settings.backend.address, req, timeout).await;
+    let addr = node.settings.backend.address;
+    let res = exchange_limited(addr, req, timeout, MAX_HEALTH_BYTES).await;
     res.ok()
 }
 
--- a/crates/sorrelturn-daemon/src/net/pool.rs
+++ b/crates/sorrelturn-daemon/src/net/pool.rs
@@ -13,7 +13,7 @@
     client::conn::http1::{Builder, SendRequest},
 };
 use smol::{Executor, Timer, future::FutureExt, net::TcpStream};
-use sorrelturn_platform::hyper_io;
+use sorrelturn_platform::{LimitedReads, ReadLimit, hyper_io};
 use sorrelturn_policy::{ConnectionLimits, IDLE_TIMEOUT, Now, SPARE_IDLE_TIMEOUT};
 use sorrelturn_protocol::Refusal;
 use std::{
@@ -35,6 +35,9 @@
 const PEER_IDLE_TIMEOUT_PERCENT: u64 = 60;
 /// The buffer limit of a connection, in bytes; it bounds the memory for a slow reader.
 pub(crate) const MAX_BUF_BYTES: usize = 128 << 10;
+/// The limit of what a peer may send before its response, the head and all interim responses included, in bytes. More than
+/// [`MAX_BUF_BYTES`], since the connection may read some of the body before the limit is lifted.
+const MAX_BYTES_BEFORE_RESPONSE: u64 = 256 << 10;
 
 /// A response is overdue after this multiple of the average response time. See
 /// `docs/design/silent-connections.md`. A response that is only slow must rarely count as overdue.
@@ -172,6 +175,7 @@
 struct Conn {
     sender: SendRequest<Body>,
     socket: TcpStream,
+    read_limit: ReadLimit,
     opened_at: Now,
     _open: OpenCountGuard,
 }
@@ -381,8 +385,10 @@
                 return Err(SendError::Refused(refusal));
             }
             let sent = self.clock.now();
+            conn.read_limit.set(MAX_BYTES_BEFORE_RESPONSE);
             match conn.sender.try_send_request(req).await {
                 Ok(res) => {
+                    conn.read_limit.lift();
                     self.response_times.record(sent, conn.opened_at);
                     let lease = Lease {
                         pool: Arc::clone(self),
@@ -413,6 +419,7 @@
         ready.map_err(|_| SendError::NotSent)?;
         let res = conn.sender.send_request(req).await;
         let res = res.map_err(|_| SendError::Interrupted)?;
+        conn.read_limit.lift();
         let pool = Arc::clone(self);
         Ok((
             res,
@@ -476,9 +483,11 @@
             .or(timed_out)
             .await
             .map_err(|_| SendError::NotSent)?;
+        let read_limit = ReadLimit::new(MAX_BYTES_BEFORE_RESPONSE);
+        let stream = LimitedReads::new(opened.stream, read_limit.clone());
         let (sender, conn) = Builder::new()
             .max_buf_size(MAX_BUF_BYTES)
-            .handshake(hyper_io(opened.stream))
+            .handshake(hyper_io(stream))
             .await
             .map_err(|_| SendError::NotSent)?;
         let drive = async move {
@@ -489,6 +498,7 @@
         Ok(Conn {
             sender,
             socket: opened.socket,
+            read_limit,
             opened_at: self.clock.now(),
             _open: count_guard,
         })
--- a/crates/sorrelturn-platform/src/http.rs
+++ b/crates/sorrelturn-platform/src/http.rs
@@ -1,6 +1,6 @@
 //! Minimal HTTP/1.1 client for control calls: one connection per call, buffered bodies, one timeout.
 
-use crate::hyper_io;
+use crate::{LimitedReads, ReadLimit, hyper_io};
 use bytes::Bytes;
 use displaydoc::Display;
 use http_body_util::{BodyExt, Full, Limited};
@@ -14,6 +14,8 @@
 
 /// Maximum size of a response body, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// Maximum size of the head of a response with all that comes before and after its body, in bytes.
+const MAX_HEAD_BYTES: usize = 128 << 10;
 
 /// An error of an HTTP exchange.
 #[derive(Debug, Display)]
@@ -33,23 +35,37 @@
     addr: SocketAddr,
     req: Request<Bytes>,
     timeout: Duration,
+) -> Result<Response<Bytes>, ExchangeError> {
+    exchange_limited(addr, req, timeout, MAX_ANSWER_BYTES).await
+}
+
+/// As [`exchange`], with another maximum size of the response body, in bytes.
+pub async fn exchange_limited(
+    addr: SocketAddr,
+    req: Request<Bytes>,
+    timeout: Duration,
+    max_bytes: usize,
 ) -> Result<Response<Bytes>, ExchangeError> {
     let timed_out = async {
         Timer::after(timeout).await;
         Err(ExchangeError::TimedOut(timeout))
     };
-    exchange_untimed(addr, req).or(timed_out).await
+    exchange_untimed(addr, req, max_bytes).or(timed_out).await
 }
 
 async fn exchange_untimed(
     addr: SocketAddr,
     mut req: Request<Bytes>,
+    max_bytes: usize,
 ) -> Result<Response<Bytes>, ExchangeError> {
     let stream = TcpStream::connect(addr)
         .await
         .map_err(ExchangeError::NotSent)?;
     let interrupted = |error: hyper::Error| ExchangeError::Interrupted(error.to_string());
-    let (mut sender, conn) = http1::handshake(hyper_io(stream))
+    let limit = ReadLimit::new((max_bytes + MAX_HEAD_BYTES) as u64);
+    let (mut sender, conn) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(hyper_io(LimitedReads::new(stream, limit)))
         .await
         .map_err(interrupted)?;
     let host = addr.to_string().parse();
@@ -62,7 +78,7 @@
             .await
             .map_err(interrupted)?;
         let (head, body) = res.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES)
+        let body = Limited::new(body, max_bytes)
             .collect()
             .await
             .map_err(|error| ExchangeError::Interrupted(error.to_string()))?;
--- a/crates/sorrelturn-platform/src/hyper_io.rs
+++ b/crates/sorrelturn-platform/src/hyper_io.rs
@@ -23,13 +23,29 @@
 /// The maximum number of bytes of a single read.
 const MAX_READ_BYTES: usize = 32 << 10;
 
+/// The maximum number of reads in a row that find bytes. Then other tasks have their turn: a peer that sends without end
+/// would otherwise hold the thread.
+const MAX_READS_IN_A_ROW: u32 = 64;
+
 thread_local! {
     /// Empty until the first read, and while a read uses it.
     static READ_BUF: Cell<Vec<u8>> = const { Cell::new(Vec::new()) };
 }
 
 /// A stream of the runtime for use by hyper.
-pub struct HyperIo<S>(FuturesIo<S>);
+pub struct HyperIo<S> {
+    io: FuturesIo<S>,
+    reads_in_a_row: u32,
+}
+
+impl<S> HyperIo<S> {
+    fn new(stream: S) -> Self {
+        Self {
+            io: FuturesIo::new(stream),
+            reads_in_a_row: 0,
+        }
+    }
+}
 
 impl<S: AsyncRead + Unpin> Read for HyperIo<S> {
     fn poll_read(
@@ -37,14 +53,24 @@
         cx: &mut Context<'_>,
         mut unfilled: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.reads_in_a_row == MAX_READS_IN_A_ROW {
+            self.reads_in_a_row = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let mut buf = READ_BUF.take();
         buf.resize(MAX_READ_BYTES, 0);
         let len = unfilled.remaining().min(buf.len());
-        let read = Pin::new(self.0.get_mut()).poll_read(cx, &mut buf[..len]);
+        let read = Pin::new(self.io.get_mut()).poll_read(cx, &mut buf[..len]);
         if let Poll::Ready(Ok(len)) = read {
             unfilled.put_slice(&buf[..len]);
         }
         READ_BUF.set(buf);
+        self.reads_in_a_row = if read.is_ready() {
+            self.reads_in_a_row + 1
+        } else {
+            0
+        };
         ready!(read)?;
         Poll::Ready(Ok(()))
     }
@@ -56,11 +82,11 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write(cx, buf)
+        Pin::new(&mut self.io).poll_write(cx, buf)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.0.is_write_vectored()
+        self.io.is_write_vectored()
     }
 
     fn poll_write_vectored(
@@ -68,29 +94,27 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write_vectored(cx, bufs)
+        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(cx)
+        Pin::new(&mut self.io).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_shutdown(cx)
+        Pin::new(&mut self.io).poll_shutdown(cx)
     }
 }
 
 /// Wraps a stream for use by hyper.
 pub fn hyper_io<S>(stream: S) -> HyperIo<WakeAfterBlockedWrite<S>> {
-    HyperIo(FuturesIo::new(WakeAfterBlockedWrite::new(stream)))
+    HyperIo::new(WakeAfterBlockedWrite::new(stream))
 }
 
 /// Wraps the server side of a connection for use by hyper. It fails once the client has closed the
 /// connection, even if bytes sent before are still unread.
 pub fn hyper_server_io<S>(stream: S) -> HyperIo<ReadAhead<WakeAfterBlockedWrite<S>>> {
-    HyperIo(FuturesIo::new(ReadAhead::new(WakeAfterBlockedWrite::new(
-        stream,
-    ))))
+    HyperIo::new(ReadAhead::new(WakeAfterBlockedWrite::new(stream)))
 }
 
 /// A stream that wakes its task when a write succeeds after a blocked one.
