A body without a length ends some time after the deadline of its request

What callers saw: a response whose body never ends goes on for as long as its reader stays.

Cause: after the deadline a body ended only if it stood still for half a second.

Mend: a body without a length ends 30 s after the deadline of its request, with an error, so that it doesn't look complete. One with a length ends by itself, and may be read slowly.

--- a/crates/sorrelturn-daemon/src/net/timers.rs
+++ b/crates/sorrelturn-daemon/src/net/timers.rs
@@ -91,6 +91,11 @@
         let _ = self.wake_up.try_send(());
     }
 
+    /// Returns the current time.
+    pub(crate) fn now(&self) -> Now {
+        self.clock.now()
+    }
+
     /// Returns a deadline at a point in time.
     pub(crate) fn at(&self, at: Now) -> Deadline {
         Deadline {
--- a/crates/sorrelturn-daemon/src/request/body.rs
+++ b/crates/sorrelturn-daemon/src/request/body.rs
@@ -19,6 +19,10 @@
 /// after the head would otherwise hold its caller for long.
 const STALL_TIMEOUT_AFTER_DEADLINE: Duration = Duration::from_millis(500);
 
+/// How long a response without a stated length may go on after the deadline of its request. Its end can't be foreseen, and
+/// its reader has given up by then.
+const MAX_TIME_AFTER_DEADLINE: Duration = Duration::from_secs(30);
+
 pub(crate) type Body = BoxBody<Bytes, BodyError>;
 
 /// The reason why a body ended early.
@@ -28,6 +32,8 @@
     Interrupted(hyper::Error),
     /// the sender stalled for too long
     Stalled,
+    /// the body of a response without a length went on for too long after the deadline of its request
+    TooLong,
 }
 
 impl std::error::Error for BodyError {}
@@ -55,18 +61,18 @@
     wrap(body, Some(StallDetector::new(timers)), on_end)
 }
 
-/// As [`with_stall_timeout`], but allows any pause before the deadline of the request and only short ones after it.
+/// As [`with_stall_timeout`], but allows any pause before the deadline of the request and only short ones after it. Without
+/// a length, the body also ends with an error [`MAX_TIME_AFTER_DEADLINE`] after the deadline.
 pub(crate) fn response_with_stall_timeout(
     timers: &Timers,
     body: Incoming,
     deadline: Now,
     on_end: impl FnOnce(bool) + Send + Sync + 'static,
 ) -> Body {
-    wrap(
-        body,
-        Some(StallDetector::after_deadline(timers, deadline)),
-        on_end,
-    )
+    let has_length = body.size_hint().exact().is_some();
+    let end = (!has_length).then_some(deadline + MAX_TIME_AFTER_DEADLINE);
+    let stall_detector = StallDetector::after_deadline(timers, deadline, end);
+    wrap(body, Some(stall_detector), on_end)
 }
 
 fn wrap<B>(
@@ -128,6 +134,8 @@
     timer: Deadline,
     /// The period of the timer after it first expires.
     timeout: Duration,
+    /// When the body must have ended, if it states no length.
+    end: Option<Now>,
 }
 
 impl StallDetector {
@@ -137,16 +145,18 @@
             has_progressed: false,
             timer: timers.after(STALL_TIMEOUT),
             timeout: STALL_TIMEOUT,
+            end: None,
         }
     }
 
-    fn after_deadline(timers: &Timers, deadline: Now) -> Self {
+    fn after_deadline(timers: &Timers, deadline: Now, end: Option<Now>) -> Self {
         Self {
             timers: timers.clone(),
             // Grants one timeout after the deadline, even if the body has made no progress before it.
             has_progressed: true,
             timer: timers.at(deadline),
             timeout: STALL_TIMEOUT_AFTER_DEADLINE,
+            end,
         }
     }
 
@@ -154,6 +164,10 @@
         self.has_progressed = true;
     }
 
+    fn is_too_long(&self) -> bool {
+        self.end.is_some_and(|end| self.timers.now() >= end)
+    }
+
     /// Detection takes up to two timeouts.
     fn is_stalled(&mut self, cx: &mut Context<'_>) -> bool {
         while Pin::new(&mut self.timer).poll(cx).is_ready() {
@@ -196,6 +210,10 @@
         match Pin::new(&mut this.body).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
                 if let Some(stall_detector) = &mut this.stall_detector {
+                    if stall_detector.is_too_long() {
+                        this.end(false);
+                        return Poll::Ready(Some(Err(BodyError::TooLong)));
+                    }
                     stall_detector.record_progress();
                 }
                 if this.body.is_end_stream() {
