Soak: leaves without draining in an outage of the store, and late arrivals after a leave

Now half of the leaves are deregistrations alone, during which the store is down, and the daemon is killed once it has acknowledged one; health checks name the backend server and go on succeeding; a request that reaches a backend server more than 2 s after the acknowledgement is a breach whenever it was sent.

--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -471,7 +471,11 @@
     ) -> io::Result<bool> {
         let name = &self.names.request_id;
         let request_id = req.headers.get(name.as_str()).cloned().unwrap_or_default();
-        let extra = self.lock().extra_headers.clone();
+        let mut extra = self.lock().extra_headers.clone();
+        if self.observer.is_some() && request_id.is_empty() {
+            // A health check.
+            extra += &format!("{}: {}\r\n", self.names.backend_id, self.id());
+        }
         let response_headers = format!(
             "{name}: {request_id}\r\n{SIGNATURE}: {request_id}\r\nkeep-alive: timeout={IDLE_TIMEOUT_S}\r\n{extra}"
         );
--- a/crates/sorrelturn-bench/src/soak/actions.rs
+++ b/crates/sorrelturn-bench/src/soak/actions.rs
@@ -19,6 +19,8 @@
 
 /// The delay of each call to a slow store: near the daemons' timeout of a second.
 const SLOW_STORE_DELAY_MS: u64 = 900;
+/// The duration of the outage in which a backend server leaves, and how long it serves after that.
+const LEAVE_IN_OUTAGE_MS: u64 = 4_000;
 /// A slow script, played for a while after a backend server has misbehaved.
 const SLOW_SCRIPT: Script = Script::Works {
     ms: 1_200,
@@ -176,6 +178,10 @@
             return;
         }
         let return_at = Instant::now() + Duration::from_millis(ms);
+        // Nothing is drawn for the kind of leave, so that the plans of known seeds stay.
+        if ms % 2 == 1 {
+            return self.leave_in_outage(daemon).await;
+        }
         while !member.announce().await.is_ok_and(|status| status == 200) {
             Timer::after(POLL_INTERVAL).await;
         }
@@ -186,6 +192,26 @@
         self.send_late_updates(member, &previous).await;
     }
 
+    /// Makes a backend server leave without saying that it is draining, while the store is down, and kills its daemon once
+    /// that has acknowledged it.
+    async fn leave_in_outage(&self, daemon: usize) {
+        let member = &self.daemons[daemon];
+        member.is_silent.store(true, Ordering::Relaxed);
+        let outage = self.disturb_store(StoreFault::Down, LEAVE_IN_OUTAGE_MS);
+        let leave = async {
+            while !member.deregister().await.is_ok_and(|status| status == 200) {
+                Timer::after(POLL_INTERVAL).await;
+            }
+            self.checker().leave_acknowledged(self.now(), daemon);
+            self.kill(daemon, None);
+        };
+        smol::future::zip(outage, leave).await;
+        Timer::after(Duration::from_millis(LEAVE_IN_OUTAGE_MS)).await;
+        self.checker().backend_joining(daemon);
+        let previous = member.start_next_incarnation(daemon);
+        self.send_late_updates(member, &previous).await;
+    }
+
     /// Makes a backend server name a limit for a while.
     async fn name_limit(&self, daemon: usize, per_second: u64, ms: u64) {
         let backend = &self.daemons[daemon].backend;
--- a/crates/sorrelturn-bench/src/soak/checker.rs
+++ b/crates/sorrelturn-bench/src/soak/checker.rs
@@ -28,7 +28,8 @@
 const LIMIT_SLACK: f64 = 5.0;
 /// The time in which a confirmed route table has to be in force.
 const APPLY_TIME: Duration = Duration::from_secs(2);
-/// The time after a response that says that its backend server is leaving, in which requests may still be sent there.
+/// The time in which requests may still reach a backend server after its leave was acknowledged, or may still be sent to it
+/// after a response that says that it is leaving.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 /// The statuses which state that the request was not and will not be executed.
 const REFUSAL_STATUSES: [u16; 4] = [408, 421, 429, 503];
@@ -596,9 +597,12 @@
         let (kind, sent_at, is_refused) = (request.kind, request.sent_at, request.is_refused);
         let credential_kind = request.credential_kind;
         let run_count = request.places.iter().filter(|place| place.runs).count();
+        let max_wait = DRAIN_TIME + self.lag;
         if self.daemons[place.daemon]
             .leave_acknowledged_at
-            .is_some_and(|leave_acknowledged_at| sent_at > leave_acknowledged_at)
+            .is_some_and(|acknowledged_at| {
+                sent_at > acknowledged_at || at > acknowledged_at + max_wait
+            })
         {
             let description = format!(
                 "{id}, sent at {sent_at:?}, reaches backend server {} after its leave",
--- a/crates/sorrelturn-bench/src/soak/harness.rs
+++ b/crates/sorrelturn-bench/src/soak/harness.rs
@@ -237,6 +237,7 @@
             backend,
             process: Mutex::default(),
             is_leaving: AtomicBool::new(false),
+            is_silent: AtomicBool::new(false),
             announce_lock: Mutex::default(),
             sequence: AtomicU64::new(0),
             backend_restarts: AtomicU64::new(0),
@@ -402,8 +403,10 @@
     async fn send_heartbeats(&self, number: usize) {
         let member = &self.daemons[number];
         while !self.is_over() {
-            // A daemon that is down receives the next one.
-            let _ = member.announce().await;
+            if !member.is_silent.load(Ordering::Relaxed) {
+                // A daemon that is down receives the next one.
+                let _ = member.announce().await;
+            }
             Timer::after(HEARTBEAT_INTERVAL).await;
         }
     }
--- a/crates/sorrelturn-bench/src/soak/member.rs
+++ b/crates/sorrelturn-bench/src/soak/member.rs
@@ -41,6 +41,8 @@
     pub(super) backend: RoutedBackend,
     pub(super) process: Mutex<Option<Process>>,
     pub(super) is_leaving: AtomicBool,
+    /// Whether its backend server has deregistered and sends no heartbeats any more.
+    pub(super) is_silent: AtomicBool,
     /// Held while an announcement is built and while the incarnation changes, so that none mixes two incarnations.
     pub(super) announce_lock: Mutex<()>,
     pub(super) sequence: AtomicU64,
@@ -94,6 +96,7 @@
         self.backend.restart_with_id(&id);
         self.sequence.store(0, Ordering::Relaxed);
         self.is_leaving.store(false, Ordering::Relaxed);
+        self.is_silent.store(false, Ordering::Relaxed);
         previous
     }
 
@@ -119,6 +122,13 @@
         self.post(&incarnation.id, "heartbeat", body).await
     }
 
+    /// Deregisters the backend server, which says nothing more then; returns the status of the response.
+    pub(super) async fn deregister(&self) -> Result<u16, io::Error> {
+        let incarnation = self.current_incarnation();
+        let body = format!(r#"{{"born":{}}}"#, incarnation.started_ms);
+        self.post(&incarnation.id, "deregister", body).await
+    }
+
     pub(super) fn heartbeat(&self, started_ms: u64, state: &str, sequence: u64) -> String {
         let service = &self.settings.service;
         format!(
