A request isn't sent again over a connection over which it was refused

Cause: a refused request is offered again, and may come to the same backend server over the same connection. A late copy of the first refusal, which a backend server in trouble may send in the place of the next answer, has the request's id and was taken for the answer to the second sending, while that ran.

A refusal without an id closes its connection, since its copy would be taken for that of any request.

--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -12,7 +12,7 @@
 };
 use sorrelturn_daemon::HeaderNames;
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     fmt::Write,
     io,
     net::SocketAddr,
@@ -66,6 +66,11 @@
     Calls,
     /// Responds to a long request after a part of its body, and reads the rest after [`RoutedBackend::read_on`].
     AnswersEarly,
+    /// Refuses each request once, and sends a copy of the refusal before the next response on its connection.
+    RefusesOnce {
+        /// Whether the refusals have the request's id.
+        has_id: bool,
+    },
     /// Sends a response, health checks included, until the daemon closes the connection.
     AnswersWithoutEnd(EndlessPart),
 }
@@ -178,6 +183,8 @@
     daemon: Option<SocketAddr>,
     /// Whether the bodies of requests that were answered early are read.
     reads_on: bool,
+    /// The ids of the requests that [`Script::RefusesOnce`] has refused.
+    refused_ids: HashSet<String>,
 }
 
 /// The body of each response.
@@ -222,6 +229,7 @@
             connection_count: 0,
             daemon: None,
             reads_on: false,
+            refused_ids: HashSet::new(),
         };
         Self {
             names: names.clone(),
@@ -393,6 +401,7 @@
 
     async fn serve_connection(&self, tcp: TcpStream) -> io::Result<()> {
         let mut tcp = BufReader::new(tcp);
+        let mut late_copy: Option<String> = None;
         while let Some(mut req) = read_head(&mut tcp).await? {
             let length = body_length(&req);
             let answers_early =
@@ -417,6 +426,16 @@
                 tcp.get_mut().write_all(response.as_bytes()).await?;
                 continue;
             }
+            if let Some(copy) = late_copy.take() {
+                tcp.get_mut().write_all(copy.as_bytes()).await?;
+            }
+            if let Script::RefusesOnce { has_id } = script
+                && let Some(refusal) = self.refuse_once(&req, has_id)
+            {
+                tcp.get_mut().write_all(refusal.as_bytes()).await?;
+                late_copy = Some(refusal);
+                continue;
+            }
             if let Some(observer) = &self.observer {
                 observer(&req, script);
             } else if script != Script::SaysNotRun {
@@ -448,6 +467,20 @@
         Ok(())
     }
 
+    /// Returns a refusal if the request wasn't refused before.
+    fn refuse_once(&self, req: &ReceivedRequest, has_id: bool) -> Option<String> {
+        let name = &self.names.request_id;
+        let id = req.headers.get(name.as_str())?;
+        let is_new = self.lock().refused_ids.insert(id.clone());
+        let id_header = if has_id {
+            format!("{name}: {id}\r\n")
+        } else {
+            String::new()
+        };
+        let headers = format!("{id_header}{}: 1\r\n", self.names.not_run);
+        is_new.then(|| response_head(503, "Service Unavailable", &headers, Some(0)))
+    }
+
     /// Responds, and reads the rest of the body once [`RoutedBackend::read_on`] was called.
     async fn answer_early(
         &self,
@@ -577,8 +610,8 @@
                     smol::future::yield_now().await;
                 }
             }
-            // Short requests have no rest to read.
-            Script::AnswersEarly => (full_response, true),
+            // Short requests have no rest to read, and the second sending of one is answered.
+            Script::AnswersEarly | Script::RefusesOnce { .. } => (full_response, true),
             Script::AnswersVeryLate => {
                 smol::Timer::after(VERY_LATE_DELAY).await;
                 (full_response, true)
--- a/crates/sorrelturn-daemon/src/backend/link.rs
+++ b/crates/sorrelturn-daemon/src/backend/link.rs
@@ -3,6 +3,7 @@
 use crate::{
     clock::Clock,
     net::pool::{Lease, Opened, Pool, PoolTotals, SendError},
+    net::refused::KeyedRequest,
     net::timers::Timers,
     request::body::Body,
 };
@@ -105,18 +106,19 @@
         &self,
         ex: &Executor<'static>,
         timers: &Timers,
-        req: Request<Body>,
+        request: KeyedRequest,
         make_copy: impl FnOnce(&Request<Body>) -> Option<Request<Body>>,
         may_send_again: impl FnOnce() -> bool,
         prepare: impl Fn(&mut Request<Body>) -> Result<(), Refusal>,
     ) -> Result<BackendResponse, SendError> {
         if !self.pool.has_idle() {
             // It uses a new connection.
-            return self.send_once(ex, req, &prepare).await;
+            return self.send_once(ex, request, &prepare).await;
         }
-        let copy = make_copy(&req);
+        let key = request.key;
+        let copy = make_copy(&request.req);
         let sent = self.clock.now();
-        let mut first = pin!(self.send_once(ex, req, &prepare));
+        let mut first = pin!(self.send_once(ex, request, &prepare));
         let suspect = async {
             self.pool.wait_until_suspect(timers, sent).await;
             None
@@ -130,7 +132,7 @@
             return first.await;
         };
         // Boxed to keep the future of the common case small.
-        let mut second = Box::pin(self.send_once(ex, copy, &prepare));
+        let mut second = Box::pin(self.send_once(ex, KeyedRequest { req: copy, key }, &prepare));
         let first_response = async { (first.as_mut().await, true) };
         let second_response = async { (second.as_mut().await, false) };
         let response = match first_response.or(second_response).await {
@@ -147,7 +149,7 @@
     async fn send_once(
         &self,
         ex: &Executor<'static>,
-        req: Request<Body>,
+        request: KeyedRequest,
         prepare: impl Fn(&mut Request<Body>) -> Result<(), Refusal>,
     ) -> Result<BackendResponse, SendError> {
         let connect = || async {
@@ -161,7 +163,7 @@
         };
         let (res, lease) = self
             .pool
-            .send(ex, req, self.connect_timeout, connect, prepare)
+            .send(ex, request, self.connect_timeout, connect, prepare)
             .await?;
         Ok(BackendResponse {
             res,
--- a/crates/sorrelturn-daemon/src/fleet/peers.rs
+++ b/crates/sorrelturn-daemon/src/fleet/peers.rs
@@ -3,6 +3,7 @@
 use crate::{
     clock::Clock,
     net::pool::{Lease, MAX_BUF_BYTES, Opened, Pool, PoolTotals, SendError},
+    net::refused::KeyedRequest,
     net::stream::FleetKeys,
     net::timers::Timers,
     request::body::{self, Body},
@@ -114,7 +115,9 @@
             &self.pool_without_timeouts
         };
         let sent = self.clock.now();
-        let response = pool.send(runtime.ex, req, CONNECT_TIMEOUT, connect, |_| Ok(()));
+        // A daemon sends one response to a call.
+        let request = KeyedRequest { req, key: None };
+        let response = pool.send(runtime.ex, request, CONNECT_TIMEOUT, connect, |_| Ok(()));
         let unresponsive = async {
             if !has_timeouts {
                 // The response to a long request may legitimately take long.
--- a/crates/sorrelturn-daemon/src/net/mod.rs
+++ b/crates/sorrelturn-daemon/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod connections;
 pub(crate) mod listeners;
 pub(crate) mod pool;
+pub(crate) mod refused;
 pub(crate) mod serve;
 pub(crate) mod stream;
 pub(crate) mod timers;
--- a/crates/sorrelturn-daemon/src/net/pool.rs
+++ b/crates/sorrelturn-daemon/src/net/pool.rs
@@ -3,7 +3,12 @@
 
 use crate::{
     clock::Clock,
-    net::{stream::BoxStream, timers::Timers, upload::Upload},
+    net::{
+        refused::{KeyedRequest, RefusedRequests, RequestKey},
+        stream::BoxStream,
+        timers::Timers,
+        upload::Upload,
+    },
     node::lock,
     request::body::Body,
 };
@@ -176,6 +181,7 @@
     sender: SendRequest<Body>,
     socket: TcpStream,
     read_limit: ReadLimit,
+    refused: RefusedRequests,
     opened_at: Now,
     _open: OpenCountGuard,
 }
@@ -204,6 +210,14 @@
         &self.conn.socket
     }
 
+    /// As [`Lease::give_back`], after the peer refused the request with this key, which isn't sent over this connection
+    /// again.
+    pub(crate) fn give_back_after_refusal(mut self, key: RequestKey) {
+        if self.conn.refused.add(key) {
+            self.give_back();
+        }
+    }
+
     /// Returns the connection to the pool after a complete exchange, or closes it once its request is sent, if the peer
     /// may still have to read that request.
     pub(crate) fn give_back(self) {
@@ -351,11 +365,11 @@
     /// first byte: it completes the request, or refuses it, and then nothing is sent.
     ///
     /// If an idle connection turns out to be closed, nothing was sent, and the request is sent
-    /// over the next one.
+    /// over the next one. None is used over which a request with this key was refused.
     pub(crate) async fn send<F>(
         self: &Arc<Self>,
         ex: &Executor<'static>,
-        req: Request<Body>,
+        request: KeyedRequest,
         connect_timeout: Duration,
         connect: impl Fn() -> F,
         prepare: impl Fn(&mut Request<Body>) -> Result<(), Refusal>,
@@ -363,11 +377,12 @@
     where
         F: Future<Output = io::Result<Opened>>,
     {
-        let (head, body) = req.into_parts();
+        let key = request.key;
+        let (head, body) = request.req.into_parts();
         let (body, upload) = Upload::track(body);
         let mut req = Request::from_parts(head, body);
         loop {
-            let idle = self.take_idle();
+            let idle = self.take_idle(key);
             let was_idle = idle.is_some();
             let mut conn = match idle {
                 Some(conn) => conn,
@@ -447,14 +462,21 @@
         upload.is_complete() && upload.bytes() <= self.max_body_bytes_before_reuse
     }
 
-    /// Takes the most recently used connection, so that the others reach the idle timeout.
-    fn take_idle(&self) -> Option<Conn> {
+    /// Takes the most recently used connection over which the request wasn't refused, so that the others reach the idle
+    /// timeout.
+    fn take_idle(&self, key: Option<RequestKey>) -> Option<Conn> {
         let mut idle = lock(&self.idle);
-        while let Some(last) = idle.pop_back() {
-            if self.clock.elapsed_since(last.since) >= self.idle_timeout() {
-                idle.clear();
-            } else if !last.conn.sender.is_closed() {
-                return Some(last.conn);
+        for at in (0..idle.len()).rev() {
+            let candidate = &idle[at];
+            if self.clock.elapsed_since(candidate.since) >= self.idle_timeout() {
+                // The ones before it have been idle longer.
+                idle.drain(..=at);
+                return None;
+            }
+            if candidate.conn.sender.is_closed() {
+                idle.remove(at);
+            } else if !key.is_some_and(|key| candidate.conn.refused.contains(key)) {
+                return idle.remove(at).map(|idle| idle.conn);
             }
         }
         None
@@ -499,6 +521,7 @@
             sender,
             socket: opened.socket,
             read_limit,
+            refused: RefusedRequests::default(),
             opened_at: self.clock.now(),
             _open: count_guard,
         })
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -11,6 +11,7 @@
     config::in_force::InForce,
     fleet::{gossip, suspects},
     net::pool::{Lease, SendError},
+    net::refused::{KeyedRequest, RequestKey},
     node::{ActiveRequest, LastTime, Node, lock},
     operators::export,
     request::admission::Slot,
@@ -23,7 +24,7 @@
 };
 use bytes::Bytes;
 use hyper::{
-    Request, Response,
+    HeaderMap, Request, Response,
     body::{Body as _, Incoming},
     header::{HOST, HeaderValue},
 };
@@ -142,10 +143,12 @@
         let take_retry = || self.take_retry_for_resend();
         let prepare = |req: &mut Request<Body>| self.prepare_to_write(req);
         let sent = self.sent_request(&req);
+        let key = self.request_key();
+        let request = KeyedRequest { req, key };
         let send = node.backend.send(
             &node.ex,
             &node.timers,
-            req,
+            request,
             copy_request,
             take_retry,
             prepare,
@@ -203,6 +206,24 @@
         }
     }
 
+    /// Returns what identifies the request in its response; `None` outside routed mode.
+    fn request_key(&self) -> Option<RequestKey> {
+        let id = self.caller_request_id.as_ref()?;
+        Some(RequestKey::of(id.as_bytes()))
+    }
+
+    /// Returns a connection to the pool after a refusal. In routed mode, one without an id ends its connection: a late copy
+    /// of it could be taken for the refusal of any later request.
+    fn give_back_after_refusal(&self, lease: Lease, headers: &HeaderMap) {
+        let Some(routed) = &self.node.routed else {
+            return lease.give_back();
+        };
+        let has_id = headers.contains_key(&routed.dialect.headers.request_id);
+        if let Some(key) = self.request_key().filter(|_| has_id) {
+            lease.give_back_after_refusal(key);
+        }
+    }
+
     fn sent_request(&self, req: &Request<Body>) -> SentRequest {
         let routed = self.node.routed.as_ref();
         let backend = routed.and_then(|routed| {
@@ -386,7 +407,7 @@
         if is_refused {
             in_progress.mark_finished();
             if res.body().is_end_stream() {
-                lease.give_back();
+                self.give_back_after_refusal(lease, res.headers());
             }
             slot.release(Outcome::Overloaded);
             if sent_twice {
