A deregistration without a body is a leave where heartbeats have a start time

Cause: what lacks a start time, once one was seen, was taken for another sender's. The users' deregistration has no body.

Mend: it is of the one known incarnation with its id. If several runs of that id are known, it is answered 503 and changes nothing; if only earlier ones, it is outdated.

--- a/crates/sorrelturn-policy/src/presence.rs
+++ b/crates/sorrelturn-policy/src/presence.rs
@@ -21,8 +21,8 @@
     /// The announcement is older than what is already known.
     Outdated,
     /// The announcement comes from an unknown incarnation that seems to have started before the
-    /// current one, either because it was delayed or because the clock stepped back. It has no
-    /// effect yet.
+    /// current one, either because it was delayed or because the clock stepped back, or it lacks a
+    /// start time and may come from several incarnations. It has no effect yet.
     Unconfirmed,
     /// The announcement lacks a start time although the backend servers here send one, so it comes
     /// from another sender.
@@ -53,8 +53,22 @@
     }
 }
 
+/// The known incarnations with some id.
+enum IncarnationWithId {
+    /// None.
+    None,
+    /// The current one alone, and its start time.
+    Current(Option<u64>),
+    /// Earlier ones alone.
+    Earlier,
+    /// The current one and an earlier one, which can't be told apart without a start time.
+    Several,
+}
+
 /// What is known of the backend server beside a daemon.
 ///
+/// A deregistration may lack the start time. It is then of the incarnation with its id, and has no effect if several had it.
+///
 /// An incarnation is identified by its id and its start time. Of two incarnations with one id, the
 /// one with the later start time is current. As clocks may step back, an incarnation with an
 /// earlier start time also becomes current once the known one has been silent for longer than a
@@ -88,7 +102,15 @@
 
     /// Processes an announcement. An incarnation that is leaving never becomes ready again; a new
     /// incarnation has another id or start time.
-    pub fn receive(&mut self, now: Now, announcement: Announcement) -> PresenceChange {
+    pub fn receive(&mut self, now: Now, mut announcement: Announcement) -> PresenceChange {
+        if announcement.born.is_none() && announcement.state == BackendState::Gone {
+            match self.incarnation_with_id(&announcement.id) {
+                IncarnationWithId::Current(born) => announcement.born = born,
+                IncarnationWithId::Earlier => return PresenceChange::Outdated,
+                IncarnationWithId::Several => return PresenceChange::Unconfirmed,
+                IncarnationWithId::None => {}
+            }
+        }
         if announcement.born.is_none() && self.sends_start_time {
             return PresenceChange::Foreign;
         }
@@ -116,6 +138,23 @@
         }
     }
 
+    /// Returns which of the known incarnations an announcement without a start time is of.
+    fn incarnation_with_id(&self, id: &str) -> IncarnationWithId {
+        let current = self.current.as_ref().filter(|current| current.id == id);
+        let is_another = |earlier: &BackendIncarnation, current: &Announcement| {
+            earlier.born.is_some() && earlier.born != current.born
+        };
+        let is_reused = |earlier: &BackendIncarnation| {
+            earlier.id == id && current.is_none_or(|current| is_another(earlier, current))
+        };
+        match (current, self.earlier.iter().any(is_reused)) {
+            (Some(current), false) => IncarnationWithId::Current(current.born),
+            (Some(_), true) => IncarnationWithId::Several,
+            (None, true) => IncarnationWithId::Earlier,
+            (None, false) => IncarnationWithId::None,
+        }
+    }
+
     /// Records that the backend server with this id answered at the address of the backend server.
     /// An unknown id replaces the current incarnation; returns whether it did.
     pub fn record_answer_from(&mut self, now: Now, id: &str) -> bool {
