--- a/crates/sorrelturn-bench/tests/soak.rs
+++ b/crates/sorrelturn-bench/tests/soak.rs
@@ -281,6 +281,15 @@
     assert_eq!(broken_promises(&checker), []);
 }
 
+/// Guards against a request that waits for seconds between the decision to send it and its first byte.
+#[test]
+fn a_request_that_was_sent_before_a_leave_and_reaches_the_backend_server_long_after_it_is_found() {
+    let mut checker = with_request(Kind::Once);
+    checker.leave_acknowledged(ms(10_005), 1);
+    checker.reached_backend(ms(12_006), "x", runs_at(1));
+    assert_eq!(broken_promises(&checker), [Promise::Leaves]);
+}
+
 /// Daemon 0 responds with these statuses to requests for these versions in turn; versions 1 to 3 were published.
 #[test]
 fn a_window_with_more_requests_than_a_backend_server_names_as_its_limit_is_found() {
