--- a/crates/sorrelturn-daemon/src/net/refused.rs
+++ b/crates/sorrelturn-daemon/src/net/refused.rs
@@ -4,8 +4,9 @@
 use hyper::Request;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-/// How many refusals a connection carries before it is closed.
-const MAX_REFUSALS: usize = 8;
+/// How many refusals a connection carries before it is closed, so that its memory is bounded. An overloaded backend server
+/// refuses many requests, and each new connection costs it time.
+const MAX_REFUSALS: usize = 64;
 
 /// What identifies a request in its response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,20 +32,18 @@
 /// could be taken for the response to the second sending.
 #[derive(Debug, Default)]
 pub(crate) struct RefusedRequests {
-    keys: [Option<RequestKey>; MAX_REFUSALS],
+    keys: Vec<RequestKey>,
 }
 
 impl RefusedRequests {
     /// Returns whether the request was refused.
     pub(crate) fn contains(&self, key: RequestKey) -> bool {
-        self.keys.contains(&Some(key))
+        self.keys.contains(&key)
     }
 
     /// Adds a request. Returns whether there is room for another one.
     pub(crate) fn add(&mut self, key: RequestKey) -> bool {
-        if let Some(free) = self.keys.iter_mut().find(|key| key.is_none()) {
-            *free = Some(key);
-        }
-        self.keys.iter().any(Option::is_none)
+        self.keys.push(key);
+        self.keys.len() < MAX_REFUSALS
     }
 }
