--- a/crates/sorrelturn-platform/src/hyper_io.rs
+++ b/crates/sorrelturn-platform/src/hyper_io.rs
@@ -23,9 +23,9 @@
 /// The maximum number of bytes of a single read.
 const MAX_READ_BYTES: usize = 32 << 10;
 
-/// The maximum number of reads in a row that find bytes. Then other tasks have their turn: a peer that sends without end
-/// would otherwise hold the thread.
-const MAX_READS_IN_A_ROW: u32 = 64;
+/// The maximum number of bytes that are read in a row. Then other tasks have their turn: a peer that sends without end would
+/// otherwise hold the thread.
+const MAX_BYTES_IN_A_ROW: usize = 2 << 20;
 
 thread_local! {
     /// Empty until the first read, and while a read uses it.
@@ -35,14 +35,14 @@
 /// A stream of the runtime for use by hyper.
 pub struct HyperIo<S> {
     io: FuturesIo<S>,
-    reads_in_a_row: u32,
+    bytes_in_a_row: usize,
 }
 
 impl<S> HyperIo<S> {
     fn new(stream: S) -> Self {
         Self {
             io: FuturesIo::new(stream),
-            reads_in_a_row: 0,
+            bytes_in_a_row: 0,
         }
     }
 }
@@ -53,8 +53,8 @@
         cx: &mut Context<'_>,
         mut unfilled: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.reads_in_a_row == MAX_READS_IN_A_ROW {
-            self.reads_in_a_row = 0;
+        if self.bytes_in_a_row >= MAX_BYTES_IN_A_ROW {
+            self.bytes_in_a_row = 0;
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
@@ -62,15 +62,14 @@
         buf.resize(MAX_READ_BYTES, 0);
         let len = unfilled.remaining().min(buf.len());
         let read = Pin::new(self.io.get_mut()).poll_read(cx, &mut buf[..len]);
-        if let Poll::Ready(Ok(len)) = read {
-            unfilled.put_slice(&buf[..len]);
-        }
-        READ_BUF.set(buf);
-        self.reads_in_a_row = if read.is_ready() {
-            self.reads_in_a_row + 1
-        } else {
-            0
+        self.bytes_in_a_row = match read {
+            Poll::Ready(Ok(len)) => {
+                unfilled.put_slice(&buf[..len]);
+                self.bytes_in_a_row + len
+            }
+            _ => 0,
         };
+        READ_BUF.set(buf);
         ready!(read)?;
         Poll::Ready(Ok(()))
     }
