--- a/crates/sorrelturn-bench/src/experiment/daemon.rs
+++ b/crates/sorrelturn-bench/src/experiment/daemon.rs
@@ -16,6 +16,8 @@
 /// The queue timeouts of the product's gates: for root requests, and for nested calls.
 const QUEUE_TIMEOUT: Duration = Duration::from_millis(100);
 const CALL_QUEUE_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long a daemon assumes that an owner refuses repeats after its answer said so.
+const REPEATS_REFUSED_RETENTION: Duration = Duration::from_secs(1);
 /// The window of the retry limit.
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
 /// The fraction of the configured retry slack that is shared out among the daemons.
@@ -27,6 +29,7 @@
     threshold: LearnedThreshold,
     retry_detector: RetryDetector,
     refusal_streak: RefusalStreak,
+    repeats_refused_at: Option<Now>,
     /// Whether answers report requests of this kind as nested calls.
     is_call: bool,
     was_answered: bool,
@@ -38,6 +41,14 @@
 struct RunningRequest {
     kind: usize,
     deadline: Now,
+    repeat_share: f64,
+}
+
+/// The calls of one kind that a request makes.
+pub(super) struct CallRate {
+    pub(super) kind: usize,
+    pub(super) service: usize,
+    pub(super) calls: f64,
 }
 
 struct InstanceState {
@@ -74,6 +85,7 @@
     pub(super) threshold: Priority,
     pub(super) load: u16,
     pub(super) is_call: bool,
+    pub(super) refuses_repeats: bool,
     pub(super) limit_level: u16,
     /// How long the instance is avoided.
     pub(super) pause: Option<Duration>,
@@ -146,15 +158,19 @@
         kind: usize,
         deadline: Now,
         level: u16,
-        repeated: bool,
+        repeat_share: f64,
     ) {
-        self.in_progress.begin(level, repeated);
-        self.running_requests
-            .insert(run, RunningRequest { kind, deadline });
+        self.in_progress.begin(level);
+        let running = RunningRequest {
+            kind,
+            deadline,
+            repeat_share,
+        };
+        self.running_requests.insert(run, running);
     }
 
-    pub(super) fn end_execution(&mut self, run: u64, level: u16, repeated: bool) {
-        self.in_progress.end(level, repeated);
+    pub(super) fn end_execution(&mut self, run: u64, level: u16) {
+        self.in_progress.end(level);
         self.running_requests.remove(&run);
     }
 
@@ -171,24 +187,70 @@
         self.graph.is_leaf(name)
     }
 
-    /// Records a nested call and the requests in progress that may have made it.
-    pub(super) fn record_call(&mut self, names: &[String], child: usize, deadline: Now) {
-        let mut groups: BTreeMap<(usize, bool), u32> = BTreeMap::new();
+    /// Records a nested call and the requests in progress that may have made it. Returns the probability that a
+    /// repeated request made it.
+    pub(super) fn repeat_share_of_call(
+        &mut self,
+        names: &[String],
+        child: usize,
+        deadline: Now,
+    ) -> f64 {
+        let mut groups: BTreeMap<(usize, bool), (u32, f64)> = BTreeMap::new();
         for running in self.running_requests.values() {
             let same_deadline = running.deadline.abs_diff(deadline) <= DEADLINE_TOLERANCE;
             if same_deadline || running.deadline > deadline {
-                *groups.entry((running.kind, same_deadline)).or_default() += 1;
+                let group = groups.entry((running.kind, same_deadline)).or_default();
+                group.0 += 1;
+                group.1 += running.repeat_share;
             }
         }
         let candidates = groups
             .into_iter()
-            .map(|((kind, same_deadline), count)| Candidate {
+            .map(|((kind, same_deadline), (count, repeats))| Candidate {
                 kind: names[kind].clone(),
                 has_same_deadline: same_deadline,
                 count,
+                repeat_share: repeats / f64::from(count),
             });
         let candidates: Vec<Candidate> = candidates.collect();
-        self.graph.record_call(&names[child], &candidates);
+        self.graph.record_call(&names[child], &candidates)
+    }
+
+    pub(super) fn call_rate(&self, parent: &str, child: &str) -> f64 {
+        self.graph.call_rate(parent, child)
+    }
+
+    /// Reserves retries for the calls of a repeated request; returns whether there are enough.
+    pub(super) fn let_in_repeat(&mut self, now: Now, calls: &[CallRate]) -> bool {
+        let has_room = self.has_room_below(now, calls);
+        if has_room {
+            for call in calls {
+                self.retries[call.service].expect_calls_of_repeat(now, call.calls);
+            }
+        }
+        has_room
+    }
+
+    pub(super) fn has_room_below(&mut self, now: Now, calls: &[CallRate]) -> bool {
+        calls.iter().all(|call| {
+            !self.repeats_refused_recently(now, call.kind)
+                && self.retries[call.service].has_room_for_calls_of_repeat(now, call.calls)
+        })
+    }
+
+    pub(super) fn forget_expected_calls(&mut self, now: Now, calls: &[CallRate]) {
+        for call in calls {
+            self.retries[call.service].forget_expected_calls(now, call.calls);
+        }
+    }
+
+    pub(super) fn record_repeats_refused(&mut self, now: Now, kind: usize) {
+        self.kinds[kind].repeats_refused_at = Some(now);
+    }
+
+    pub(super) fn repeats_refused_recently(&self, now: Now, kind: usize) -> bool {
+        let refused_at = self.kinds[kind].repeats_refused_at;
+        refused_at.is_some_and(|at| now - at < REPEATS_REFUSED_RETENTION)
     }
 
     /// Records that a request arrived from a VM of a service.
@@ -349,9 +411,9 @@
         state.was_answered = true;
     }
 
-    /// `repeated` is the fraction of the call's possible parents that are retries.
-    pub(super) fn record_first_attempt(&mut self, now: Now, service: usize, repeated: f64) {
-        self.retries[service].record_call_of_repeat(now, repeated);
+    /// `repeat_share` is the probability that a repeated request makes the call.
+    pub(super) fn record_first_attempt(&mut self, now: Now, service: usize, repeat_share: f64) {
+        self.retries[service].record_call_of_repeat(now, repeat_share);
     }
 
     /// Counts another attempt if the retry limit allows it; returns whether it does.
@@ -374,6 +436,7 @@
             threshold: LearnedThreshold::for_shedding_level(),
             retry_detector: RetryDetector::default(),
             refusal_streak: RefusalStreak::default(),
+            repeats_refused_at: None,
             is_call: false,
             was_answered: false,
         }
--- a/crates/sorrelturn-bench/src/experiment/file.rs
+++ b/crates/sorrelturn-bench/src/experiment/file.rs
@@ -197,6 +197,32 @@
     },
 }
 
+/// A period in which the backend servers of a service refuse requests although they have free slots.
+#[derive(Clone, Copy, Debug)]
+pub struct Rejection<'a> {
+    /// The name of the service.
+    pub service: &'a str,
+    /// The share of the requests that they refuse.
+    pub share: f64,
+    /// When it begins, in seconds.
+    pub from_s: f64,
+    /// When it ends, in seconds.
+    pub to_s: f64,
+}
+
+impl Experiment {
+    /// Injects these rejections in place of the faults of the file.
+    pub fn replace_faults(&mut self, rejections: &[Rejection<'_>]) {
+        let faults = rejections.iter().map(|rejection| FaultSpec::TurnsAway {
+            service: rejection.service.to_owned(),
+            share: rejection.share,
+            from_s: rejection.from_s,
+            to_s: rejection.to_s,
+        });
+        self.faults = faults.collect();
+    }
+}
+
 /// The limit on retries of a service.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/sorrelturn-bench/src/experiment/mod.rs
+++ b/crates/sorrelturn-bench/src/experiment/mod.rs
@@ -8,8 +8,8 @@
 mod simulation;
 mod table;
 
-pub use file::{Experiment, ExperimentError, Mechanism};
-pub use outcome::{KindOutcome, Outcome};
+pub use file::{Experiment, ExperimentError, Mechanism, Rejection};
+pub use outcome::{KindOutcome, Outcome, RetryCounts, ServiceOutcome};
 pub use plot::plot;
 pub use simulation::simulate_experiment;
 pub use table::table;
--- a/crates/sorrelturn-bench/src/experiment/outcome.rs
+++ b/crates/sorrelturn-bench/src/experiment/outcome.rs
@@ -1,5 +1,7 @@
 //! The results of an experiment.
 
+use std::time::Duration;
+
 /// The results of the requests of one kind that were first sent within one second.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Counts {
@@ -59,19 +61,69 @@
     }
 }
 
+/// What the operators' limit on retries counts at one service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RetryCounts {
+    /// Requests that callers and backend servers sent, whether they arrived or not.
+    pub requests: u32,
+    /// Arrivals at backend servers beyond the first of a request, and all those of calls that a repeated run made.
+    pub repeats: u32,
+}
+
+/// The results at one service.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ServiceOutcome {
+    /// Its name.
     pub service: String,
     /// The fraction of its slots in use, sampled at a fixed rate.
     pub slot_usage: Vec<f64>,
+    /// Requests that arrived at its daemons.
     pub arrived: u64,
     /// Arrivals of repeated attempts.
     pub repeated: u64,
+    /// What the operators' limit on retries counts, by quarters of a second.
+    pub retry_counts: Vec<RetryCounts>,
     /// Arrivals from another failure domain.
     pub cross_domain: u64,
+    /// Crashes of its backend servers.
     pub crashes: u64,
 }
 
+impl ServiceOutcome {
+    pub(super) fn retry_counts_at(&mut self, now: Duration) -> &mut RetryCounts {
+        let slice = now.as_millis() as usize * RETRY_SLICES_PER_SECOND / 1_000;
+        if self.retry_counts.len() <= slice {
+            self.retry_counts.resize(slice + 1, RetryCounts::default());
+        }
+        &mut self.retry_counts[slice]
+    }
+
+    /// The repeats of the worst window as a multiple of those that the operators' limit allows in it: `ratio` of the
+    /// requests in this window, in the one before it or in the one half a window earlier, whichever has the most, and
+    /// `slack`.
+    pub fn worst_use_of_retry_limit(&self, ratio: f64, slack: f64) -> f64 {
+        let slices = &self.retry_counts;
+        let sum = |begin: usize, end: usize, count: fn(&RetryCounts) -> u32| -> f64 {
+            let end = end.min(slices.len());
+            let counts = slices[begin.min(end)..end].iter().map(count);
+            counts.map(f64::from).sum()
+        };
+        let requests_until = |end: usize| {
+            let begin = end.saturating_sub(RETRY_WINDOW_SLICES);
+            sum(begin, end, |counts| counts.requests)
+        };
+        let windows = (0..slices.len()).map(|begin| {
+            let end = begin + RETRY_WINDOW_SLICES;
+            let requests = requests_until(end)
+                .max(requests_until(begin))
+                .max(requests_until(begin + RETRY_WINDOW_SLICES / 2));
+            let repeats = sum(begin, end, |counts| counts.repeats);
+            repeats / (ratio * requests + slack)
+        });
+        windows.fold(0.0, f64::max)
+    }
+}
+
 /// The results of an experiment.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Outcome {
@@ -81,6 +133,8 @@
     pub services: Vec<ServiceOutcome>,
 }
 
+const RETRY_SLICES_PER_SECOND: usize = 4;
+const RETRY_WINDOW_SLICES: usize = 10 * RETRY_SLICES_PER_SECOND;
 pub(super) const SAMPLES_PER_SECOND: usize = 10;
 
 impl Outcome {
--- a/crates/sorrelturn-bench/src/experiment/simulation/callers.rs
+++ b/crates/sorrelturn-bench/src/experiment/simulation/callers.rs
@@ -64,6 +64,7 @@
         if self.kinds[kind].at_most_once_among_repeatable {
             bucket = bucket_for_at_most_once(bucket);
         }
+        self.count_request(kind);
         let left = (caller.first_sent + self.kinds[kind].deadline).saturating_sub(self.now);
         if left.is_zero() {
             return self.count(kind, &caller, |counts| counts.failed += 1);
@@ -96,8 +97,8 @@
             bucket,
             level: self.daemons[forwarder].shedding_level(now, kind),
             precedence: Precedence::new(self.kinds[kind].importance, !self.kinds[kind].repeatable),
-            repeated: false,
-            repeated_fraction: 0.0,
+            is_of_repeat: false,
+            repeat_share: 0.0,
             deadline: self.now + left.min(self.kinds[kind].timeout),
             attempts: AttemptState::default(),
         };
--- a/crates/sorrelturn-bench/src/experiment/simulation/forwarder.rs
+++ b/crates/sorrelturn-bench/src/experiment/simulation/forwarder.rs
@@ -17,12 +17,16 @@
     }
 
     /// Forwards a nested call of the daemon's own backend server. Until its kind is known to be a nested call, it is
-    /// treated as a root request: it may be refused, and isn't recorded in the call graph.
+    /// treated as a root request: it may be refused, and isn't attributed to a parent.
     pub(super) fn forward_nested(&mut self, mut call: Call) {
         let (forwarder, kind, now) = (call.forwarder, call.kind, self.now);
         if self.experiment.learns_calls {
             if self.daemons[forwarder].is_reported_as_call(kind) {
-                self.daemons[forwarder].record_call(&self.kind_names, kind, call.deadline);
+                call.repeat_share = self.daemons[forwarder].repeat_share_of_call(
+                    &self.kind_names,
+                    kind,
+                    call.deadline,
+                );
             } else {
                 let rank = self.rank(forwarder, kind);
                 let left = call.deadline.saturating_sub(now);
@@ -35,6 +39,10 @@
                 call.level = self.daemons[forwarder].shedding_level(now, kind);
             }
         }
+        if !self.experiment.learns_calls {
+            call.repeat_share =
+                self.daemons[forwarder].repeat_share_of_call(&self.kind_names, kind, call.deadline);
+        }
         self.forward(call);
     }
 
@@ -43,7 +51,7 @@
         let service = self.kinds[call.kind].service;
         let daemon = &mut self.daemons[call.forwarder];
         if call.attempts.sends == 0 {
-            daemon.record_first_attempt(self.now, service, call.repeated_fraction);
+            daemon.record_first_attempt(self.now, service, call.repeat_share);
         }
         let (experiment, now) = (self.experiment, self.now);
         let mut tried = call.attempts.tried.clone();
@@ -98,6 +106,9 @@
             };
             daemon.record_answer(self.now, call.kind, &context, indicates_load);
             daemon.record_limit(self.now, service, call.attempts.instance, &context);
+            if context.refuses_repeats {
+                daemon.record_repeats_refused(self.now, call.kind);
+            }
         }
         let answered_by = incarnation(service, call.attempts.instance);
         if matches!(result, CallResult::NotRun(Refusal::BackendRefused)) {
@@ -153,14 +164,17 @@
         }
         let service = self.kinds[call.kind].service;
         let precedence = self.experiment.orders_retries.then_some(call.precedence);
-        let mut retry_allowed =
-            || self.daemons[call.forwarder].try_retry(self.now, service, precedence);
+        let daemon = &mut self.daemons[call.forwarder];
+        let mut retry_allowed = || {
+            !daemon.repeats_refused_recently(self.now, call.kind)
+                && daemon.try_retry(self.now, service, precedence)
+        };
         match step {
             Step::Reroute if !backend_refused => call.attempts.reroutes += 1,
-            Step::Reroute if retry_allowed() => {}
+            Step::Reroute if retry_allowed() => call.repeat_share = 1.0,
             Step::Retry if retry_allowed() => {
                 call.attempts.attempts_left = call.attempts.attempts_left.saturating_sub(1);
-                call.repeated = true;
+                call.repeat_share = 1.0;
             }
             _ => return false,
         }
--- a/crates/sorrelturn-bench/src/experiment/simulation/mod.rs
+++ b/crates/sorrelturn-bench/src/experiment/simulation/mod.rs
@@ -73,10 +73,10 @@
     level: u16,
     /// The precedence of its root request, as far as known.
     precedence: Precedence,
-    /// Whether this is a retry, or a nested call of one.
-    repeated: bool,
-    /// The fraction of its possible parents that are retries.
-    repeated_fraction: f64,
+    /// Whether a repeated run makes this call.
+    is_of_repeat: bool,
+    /// The probability of that, as far as the daemons know; 1 if they sent it again.
+    repeat_share: f64,
     deadline: Now,
     attempts: AttemptState,
 }
@@ -90,9 +90,13 @@
     crashes: usize,
     attempts_left: u32,
     sends: u32,
+    /// Arrivals at backend servers, including those that they refused.
+    arrivals: u32,
     /// The instance of the current attempt, as an index within the service.
     instance: usize,
     arrival: Option<Arrival>,
+    /// Whether its owner has reserved retries for the calls that it makes.
+    expects_calls: bool,
 }
 
 impl Default for AttemptState {
@@ -105,8 +109,10 @@
             crashes: 0,
             attempts_left: MAX_EXECUTIONS,
             sends: 0,
+            arrivals: 0,
             instance: 0,
             arrival: None,
+            expects_calls: false,
         }
     }
 }
@@ -129,7 +135,8 @@
     work_step: Duration,
     next_call: usize,
     level: u16,
-    repeated: bool,
+    /// Whether its request had arrived at a backend server before, or is a call of such a run.
+    is_repeat: bool,
     sample: TuningSample,
 }
 
--- a/crates/sorrelturn-bench/src/experiment/simulation/owner.rs
+++ b/crates/sorrelturn-bench/src/experiment/simulation/owner.rs
@@ -1,7 +1,7 @@
 //! The owner: the daemon in front of the backend server that runs a call.
 
 use super::{AttemptState, BACKEND_REFUSAL_DURATION, Call, CallResult, Event, Run, Simulation, ms};
-use crate::experiment::daemon::AnswerContext;
+use crate::experiment::daemon::{AnswerContext, CallRate};
 use crate::experiment::file::Mechanism;
 use sorrelturn_policy::{Arrival, Decision, Outcome as GateOutcome, TuningSample};
 use sorrelturn_protocol::{Precedence, Priority, Refusal};
@@ -18,7 +18,7 @@
         let service_outcome = &mut self.outcome.services[kind.service];
         service_outcome.cross_domain += u64::from(is_cross_domain);
         service_outcome.arrived += 1;
-        service_outcome.repeated += u64::from(call.attempts.sends > 1 || call.repeated);
+        service_outcome.repeated += u64::from(call.attempts.sends > 1 || call.is_of_repeat);
         let is_call = self.experiment.learns_calls.then(|| {
             let origin = &self.service_names[self.service_by_daemon[call.forwarder]];
             let daemon = &mut self.daemons[owner];
@@ -32,10 +32,19 @@
             deadline: call.deadline,
             level: call.level,
         };
+        let is_sent_again = call.repeat_share >= 1.0;
+        let known_calls = self.call_rates(owner, call.kind);
         if let Some(call) = self.calls.get_mut(&id) {
             call.attempts.arrival = Some(arrival);
+            call.attempts.expects_calls = is_sent_again;
         }
         self.occupy_processor(owner);
+        if is_sent_again && !self.daemons[owner].let_in_repeat(self.now, &known_calls) {
+            if let Some(call) = self.calls.get_mut(&id) {
+                call.attempts.expects_calls = false;
+            }
+            return self.send_answer(id, CallResult::NotRun(Refusal::NoRetriesBelow));
+        }
         let gate = &mut self.daemons[owner].gate;
         let (decision, evicted) = gate.arrive(self.now, &arrival);
         let wait = gate.queue_timeout(&arrival);
@@ -77,6 +86,7 @@
             return self
                 .schedule_after(BACKEND_REFUSAL_DURATION, Event::BackendRefusal(id, refusal));
         }
+        let is_repeat = self.count_arrival(id);
         let (slowdown, refused_share) = self.backend_faults(daemon);
         if refused_share > 0.0 && self.rng.f64() < refused_share {
             let refusal = Refusal::BackendRefused;
@@ -101,7 +111,7 @@
         let random = 1.0 - variation - variation * (1.0 - self.rng.f64()).ln();
         let work = kind.work.mul_f64(random * slowdown * knee_slowdown / speed);
         let work_step = work / (kind.calls.len() as u32 + 1);
-        let (level, repeated) = (call.level, call.repeated);
+        let (level, repeat_share) = (call.level, call.repeat_share);
         let (kind_index, deadline) = (call.kind, call.deadline);
         let run = self.new_id();
         self.runs.insert(
@@ -113,11 +123,11 @@
                 work_step,
                 next_call: 0,
                 level,
-                repeated,
+                is_repeat,
                 sample,
             },
         );
-        self.daemons[daemon].begin_execution(run, kind_index, deadline, level, repeated);
+        self.daemons[daemon].begin_execution(run, kind_index, deadline, level, repeat_share);
         self.schedule_after(work_step, Event::WorkStepDone(run));
     }
 
@@ -152,7 +162,7 @@
         };
         let Some(call) = self.calls.get(&run.call) else {
             if let Some(run) = self.runs.remove(&id) {
-                self.daemons[run.daemon].end_execution(id, run.level, run.repeated);
+                self.daemons[run.daemon].end_execution(id, run.level);
             }
             return;
         };
@@ -183,19 +193,38 @@
             bucket: self.rng.u8(..),
             level: self.daemons[run.daemon].in_progress.mean_level(),
             precedence,
-            repeated: run.repeated,
-            repeated_fraction: self.daemons[run.daemon].in_progress.repeated_fraction(),
+            is_of_repeat: run.is_repeat,
+            repeat_share: 0.0,
             deadline,
             attempts: AttemptState::default(),
         };
+        self.count_request(next);
         self.forward_nested(nested_call);
     }
 
+    /// Counts a request of a caller or of a backend server for the limit on retries.
+    pub(super) fn count_request(&mut self, kind: usize) {
+        let service = &mut self.outcome.services[self.kinds[kind].service];
+        service.retry_counts_at(self.now).requests += 1;
+    }
+
+    /// Counts an arrival at a backend server for the limit on retries; returns whether it is a repeat.
+    fn count_arrival(&mut self, id: u64) -> bool {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return false;
+        };
+        call.attempts.arrivals += 1;
+        let is_repeat = call.is_of_repeat || call.attempts.arrivals > 1;
+        let service = &mut self.outcome.services[self.kinds[call.kind].service];
+        service.retry_counts_at(self.now).repeats += u32::from(is_repeat);
+        is_repeat
+    }
+
     pub(super) fn finish_run(&mut self, id: u64, result: CallResult) {
         let Some(run) = self.runs.remove(&id) else {
             return;
         };
-        self.daemons[run.daemon].end_execution(id, run.level, run.repeated);
+        self.daemons[run.daemon].end_execution(id, run.level);
         let took = self.now - run.started;
         let named = self.named_limit(run.daemon);
         let gate = &mut self.daemons[run.daemon].gate;
@@ -243,11 +272,36 @@
         indexes.collect()
     }
 
+    /// The calls of a kind that its owner knows, each with its service and the number of calls of one request.
+    fn call_rates(&self, daemon: usize, kind: usize) -> Vec<CallRate> {
+        let calls = self.known_calls(daemon, kind);
+        let rates = calls.iter().map(|call| CallRate {
+            kind: *call,
+            service: self.kinds[*call].service,
+            calls: self.call_rate(daemon, kind, *call),
+        });
+        rates.collect()
+    }
+
+    fn call_rate(&self, daemon: usize, kind: usize, call: usize) -> f64 {
+        if self.experiment.learns_calls {
+            let names = &self.kind_names;
+            return self.daemons[daemon].call_rate(&names[kind], &names[call]);
+        }
+        let calls = self.kinds[kind].calls.iter();
+        calls.filter(|other| **other == call).count() as f64
+    }
+
     pub(super) fn send_answer(&mut self, id: u64, result: CallResult) {
         let Some((owner, _)) = self.owner_and_arrival(id) else {
             return;
         };
         let kind = self.calls[&id].kind;
+        let call_rates = self.call_rates(owner, kind);
+        let refuses_repeats = !self.daemons[owner].has_room_below(self.now, &call_rates);
+        if self.calls[&id].attempts.expects_calls && matches!(result, CallResult::NotRun(_)) {
+            self.daemons[owner].forget_expected_calls(self.now, &call_rates);
+        }
         let max_called_level = match result {
             CallResult::NotRun(_) => Priority::default(),
             _ => self.daemons[owner].max_shedding_level(self.now, &self.known_calls(owner, kind)),
@@ -262,6 +316,7 @@
             threshold: own_threshold.max(max_called_level),
             load: gate.load_percent(self.now),
             is_call,
+            refuses_repeats,
             limit_level: gate.announced_limit().level(self.now),
             pause: pause
                 .filter(|_| is_limited)
--- a/crates/sorrelturn-daemon/src/config/in_force.rs
+++ b/crates/sorrelturn-daemon/src/config/in_force.rs
@@ -34,6 +34,9 @@
 /// of a few milliseconds fail.
 const NO_INSTANCE_RETENTION: Duration = Duration::from_millis(200);
 
+/// How long an owner is assumed to refuse repeated requests after its answer said so.
+const REPEATS_REFUSED_RETENTION: Duration = Duration::from_secs(1);
+
 /// The source of a bundle, to pass on to other daemons.
 pub(crate) enum Origin {
     /// Sections and the manifest that an operator signed.
@@ -111,6 +114,8 @@
     /// When a request of this kind was refused last because a service that it calls had no
     /// instance.
     callee_unavailable_at: LastTime,
+    /// When an answer to a request of this kind said last that its owner refuses repeats.
+    repeats_refused_at: LastTime,
     /// Detects retries of callers by the remaining time of their requests.
     pub(crate) retry_detector: Mutex<RetryDetector>,
     /// The fair shares of workspaces, according to the responses.
@@ -315,6 +320,17 @@
             .is_after(now.saturating_sub(NO_INSTANCE_RETENTION))
     }
 
+    /// Records that an owner refuses repeated requests of this kind.
+    pub(crate) fn record_repeats_refused(&self, now: Now) {
+        self.repeats_refused_at.set(now);
+    }
+
+    /// Returns whether a repeated request would probably be refused.
+    pub(crate) fn repeats_refused_recently(&self, now: Now) -> bool {
+        self.repeats_refused_at
+            .is_after(now.saturating_sub(REPEATS_REFUSED_RETENTION))
+    }
+
     fn with_own_retry_window(limits: RetryLimits) -> Arc<Self> {
         Self::new(LearnedThreshold::default(), limits.new_window())
     }
@@ -330,6 +346,7 @@
             is_call: AtomicBool::new(false),
             was_answered: AtomicBool::new(false),
             callee_unavailable_at: LastTime::default(),
+            repeats_refused_at: LastTime::default(),
             retry_detector: Mutex::default(),
             shares: Mutex::default(),
             refusal_streak: Mutex::default(),
--- a/crates/sorrelturn-daemon/src/request/entry.rs
+++ b/crates/sorrelturn-daemon/src/request/entry.rs
@@ -20,8 +20,8 @@
 use serde::Deserialize;
 use sorrelturn_bundle::{CallerEntry, KindEntry};
 use sorrelturn_protocol::{
-    CallContext, ExecutionToken, Precedence, Refusal, RequestFingerprints, RequestId, SpanId,
-    Verdict,
+    CallContext, ExecutionToken, Precedence, Refusal, RepeatShare, RequestFingerprints, RequestId,
+    SpanId, Verdict,
     headers::{IDEMPOTENCY_KEY, TOKEN, TRACEPARENT},
 };
 use sorrelturn_telemetry::{Field, TraceContext, events};
@@ -126,7 +126,6 @@
         target,
         headers: parts.headers,
         payload,
-        repeated_fraction: 0.0,
     };
     let reply = match (root.kind.at_most_once(), token, key) {
         (false, _, _) => forward::call(node, &mut call).await,
@@ -207,7 +206,7 @@
         caller: caller.id,
         level: 0,
         refused_fraction: 0,
-        repeated: false,
+        repeat_share: RepeatShare::default(),
         names: RequestFingerprints::default(),
         work_times_reported: node.contention.work_times_reported(),
         root_precedence: Precedence::default(),
@@ -283,7 +282,6 @@
         target: Uri::default(),
         headers: HeaderMap::new(),
         payload: Payload::Buffered(Bytes::new()),
-        repeated_fraction: 0.0,
     };
     let token = tokens::obtain(node, &call).await?;
     let ttl_s = node.settings.once.ttl_s;
--- a/crates/sorrelturn-daemon/src/request/fair_shares.rs
+++ b/crates/sorrelturn-daemon/src/request/fair_shares.rs
@@ -8,7 +8,7 @@
 };
 use sorrelturn_bundle::WorkspaceEntry;
 use sorrelturn_policy::{Now, SHARE_STEPS};
-use sorrelturn_protocol::{CallContext, CallerId, Importance, Priority};
+use sorrelturn_protocol::{CallContext, CallerId, Importance, Priority, RepeatShare};
 use sorrelturn_telemetry::metrics;
 
 /// Number of steps on the wire that stand for all of a rank.
@@ -21,7 +21,11 @@
 pub(crate) fn observe_demand(node: &Node, context: &CallContext) -> u16 {
     let is_root = context.caller != CallerId::default() && context.depth == 0;
     let is_for_service = context.service == node.settings.service;
-    if node.routed.is_none() || !is_root || !is_for_service || context.repeated {
+    if node.routed.is_none()
+        || !is_root
+        || !is_for_service
+        || context.repeat_share == RepeatShare::CERTAIN
+    {
         return 0;
     }
     let in_force = node.in_force.load();
--- a/crates/sorrelturn-daemon/src/request/forward.rs
+++ b/crates/sorrelturn-daemon/src/request/forward.rs
@@ -25,8 +25,8 @@
     next_step, step_after_backend_refusal,
 };
 use sorrelturn_protocol::{
-    AnswerContext, CallContext, ContentionReport, Incarnation, Priority, Refusal, RequestId,
-    SpanId, Verdict,
+    AnswerContext, CallContext, ContentionReport, Incarnation, Priority, Refusal, RepeatShare,
+    RequestId, SpanId, Verdict,
 };
 use sorrelturn_telemetry::{Field, Span, SpanKind, events, metrics};
 use std::{borrow::Cow, sync::Arc, time::Duration};
@@ -51,8 +51,6 @@
     pub(crate) target: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) payload: Payload,
-    /// The fraction of retries among the requests that may have made this call.
-    pub(crate) repeated_fraction: f64,
 }
 
 /// The progress of one call over all its attempts.
@@ -98,7 +96,8 @@
         outcome_queries: 0,
         crashes: 0,
     };
-    lock(&kind_state.retries).record_call_of_repeat(node.now(), call.repeated_fraction);
+    let repeat_share = call.context.repeat_share.probability();
+    lock(&kind_state.retries).record_call_of_repeat(node.now(), repeat_share);
     let mut reply = loop {
         let Some(reply) = send_attempt(node, call, &mut progress, &kind_state).await else {
             break no_instance_reply(node, call).await;
@@ -201,6 +200,7 @@
         vec![
             Field::new("kind", &call.kind.name),
             Field::new("depth", call.context.depth),
+            Field::new("repeat_percent", call.context.repeat_share.percent()),
             Field::new("to", &route.record.instance),
             Field::new("verdict", reply.context.verdict),
             Field::new(
@@ -341,6 +341,9 @@
     if answer.refusal == Some(Refusal::NoInstanceBelow) {
         kind_state.record_no_instance_below(node.now());
     }
+    if answer.refuses_repeats {
+        kind_state.record_repeats_refused(node.now());
+    }
     if answer.refusal.is_none_or(Refusal::indicates_service_load) {
         let level = level_of_answer(node, &call.kind.service, answer);
         kind_state.threshold.observe(node.now(), level);
@@ -428,8 +431,10 @@
     } else {
         next_step(&attempt)
     };
-    let is_affordable =
-        (step != Step::Retry && !is_backend_refusal) || take_retry_budget(node, call, kind_state);
+    let is_repeat = step == Step::Retry || is_backend_refusal;
+    let is_affordable = !is_repeat
+        || (!kind_state.repeats_refused_recently(node.now())
+            && take_retry_budget(node, call, kind_state));
     let event_kind = match step {
         Step::Reroute if is_affordable => &events::REROUTED,
         Step::Retry if is_affordable => &events::RETRIED,
@@ -450,11 +455,13 @@
     match step {
         Step::Reroute if is_affordable => progress.reroutes += 1,
         Step::Retry if is_affordable => {
-            call.context.repeated = true;
             export::count(node, &metrics::RETRIES, &[("kind", &call.kind.name)]);
         }
         _ => return false,
     }
+    if is_repeat {
+        call.context.repeat_share = RepeatShare::CERTAIN;
+    }
     true
 }
 
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -21,6 +21,7 @@
     request::headers,
     request::owner::refund_attempts,
     request::parents::{Parent, ParentGuard},
+    request::repeats::{self, ExpectedCalls},
 };
 use bytes::Bytes;
 use hyper::{
@@ -32,7 +33,7 @@
 use sorrelturn_bundle::KindEntry;
 use sorrelturn_policy::{LeavingCause, Now, Outcome};
 use sorrelturn_protocol::{
-    AnswerContext, CallContext, Priority, Refusal, SpanId, Verdict,
+    AnswerContext, CallContext, Priority, Refusal, RepeatShare, SpanId, Verdict,
     headers::{DEADLINE_MS, IMPORTANCE, PARENT, REQUEST_ID, TRACEPARENT},
 };
 use sorrelturn_telemetry::{EventKind, Field, Span, SpanKind, TraceContext, events, metrics};
@@ -76,10 +77,19 @@
         if self.depends_on_missing_service() {
             return refund_attempts(self.refusal_reply(Refusal::NoInstanceBelow), attempts);
         }
-        match self.acquire_slot().await {
+        let expected_calls = match self.expect_calls_of_repeat() {
+            Ok(expected_calls) => expected_calls,
+            Err(refusal) => return refund_attempts(self.refusal_reply(refusal), attempts),
+        };
+        let node = Arc::clone(&self.node);
+        let reply = match self.acquire_slot().await {
             Ok(slot) => pin!(self.forward(slot, req)).await,
             Err(refusal) => refund_attempts(self.refusal_reply(refusal), attempts),
+        };
+        if reply.context.verdict == Verdict::NotRun {
+            expected_calls.forget(node.now());
         }
+        reply
     }
 
     /// Whether a service that the call needs, directly or indirectly, has no instance. Such a call is refused before it
@@ -99,6 +109,17 @@
         })
     }
 
+    /// Reserves retries for the calls of a repeated request, or refuses it before it runs. Others need none: if only some
+    /// of the requests that may have made a call are repeats, the daemons further up have reserved them.
+    fn expect_calls_of_repeat(&self) -> Result<ExpectedCalls, Refusal> {
+        match &self.node.routed {
+            Some(routed) if self.context.repeat_share == RepeatShare::CERTAIN => {
+                repeats::let_in(self.node.now(), routed, &self.in_force, &self.kind.name)
+            }
+            _ => Ok(ExpectedCalls::default()),
+        }
+    }
+
     fn is_quarantined(&self) -> bool {
         let suspects = &self.node.suspected_requests;
         let remaining = suspects.remaining_quarantine(self.node.now(), self.context.names);
--- a/crates/sorrelturn-daemon/src/request/mod.rs
+++ b/crates/sorrelturn-daemon/src/request/mod.rs
@@ -27,5 +27,6 @@
 pub(crate) mod owner_once;
 pub(crate) mod parents;
 pub(crate) mod payload;
+pub(crate) mod repeats;
 pub(crate) mod routed;
 pub(crate) mod tokens;
--- a/crates/sorrelturn-daemon/src/request/nested.rs
+++ b/crates/sorrelturn-daemon/src/request/nested.rs
@@ -19,8 +19,8 @@
 use sorrelturn_bundle::KindEntry;
 use sorrelturn_once::CallKey;
 use sorrelturn_protocol::{
-    CallContext, CallerId, ExecutionToken, Precedence, Refusal, RequestFingerprints, RequestId,
-    SpanId, Verdict,
+    CallContext, CallerId, ExecutionToken, Precedence, Refusal, RepeatShare, RequestFingerprints,
+    RequestId, SpanId, Verdict,
     headers::{IDEMPOTENCY_KEY, PARENT, TRACEPARENT},
 };
 use sorrelturn_telemetry::TraceContext;
@@ -124,7 +124,8 @@
         caller: parent.map_or(CallerId::default(), |parent| parent.context.caller),
         level: 0,
         refused_fraction: 0,
-        repeated: parent.is_some_and(|parent| parent.context.repeated),
+        repeat_share: parent
+            .map_or_else(RepeatShare::default, |parent| parent.context.repeat_share),
         names: RequestFingerprints::default(),
         work_times_reported: node.contention.work_times_reported(),
         root_precedence: Precedence::default(),
@@ -148,7 +149,6 @@
         Err(refused) => return refused,
     };
     headers::strip_for_peer(&mut parts.headers);
-    let repeated_fraction = f64::from(u8::from(context.repeated));
     let target = entry::target(&parts.uri);
     let caller = context.caller;
     let fingerprints =
@@ -165,7 +165,6 @@
         target,
         headers: parts.headers,
         payload,
-        repeated_fraction,
     };
     if call.kind.at_most_once() {
         match token_for_call(node, parent, &call, &key).await {
--- a/crates/sorrelturn-daemon/src/request/owner.rs
+++ b/crates/sorrelturn-daemon/src/request/owner.rs
@@ -11,6 +11,7 @@
     request::fair_shares,
     request::headers,
     request::hop::{self, Hop},
+    request::repeats,
     request::tokens,
 };
 use hyper::Request;
@@ -28,6 +29,7 @@
     if context.work_times_reported {
         node.record_work_times_reported();
     }
+    let kind_name = context.kind.clone();
     let share_used = fair_shares::observe_demand(node, &context);
     let mut reply = if req.uri().path() == tokens::ISSUE_PATH {
         refund_attempts(tokens::issue(node), context.attempts)
@@ -43,6 +45,9 @@
             level_below = threshold_of_calls(node, routed, &kind);
         }
     }
+    if let Some(routed) = &node.routed {
+        answer.refuses_repeats = repeats::are_refused(node, routed, &kind_name);
+    }
     // Read before the version: otherwise the age of a newer version could be reported with an older one.
     answer.knowledge_age_ms = node.knowledge_age_ms();
     answer.bundle_version = node.bundle_version();
--- a/crates/sorrelturn-daemon/src/request/parents.rs
+++ b/crates/sorrelturn-daemon/src/request/parents.rs
@@ -24,7 +24,6 @@
     /// The time after which nobody waits for the response.
     pub(crate) deadline: Now,
     /// The executions that remain for its nested calls.
-    /// The executions that remain for its nested calls.
     pub(crate) attempts: Mutex<AttemptPool>,
     /// The tokens of its nested calls.
     pub(crate) tokens: Mutex<NestedTokens>,
@@ -52,30 +51,40 @@
 #[derive(Default)]
 struct Inner {
     by_span: HashMap<SpanId, Arc<Parent>>,
-    by_kind: Vec<KindDeadlines>,
+    by_kind: Vec<KindRequests>,
     totals: InProgressRequests,
 }
 
-/// The deadlines of one kind, contiguous since each call from the backend server scans all requests in progress.
-struct KindDeadlines {
+/// The requests of one kind, contiguous since each call from the backend server scans all requests in progress.
+struct KindRequests {
     kind: String,
-    deadlines: Vec<(SpanId, Now)>,
+    requests: Vec<RequestInProgress>,
+}
+
+struct RequestInProgress {
+    span: SpanId,
+    deadline: Now,
+    repeat_share: f64,
 }
 
 impl Inner {
     fn begin(&mut self, parent: &Arc<Parent>) {
         let context = &parent.context;
-        self.totals.begin(context.level, context.repeated);
-        let entry = (parent.span, parent.deadline);
-        let kind_deadlines = self
+        self.totals.begin(context.level);
+        let entry = RequestInProgress {
+            span: parent.span,
+            deadline: parent.deadline,
+            repeat_share: context.repeat_share.probability(),
+        };
+        let kind_requests = self
             .by_kind
             .iter_mut()
-            .find(|kind_deadlines| kind_deadlines.kind == context.kind);
-        match kind_deadlines {
-            Some(kind_deadlines) => kind_deadlines.deadlines.push(entry),
-            None => self.by_kind.push(KindDeadlines {
+            .find(|kind_requests| kind_requests.kind == context.kind);
+        match kind_requests {
+            Some(kind_requests) => kind_requests.requests.push(entry),
+            None => self.by_kind.push(KindRequests {
                 kind: context.kind.clone(),
-                deadlines: vec![entry],
+                requests: vec![entry],
             }),
         }
         self.by_span.insert(parent.span, Arc::clone(parent));
@@ -83,18 +92,18 @@
 
     fn end(&mut self, parent: &Parent) {
         let context = &parent.context;
-        self.totals.end(context.level, context.repeated);
+        self.totals.end(context.level);
         let kind_index = self
             .by_kind
             .iter()
-            .position(|kind_deadlines| kind_deadlines.kind == context.kind);
+            .position(|kind_requests| kind_requests.kind == context.kind);
         if let Some(kind_index) = kind_index {
-            let deadlines = &mut self.by_kind[kind_index].deadlines;
-            let index = deadlines.iter().position(|(span, _)| *span == parent.span);
+            let requests = &mut self.by_kind[kind_index].requests;
+            let index = requests.iter().position(|req| req.span == parent.span);
             if let Some(index) = index {
-                deadlines.swap_remove(index);
+                requests.swap_remove(index);
             }
-            if deadlines.is_empty() {
+            if requests.is_empty() {
                 self.by_kind.swap_remove(kind_index);
             }
         }
@@ -102,20 +111,28 @@
     }
 }
 
-impl KindDeadlines {
+impl KindRequests {
     /// Counts the requests with this deadline and those with a later one, which may have made the call.
     fn candidate_parents(&self, call_deadline: Now) -> impl Iterator<Item = Candidate> {
-        let (mut same_deadline, mut later) = (0, 0);
-        for (_, deadline) in &self.deadlines {
-            same_deadline += u32::from(deadline.abs_diff(call_deadline) <= DEADLINE_TOLERANCE);
-            later += u32::from(*deadline > call_deadline + DEADLINE_TOLERANCE);
+        let (mut same_deadline, mut later) = ((0, 0.0), (0, 0.0));
+        for req in &self.requests {
+            let group = if req.deadline.abs_diff(call_deadline) <= DEADLINE_TOLERANCE {
+                &mut same_deadline
+            } else if req.deadline > call_deadline {
+                &mut later
+            } else {
+                continue;
+            };
+            group.0 += 1;
+            group.1 += req.repeat_share;
         }
-        let counts = [(true, same_deadline), (false, later)].into_iter();
-        let counts = counts.filter(|(_, count)| *count > 0);
-        counts.map(|(is_same, count)| Candidate {
+        let groups = [(true, same_deadline), (false, later)].into_iter();
+        let groups = groups.filter(|(_, (count, _))| *count > 0);
+        groups.map(|(is_same, (count, repeats))| Candidate {
             kind: self.kind.clone(),
             has_same_deadline: is_same,
             count,
+            repeat_share: repeats / f64::from(count),
         })
     }
 }
@@ -203,7 +220,7 @@
         let candidates = inner
             .by_kind
             .iter()
-            .flat_map(|kind_deadlines| kind_deadlines.candidate_parents(call_deadline));
+            .flat_map(|kind_requests| kind_requests.candidate_parents(call_deadline));
         candidates.collect()
     }
 }
--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -30,7 +30,9 @@
     EntryRequest, LevelInForce, Now, SHARE_STEPS, bucket_for_at_most_once, bucket_for_retry,
     refused_fraction, refuses,
 };
-use sorrelturn_protocol::{CallContext, CallerId, Precedence, Refusal, RequestId, SpanId, Verdict};
+use sorrelturn_protocol::{
+    CallContext, CallerId, Precedence, Refusal, RepeatShare, RequestId, SpanId, Verdict,
+};
 use sorrelturn_telemetry::{Field, events, metrics};
 use std::{
     sync::{Arc, atomic::Ordering},
@@ -63,6 +65,8 @@
     level: u16,
     /// Whether this is a call of this daemon's backend server.
     is_nested_call: bool,
+    /// The probability that a repeated request makes this call.
+    repeat_share: RepeatShare,
     /// The remaining time that the caller sent.
     remaining_ms: Option<u32>,
     deadline: Now,
@@ -157,7 +161,7 @@
         node, routed, headers, identified, kind, request_id, arrived_at,
     );
     let state = resolved.in_force.kind_state(&resolved.kind);
-    if let Some(shedding) = admit(node, routed, &resolved, &state, phase)? {
+    if let Some(shedding) = admit(node, routed, &mut resolved, &state, phase)? {
         let has_waited = shed(node, &mut resolved, &state, &shedding, arrived_at).await?;
         if has_waited {
             // Its route may be gone or lead to another service, or its credential may be revoked.
@@ -217,6 +221,7 @@
         in_force,
         kind,
         request_id,
+        repeat_share: RepeatShare::default(),
         is_nested_call: workspace.is_none() && state.is_call.load(Ordering::Relaxed),
         remaining_ms,
         deadline: arrived_at + Duration::from_millis(deadline_ms.into()),
@@ -257,12 +262,12 @@
     }
 }
 
-/// Refuses requests during the shutdown. Returns what the shedding level says about the others; `None` for nested calls,
+/// Refuses requests during the shutdown, and attributes nested calls to their parents. Returns what the shedding level says about the others; `None` for nested calls,
 /// which belong to requests in progress and are always admitted.
 fn admit(
     node: &Node,
     routed: &Routed,
-    resolved: &ResolvedRequest,
+    resolved: &mut ResolvedRequest,
     state: &KindState,
     phase: ConnectionPhase,
 ) -> Result<Option<Shedding>, Reply> {
@@ -276,7 +281,8 @@
     }
     if resolved.is_nested_call {
         let candidates = node.parents.candidate_parents(resolved.deadline);
-        lock(&routed.graph).record_call(&resolved.kind.name, &candidates);
+        let repeat_share = lock(&routed.graph).record_call(&resolved.kind.name, &candidates);
+        resolved.repeat_share = RepeatShare::of_call(repeat_share);
         return Ok(None);
     }
     if phase == ConnectionPhase::Draining {
@@ -473,10 +479,9 @@
         .map_or(CallerId::default(), |workspace| workspace.id);
     let fingerprints =
         fingerprint::fingerprints_of(&parts.method, &target, &parts.headers, caller, &payload);
-    let in_progress = node.parents.totals();
-    let (level, repeated_fraction) = match resolved.is_nested_call {
-        true => (in_progress.mean_level(), in_progress.repeated_fraction()),
-        false => (resolved.level, 0.0),
+    let level = match resolved.is_nested_call {
+        true => node.parents.totals().mean_level(),
+        false => resolved.level,
     };
     let refused_fraction = fraction_to_share(node, &resolved).map_or(0, fair_shares::to_steps);
     let context = CallContext {
@@ -493,7 +498,7 @@
         caller,
         level,
         refused_fraction,
-        repeated: repeated_fraction > 0.5,
+        repeat_share: resolved.repeat_share,
         names: fingerprints,
         work_times_reported: node.contention.work_times_reported(),
         root_precedence: root_precedence(node, &resolved),
@@ -507,7 +512,6 @@
         target,
         headers: parts.headers,
         payload,
-        repeated_fraction,
     };
     let reply = forward::call(node, &mut call).await;
     let learns_duration = !resolved.is_nested_call && !has_failed(&reply);
--- a/crates/sorrelturn-daemon/src/request/tokens.rs
+++ b/crates/sorrelturn-daemon/src/request/tokens.rs
@@ -55,7 +55,6 @@
         target: Uri::from_static(ISSUE_PATH),
         headers: HeaderMap::new(),
         payload: Payload::Buffered(Bytes::new()),
-        repeated_fraction: 0.0,
     };
     let reply = forward::call(node, &mut issue_call).await;
     let context = reply.context;
--- a/crates/sorrelturn-policy/src/call_graph.rs
+++ b/crates/sorrelturn-policy/src/call_graph.rs
@@ -53,6 +53,8 @@
     pub has_same_deadline: bool,
     /// The number of requests.
     pub count: u32,
+    /// The mean probability that one of the requests is a repeat.
+    pub repeat_share: f64,
 }
 
 /// The call graph between request kinds, as learned at one backend server.
@@ -64,16 +66,20 @@
 }
 
 impl CallGraph {
-    /// Records a call that the backend server made while `candidates` were in progress.
-    pub fn record_call(&mut self, child: &str, candidates: &[Candidate]) {
+    /// Records a call that the backend server made while `candidates` were in progress. Returns the probability that
+    /// a repeated request made it.
+    pub fn record_call(&mut self, child: &str, candidates: &[Candidate]) -> f64 {
         let weights: Vec<f64> = candidates
             .iter()
             .map(|candidate| self.weight(candidate, child))
             .collect();
         let total: f64 = weights.iter().sum();
         if total <= 0.0 {
-            return;
+            return 0.0;
         }
+        let pairs = candidates.iter().zip(&weights);
+        let repeat_share = pairs.map(|(candidate, weight)| candidate.repeat_share * weight);
+        let repeat_share = repeat_share.sum::<f64>() / total;
         if let Err(position) = self
             .called
             .binary_search_by(|known| known.as_str().cmp(child))
@@ -89,6 +95,7 @@
                 }
             }
         }
+        repeat_share
     }
 
     fn weight(&self, candidate: &Candidate, child: &str) -> f64 {
--- a/crates/sorrelturn-policy/src/in_progress.rs
+++ b/crates/sorrelturn-policy/src/in_progress.rs
@@ -7,22 +7,19 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct InProgressRequests {
     level_sum: u64,
-    repeated_count: u64,
     count: u64,
 }
 
 impl InProgressRequests {
     /// Adds a request whose root was admitted at this shedding level.
-    pub fn begin(&mut self, level: u16, repeated: bool) {
+    pub fn begin(&mut self, level: u16) {
         self.level_sum += u64::from(level);
-        self.repeated_count += u64::from(repeated);
         self.count += 1;
     }
 
     /// Removes a finished request.
-    pub fn end(&mut self, level: u16, repeated: bool) {
+    pub fn end(&mut self, level: u16) {
         self.level_sum = self.level_sum.saturating_sub(level.into());
-        self.repeated_count = self.repeated_count.saturating_sub(repeated.into());
         self.count = self.count.saturating_sub(1);
     }
 
@@ -31,9 +28,4 @@
     pub fn mean_level(&self) -> u16 {
         self.level_sum.checked_div(self.count).unwrap_or(0) as u16
     }
-
-    /// Returns the fraction of the requests that are repeats, whose calls are repeats as well.
-    pub fn repeated_fraction(&self) -> f64 {
-        self.repeated_count as f64 / self.count.max(1) as f64
-    }
 }
--- a/crates/sorrelturn-policy/src/retry_window.rs
+++ b/crates/sorrelturn-policy/src/retry_window.rs
@@ -23,6 +23,9 @@
 /// Fraction of the allowed retries beyond which those of a lower precedence leave the rest to others, if some of a higher
 /// one were wanted within the window.
 const UNRESERVED_FRACTION: f64 = 0.8;
+/// Fraction of the allowed retries up to which repeated requests may run that call the service. The rest is left to
+/// retries of calls, each of which saves a request whose other work is already done.
+const FRACTION_FOR_CALLS_OF_REPEATS: f64 = 0.7;
 /// Number of slices for which a wanted retry counts as wanted now.
 const DEMAND_SLICES: u64 = 2;
 
@@ -34,6 +37,10 @@
     retries: f64,
     /// Those of the retries that had a lower precedence than others.
     lower_retries: f64,
+    /// Calls that repeated requests made.
+    calls_of_repeats: f64,
+    /// Calls that the repeated requests which were let in were expected to make.
+    expected_calls_of_repeats: f64,
 }
 
 /// Counts first attempts and retries in a sliding window.
@@ -55,6 +62,10 @@
     retries: f64,
     /// Those of the retries that had a lower precedence than others.
     lower_retries: f64,
+    /// Calls that repeated requests made in that window.
+    calls_of_repeats: f64,
+    /// Calls that the repeated requests which were let in in that window were expected to make.
+    expected_calls_of_repeats: f64,
     /// The highest precedence of a wanted retry, and the slice in which it was wanted last.
     highest_wanted: (Precedence, u64),
 }
@@ -70,6 +81,8 @@
             allowed: slack,
             retries: 0.0,
             lower_retries: 0.0,
+            calls_of_repeats: 0.0,
+            expected_calls_of_repeats: 0.0,
             highest_wanted: (Precedence::default(), 0),
         }
     }
@@ -79,19 +92,42 @@
         self.current_slice(now).first_attempts += 1.0;
     }
 
-    /// Records a call made by a request that may itself be a repeat; `retry_fraction` of the call
+    /// Records a call made by a request that may itself be a repeat; `repeat_share` of the call
     /// counts as a retry, whoever caused the repeat.
-    pub fn record_call_of_repeat(&mut self, now: Now, retry_fraction: f64) {
+    pub fn record_call_of_repeat(&mut self, now: Now, repeat_share: f64) {
         let current = self.current_slice(now);
-        current.first_attempts += 1.0 - retry_fraction;
-        current.retries += retry_fraction;
-        self.retries += retry_fraction;
+        current.first_attempts += 1.0 - repeat_share;
+        current.calls_of_repeats += repeat_share;
+        self.calls_of_repeats += repeat_share;
+    }
+
+    /// Returns whether a repeated request may run that makes this many calls to the service.
+    pub fn has_room_for_calls_of_repeat(&mut self, now: Now, calls: f64) -> bool {
+        self.current_slice(now);
+        self.used() + calls <= self.allowed * FRACTION_FOR_CALLS_OF_REPEATS
+    }
+
+    /// Reserves retries for the calls of a repeated request that is let in. They count until the calls themselves do.
+    pub fn expect_calls_of_repeat(&mut self, now: Now, calls: f64) {
+        self.current_slice(now).expected_calls_of_repeats += calls;
+        self.expected_calls_of_repeats += calls;
+    }
+
+    /// Gives back what was reserved for a repeated request that didn't run after all.
+    pub fn forget_expected_calls(&mut self, now: Now, calls: f64) {
+        self.expect_calls_of_repeat(now, -calls);
+    }
+
+    /// Returns the retries of the current window, with the calls of repeated requests. The expected number of these is
+    /// an estimate, and the requests that make them may have been let in by daemons further up.
+    fn used(&self) -> f64 {
+        self.retries + self.calls_of_repeats.max(self.expected_calls_of_repeats)
     }
 
     /// Records a retry if the limit allows it. Returns whether it does.
     pub fn try_retry(&mut self, now: Now) -> bool {
         self.current_slice(now);
-        let is_allowed = self.retries + 1.0 <= self.allowed;
+        let is_allowed = self.used() + 1.0 <= self.allowed;
         if is_allowed {
             self.current_slice(now).retries += 1.0;
             self.retries += 1.0;
@@ -112,7 +148,7 @@
         let is_wanted_now = number <= wanted_in + DEMAND_SLICES;
         let is_left_to_others = match is_wanted_now {
             true => self.lower_retries + 1.0 > self.allowed * LOWER_PRECEDENCE_FRACTION,
-            false => self.retries + 1.0 > self.allowed * UNRESERVED_FRACTION,
+            false => self.used() + 1.0 > self.allowed * UNRESERVED_FRACTION,
         };
         let is_allowed = !is_left_to_others && self.try_retry(now);
         if is_allowed {
@@ -139,6 +175,9 @@
         let oldest = number - window_slices;
         self.retries = self.sum_between(oldest, number, |slice| slice.retries);
         self.lower_retries = self.sum_between(oldest, number, |slice| slice.lower_retries);
+        self.calls_of_repeats = self.sum_between(oldest, number, |slice| slice.calls_of_repeats);
+        self.expected_calls_of_repeats =
+            self.sum_between(oldest, number, |slice| slice.expected_calls_of_repeats);
     }
 
     /// Sums over the slices from one number to another, both inclusive.
--- a/crates/sorrelturn-policy/tests/entry_admission.rs
+++ b/crates/sorrelturn-policy/tests/entry_admission.rs
@@ -133,6 +133,7 @@
         kind: kind.to_owned(),
         has_same_deadline,
         count,
+        repeat_share: 0.0,
     }
 }
 
@@ -195,6 +196,7 @@
         kind: kind.to_owned(),
         has_same_deadline: true,
         count: 1,
+        repeat_share: 0.0,
     };
     graph.record_call("call", &[made_by("caller")]);
     graph.record_end("leaf", WORK);
@@ -405,3 +407,25 @@
         assert!(!detector.observe(timeout_ms), "request {number}");
     }
 }
+
+// Guards against a mark that is lost one level further down, because few of the requests in progress are repeats.
+#[test]
+fn a_call_is_a_repeat_with_the_probability_of_the_requests_that_may_have_made_it() {
+    let mut graph = CallGraph::default();
+    let group = |kind: &str, count, repeat_share| Candidate {
+        repeat_share,
+        ..candidate(kind, true, count)
+    };
+    let share = graph.record_call("call", &[group("caller", 10, 0.1)]);
+    assert!((share - 0.1).abs() < 1e-9, "{share}");
+    // A kind that doesn't make the call tells nothing of it.
+    for _ in 0..400 {
+        graph.record_call("call", &[group("caller", 1, 0.0)]);
+        graph.record_end("caller", WORK);
+        graph.record_end("leaf", WORK);
+    }
+    let in_progress = [group("caller", 5, 0.2), group("leaf", 5, 1.0)];
+    let share = graph.record_call("call", &in_progress);
+    assert!((0.2..0.25).contains(&share), "{share}");
+    assert_eq!(graph.record_call("call", &[]), 0.0);
+}
--- a/crates/sorrelturn-policy/tests/retry_window.rs
+++ b/crates/sorrelturn-policy/tests/retry_window.rs
@@ -261,3 +261,40 @@
     now += WINDOW * 2;
     assert_eq!(granted(&mut window, now, low), 10, "nobody else wants any");
 }
+
+// Guards against repeats further up that take the retries which a service's own calls need.
+#[test]
+fn calls_of_repeats_are_let_in_up_to_a_part_of_the_limit_and_own_retries_up_to_all_of_it() {
+    let now = Duration::from_secs(1);
+    let mut window = RetryWindow::new(WINDOW, RATIO, 20.0);
+    let mut let_in = 0;
+    while window.has_room_for_calls_of_repeat(now, 4.0) {
+        window.expect_calls_of_repeat(now, 4.0);
+        let_in += 4;
+    }
+    assert!((8..=16).contains(&let_in), "{let_in}");
+    let own = (0..100).filter(|_| window.try_retry(now)).count();
+    assert_eq!(own, 20 - let_in);
+    assert!(!window.has_room_for_calls_of_repeat(now, 0.0));
+}
+
+#[test]
+fn expected_calls_of_a_repeat_count_once_with_the_calls_that_it_makes() {
+    let now = Duration::from_secs(1);
+    let mut window = RetryWindow::new(WINDOW, RATIO, 20.0);
+    window.expect_calls_of_repeat(now, 4.0);
+    for _ in 0..4 {
+        window.record_call_of_repeat(now, 1.0);
+    }
+    assert_eq!((0..100).filter(|_| window.try_retry(now)).count(), 16);
+}
+
+#[test]
+fn a_repeat_that_did_not_run_gives_back_what_was_reserved_for_its_calls() {
+    let now = Duration::from_secs(1);
+    let mut window = RetryWindow::new(WINDOW, RATIO, 20.0);
+    window.expect_calls_of_repeat(now, 4.0);
+    window.forget_expected_calls(now + STEP, 4.0);
+    let retries = (0..100).filter(|_| window.try_retry(now + STEP));
+    assert_eq!(retries.count(), 20);
+}
--- a/crates/sorrelturn-protocol/src/attempt_status.rs
+++ b/crates/sorrelturn-protocol/src/attempt_status.rs
@@ -7,7 +7,8 @@
 };
 use serde::{Deserialize, Serialize};
 
-/// One attempt of one call; each retry has its own span.
+/// One attempt of one call. An attempt after a refusal has the id of the refused one, so its status may be
+/// [`AttemptStatus::Over`] although it never arrived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct AttemptId {
     /// The root request.
--- a/crates/sorrelturn-protocol/src/context.rs
+++ b/crates/sorrelturn-protocol/src/context.rs
@@ -39,8 +39,8 @@
     /// The fraction of the root request's rank that its entry refused, in steps of 1/256; 0 if fair shares don't
     /// matter. See `docs/design/fair-shares.md`.
     pub refused_fraction: u8,
-    /// Whether the request may have run before, so that nested calls may be repeats.
-    pub repeated: bool,
+    /// The probability that the request is a repeat, so that the calls that it makes are repeats as well.
+    pub repeat_share: RepeatShare,
     /// Identify the request to the quarantine.
     pub names: RequestFingerprints,
     /// Whether the sender knows of backend servers that report their work time; see `docs/design/instance-speed.md`.
@@ -49,6 +49,33 @@
     pub root_precedence: Precedence,
 }
 
+/// The probability that a request is a repeat, in steps of 1/255: a repeat reaches a backend server though the same
+/// request did so before, or is a call that a repeated request makes. A call doesn't name the request that makes it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RepeatShare(u8);
+
+impl RepeatShare {
+    /// A request that is surely a repeat.
+    pub const CERTAIN: Self = Self(u8::MAX);
+
+    /// Rounds the probability that a call is made by a repeated request. It is never certain, since a call doesn't name
+    /// the request that makes it.
+    pub fn of_call(probability: f64) -> Self {
+        let steps = (probability * f64::from(u8::MAX)).round() as u8;
+        Self(steps.min(u8::MAX - 1))
+    }
+
+    /// Returns the probability.
+    pub fn probability(self) -> f64 {
+        f64::from(self.0) / f64::from(u8::MAX)
+    }
+
+    /// Returns the probability in percent.
+    pub fn percent(self) -> u8 {
+        (self.probability() * 100.0).round() as u8
+    }
+}
+
 /// What the owner of a call tells the mechanisms for contention of the forwarding daemon.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ContentionReport {
@@ -116,6 +143,9 @@
     pub limit_level: u16,
     /// Milliseconds for which the sender should avoid the owner, after a refusal because of that limit.
     pub pause_ms: u32,
+    /// Whether the owner refuses repeated requests of this kind now, since the services that it calls, directly or
+    /// indirectly, have no retries left for their calls.
+    pub refuses_repeats: bool,
     /// Present if a mechanism for contention is on at the owner.
     pub contention: Option<ContentionReport>,
 }
--- a/crates/sorrelturn-protocol/src/lib.rs
+++ b/crates/sorrelturn-protocol/src/lib.rs
@@ -15,7 +15,9 @@
 
 pub use attempt_status::{AttemptId, AttemptStatus, AttemptStatusQuery};
 pub use backend::{Announcement, BackendState};
-pub use context::{AnswerContext, CallContext, ContentionReport, HeaderError, InstanceRoom};
+pub use context::{
+    AnswerContext, CallContext, ContentionReport, HeaderError, InstanceRoom, RepeatShare,
+};
 pub use crash::{
     ClearedRequest, CrashId, CrashReport, CrashUpdate, RequestFingerprint, RequestFingerprints,
 };
--- a/crates/sorrelturn-protocol/src/refusal.rs
+++ b/crates/sorrelturn-protocol/src/refusal.rs
@@ -74,6 +74,8 @@
     OutOfMemory,
     /// the backend server limits the requests that it accepts for now
     BackendLimit,
+    /// the services that a repeated request calls have no retries left for it
+    NoRetriesBelow,
 }
 
 impl Refusal {
@@ -127,6 +129,7 @@
             Self::TooLarge => "too-large",
             Self::BackendRefused => "backend-refused",
             Self::NoInstanceBelow => "no-instance-below",
+            Self::NoRetriesBelow => "no-retries-below",
             Self::BackendCrashed => "backend-crashed",
             Self::Quarantined => "quarantined",
             Self::UnusableEntry => "unusable-entry",
--- a/crates/sorrelturn-protocol/tests/headers_round_trip.rs
+++ b/crates/sorrelturn-protocol/tests/headers_round_trip.rs
@@ -21,7 +21,7 @@
         }),
         caller: CallerId(5),
         level: 0,
-        repeated: false,
+        repeat_share: RepeatShare::of_call(0.25),
         names: RequestFingerprints {
             path: RequestFingerprint(request as u64),
             with_query: Some(RequestFingerprint(nonce as u64)),
