The last refusal of a request takes no retry from the limit

What callers saw: while a backend server refused widely, one retry fewer for each request that was refused eight times. Cause: the retry was taken before it was known that nothing is sent again. Test before: 8 retries taken for 7 sendings, now 7.

--- a/crates/sorrelturn-daemon/src/request/forward.rs
+++ b/crates/sorrelturn-daemon/src/request/forward.rs
@@ -431,7 +431,7 @@
     } else {
         next_step(&attempt)
     };
-    let is_repeat = step == Step::Retry || is_backend_refusal;
+    let is_repeat = step == Step::Retry || (step == Step::Reroute && is_backend_refusal);
     let is_affordable = !is_repeat
         || (!kind_state.repeats_refused_recently(node.now())
             && take_retry_budget(node, call, kind_state));
@@ -449,7 +449,7 @@
             Field::new("verdict", reply.context.verdict),
             Field::new("already_retried", reply.context.already_retried),
             Field::new("attempts_left", progress.attempts_left),
-            Field::new("paid", is_affordable),
+            Field::new("paid", is_repeat && is_affordable),
         ],
     );
     match step {
