--- a/crates/sorrelturn-daemon/src/request/routed.rs
+++ b/crates/sorrelturn-daemon/src/request/routed.rs
@@ -262,8 +262,9 @@
     }
 }
 
-/// Refuses requests during the shutdown, and attributes nested calls to their parents. Returns what the shedding level says about the others; `None` for nested calls,
-/// which belong to requests in progress and are always admitted.
+/// Refuses requests during the shutdown, and attributes nested calls to the requests that may have made them. Returns what
+/// the shedding level says about the others; `None` for nested calls, which belong to requests in progress and are always
+/// admitted.
 fn admit(
     node: &Node,
     routed: &Routed,
