An owner copies the kind of a call once for its answer

The copy for refuses_repeats stood beside the one that the answer already has, on the path of each call.

--- a/crates/sorrelturn-daemon/src/request/owner.rs
+++ b/crates/sorrelturn-daemon/src/request/owner.rs
@@ -29,7 +29,6 @@
     if context.work_times_reported {
         node.record_work_times_reported();
     }
-    let kind_name = context.kind.clone();
     let share_used = fair_shares::observe_demand(node, &context);
     let mut reply = if req.uri().path() == tokens::ISSUE_PATH {
         refund_attempts(tokens::issue(node), context.attempts)
@@ -41,13 +40,11 @@
     let mut level_below = answer.threshold;
     if let Some((routed, kind)) = routed_kind {
         answer.is_call = is_nested_kind(node, routed, &kind);
+        answer.refuses_repeats = repeats::are_refused(node, routed, &kind);
         if answer.refusal.is_some() && node.contention.pools_room() {
             level_below = threshold_of_calls(node, routed, &kind);
         }
     }
-    if let Some(routed) = &node.routed {
-        answer.refuses_repeats = repeats::are_refused(node, routed, &kind_name);
-    }
     // Read before the version: otherwise the age of a newer version could be reported with an older one.
     answer.knowledge_age_ms = node.knowledge_age_ms();
     answer.bundle_version = node.bundle_version();
