--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -83,8 +83,8 @@
     },
 }
 
-/// The execution of a request that [`Script::Overloaded`] doesn't refuse.
-const OVERLOADED_WORK: Script = Script::Works { ms: 15, bytes: 800 };
+/// The execution of a request by a backend server without a fault, in a soak and by [`Script::Overloaded`].
+pub(crate) const NORMAL_WORK: Script = Script::Works { ms: 15, bytes: 800 };
 
 /// The part of a response that has no end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -509,8 +509,13 @@
         } else {
             String::new()
         };
-        let headers = format!("{id_header}{}: 1\r\n", self.names.not_run);
-        is_new.then(|| response_head(503, "Service Unavailable", &headers, Some(0)))
+        is_new.then(|| self.refusal(&id_header))
+    }
+
+    /// Returns a response that says that the request didn't run, with these headers besides.
+    fn refusal(&self, headers: &str) -> String {
+        let headers = format!("{headers}{}: 1\r\n", self.names.not_run);
+        response_head(503, "Service Unavailable", &headers, Some(0))
     }
 
     /// Returns what [`Script::SaysNotRun`] or [`Script::Works`] responds.
@@ -523,8 +528,7 @@
             return response_head(200, "OK", &headers, Some(body.len()))
                 + &String::from_utf8_lossy(&body);
         }
-        let headers = format!("{name}: {id}\r\n{}: 1\r\n", self.names.not_run);
-        response_head(503, "Service Unavailable", &headers, Some(0))
+        self.refusal(&format!("{name}: {id}\r\n"))
     }
 
     /// Responds, and reads the rest of the body once [`RoutedBackend::read_on`] was called.
@@ -569,14 +573,8 @@
         let (bytes, stays_open) = match script {
             Script::Answers => (full_response, true),
             Script::SaysNotRun => {
-                let not_run = format!(
-                    "{name}: {request_id}\r\n{}: 1\r\n{extra}",
-                    self.names.not_run
-                );
-                (
-                    response_head(503, "Service Unavailable", &not_run, Some(0)),
-                    true,
-                )
+                let headers = format!("{name}: {request_id}\r\n{extra}");
+                (self.refusal(&headers), true)
             }
             Script::AnswersAnother => {
                 let foreign_headers = format!("{name}: another\r\n{SIGNATURE}: another\r\n");
@@ -699,7 +697,7 @@
     };
     let script = match fastrand::u8(..100) < refused_percent {
         true => Script::SaysNotRun,
-        false => OVERLOADED_WORK,
+        false => NORMAL_WORK,
     };
     (script, fastrand::u8(..100) < copied_percent)
 }
--- a/crates/sorrelturn-bench/src/soak/actions.rs
+++ b/crates/sorrelturn-bench/src/soak/actions.rs
@@ -2,14 +2,11 @@
 
 use super::{
     checker::Checker,
-    harness::{
-        FOREIGN_RECORDS, Harness, NORMAL_SCRIPT, POLL_INTERVAL, RESPONSE_TIMEOUT, ROUTE_TABLE_KEY,
-        lock,
-    },
+    harness::{FOREIGN_RECORDS, Harness, POLL_INTERVAL, RESPONSE_TIMEOUT, ROUTE_TABLE_KEY, lock},
     member::{BackendIncarnation, Member},
     plan::{Action, StoreFault},
 };
-use crate::{Script, processes::play_faults};
+use crate::{Script, processes::play_faults, routed_backend::NORMAL_WORK};
 use smol::Timer;
 use sorrelturn_platform::{Expected, Faults, Platform};
 use std::{
@@ -93,7 +90,7 @@
                     copied_percent,
                 });
                 Timer::after(Duration::from_millis(ms)).await;
-                self.play_at_all(NORMAL_SCRIPT);
+                self.play_at_all(NORMAL_WORK);
             }
             Action::Misbehave { daemon, script, ms } => {
                 let backend = &self.daemons[daemon].backend;
@@ -101,7 +98,7 @@
                 Timer::after(Duration::from_millis(ms)).await;
                 backend.play(SLOW_SCRIPT);
                 Timer::after(Duration::from_millis(ms)).await;
-                backend.play(NORMAL_SCRIPT);
+                backend.play(NORMAL_WORK);
             }
         }
     }
--- a/crates/sorrelturn-bench/src/soak/harness.rs
+++ b/crates/sorrelturn-bench/src/soak/harness.rs
@@ -9,7 +9,10 @@
         BURST, LEASE_MS, OVERAGE_FRACTION, RATE, REVOCATION_MS, SLACK_REQUESTS, WINDOW_S,
     },
 };
-use crate::{ReceivedRequest, RoutedBackend, Script, routed_backend::CALL_SUFFIX};
+use crate::{
+    ReceivedRequest, RoutedBackend, Script,
+    routed_backend::{CALL_SUFFIX, NORMAL_WORK},
+};
 use bytes::Bytes;
 use hyper::{Request, header::HeaderName};
 use smol::{Executor, Task, Timer, net::TcpListener};
@@ -37,8 +40,6 @@
 const ONE_SHOT_CALLERS: usize = 1;
 /// Callers per daemon that send uploads, send requests behind one another, and go.
 const MIXED_CALLERS: usize = 4;
-/// The script of backend servers without a fault.
-pub(super) const NORMAL_SCRIPT: Script = Script::Works { ms: 15, bytes: 800 };
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 const READINESS_INTERVAL: Duration = Duration::from_millis(100);
 pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -225,7 +226,7 @@
         let id = format!("b-{number}-0");
         let header_names = &self.target.dialect.headers;
         let backend = RoutedBackend::with_observer(header_names, &id, Arc::new(observer));
-        backend.play(NORMAL_SCRIPT);
+        backend.play(NORMAL_WORK);
         if self.has_crashing_request {
             backend.crash_on(CRASHING_PATH);
         }
@@ -483,10 +484,8 @@
     let mut checker = lock(checker);
     checker.reached_backend(at, id, arrival);
     if req.line.contains(CALLING_PATH) && arrival.runs {
-        let (call, incarnation) = (
-            format!("{id}{CALL_SUFFIX}"),
-            checker.current_incarnation(daemon),
-        );
+        let call = format!("{id}{CALL_SUFFIX}");
+        let incarnation = checker.current_incarnation(daemon);
         checker.sending(at, &call, Kind::Safe, daemon, incarnation);
     }
     if req.line.contains(CRASHING_PATH) {
--- a/crates/sorrelturn-bench/src/soak/mixed_work.rs
+++ b/crates/sorrelturn-bench/src/soak/mixed_work.rs
@@ -82,15 +82,8 @@
             return;
         }
         let credential = CredentialKind::Steady.credential();
-        let headers = &self.target.dialect.headers;
-        let described = requests.iter().map(|request| CallerRequest {
-            path: &request.path,
-            host: self.target.host,
-            id: &request.id,
-            id_header: headers.request_id.as_str(),
-            credential: &credential,
-            credential_header: headers.credential.as_str(),
-            body_len: request.body_len,
+        let described = requests.iter().map(|request| {
+            self.caller_request(&request.path, &request.id, &credential, request.body_len)
         });
         let described: Vec<CallerRequest<'_>> = described.collect();
         let mut sent_count = 0;
--- a/crates/sorrelturn-bench/src/soak/traffic.rs
+++ b/crates/sorrelturn-bench/src/soak/traffic.rs
@@ -144,6 +144,25 @@
         format!("{:016x}", self.next_id.fetch_add(1, Ordering::Relaxed))
     }
 
+    pub(super) fn caller_request<'a>(
+        &'a self,
+        path: &'a str,
+        id: &'a str,
+        credential: &'a str,
+        body_len: usize,
+    ) -> CallerRequest<'a> {
+        let headers = &self.target.dialect.headers;
+        CallerRequest {
+            path,
+            host: self.target.host,
+            id,
+            id_header: headers.request_id.as_str(),
+            credential,
+            credential_header: headers.credential.as_str(),
+            body_len,
+        }
+    }
+
     /// As [`Harness::send_request`], for a path and an incarnation of a daemon.
     async fn send_request_to(
         &self,
@@ -155,15 +174,7 @@
         credential_kind: CredentialKind,
     ) -> Option<CallerResponse> {
         let credential = credential_kind.credential();
-        let request = CallerRequest {
-            path,
-            host: self.target.host,
-            id,
-            id_header: self.target.dialect.headers.request_id.as_str(),
-            credential: &credential,
-            credential_header: self.target.dialect.headers.credential.as_str(),
-            body_len: 0,
-        };
+        let request = self.caller_request(path, id, &credential, 0);
         self.checker()
             .sending_with_credential(self.now(), id, kind, target, credential_kind);
         caller.send(&request).await.ok()?;
--- a/crates/sorrelturn-daemon/src/backend/announce.rs
+++ b/crates/sorrelturn-daemon/src/backend/announce.rs
@@ -155,7 +155,8 @@
     ok_response()
 }
 
-/// Writes the leave to the store; if that takes too long, it goes on in the background. Returns whether the store has it.
+/// Writes the leave to the store. Returns whether the store has it within [`SAVE_TIMEOUT`]; if not, a background task
+/// repeats the write.
 async fn save_leave(node: &Arc<Node>, routed: &Routed) -> bool {
     let save = state::save(node, routed);
     let is_saved = member_record::write_within(node, SAVE_TIMEOUT, save).await;
--- a/crates/sorrelturn-daemon/src/store/member_record.rs
+++ b/crates/sorrelturn-daemon/src/store/member_record.rs
@@ -31,7 +31,7 @@
         .ok()
 }
 
-/// Writes a member record.
+/// Writes a member record. Returns the version that the store gives it.
 pub(crate) async fn put(
     node: &Node,
     record: &MemberRecord,
--- a/crates/sorrelturn-policy/src/fair_shares.rs
+++ b/crates/sorrelturn-policy/src/fair_shares.rs
@@ -268,21 +268,17 @@
         });
     }
 
-    /// Returns the median demand per weight. The mean would be that of a single workspace that presses.
-    fn find_typical_ratio(&self) -> f64 {
-        if self.workspaces.is_empty() {
-            return self.others.estimate / self.others.weight.max(MIN_WEIGHT);
-        }
-        median(self.ratios())
-    }
-
-    /// Returns the median demand per weight with one more workspace that has sent nothing. The median without it would be
-    /// that of a workspace that presses and is the only one.
-    fn find_newcomer_ratio(&self) -> f64 {
-        match self.workspaces.is_empty() {
-            true => self.typical_ratio,
-            false => median(self.ratios().into_iter().chain([0.0]).collect()),
+    /// Returns the median demand per weight, and the median with one more workspace that has sent nothing. The mean would
+    /// be that of a single workspace that presses, and so would the first median if that one is the only one.
+    fn find_typical_ratios(&self) -> (f64, f64) {
+        let mut ratios = self.ratios();
+        if ratios.is_empty() {
+            let ratio = self.others.estimate / self.others.weight.max(MIN_WEIGHT);
+            return (ratio, ratio);
         }
+        let typical_ratio = median(&mut ratios);
+        ratios.push(0.0);
+        (typical_ratio, median(&mut ratios))
     }
 
     fn ratios(&self) -> Vec<f64> {
@@ -293,7 +289,7 @@
     }
 
     fn rank(&mut self) {
-        let typical_ratio = self.find_typical_ratio();
+        let (typical_ratio, newcomer_ratio) = self.find_typical_ratios();
         let others = Ranked::new(&self.others, typical_ratio);
         let others = (self.others.estimate > 0.0).then_some(others);
         let ranked = self
@@ -303,7 +299,7 @@
         self.ranking.clear();
         self.ranking.extend(ranked.chain(others));
         self.typical_ratio = typical_ratio;
-        self.newcomer_ratio = self.find_newcomer_ratio();
+        self.newcomer_ratio = newcomer_ratio;
         self.ranking
             .sort_unstable_by(|a, b| b.ratio.total_cmp(&a.ratio));
         let (mut demand, mut weight) = (0.0, 0.0);
@@ -322,8 +318,8 @@
     (fraction * BUCKETS).floor().max(MIN_COUNTED_BUCKETS)
 }
 
-/// Returns the lower median of at least one value.
-fn median(mut values: Vec<f64>) -> f64 {
+/// Returns the lower median of at least one value, which it reorders.
+fn median(values: &mut [f64]) -> f64 {
     let middle = (values.len() - 1) / 2;
     *values.select_nth_unstable_by(middle, f64::total_cmp).1
 }
