One entry that can't be parsed no longer hides its whole page of the store

What callers saw: with one entry of another writer that holds 1e400, a lone surrogate or 200 levels, lists and watches of its kind failed as long as it stood there. Among the members, daemons that started never found one another; beside the route table, changes were found by single reads alone, late and at five times the calls.

Cause: a page was parsed into JSON values first and its entries one by one after that, so "skip what can't be parsed" began too late. The stand-in parsed what it kept with the same library, so no test could hold such an entry.

Change: pages, events and values stay JSON text until the entry itself is parsed. What isn't JSON at all but comes from serializers (NaN, Infinity, control characters, bytes other than UTF-8) is replaced before a second attempt. Values that can't be decoded stay text, so the version of an object, the own record's too, is known by get and after a conflict. The list of VMs skips odd entries as well. The stand-in keeps values as they were written.

--- a/crates/sorrelturn-platform/src/api.rs
+++ b/crates/sorrelturn-platform/src/api.rs
@@ -1,7 +1,7 @@
 //! Messages of the object API. `docs/design/platform.md` describes the calls.
 
 use serde::{Deserialize, Deserializer, Serialize, de::DeserializeOwned};
-use serde_json::Value;
+use serde_json::value::{RawValue, to_raw_value};
 
 /// An object of the platform's store: a text under a key, at a version.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -10,7 +10,8 @@
     pub key: String,
     /// The revision of the store at the last change, never 0.
     pub version: u64,
-    /// The content, at most a megabyte. Values that are not JSON strings are kept as JSON text.
+    /// The content, at most a megabyte. Values other than JSON strings, and strings that can't be decoded, are kept as JSON
+    /// text.
     pub value: String,
 }
 
@@ -39,12 +40,43 @@
     pub revision: u64,
     /// Finalizers that must be cleared before a deleted object is removed.
     #[serde(skip_serializing_if = "Vec::is_empty")]
-    pub finalizers: Vec<String>,
+    pub finalizers: Vec<RawJson>,
     /// Whether the object was deleted and its finalizers are pending.
     #[serde(skip_serializing_if = "is_false")]
     pub deleting: bool,
 }
 
+/// JSON that is kept as text, since other clients of the store may write numbers, escapes and depths that can't be parsed.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RawJson(Box<RawValue>);
+
+impl RawJson {
+    /// Serializes a value.
+    pub(crate) fn of(value: &impl Serialize) -> serde_json::Result<Self> {
+        to_raw_value(value).map(Self)
+    }
+
+    /// Returns the JSON text.
+    pub(crate) fn text(&self) -> &str {
+        self.0.get()
+    }
+}
+
+impl Default for RawJson {
+    fn default() -> Self {
+        Self(RawValue::NULL.to_owned())
+    }
+}
+
+impl PartialEq for RawJson {
+    fn eq(&self, other: &Self) -> bool {
+        self.text() == other.text()
+    }
+}
+
+impl Eq for RawJson {}
+
 /// An object as sent over the wire.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct WireObject {
@@ -52,17 +84,17 @@
     pub metadata: Metadata,
     /// The content.
     #[serde(default)]
-    pub value: Value,
+    pub value: RawJson,
     /// The observed status, written separately from the content.
     #[serde(default)]
-    pub status: Value,
+    pub status: RawJson,
 }
 
 /// A page of a list.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct WireList {
     /// Objects sorted by name, each a [`WireObject`] if it can be parsed.
-    pub items: Vec<Value>,
+    pub items: Vec<RawJson>,
     /// Whether there are more pages.
     #[serde(default)]
     pub has_more: bool,
@@ -117,31 +149,42 @@
 
 impl<T: DeserializeOwned> Readable<T> {
     /// Parses each entry.
-    pub(crate) fn parse(values: Vec<Value>) -> Self {
-        let total = values.len();
-        let read = values.into_iter().map(serde_json::from_value);
-        let entries: Vec<T> = read.filter_map(Result::ok).collect();
+    pub(crate) fn parse(entries: &[RawJson]) -> Self {
+        let parsed = entries
+            .iter()
+            .filter_map(|entry| serde_json::from_str(entry.text()).ok());
+        let parsed: Vec<T> = parsed.collect();
         Self {
-            left_out: total - entries.len(),
-            entries,
+            left_out: entries.len() - parsed.len(),
+            entries: parsed,
         }
     }
 }
 
 impl<'de, T: DeserializeOwned> Deserialize<'de> for Readable<T> {
     fn deserialize<D: Deserializer<'de>>(input: D) -> Result<Self, D::Error> {
-        Vec::<Value>::deserialize(input).map(Self::parse)
+        let entries = Vec::<RawJson>::deserialize(input)?;
+        Ok(Self::parse(&entries))
     }
 }
 
+/// An object of which only the name is parsed.
+#[derive(Deserialize)]
+struct NamedObject {
+    metadata: ObjectName,
+}
+
+#[derive(Deserialize)]
+struct ObjectName {
+    name: String,
+}
+
 impl WireList {
     /// Returns the last name on the page, also of an object that can't be parsed otherwise.
     pub(crate) fn last_name(&self) -> Option<String> {
-        let name_of = |item: &Value| {
-            item.get("metadata")?
-                .get("name")?
-                .as_str()
-                .map(str::to_owned)
+        let name_of = |item: &RawJson| {
+            let object = serde_json::from_str::<NamedObject>(item.text()).ok()?;
+            Some(object.metadata.name)
         };
         self.items.iter().rev().find_map(name_of)
     }
@@ -157,27 +200,25 @@
 
 impl WireObject {
     /// Creates an object for a write. A `revision` of 0 sets no condition.
-    pub(crate) fn of(name: &str, value: &str, revision: u64) -> Self {
-        Self {
+    pub(crate) fn of(name: &str, value: &str, revision: u64) -> serde_json::Result<Self> {
+        Ok(Self {
             metadata: Metadata {
                 name: name.to_owned(),
                 revision,
                 ..Metadata::default()
             },
-            value: Value::String(value.to_owned()),
-            status: Value::Null,
-        }
+            value: RawJson::of(&value)?,
+            status: RawJson::default(),
+        })
     }
 
-    /// Converts to an [`Object`] under `prefix`. JSON strings are unquoted, other JSON stays as text.
+    /// Converts to an [`Object`] under `prefix`.
     pub(crate) fn into_object(self, prefix: &str) -> Object {
+        let text = self.value.text();
         Object {
             key: format!("{prefix}{}", self.metadata.name),
             version: self.metadata.revision,
-            value: match self.value {
-                Value::String(text) => text,
-                other => other.to_string(),
-            },
+            value: serde_json::from_str(text).unwrap_or_else(|_| text.to_owned()),
         }
     }
 }
--- a/crates/sorrelturn-platform/src/client.rs
+++ b/crates/sorrelturn-platform/src/client.rs
@@ -4,7 +4,7 @@
     Changes, Object, VmEntry,
     api::{Readable, WireEvents, WireList, WireObject},
     http::{ExchangeError, exchange},
-    keys,
+    keys, tolerant_json,
 };
 use bytes::Bytes;
 use displaydoc::Display;
@@ -119,7 +119,7 @@
 
     async fn create(&self, key: &str, value: &str) -> Result<u64, PlatformError> {
         let (_, name) = keys::kind_and_name(key);
-        let object = WireObject::of(name, value, 0);
+        let object = new_object(name, value, 0)?;
         self.write(Method::POST, &self.kind_path(key), &object)
             .await
     }
@@ -127,7 +127,7 @@
     /// Replaces an object. A version of 0 sets no condition.
     async fn replace(&self, key: &str, value: &str, version: u64) -> Result<u64, PlatformError> {
         let (_, name) = keys::kind_and_name(key);
-        let object = WireObject::of(name, value, version);
+        let object = new_object(name, value, version)?;
         self.write(Method::PUT, &self.object_path(key), &object)
             .await
     }
@@ -154,8 +154,7 @@
             ));
         }
         if res.status() == StatusCode::CONFLICT {
-            let current = serde_json::from_slice::<WireObject>(res.body())
-                .map_err(|_| PlatformError::Unreadable)?;
+            let current = read_body::<WireObject>(&res)?;
             return Err(PlatformError::Conflict(current.metadata.revision));
         }
         read::<WireObject>(&res).map(|object| object.metadata.revision)
@@ -215,7 +214,7 @@
                 all.revision = page.store_revision;
             }
             let last = page.last_name();
-            let items = Readable::<WireObject>::parse(page.items);
+            let items = Readable::<WireObject>::parse(&page.items);
             all.left_out += items.left_out;
             let objects = items.entries.into_iter();
             all.objects
@@ -256,10 +255,11 @@
         Ok(changes)
     }
 
-    /// Reads the list of VMs.
+    /// Reads the list of VMs. Entries that can't be parsed are skipped.
     pub async fn vms(&self) -> Result<Vec<VmEntry>, PlatformError> {
         let req = request(Method::GET, "/v1/vms");
-        read(&self.call(req, self.timeout).await.map_err(unavailable)?)
+        let res = self.call(req, self.timeout).await.map_err(unavailable)?;
+        read::<Readable<VmEntry>>(&res).map(|vms| vms.entries)
     }
 
     fn kind_path(&self, key: &str) -> String {
@@ -291,15 +291,17 @@
     req
 }
 
+fn new_object(name: &str, value: &str, version: u64) -> Result<WireObject, PlatformError> {
+    WireObject::of(name, value, version).map_err(|_| PlatformError::Unreadable)
+}
+
 fn unavailable(error: ExchangeError) -> PlatformError {
     PlatformError::Unavailable(error.to_string())
 }
 
 fn read<T: DeserializeOwned>(res: &Response<Bytes>) -> Result<T, PlatformError> {
     match res.status() {
-        status if status.is_success() => {
-            serde_json::from_slice(res.body()).map_err(|_| PlatformError::Unreadable)
-        }
+        status if status.is_success() => read_body(res),
         StatusCode::NOT_FOUND => Err(PlatformError::Absent),
         StatusCode::GONE => Err(PlatformError::HistoryGone),
         status @ (StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) => {
@@ -308,3 +310,7 @@
         status => Err(PlatformError::Refused(status.as_u16())),
     }
 }
+
+fn read_body<T: DeserializeOwned>(res: &Response<Bytes>) -> Result<T, PlatformError> {
+    tolerant_json::parse(res.body()).map_err(|_| PlatformError::Unreadable)
+}
--- a/crates/sorrelturn-platform/src/lib.rs
+++ b/crates/sorrelturn-platform/src/lib.rs
@@ -9,6 +9,7 @@
 mod ready_socket;
 mod stand_in;
 mod store;
+mod tolerant_json;
 
 pub use api::{Changes, Counters, Faults, Object, VmEntry, VmState, keys};
 pub use client::{Expected, OBJECTS_PATH, Platform, PlatformError};
--- a/crates/sorrelturn-platform/src/store.rs
+++ b/crates/sorrelturn-platform/src/store.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Counters, Faults, VmEntry,
-    api::{WireEvent, WireEvents, WireList, WireObject},
+    api::{RawJson, WireEvent, WireEvents, WireList, WireObject},
 };
 use std::collections::{BTreeMap, VecDeque};
 
@@ -147,7 +147,7 @@
             .filter(|(name, _)| name.as_str() > after)
             .map(|(_, object)| object.clone());
         let page = rest.by_ref().take(PAGE_CAPACITY);
-        let items = page.filter_map(|object| serde_json::to_value(object).ok());
+        let items = page.filter_map(|object| RawJson::of(&object).ok());
         WireList {
             items: items.collect(),
             has_more: rest.next().is_some(),
--- /dev/null
+++ b/crates/sorrelturn-platform/tests/odd_entries.rs
@@ -0,0 +1,214 @@
+//! Entries of other writers that can't be parsed, in every response of the store that holds objects.
+
+use assert_matches::assert_matches;
+use bytes::Bytes;
+use hyper::Request;
+use smol::{
+    Executor,
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
+use sorrelturn_platform::{
+    Changes, Expected, Platform, PlatformError, StandIn, http::exchange, serve,
+};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+/// Deeper than JSON libraries parse.
+const DEPTH: usize = 2_000;
+
+/// Values that JSON libraries can't hold, or that some serializers write though they aren't JSON.
+fn odd_values() -> Vec<Vec<u8>> {
+    let digits = "9".repeat(400);
+    let nested = format!("{}{}", "[".repeat(DEPTH), "]".repeat(DEPTH));
+    let nested_objects = format!("{}1{}", r#"{"a":"#.repeat(DEPTH), "}".repeat(DEPTH));
+    let texts = [
+        "1e400",
+        "-1e400",
+        &digits,
+        r#"{"port":1e400}"#,
+        r#""\ud800""#,
+        r#"{"name":"\udc00 \ud800"}"#,
+        r#"{"\ud800":1}"#,
+        &nested,
+        &nested_objects,
+        "NaN",
+        "-Infinity",
+        r#"{"rate":Infinity,"text":"NaN \" Infinity"}"#,
+        "\"a\tb\nc\u{1}\"",
+    ];
+    let mut values: Vec<Vec<u8>> = texts.iter().map(|text| text.as_bytes().to_vec()).collect();
+    values.push(b"\"\xff\xfe\"".to_vec());
+    values.push(b"{\"\xc3\":1}".to_vec());
+    values
+}
+
+fn object(name: &str, revision: u64, value: &[u8]) -> Vec<u8> {
+    let metadata = format!(r#"{{"metadata":{{"name":"{name}","revision":{revision}}},"value":"#);
+    [metadata.as_bytes(), value, b"}"].concat()
+}
+
+/// Serves one response to each of as many connections; calls the store meanwhile.
+fn answered_with<T>(status: u16, responses: Vec<Vec<u8>>, call: impl AsyncFn(Platform) -> T) -> T {
+    let ex = Arc::new(Executor::new());
+    smol::block_on(ex.run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let addr = listener.local_addr().expect("address");
+        let answer = ex.spawn(async move {
+            for body in responses {
+                let (mut tcp, _) = listener.accept().await.expect("a caller");
+                tcp.read(&mut [0; 4096]).await.expect("a request");
+                let length = body.len();
+                let head = format!(
+                    "HTTP/1.1 {status} Any\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n"
+                );
+                let sent = tcp.write_all(&[head.as_bytes(), &body].concat()).await;
+                sent.expect("sent");
+            }
+        });
+        let result = call(Platform::new(addr, TIMEOUT)).await;
+        drop(answer);
+        result
+    }))
+}
+
+fn keys(changes: &Changes) -> Vec<&str> {
+    let keys = changes.objects.iter().map(|object| object.key.as_str());
+    keys.filter(|key| *key != "kind/odd").collect()
+}
+
+/// Guards against one entry of another writer that hides all others of its page, so that daemons never find one another.
+#[test]
+fn an_entry_that_cant_be_parsed_hides_no_other_of_a_list() {
+    for value in odd_values() {
+        let items = [
+            object("first", 1, br#""v""#),
+            object("odd", 2, &value),
+            object("last", 3, br#""v""#),
+        ]
+        .join(&b","[..]);
+        let page = [br#"{"items":["#, &items[..], br#"],"store_revision":9}"#].concat();
+        let listed = answered_with(200, vec![page], async |platform| {
+            platform.list("kind/").await
+        });
+        let value = String::from_utf8_lossy(&value[..value.len().min(40)]).into_owned();
+        let listed = listed.unwrap_or_else(|error| panic!("{value}: {error}"));
+        assert_eq!(keys(&listed), ["kind/first", "kind/last"], "{value}");
+        assert_eq!(listed.revision, 9);
+    }
+}
+
+/// Guards against a watch that fails as long as the store remembers such a change.
+#[test]
+fn an_event_that_cant_be_parsed_hides_no_other_of_a_watch() {
+    for value in odd_values() {
+        let event = |object: Vec<u8>, removed: bool| {
+            let start = format!(r#"{{"removed":{removed},"object":"#);
+            [start.as_bytes(), &object, b"}"].concat()
+        };
+        let events = [
+            event(object("odd", 2, &value), false),
+            event(object("new", 3, br#""v""#), false),
+            event(object("odd", 4, &value), true),
+        ]
+        .join(&b","[..]);
+        let page = [br#"{"events":["#, &events[..], br#"],"store_revision":9}"#].concat();
+        let changes = answered_with(200, vec![page], async |platform| {
+            platform.watch("kind/", 1, TIMEOUT).await
+        });
+        let value = String::from_utf8_lossy(&value[..value.len().min(40)]).into_owned();
+        let changes = changes.unwrap_or_else(|error| panic!("{value}: {error}"));
+        assert_eq!(keys(&changes), ["kind/new"], "{value}");
+        assert_eq!(changes.removed, ["kind/odd"], "{value}");
+        assert_eq!(changes.revision, 9);
+    }
+}
+
+/// Guards against an own record that can't be replaced for good, since its version can't be read.
+#[test]
+fn the_version_of_an_object_that_cant_be_parsed_is_read() {
+    for value in odd_values() {
+        let got = answered_with(200, vec![object("odd", 7, &value)], async |platform| {
+            platform.get("kind/odd").await
+        });
+        assert_matches!(got, Ok(Some(object)) if object.version == 7);
+        let written = answered_with(409, vec![object("odd", 7, &value)], async |platform| {
+            platform.put("kind/odd", "v", Expected::Absent).await
+        });
+        assert_matches!(written, Err(PlatformError::Conflict(7)));
+    }
+}
+
+/// Guards against a list that ends at, or repeats, a page whose last entry can't be parsed.
+#[test]
+fn a_list_goes_on_after_a_page_that_ends_with_an_odd_entry() {
+    for value in odd_values() {
+        let first = object("odd", 2, &value);
+        let first = [
+            br#"{"items":["#,
+            &first[..],
+            br#"],"has_more":true,"store_revision":9}"#,
+        ];
+        let second = object("last", 3, br#""v""#);
+        let second = [br#"{"items":["#, &second[..], br#"],"store_revision":9}"#];
+        let pages = vec![first.concat(), second.concat()];
+        let listed = answered_with(200, pages, async |platform| platform.list("kind/").await);
+        assert_eq!(keys(&listed.expect("a list")), ["kind/last"]);
+    }
+}
+
+/// Guards against finalizers of another writer that make an object unreadable.
+#[test]
+fn odd_finalizers_make_no_object_unreadable() {
+    let object = br#"{"metadata":{"name":"a","revision":7,"finalizers":[1e400,"\ud800"],"new":1e400},"value":"v"}"#;
+    let got = answered_with(200, vec![object.to_vec()], async |platform| {
+        platform.get("kind/a").await
+    });
+    assert_matches!(got, Ok(Some(object)) if object.version == 7 && object.value == "v");
+}
+
+/// Text in strings isn't touched by the replacement of words that aren't JSON.
+#[test]
+fn strings_beside_invalid_words_stay_as_they_are() {
+    let text = r#""NaN, \"Infinity\" and \\ 1.5.2""#;
+    let items = [
+        object("odd", 1, b"NaN"),
+        object("text", 2, text.as_bytes()),
+        object("number", 3, b"-1.5e3"),
+    ]
+    .join(&b","[..]);
+    let page = [br#"{"items":["#, &items[..], br#"],"store_revision":9}"#].concat();
+    let listed = answered_with(200, vec![page], async |platform| {
+        platform.list("kind/").await
+    });
+    let listed = listed.expect("a list");
+    let values: Vec<&str> = listed.objects.iter().map(|o| o.value.as_str()).collect();
+    assert_eq!(values, ["null", r#"NaN, "Infinity" and \ 1.5.2"#, "-1.5e3"]);
+}
+
+/// The stand-in keeps what it is given, or tests couldn't play such entries.
+#[test]
+fn the_stand_in_returns_a_value_as_it_was_written() {
+    let ex = Arc::new(Executor::new());
+    smol::block_on(ex.run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let addr = listener.local_addr().expect("address");
+        let _serving = ex.spawn(serve(Arc::clone(&ex), listener, StandIn::default()));
+        let value = r#"{"a":1e400,"b":"\ud800"}"#;
+        let written = call(addr, "POST", "kind", object("odd", 0, value.as_bytes())).await;
+        assert!(written.contains(value), "{written}");
+        let listed = call(addr, "GET", "kind", Vec::new()).await;
+        assert!(listed.contains(value), "{listed}");
+        let found = Platform::new(addr, TIMEOUT).get("kind/odd").await;
+        assert_matches!(found, Ok(Some(object)) if object.value == value);
+    }));
+}
+
+async fn call(addr: SocketAddr, method: &str, path: &str, body: Vec<u8>) -> String {
+    let req = Request::builder()
+        .method(method)
+        .uri(format!("/v1/objects/{path}"))
+        .body(Bytes::from(body));
+    let res = exchange(addr, req.expect("a request"), TIMEOUT).await;
+    String::from_utf8_lossy(res.expect("a response").body()).into_owned()
+}
