Another object of its kind isn't taken for the route table

What callers saw: a draft or a copy beside config/main came in force as if it were the table, whatever its name. With a higher version than the table's, each later version of the table was ignored as a lower one: a confirmed change was never in force, an added route was refused, a moved one ran at the old service.

Cause: the store lists and watches kinds, not names. Reads of the table name the object; the watch of it passed on every object of the kind, unchecked.

Evidence: another_object_of_its_kind_isnt_taken_for_the_route_table failed before, version 4 of the table was never in force within 60 s beside a draft of version 99; now it passes.

--- a/crates/sorrelturn-daemon/src/fleet/watch.rs
+++ b/crates/sorrelturn-daemon/src/fleet/watch.rs
@@ -201,8 +201,10 @@
 async fn watch_config_head(node: &Arc<Node>, watched: &WatchedVersion, restart: &Receiver<()>) {
     let head = config_head_key(node).to_owned();
     watch_prefix(node, &head, Duration::ZERO, restart, |changes| {
-        for object in changes.objects {
-            if let Some(version) = receive_config_head(node, &object) {
+        // The platform watches kinds, and others may write objects of this one under other names.
+        let heads = changes.objects.iter().filter(|object| object.key == head);
+        for object in heads {
+            if let Some(version) = receive_config_head(node, object) {
                 watched.0.store(version, Ordering::Relaxed);
             }
         }
