A value of a route table that can't be parsed stays within its field

What callers saw: a table whose unknown or known field held 1e400, a lone surrogate or 200 levels was refused whole: no request before the first table, the old version in force later, though the version had been confirmed.

Change: the table, its sections and their entries stay JSON text until each is parsed into its own type. What an entry doesn't use can hold anything.

--- a/crates/sorrelturn-bundle/src/table_document.rs
+++ b/crates/sorrelturn-bundle/src/table_document.rs
@@ -2,9 +2,12 @@
 //! See `docs/design/unknown-entries.md`.
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use serde_json::{Map, Value};
+use serde_json::value::RawValue;
 use std::collections::BTreeMap;
 
+/// An object whose fields are not parsed yet. Numbers, texts and depths that can't be parsed stay within their field.
+type RawFields = BTreeMap<String, Box<RawValue>>;
+
 /// A section of a route table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -63,7 +66,7 @@
 /// A route table in JSON whose entries are not parsed yet.
 pub struct TableDocument {
     version: u64,
-    sections: Map<String, Value>,
+    sections: RawFields,
     rejected: Vec<RejectedEntry>,
 }
 
@@ -71,9 +74,8 @@
     /// Parses the outline of a table. Fails if the text is not a JSON object with a version, since
     /// a table without one can't be ordered among the others.
     pub fn parse(text: &str) -> Result<Self, String> {
-        let sections: Map<String, Value> =
-            serde_json::from_str(text).map_err(|error| error.to_string())?;
-        let version = sections.get("version").and_then(Value::as_u64);
+        let sections: RawFields = serde_json::from_str(text).map_err(|error| error.to_string())?;
+        let version = parse_field(&sections, "version");
         let version = version.ok_or("the version is missing or not a whole number")?;
         Ok(Self {
             version,
@@ -89,10 +91,10 @@
 
     /// Takes over the entries that another daemon rejected before it passed the table on.
     pub(crate) fn take_over_rejected(&mut self) {
-        let rejected = self.sections.get("rejected").and_then(Value::as_array);
+        let rejected: Option<Vec<Box<RawValue>>> = parse_field(&self.sections, "rejected");
         let rejected = rejected.into_iter().flatten();
         self.rejected
-            .extend(rejected.filter_map(|entry| RejectedEntry::deserialize(entry).ok()));
+            .extend(rejected.filter_map(|entry| serde_json::from_str(entry.get()).ok()));
     }
 
     /// Parses the entries of a section, and rejects those that can't be parsed. Workspaces are
@@ -102,10 +104,11 @@
         section: TableSection,
         convert: impl Fn(T) -> U,
     ) -> BTreeMap<String, U> {
-        let entries = match self.sections.remove(section.name()) {
-            Some(Value::Object(entries)) => entries,
-            None if section == TableSection::Workspaces => return BTreeMap::new(),
-            _ => {
+        let is_absent = !self.sections.contains_key(section.name());
+        let entries: RawFields = match parse_field(&self.sections, section.name()) {
+            Some(entries) => entries,
+            None if is_absent && section == TableSection::Workspaces => return BTreeMap::new(),
+            None => {
                 let reason = "the section is missing or not an object".to_owned();
                 self.rejected.push(RejectedEntry::new(section, "", reason));
                 return BTreeMap::new();
@@ -113,14 +116,16 @@
         };
         let mut parsed = BTreeMap::new();
         for (name, value) in entries {
-            match T::deserialize(&value) {
+            match serde_json::from_str(value.get()) {
                 Ok(entry) => {
                     parsed.insert(name, convert(entry));
                 }
                 Err(error) => {
                     let mut rejected = RejectedEntry::new(section, &name, error.to_string());
-                    rejected.host = text_of(&value, "host");
-                    rejected.path_prefix = text_of(&value, "path_prefix");
+                    if let Ok(fields) = serde_json::from_str(value.get()) {
+                        rejected.host = parse_field(&fields, "host");
+                        rejected.path_prefix = parse_field(&fields, "path_prefix");
+                    }
                     self.rejected.push(rejected);
                 }
             }
@@ -134,7 +139,7 @@
         let Some(value) = self.sections.remove(section.name()) else {
             return U::default();
         };
-        match T::deserialize(&value) {
+        match serde_json::from_str(value.get()) {
             Ok(limits) => convert(limits),
             Err(error) => {
                 let rejected = RejectedEntry::new(section, "", error.to_string());
@@ -150,6 +155,7 @@
     }
 }
 
-fn text_of(entry: &Value, field: &str) -> Option<String> {
-    entry.get(field)?.as_str().map(str::to_owned)
+/// Parses a field; returns `None` if it is absent or can't be parsed.
+fn parse_field<T: DeserializeOwned>(fields: &RawFields, name: &str) -> Option<T> {
+    serde_json::from_str(fields.get(name)?.get()).ok()
 }
