--- a/crates/sorrelturn-bench/src/lib.rs
+++ b/crates/sorrelturn-bench/src/lib.rs
@@ -43,8 +43,8 @@
     RetryPolicy, RetryStats, RetryingKind, simulate_retries,
 };
 pub use routed_backend::{
-    BODY, CALL_PATH, Cancelled, EndlessPart, IDLE_TIMEOUT_S, ReceivedRequest, RoutedBackend,
-    SIGNATURE, Script,
+    BODY, CALL_PATH, Cancelled, EndlessPart, Framing, IDLE_TIMEOUT_S, ReceivedRequest,
+    RoutedBackend, SIGNATURE, Script,
 };
 pub use routed_fleet::{Paths, RoutedFleet, RoutedInstance, until};
 pub use scenario::{PhaseDurations, SCENARIOS, Scenario, System, run_scenario};
--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -10,6 +10,7 @@
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
 };
+use socket2::SockRef;
 use sorrelturn_daemon::HeaderNames;
 use std::{
     collections::{HashMap, HashSet},
@@ -34,6 +35,15 @@
     BreaksOff,
     /// Closes the connection after half of the body.
     CutsBody,
+    /// Closes or resets the connection before the last bytes of its response.
+    CutsResponse {
+        /// How the response tells where it ends.
+        framing: Framing,
+        /// The number of bytes that aren't sent.
+        missing: usize,
+        /// Whether the connection is reset, as if the bytes in between were lost.
+        resets: bool,
+    },
     /// Responds without a length, and closes the connection after the body.
     AnswersUnframed,
     /// Sends the response twice.
@@ -86,6 +96,46 @@
 /// The execution of a request by a backend server without a fault, in a soak and by [`Script::Overloaded`].
 pub(crate) const NORMAL_WORK: Script = Script::Works { ms: 15, bytes: 800 };
 
+/// How a response tells where it ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By its length.
+    Length,
+    /// By its last chunk.
+    Chunks,
+    /// By its length, after a response with status 102.
+    LengthAfterInterim,
+    /// By the end of the connection.
+    Close,
+}
+
+impl Framing {
+    /// All framings.
+    pub const ALL: [Self; 4] = [
+        Self::Length,
+        Self::Chunks,
+        Self::LengthAfterInterim,
+        Self::Close,
+    ];
+
+    /// Returns a response with [`BODY`].
+    fn response(self, headers: &str) -> String {
+        let with_length = response_head(200, "OK", headers, Some(BODY.len())) + BODY;
+        match self {
+            Self::Length => with_length,
+            Self::Chunks => {
+                let headers = format!("{headers}transfer-encoding: chunked\r\n");
+                let (first, second) = BODY.split_at(BODY.len() / 2);
+                let chunks = [first, second, ""];
+                let chunks = chunks.map(|chunk| format!("{:x}\r\n{chunk}\r\n", chunk.len()));
+                response_head(200, "OK", &headers, None) + &chunks.concat()
+            }
+            Self::LengthAfterInterim => format!("HTTP/1.1 102 Processing\r\n\r\n{with_length}"),
+            Self::Close => response_head(200, "OK", headers, None) + BODY,
+        }
+    }
+}
+
 /// The part of a response that has no end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndlessPart {
@@ -209,6 +259,8 @@
 pub const CALL_PATH: &str = "/call/1";
 /// The end of the id of a nested call.
 pub const CALL_SUFFIX: &str = "-call";
+/// The time in which the bytes before a reset arrive; those that haven't been read by then are lost.
+const RESET_DELAY: Duration = Duration::from_millis(5);
 /// The default execution time of a request that crashes the backend server.
 const DEFAULT_CRASH_DELAY: Duration = Duration::from_millis(60);
 const LARGE_BODY_BYTES: usize = 50_000_000;
@@ -591,6 +643,21 @@
                     false,
                 )
             }
+            Script::CutsResponse {
+                framing,
+                missing,
+                resets,
+            } => {
+                let response = framing.response(&response_headers);
+                let sent = response.len().saturating_sub(missing);
+                let sent = &response.as_bytes()[..sent];
+                tcp.get_mut().write_all(sent).await?;
+                if resets {
+                    smol::Timer::after(RESET_DELAY).await;
+                    SockRef::from(tcp.get_ref()).set_linger(Some(Duration::ZERO))?;
+                }
+                return Ok(false);
+            }
             Script::AnswersUnframed => (
                 response_head(200, "OK", &response_headers, None) + BODY,
                 false,
