A daemon that was declared gone learns so from the daemons that it calls

What callers saw: a daemon that its watcher couldn't reach for 15 s is declared gone. If nobody reached it in the 14 s after that either, it stayed gone for all others for as long as it lived: no request was sent to its backend server, and one on an added route to its service wasn't served, though it answered, was announced and exchanged records with them every 2 s.

Cause: an exchange that a daemon starts returns the records in which the two differ, its own among them. Those of the same incarnation were dropped there; only records that others push were compared with the own one, and nobody pushes to a daemon that is gone. Class: one of two readers of the same records lacks what the other does.

Change: both take the records of the own instance through own_record::reclaim.

--- a/crates/sorrelturn-daemon/src/fleet/gossip.rs
+++ b/crates/sorrelturn-daemon/src/fleet/gossip.rs
@@ -2,7 +2,6 @@
 //! See `docs/design/spread.md` and `docs/design/membership.md`.
 
 use crate::{
-    backend::state,
     config::confirmation,
     config::fetch,
     config::route_staleness,
@@ -10,6 +9,7 @@
     fleet::control_client::{self, ControlError},
     fleet::evacuation,
     fleet::next_incarnation,
+    fleet::own_record,
     fleet::reports,
     fleet::suspects,
     node::{Node, lock},
@@ -46,19 +46,9 @@
 /// Neighbours are chosen after all records are merged. Chosen after the first ones of a list, they would be the same at
 /// all daemons that start together.
 pub(crate) fn receive_member_records(node: &Arc<Node>, records: Vec<MemberRecord>) {
-    let own_instance = &node.settings.instance;
-    let (own, others): (Vec<_>, Vec<_>) = records
-        .into_iter()
-        .partition(|record| record.instance == *own_instance);
-    for record in own {
-        if record.incarnation != node.incarnation {
-            state::restore(node, &record);
-        }
-        if node.merge_own_record(&record) {
-            push_own_record(node);
-        }
-    }
-    let updates = node.merge_members(others);
+    own_record::restore_backend(node, &records);
+    own_record::reclaim(node, &records);
+    let updates = node.merge_members(records);
     for record in &updates {
         node.record_member_change(record);
         if record.state == MemberState::Gone {
@@ -326,11 +316,7 @@
                 .is_none_or(|their_record| our_record.supersedes(their_record))
         })
         .collect();
-    for record in &records {
-        if node.outrank_earlier_incarnation(record) {
-            push_own_record(node);
-        }
-    }
+    own_record::reclaim(node, &records);
     node.merge_members(records);
     tell_unknown_leave(node, &peer.instance).await;
     if !newer_records.is_empty() {
--- a/crates/sorrelturn-daemon/src/fleet/mod.rs
+++ b/crates/sorrelturn-daemon/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod join;
 pub(crate) mod metered;
 pub(crate) mod next_incarnation;
+pub(crate) mod own_record;
 pub(crate) mod peers;
 pub(crate) mod quota;
 pub(crate) mod reports;
