A live instance wins its record back from whatever number another client wrote

What callers saw: a readable record of a live instance, written by another client with a higher start or sequence, replaced its own at all daemons for good. With the highest start the instance's own daemon overflowed when it went beyond it (debug: a panic at each exchange; release: start 0, ignored by all), also after its restart: watchers declared the instance gone, and no request to its service was served. With the highest sequence the same; a later start of the same incarnation was never gone beyond; another incarnation was believed for good after the first 30 s, though nothing answered at its address.

Cause: the order of records trusts numbers that anybody can write, has a highest one, and an addition after it.

Change: a record with a start more than 100 years ahead of the reader's clock is ignored (S504 at the store); the limit moves, so whatever is accepted can be outranked. A sequence that is used up carries into the start. S410 says when a record was won back. The own record is known as present even if it can't be parsed, so a restarted daemon isn't taken for a first one.

--- a/crates/sorrelturn-daemon/src/fleet/control_client.rs
+++ b/crates/sorrelturn-daemon/src/fleet/control_client.rs
@@ -109,6 +109,17 @@
     call_within(node, to, CALL_TIMEOUT, call).await
 }
 
+/// Returns whether the incarnation of this record answers at its address.
+pub(crate) async fn is_alive(node: &Arc<Node>, record: &MemberRecord) -> bool {
+    call(
+        node,
+        record,
+        |client, cx| async move { client.ping(cx).await },
+    )
+    .await
+    .is_ok_and(|incarnation| incarnation == record.incarnation)
+}
+
 /// As [`call`], with another timeout.
 pub(crate) async fn call_within<T, F>(
     node: &Arc<Node>,
--- a/crates/sorrelturn-daemon/src/fleet/join.rs
+++ b/crates/sorrelturn-daemon/src/fleet/join.rs
@@ -35,11 +35,9 @@
         let own = changes.objects.iter().find(|object| object.key == own_key);
         let stored = own.map_or(Expected::Absent, |object| Expected::Version(object.version));
         *lock(&node.stored_record) = Some(stored);
-        let is_new = records
-            .iter()
-            .all(|record| record.instance != node.settings.instance);
+        let is_new = own.is_none();
         for record in &records {
-            node.outrank_earlier_incarnation(record);
+            node.merge_own_record(record);
             if record.instance == node.settings.instance {
                 state::restore(node, record);
             }
--- a/crates/sorrelturn-daemon/src/fleet/watch.rs
+++ b/crates/sorrelturn-daemon/src/fleet/watch.rs
@@ -96,21 +96,11 @@
         if alive_count == WATCHER_COUNT {
             break;
         }
-        alive_count += usize::from(is_alive(node, &record).await);
+        alive_count += usize::from(control_client::is_alive(node, &record).await);
     }
     alive_count < WATCHER_COUNT
 }
 
-async fn is_alive(node: &Arc<Node>, record: &MemberRecord) -> bool {
-    control_client::call(
-        node,
-        record,
-        |client, cx| async move { client.ping(cx).await },
-    )
-    .await
-    .is_ok_and(|incarnation| incarnation == record.incarnation)
-}
-
 async fn watch_all(node: &Arc<Node>) {
     let watched = WatchedVersion::default();
     let (restart_head_tx, restart_head) = channel::bounded(1);
@@ -361,7 +351,7 @@
             continue;
         };
         last_pinged.clone_from(&record.instance);
-        if is_alive(node, &record).await {
+        if control_client::is_alive(node, &record).await {
             unresponsive_since.remove(&record.instance);
             continue;
         }
@@ -406,7 +396,7 @@
     for instance in &diff.unlisted {
         let record = lock(&node.membership).get(instance).cloned();
         if let Some(record) = record
-            && !is_alive(node, &record).await
+            && !control_client::is_alive(node, &record).await
         {
             declare_gone(node, record).await;
         }
@@ -415,7 +405,7 @@
 
 /// Marks a member as gone, both in the fleet and in the store.
 async fn declare_gone(node: &Arc<Node>, mut record: MemberRecord) {
-    record.sequence += 1;
+    record.advance();
     record.state = MemberState::Gone;
     gossip::receive_member_records(node, vec![record.clone()]);
     if let Err(error) = member_record::put(node, &record, Expected::Anything).await {
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -4,7 +4,7 @@
     backend::crash::Crashes,
     backend::link::Backend,
     backend::state::{self, Routed},
-    clock::Clock,
+    clock::{Clock, unix_ms},
     config::contention::Contention,
     config::fetch::LearnedFrom,
     config::in_force::{InForce, Origin, RetryLimits},
@@ -112,6 +112,8 @@
     pub(crate) evacuation: EvacuationState,
     pub(crate) shutdown: Shutdown,
     pub(crate) own_record: ArcSwap<MemberRecord>,
+    /// Whether a record of another incarnation of this instance is being verified.
+    pub(crate) is_verifying_incarnation: AtomicBool,
     /// What the next write of the own record replaces in the store; `None` if that has to be read.
     pub(crate) stored_record: Mutex<Option<Expected>>,
     pub(crate) events: EventRing,
@@ -427,51 +429,50 @@
         self.record_event(kind, fields);
     }
 
-    /// Merges a record of this instance that a peer has. Returns whether the own record changed.
+    /// Merges a record of this instance that others have. Returns whether the own record changed.
     pub(crate) fn merge_own_record(&self, record: &MemberRecord) -> bool {
-        if record.incarnation != self.incarnation {
-            return self.outrank_earlier_incarnation(record);
+        if !self.is_outranked_by(record) {
+            return false;
         }
-        let own = self.own_record.load();
-        if !record.supersedes(&own) {
+        // Later, the other incarnation may be this one's successor.
+        if record.incarnation != self.incarnation && self.now() >= OUTRANK_PERIOD {
             return false;
         }
-        // Peers declared this daemon gone while it was unreachable; its own state takes precedence.
-        self.change_own_record(|own| own.sequence = record.sequence);
+        self.outrank(record);
         true
     }
 
-    /// Moves the start time of this incarnation after that of an earlier one, which looks newer if the wall clock was
-    /// set back. Does so only within [`OUTRANK_PERIOD`]; after that, the other incarnation is assumed to be the newer
-    /// one. Returns whether the own record changed.
-    pub(crate) fn outrank_earlier_incarnation(&self, other: &MemberRecord) -> bool {
+    /// Whether others take this record of the instance for newer than the own record.
+    pub(crate) fn is_outranked_by(&self, record: &MemberRecord) -> bool {
         let own = self.own_record.load();
-        let is_other_incarnation =
-            other.instance == own.instance && other.incarnation != own.incarnation;
-        // After it announced that it is gone, it would outrank its own successor.
-        let is_gone = own.state == MemberState::Gone;
-        if is_gone
-            || !is_other_incarnation
-            || !other.supersedes(&own)
-            || self.now() >= OUTRANK_PERIOD
-        {
-            return false;
-        }
-        let mut own_record = (**own).clone();
-        own_record.started_ms = other.started_ms + 1;
-        self.own_record.store(Arc::new(own_record));
-        self.set_own_state(own.state);
-        true
+        record.instance == own.instance
+            && record.is_plausible(unix_ms())
+            && record.supersedes(&own)
+            // After it announced that it is gone, this incarnation would outrank its own successor.
+            && (record.incarnation == own.incarnation || own.state != MemberState::Gone)
+    }
+
+    /// Makes the own record newer than another record of this instance. The wall clock may have been set back since that
+    /// one was written, peers may have declared this daemon gone while it was unreachable, and others may have written it.
+    pub(crate) fn outrank(&self, record: &MemberRecord) {
+        self.change_own_record(|own| own.outrank(record));
+        let fields = vec![
+            Field::new("incarnation", record.incarnation),
+            Field::new("state", format!("{:?}", record.state).to_lowercase()),
+            Field::new("started_ms", record.started_ms),
+            Field::new("sequence", record.sequence),
+        ];
+        self.record_event(&events::RECORD_RECLAIMED, fields);
     }
 
     /// Merges the records of other members with one rebuild of the instance table. Returns those that changed anything.
     pub(crate) fn merge_members(&self, records: Vec<MemberRecord>) -> Vec<MemberRecord> {
         let mut membership = lock(&self.membership);
-        let now = self.now();
+        let (now, unix_ms) = (self.now(), unix_ms());
         let own = &self.settings.instance;
         let updates: Vec<MemberRecord> = records
             .into_iter()
-            .filter(|record| record.instance != *own)
+            .filter(|record| record.instance != *own && record.is_plausible(unix_ms))
             .filter(|record| membership.merge(now, record.clone()))
             .collect();
         if !updates.is_empty() {
@@ -533,7 +534,7 @@
     fn change_own_record(&self, change: impl FnOnce(&mut MemberRecord)) -> MemberRecord {
         let mut record = (**self.own_record.load()).clone();
         change(&mut record);
-        record.sequence += 1;
+        record.advance();
         self.own_record.store(Arc::new(record.clone()));
         let mut membership = lock(&self.membership);
         membership.merge(self.now(), record.clone());
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -51,7 +51,10 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, atomic::Ordering},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -377,6 +380,7 @@
         evacuation: EvacuationState::default(),
         shutdown,
         own_record: ArcSwap::from_pointee(record),
+        is_verifying_incarnation: AtomicBool::new(false),
         stored_record: Mutex::default(),
         events: EventRing::new(&settings.instance, settings.events.kept),
         spans: SpanBuffer::new(span_capacity),
--- a/crates/sorrelturn-daemon/src/store/member_record.rs
+++ b/crates/sorrelturn-daemon/src/store/member_record.rs
@@ -1,6 +1,9 @@
 //! Member records in the platform's store, which the next incarnation of this daemon and other starting daemons read.
 
-use crate::node::{Node, lock};
+use crate::{
+    clock::unix_ms,
+    node::{Node, lock},
+};
 use smol::{Timer, future::FutureExt};
 use sorrelturn_platform::{Expected, Object, PlatformError, keys};
 use sorrelturn_protocol::MemberRecord;
@@ -10,20 +13,9 @@
 /// The maximum number of writes of the own record if others write it at the same time.
 const MAX_WRITES: u32 = 4;
 
-/// Parses a member record. Logs and skips an object that is unreadable or stored under the key of another instance.
+/// Parses a member record. Logs and skips an object that no daemon can have written under its key.
 pub(crate) fn parse(node: &Node, object: &Object) -> Option<MemberRecord> {
-    let record = serde_json::from_str::<MemberRecord>(&object.value)
-        .map_err(|error| error.to_string())
-        .and_then(
-            |record| match keys::member(&record.instance) == object.key {
-                true => Ok(record),
-                false => Err(format!(
-                    "the record belongs to instance {:?}",
-                    record.instance
-                )),
-            },
-        );
-    record
+    try_parse(object)
         .map_err(|error| {
             let fields = vec![Field::new("key", &object.key), Field::new("error", error)];
             node.record_event(&events::RECORD_UNREADABLE, fields);
@@ -31,6 +23,24 @@
         .ok()
 }
 
+fn try_parse(object: &Object) -> Result<MemberRecord, String> {
+    let record = serde_json::from_str::<MemberRecord>(&object.value);
+    let record = record.map_err(|error| error.to_string())?;
+    if keys::member(&record.instance) != object.key {
+        return Err(format!(
+            "the record belongs to instance {:?}",
+            record.instance
+        ));
+    }
+    if !record.is_plausible(unix_ms()) {
+        return Err(format!(
+            "the start {} is in the far future",
+            record.started_ms
+        ));
+    }
+    Ok(record)
+}
+
 /// Writes a member record. Returns the version that the store gives it.
 pub(crate) async fn put(
     node: &Node,
--- a/crates/sorrelturn-protocol/src/member.rs
+++ b/crates/sorrelturn-protocol/src/member.rs
@@ -2,7 +2,11 @@
 
 use crate::{Announcement, BackendState, Incarnation, RequestRate};
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
+
+/// How far the start in a record may be ahead of the reader's clock. Clocks of VMs may be off by decades, for example after
+/// a reset to 1970. The limit moves with the clock, so that any accepted record can be outranked a moment later.
+const MAX_START_LEAD: Duration = Duration::from_secs(100 * 365 * 24 * 60 * 60);
 
 /// Whether a daemon accepts new calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -52,6 +56,34 @@
         self.recency_key() > other.recency_key()
     }
 
+    /// Whether a daemon may have written this record, by the reader's clock in milliseconds since the Unix epoch. A record
+    /// that is further ahead could never be outranked.
+    pub fn is_plausible(&self, unix_ms: u64) -> bool {
+        self.started_ms <= unix_ms.saturating_add(MAX_START_LEAD.as_millis() as u64)
+    }
+
+    /// Makes this record newer than before.
+    pub fn advance(&mut self) {
+        match self.sequence.checked_add(1) {
+            Some(sequence) => self.sequence = sequence,
+            None => {
+                self.started_ms = self.started_ms.saturating_add(1);
+                self.sequence = 0;
+            }
+        }
+    }
+
+    /// Makes this record newer than `other`, a record of the same instance.
+    pub fn outrank(&mut self, other: &Self) {
+        if other.incarnation == self.incarnation {
+            self.started_ms = other.started_ms;
+            self.sequence = other.sequence;
+            self.advance();
+        } else {
+            self.started_ms = other.started_ms.saturating_add(1);
+        }
+    }
+
     /// Whether this record says that its backend server is leaving, which `next`, a record of the next incarnation of the
     /// same daemon, doesn't know.
     pub fn has_leave_unknown_to(&self, next: &Self) -> bool {
--- a/crates/sorrelturn-telemetry/src/events.rs
+++ b/crates/sorrelturn-telemetry/src/events.rs
@@ -93,6 +93,8 @@
 
     EVACUATION_CHANGED = 409 "evacuation-changed" Info "Operators asked to evacuate failure domains, or took that back; the backend servers of evacuated ones receive no requests.";
 
+    RECORD_RECLAIMED = 410 "record-reclaimed" Warn "Others had a newer record of this instance; this daemon made its own the newest again.";
+
     PLATFORM_LOST = 500 "platform-lost" Warn "The platform doesn't answer; the daemon continues with the data it has.";
     PLATFORM_BACK = 501 "platform-back" Info "The platform answers again.";
     OUTCOMES_UNSAVED = 502 "outcomes-unsaved" Warn "The outcomes of tokens could not be written to the platform.";
