A heartbeat isn't refused for a number that its optional field can't hold

Seen by the backend server: 400, and no acknowledgement, for a heartbeat whose cold_ms was 1e400, a lone surrogate or nested 200 levels deep, though the field may hold anything. Cause: as for the store's pages, the field was parsed into a JSON value. It stays text now until it is asked for as a number. optional_and_unknown_fields_hold_anything failed before with "number out of range".

--- a/crates/sorrelturn-daemon/src/backend/report.rs
+++ b/crates/sorrelturn-daemon/src/backend/report.rs
@@ -2,6 +2,7 @@
 //! reaches the port can send them.
 
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use sorrelturn_protocol::BackendState;
 use std::time::Duration;
 
@@ -23,14 +24,14 @@
     /// For how much longer the backend server is cold, in milliseconds. A value that is no number
     /// is ignored.
     #[serde(default)]
-    pub cold_ms: serde_json::Value,
+    pub cold_ms: Option<Box<RawValue>>,
 }
 
 impl Heartbeat {
     /// For how much longer the backend server is cold, if the heartbeat says it.
     pub fn cold_remaining(&self) -> Option<Duration> {
-        let seconds = self.cold_ms.as_f64()? / 1_000.0;
-        Duration::try_from_secs_f64(seconds).ok()
+        let cold_ms: f64 = serde_json::from_str(self.cold_ms.as_ref()?.get()).ok()?;
+        Duration::try_from_secs_f64(cold_ms / 1_000.0).ok()
     }
 }
 
--- a/crates/sorrelturn-daemon/tests/reports.rs
+++ b/crates/sorrelturn-daemon/tests/reports.rs
@@ -35,6 +35,25 @@
     assert_eq!(heartbeat.slots, 36);
 }
 
+/// Guards against a heartbeat that is refused for what an optional or unknown field holds.
+#[test]
+fn optional_and_unknown_fields_hold_anything() {
+    let nested = "[".repeat(200) + &"]".repeat(200);
+    for odd in ["1e400", r#""\ud800""#, "null", "[1]", &nested] {
+        for field in ["cold_ms", "unknown"] {
+            let report = complete_report().to_string();
+            let report = format!(r#"{{"{field}":{odd},{}"#, &report[1..]);
+            let heartbeat = read_heartbeat(report.as_bytes()).expect(field);
+            assert_eq!(heartbeat.cold_remaining(), None, "{field}: {odd}");
+        }
+    }
+    let report = complete_report().to_string();
+    let cold = format!(r#"{{"cold_ms":1500.0,{}"#, &report[1..]);
+    let heartbeat = read_heartbeat(cold.as_bytes()).expect("it is valid");
+    let remaining = heartbeat.cold_remaining().expect("it is cold");
+    assert_eq!(remaining.as_millis(), 1_500);
+}
+
 #[test]
 fn malformed_reports_are_refused() {
     for text in MALFORMED_REPORTS {
