At most 20 skipped member records of one list are logged

Each odd entry among the members made a line at each list, however many there were; a watch that starts over lists them all. Both readers of the list parse it by the same function now.

--- a/crates/sorrelturn-daemon/src/fleet/join.rs
+++ b/crates/sorrelturn-daemon/src/fleet/join.rs
@@ -26,11 +26,7 @@
 pub(crate) async fn join(node: &Arc<Node>) {
     if let Ok(changes) = node.platform.list(keys::MEMBERS).await {
         store::log_unreadable_entries(node, keys::MEMBERS, &changes);
-        let records: Vec<MemberRecord> = changes
-            .objects
-            .iter()
-            .filter_map(|object| member_record::parse(node, object))
-            .collect();
+        let records = member_record::parse_all(node, &changes.objects);
         let own_key = keys::member(&node.settings.instance);
         let own = changes.objects.iter().find(|object| object.key == own_key);
         let stored = own.map_or(Expected::Absent, |object| Expected::Version(object.version));
--- a/crates/sorrelturn-daemon/src/fleet/watch.rs
+++ b/crates/sorrelturn-daemon/src/fleet/watch.rs
@@ -260,11 +260,7 @@
         None => Duration::ZERO,
     };
     watch_prefix(node, keys::MEMBERS, delay_after, restart, |changes| {
-        let records = changes
-            .objects
-            .iter()
-            .filter_map(|object| member_record::parse(node, object))
-            .collect();
+        let records = member_record::parse_all(node, &changes.objects);
         gossip::receive_member_records(node, records);
     })
     .await;
--- a/crates/sorrelturn-daemon/src/store/member_record.rs
+++ b/crates/sorrelturn-daemon/src/store/member_record.rs
@@ -12,18 +12,29 @@
 
 /// The maximum number of writes of the own record if others write it at the same time.
 const MAX_WRITES: u32 = 4;
+/// The maximum number of skipped records of one list that are logged.
+const MAX_LOGGED_RECORDS: usize = 20;
 
-/// Parses a member record. Logs and skips an object that no daemon can have written under its key.
-pub(crate) fn parse(node: &Node, object: &Object) -> Option<MemberRecord> {
-    try_parse(object)
-        .map_err(|error| {
-            let fields = vec![Field::new("key", &object.key), Field::new("error", error)];
-            node.record_event(&events::RECORD_UNREADABLE, fields);
-        })
-        .ok()
+/// Parses the records among some objects under [`keys::MEMBERS`]. Skips those that no daemon can have written under their
+/// key, and logs the first ones.
+pub(crate) fn parse_all(node: &Node, objects: &[Object]) -> Vec<MemberRecord> {
+    let mut records = Vec::new();
+    let mut skipped = 0;
+    for object in objects {
+        match parse(object) {
+            Ok(record) => records.push(record),
+            Err(error) if skipped < MAX_LOGGED_RECORDS => {
+                skipped += 1;
+                let fields = vec![Field::new("key", &object.key), Field::new("error", error)];
+                node.record_event(&events::RECORD_UNREADABLE, fields);
+            }
+            Err(_) => {}
+        }
+    }
+    records
 }
 
-fn try_parse(object: &Object) -> Result<MemberRecord, String> {
+fn parse(object: &Object) -> Result<MemberRecord, String> {
     let record = serde_json::from_str::<MemberRecord>(&object.value);
     let record = record.map_err(|error| error.to_string())?;
     if keys::member(&record.instance) != object.key {
