Durations that backend servers send can't overflow

A Keep-Alive of more than 3e17 seconds overflowed a multiplication: a debug build lost the thread, and with it the caller's response; a release build kept some other idle time. A heartbeat that says that the backend server is cold for the longest time there is would have ended a release build by an addition to the clock (a duration that can't be held aborts) once the daemon had run for 34 minutes; shown in the policy's test alone. Both saturate now.

The scripted backend server's own Keep-Alive gives way to an added one.

--- a/crates/sorrelturn-bench/src/commands/soak.rs
+++ b/crates/sorrelturn-bench/src/commands/soak.rs
@@ -86,6 +86,12 @@
                 .help("Only publish series of route tables, beside long faults that don't excuse a late one")
                 .action(ArgAction::SetTrue),
         )
+        .arg(
+            Arg::new("other-writers")
+                .long("other-writers")
+                .help("Other clients write entries into the store that can't be parsed or aren't theirs to write; with --changes, also records of live daemons")
+                .action(ArgAction::SetTrue),
+        )
         .arg(
             Arg::new("print")
                 .long("print")
@@ -124,6 +130,10 @@
         true => plan.with_mixed_work(copied_percent),
         false => plan,
     };
+    let plan = match args.get_flag("other-writers") {
+        true => plan.with_other_writers(),
+        false => plan,
+    };
     print!("{plan}");
     if args.get_flag("print") {
         return ExitCode::SUCCESS;
--- a/crates/sorrelturn-bench/src/lib.rs
+++ b/crates/sorrelturn-bench/src/lib.rs
@@ -13,6 +13,7 @@
 mod fleet;
 mod idle_fleet;
 mod load;
+mod other_writer;
 mod plan;
 mod processes;
 mod relay;
--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -611,9 +611,11 @@
             // A health check.
             extra += &format!("{}: {}\r\n", self.names.backend_id, self.id());
         }
-        let response_headers = format!(
-            "{name}: {request_id}\r\n{SIGNATURE}: {request_id}\r\nkeep-alive: timeout={IDLE_TIMEOUT_S}\r\n{extra}"
-        );
+        if !extra.contains("keep-alive:") {
+            extra += &format!("keep-alive: timeout={IDLE_TIMEOUT_S}\r\n");
+        }
+        let response_headers =
+            format!("{name}: {request_id}\r\n{SIGNATURE}: {request_id}\r\n{extra}");
         let full_response = match &self.observer {
             Some(_) => {
                 let body = answer_body(&request_id, 0);
--- a/crates/sorrelturn-bench/src/routed_fleet.rs
+++ b/crates/sorrelturn-bench/src/routed_fleet.rs
@@ -1,19 +1,17 @@
 //! A small fleet on loopback with route tables and scripted backend servers.
 
 use crate::{
-    Relay, ReservedPorts, RoutedBackend,
+    Relay, ReservedPorts, RoutedBackend, other_writer,
     processes::{Process, play_faults},
 };
 use bytes::Bytes;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response};
 use smol::{Executor, Timer, net::TcpListener};
 use sorrelturn_daemon::{
     AdvertiseSettings, Clock, Daemon, Dialect, ListenSettings, Settings, StartError, StatusReport,
     StopSettings, since_boot,
 };
-use sorrelturn_platform::{
-    Counters, Expected, Faults, OBJECTS_PATH, Platform, StandIn, http::exchange, keys, serve,
-};
+use sorrelturn_platform::{Counters, Expected, Faults, Platform, StandIn, http::exchange, serve};
 use std::{
     net::SocketAddr,
     path::Path,
@@ -274,17 +272,8 @@
 
     /// Writes an object with this JSON as its value into the store, as another client that doesn't check it.
     pub async fn write_json(&self, key: &str, value: &str) {
-        let (kind, name) = keys::kind_and_name(key);
-        let body = format!(r#"{{"metadata":{{"name":"{name}"}},"value":{value}}}"#);
-        let write = async |method: &str, path: String| {
-            let req = Request::builder().method(method).uri(path);
-            let req = req.body(Bytes::from(body.clone()));
-            send(self.platform, req.expect("a request")).await.status()
-        };
-        let mut status = write("PUT", format!("{OBJECTS_PATH}/{kind}/{name}")).await;
-        if status == StatusCode::NOT_FOUND {
-            status = write("POST", format!("{OBJECTS_PATH}/{kind}")).await;
-        }
+        let written = other_writer::write_json(self.platform, key, value, WAIT_TIMEOUT).await;
+        let status = written.expect("the store answers");
         assert!(status.is_success(), "{key}: {status}");
     }
 
--- a/crates/sorrelturn-bench/src/soak/actions.rs
+++ b/crates/sorrelturn-bench/src/soak/actions.rs
@@ -92,6 +92,7 @@
                 Timer::after(Duration::from_millis(ms)).await;
                 self.play_at_all(NORMAL_WORK);
             }
+            Action::WriteEntry(entry) => self.write_entry(entry).await,
             Action::Misbehave { daemon, script, ms } => {
                 let backend = &self.daemons[daemon].backend;
                 backend.play(script);
--- a/crates/sorrelturn-bench/src/soak/mod.rs
+++ b/crates/sorrelturn-bench/src/soak/mod.rs
@@ -7,6 +7,7 @@
 mod harness;
 mod member;
 mod mixed_work;
+mod other_writers;
 mod path;
 mod plan;
 mod traffic;
@@ -14,5 +15,6 @@
 
 pub use checker::{Breach, Checker, Counts, Ending, Kind, Place, Promise};
 pub use harness::{SoakReport, SoakTarget, soak};
+pub use other_writers::{ForeignEntry, OddJson, RecordChange};
 pub use plan::{Action, PathFault, SoakPlan, StoreFault, TimedAction};
 pub use workspaces::CredentialKind;
--- a/crates/sorrelturn-bench/src/soak/plan.rs
+++ b/crates/sorrelturn-bench/src/soak/plan.rs
@@ -3,6 +3,7 @@
 //! A seed gives the same plan on every machine. Thread scheduling varies, so a failed seed may need several runs to
 //! fail again.
 
+use super::other_writers::{self, ForeignEntry};
 use crate::Script;
 use fastrand::Rng;
 use std::fmt;
@@ -172,6 +173,8 @@
         /// The copied part of the responses.
         copied_percent: u8,
     },
+    /// Another client writes an entry into the store.
+    WriteEntry(ForeignEntry),
     /// Makes a backend server misbehave.
     Misbehave {
         /// Its daemon's number.
@@ -267,6 +270,23 @@
         self
     }
 
+    /// The same plan with entries of other clients in the store: JSON that can't be parsed, copies of the route table, and,
+    /// if the plan is one of changes, records of live daemons with other numbers.
+    pub fn with_other_writers(mut self) -> Self {
+        let mut rng = Rng::with_seed(!self.seed.reverse_bits());
+        let replaces_records = self.has_table_probes;
+        let actions = &mut self.actions;
+        other_writers::add_entries(
+            &mut rng,
+            self.seconds,
+            self.instances,
+            replaces_records,
+            actions,
+        );
+        actions.sort_by_key(|timed| timed.at_ms);
+        self
+    }
+
     /// The same plan with a request that crashes backend servers.
     pub fn with_crashes(self) -> Self {
         Self {
--- a/crates/sorrelturn-daemon/src/net/pool.rs
+++ b/crates/sorrelturn-daemon/src/net/pool.rs
@@ -37,7 +37,7 @@
 /// [`SPARE_IDLE_TIMEOUT`]. A connection takes about 20 KB of memory at each end.
 const MIN_RETAINED_IDLE: usize = 4;
 /// The percentage of the peer's idle timeout for which a connection is reused.
-const PEER_IDLE_TIMEOUT_PERCENT: u64 = 60;
+const PEER_IDLE_TIMEOUT_PERCENT: u128 = 60;
 /// The buffer limit of a connection, in bytes; it bounds the memory for a slow reader.
 pub(crate) const MAX_BUF_BYTES: usize = 128 << 10;
 /// The limit of what a peer may send before its response, the head and all interim responses included, in bytes. More than
@@ -295,10 +295,9 @@
     /// Applies the idle timeout that the peer reported. Connections are reused for a fraction of
     /// it only, since a request that is sent while the peer closes the connection may have run.
     pub(crate) fn set_peer_idle_timeout(&self, peer_timeout: Duration) {
-        let usable_ms = peer_timeout.as_millis() as u64 * PEER_IDLE_TIMEOUT_PERCENT / 100;
-        let max_ms = IDLE_TIMEOUT.as_millis() as u64;
-        self.idle_timeout_ms
-            .store(usable_ms.min(max_ms), Ordering::Relaxed);
+        let usable_ms = peer_timeout.as_millis() * PEER_IDLE_TIMEOUT_PERCENT / 100;
+        let usable_ms = usable_ms.min(IDLE_TIMEOUT.as_millis()) as u64;
+        self.idle_timeout_ms.store(usable_ms, Ordering::Relaxed);
     }
 
     fn idle_timeout(&self) -> Duration {
--- a/crates/sorrelturn-policy/src/cold_limiter.rs
+++ b/crates/sorrelturn-policy/src/cold_limiter.rs
@@ -61,7 +61,7 @@
     pub fn report(&mut self, now: Now, remaining: Duration) {
         match remaining {
             Duration::ZERO => self.cold_until = Now::ZERO,
-            _ => self.become_cold_until(now, now + remaining),
+            _ => self.become_cold_until(now, now.saturating_add(remaining)),
         }
     }
 
--- a/crates/sorrelturn-policy/tests/cold_starts.rs
+++ b/crates/sorrelturn-policy/tests/cold_starts.rs
@@ -172,3 +172,14 @@
         }
     }
 }
+
+/// Guards against an addition beyond the highest time, for which a backend server may say that it is cold.
+#[test]
+fn a_backend_server_may_say_that_it_is_cold_forever() {
+    let mut gate = gate(Some(RATE));
+    let now = Duration::from_secs(3_600);
+    gate.cold_limiter().report(now, Duration::MAX);
+    assert!(gate.cold_limiter().is_limiting(now));
+    gate.cold_limiter().report(now, Duration::ZERO);
+    assert!(!gate.cold_limiter().is_limiting(now));
+}
