A member's name that no path can hold no longer ends the watchers

What operators saw elsewhere: one odd entry among the instances, and the machines that read the list ended again and again. Here: a readable record whose instance is named with a space or another character that a path can't hold is a member that doesn't answer. Some 15 s later its watcher writes that it is gone, under a path that can't be parsed: the client panicked ("keys contain only URI characters"), and a release build ends by a panic. The next watcher did the same, and the restarted ones. A name with ?, # or % named another object or none.

Change: names are encoded in paths; the stand-in decodes them.

--- a/crates/sorrelturn-bench/src/other_writer.rs
+++ b/crates/sorrelturn-bench/src/other_writer.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use hyper::{Request, StatusCode};
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use sorrelturn_platform::{
     OBJECTS_PATH,
     http::{ExchangeError, exchange},
@@ -18,6 +19,7 @@
     timeout: Duration,
 ) -> Result<StatusCode, ExchangeError> {
     let (kind, name) = keys::kind_and_name(key);
+    let encoded_name = utf8_percent_encode(name, NON_ALPHANUMERIC);
     let body = format!(r#"{{"metadata":{{"name":"{name}"}},"value":{json}}}"#);
     let write = async |method: &str, path: String| {
         let req = Request::builder().method(method).uri(path);
@@ -25,7 +27,7 @@
         let res = exchange(platform, req, timeout).await?;
         Ok(res.status())
     };
-    match write("PUT", format!("{OBJECTS_PATH}/{kind}/{name}")).await {
+    match write("PUT", format!("{OBJECTS_PATH}/{kind}/{encoded_name}")).await {
         Ok(StatusCode::NOT_FOUND) => write("POST", format!("{OBJECTS_PATH}/{kind}")).await,
         written => written,
     }
--- a/crates/sorrelturn-daemon/src/store/member_record.rs
+++ b/crates/sorrelturn-daemon/src/store/member_record.rs
@@ -43,6 +43,9 @@
             record.instance
         ));
     }
+    if record.instance.contains('/') {
+        return Err("the name of the instance has a slash".to_owned());
+    }
     if !record.is_plausible(unix_ms()) {
         return Err(format!(
             "the start {} is in the far future",
--- a/crates/sorrelturn-platform/src/client.rs
+++ b/crates/sorrelturn-platform/src/client.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use displaydoc::Display;
 use hyper::{Method, Request, Response, StatusCode, header::CONTENT_TYPE};
-use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
+use percent_encoding::{AsciiSet, CONTROLS, NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::de::DeserializeOwned;
 use std::{
     net::SocketAddr,
@@ -20,6 +20,23 @@
 /// The default path of objects on the platform.
 pub const OBJECTS_PATH: &str = "/v1/objects";
 
+/// Characters of names that are encoded in paths: those that a path can't hold, or that end its segment.
+const ENCODED_IN_PATHS: &AsciiSet = &CONTROLS
+    .add(b' ')
+    .add(b'"')
+    .add(b'#')
+    .add(b'%')
+    .add(b'/')
+    .add(b'<')
+    .add(b'>')
+    .add(b'?')
+    .add(b'\\')
+    .add(b'^')
+    .add(b'`')
+    .add(b'{')
+    .add(b'|')
+    .add(b'}');
+
 /// The precondition of a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Expected {
@@ -264,12 +281,14 @@
 
     fn kind_path(&self, key: &str) -> String {
         let (kind, _) = keys::kind_and_name(key);
+        let kind = utf8_percent_encode(&kind, ENCODED_IN_PATHS);
         format!("{}/{kind}", self.objects_path)
     }
 
     fn object_path(&self, key: &str) -> String {
-        let (kind, name) = keys::kind_and_name(key);
-        format!("{}/{kind}/{name}", self.objects_path)
+        let (_, name) = keys::kind_and_name(key);
+        let name = utf8_percent_encode(name, ENCODED_IN_PATHS);
+        format!("{}/{name}", self.kind_path(key))
     }
 
     async fn call(
@@ -285,7 +304,7 @@
 fn request(method: Method, path: &str) -> Request<Bytes> {
     let mut req = Request::new(Bytes::new());
     *req.method_mut() = method;
-    *req.uri_mut() = path.parse().expect("keys contain only URI characters");
+    *req.uri_mut() = path.parse().expect("keys are encoded");
     let json = hyper::header::HeaderValue::from_static("application/json");
     req.headers_mut().insert(CONTENT_TYPE, json);
     req
--- a/crates/sorrelturn-platform/src/stand_in.rs
+++ b/crates/sorrelturn-platform/src/stand_in.rs
@@ -88,6 +88,7 @@
     ) -> Result<Answer, hyper::Error> {
         let (kind, rest) = object_path.split_once('/').unwrap_or((object_path, ""));
         let (name, subresource) = rest.split_once('/').unwrap_or((rest, ""));
+        let name = &*percent_decode_str(name).decode_utf8_lossy();
         let query = req.uri().query().unwrap_or("").to_owned();
         let query = Query(&query);
         match (req.method().clone(), name.is_empty()) {
--- a/crates/sorrelturn-platform/tests/odd_entries.rs
+++ b/crates/sorrelturn-platform/tests/odd_entries.rs
@@ -186,6 +186,31 @@
     assert_eq!(values, ["null", r#"NaN, "Infinity" and \ 1.5.2"#, "-1.5e3"]);
 }
 
+/// Guards against a name of another writer that ends the process, since no path can hold it as it is.
+#[test]
+fn an_object_of_any_name_is_read_written_and_deleted() {
+    let ex = Arc::new(Executor::new());
+    smol::block_on(ex.run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let addr = listener.local_addr().expect("address");
+        let _serving = ex.spawn(serve(Arc::clone(&ex), listener, StandIn::default()));
+        let platform = Platform::new(addr, TIMEOUT);
+        for name in [
+            "a b", "a?watch=1", "a#b", "a%2Fb", "\u{e4}\u{1f600}", "{\"a\"}", "a\nb", "..", "a\\b",
+        ] {
+            let key = format!("kind/{name}");
+            let written = platform.put(&key, name, Expected::Anything).await;
+            let version = written.unwrap_or_else(|error| panic!("{name:?}: {error}"));
+            let found = platform.get(&key).await;
+            assert_matches!(found, Ok(Some(object)) if object.key == key && object.version == version);
+            let listed = platform.list("kind/").await.expect("a list");
+            assert_eq!(keys(&listed), [key.as_str()]);
+            platform.delete(&key).await.expect("it is deleted");
+            assert_matches!(platform.get(&key).await, Ok(None));
+        }
+    }));
+}
+
 /// The stand-in keeps what it is given, or tests couldn't play such entries.
 #[test]
 fn the_stand_in_returns_a_value_as_it_was_written() {
