--- a/crates/sorrelturn-bench/src/soak/other_writers.rs
+++ b/crates/sorrelturn-bench/src/soak/other_writers.rs
@@ -17,6 +17,8 @@
 /// By how much the version of a copy is above that of the route table.
 const VERSIONS_AHEAD: u64 = 1_000;
 const HOUR_MS: u64 = 3_600_000;
+/// A port on which nothing listens.
+const DEAD_PORT: u16 = 1;
 
 /// An entry of another client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,6 +29,8 @@
     OddNeighbour(OddJson),
     /// A copy of the route table with a higher version under another name.
     TableCopy,
+    /// The record of a member that doesn't exist, whose name no path can hold.
+    OddName,
     /// The record of a live daemon with other numbers.
     Record {
         /// The daemon's number.
@@ -117,10 +121,11 @@
     let mut at_ms = 0;
     while at_ms < seconds * 1_000 {
         let odd = ODD_JSON[rng.usize(..ODD_JSON.len())];
-        let entry = match rng.u8(..if replaces_records { 5 } else { 3 }) {
+        let entry = match rng.u8(..if replaces_records { 6 } else { 4 }) {
             0 => ForeignEntry::OddMember(odd),
             1 => ForeignEntry::OddNeighbour(odd),
             2 => ForeignEntry::TableCopy,
+            3 => ForeignEntry::OddName,
             _ => ForeignEntry::Record {
                 daemon: rng.usize(..instances),
                 change: RECORD_CHANGES[rng.usize(..RECORD_CHANGES.len())],
@@ -145,17 +150,22 @@
                 let table = (self.target.table)(version);
                 (format!("{table_kind}/copy-{number}"), table)
             }
+            ForeignEntry::OddName => {
+                let Some(mut record) = self.stored_record(0).await else {
+                    return;
+                };
+                record.instance = format!("odd name {number}");
+                record.incarnation.0 ^= 1;
+                record.control_addr.set_port(DEAD_PORT);
+                record.peer_addr.set_port(DEAD_PORT);
+                (keys::member(&record.instance), to_json(&record))
+            }
             ForeignEntry::Record { daemon, change } => {
-                let key = keys::member(&self.daemons[daemon].settings.instance);
-                let platform = Platform::new(self.platform, START_TIMEOUT);
-                let stored = platform.get(&key).await.ok().flatten();
-                let stored = stored.and_then(|object| serde_json::from_str(&object.value).ok());
-                let Some(mut record): Option<MemberRecord> = stored else {
+                let Some(mut record) = self.stored_record(daemon).await else {
                     return;
                 };
                 change.apply_to(&mut record);
-                let json = serde_json::to_string(&record).expect("a record is JSON");
-                (key, json)
+                (keys::member(&record.instance), to_json(&record))
             }
         };
         let written = other_writer::write_json(self.platform, &key, &json, START_TIMEOUT).await;
@@ -163,4 +173,16 @@
             log::info!("{key} isn't written: {error}");
         }
     }
+
+    /// Returns the record of a daemon in the store, if it can be read.
+    async fn stored_record(&self, daemon: usize) -> Option<MemberRecord> {
+        let key = keys::member(&self.daemons[daemon].settings.instance);
+        let platform = Platform::new(self.platform, START_TIMEOUT);
+        let stored = platform.get(&key).await.ok().flatten()?;
+        serde_json::from_str(&stored.value).ok()
+    }
+}
+
+fn to_json(record: &MemberRecord) -> String {
+    serde_json::to_string(record).expect("a record is JSON")
 }
