Tests: random JSON and random bytes in the store's responses

An entry of random numbers, words, escapes, control characters, bytes other than UTF-8 and up to 300 levels stands among others; lists, single objects and conflicts must show the others and its version. Any bytes as a body are parsed or refused. The scripted responses moved to tests/common.

--- a/crates/sorrelturn-platform/tests/odd_entries.rs
+++ b/crates/sorrelturn-platform/tests/odd_entries.rs
@@ -1,19 +1,15 @@
 //! Entries of other writers that can't be parsed, in every response of the store that holds objects.
 
+mod common;
+
 use assert_matches::assert_matches;
 use bytes::Bytes;
+use common::{TIMEOUT, answered_with, keys, list_page, object};
 use hyper::Request;
-use smol::{
-    Executor,
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpListener,
-};
-use sorrelturn_platform::{
-    Changes, Expected, Platform, PlatformError, StandIn, http::exchange, serve,
-};
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use smol::{Executor, net::TcpListener};
+use sorrelturn_platform::{Expected, Platform, PlatformError, StandIn, http::exchange, serve};
+use std::{net::SocketAddr, sync::Arc};
 
-const TIMEOUT: Duration = Duration::from_secs(20);
 /// Deeper than JSON libraries parse.
 const DEPTH: usize = 2_000;
 
@@ -43,51 +39,15 @@
     values
 }
 
-fn object(name: &str, revision: u64, value: &[u8]) -> Vec<u8> {
-    let metadata = format!(r#"{{"metadata":{{"name":"{name}","revision":{revision}}},"value":"#);
-    [metadata.as_bytes(), value, b"}"].concat()
-}
-
-/// Serves one response to each of as many connections; calls the store meanwhile.
-fn answered_with<T>(status: u16, responses: Vec<Vec<u8>>, call: impl AsyncFn(Platform) -> T) -> T {
-    let ex = Arc::new(Executor::new());
-    smol::block_on(ex.run(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
-        let addr = listener.local_addr().expect("address");
-        let answer = ex.spawn(async move {
-            for body in responses {
-                let (mut tcp, _) = listener.accept().await.expect("a caller");
-                tcp.read(&mut [0; 4096]).await.expect("a request");
-                let length = body.len();
-                let head = format!(
-                    "HTTP/1.1 {status} Any\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n"
-                );
-                let sent = tcp.write_all(&[head.as_bytes(), &body].concat()).await;
-                sent.expect("sent");
-            }
-        });
-        let result = call(Platform::new(addr, TIMEOUT)).await;
-        drop(answer);
-        result
-    }))
-}
-
-fn keys(changes: &Changes) -> Vec<&str> {
-    let keys = changes.objects.iter().map(|object| object.key.as_str());
-    keys.filter(|key| *key != "kind/odd").collect()
-}
-
 /// Guards against one entry of another writer that hides all others of its page, so that daemons never find one another.
 #[test]
 fn an_entry_that_cant_be_parsed_hides_no_other_of_a_list() {
     for value in odd_values() {
-        let items = [
+        let page = list_page(&[
             object("first", 1, br#""v""#),
             object("odd", 2, &value),
             object("last", 3, br#""v""#),
-        ]
-        .join(&b","[..]);
-        let page = [br#"{"items":["#, &items[..], br#"],"store_revision":9}"#].concat();
+        ]);
         let listed = answered_with(200, vec![page], async |platform| {
             platform.list("kind/").await
         });
@@ -171,13 +131,11 @@
 #[test]
 fn strings_beside_invalid_words_stay_as_they_are() {
     let text = r#""NaN, \"Infinity\" and \\ 1.5.2""#;
-    let items = [
+    let page = list_page(&[
         object("odd", 1, b"NaN"),
         object("text", 2, text.as_bytes()),
         object("number", 3, b"-1.5e3"),
-    ]
-    .join(&b","[..]);
-    let page = [br#"{"items":["#, &items[..], br#"],"store_revision":9}"#].concat();
+    ]);
     let listed = answered_with(200, vec![page], async |platform| {
         platform.list("kind/").await
     });
--- /dev/null
+++ b/crates/sorrelturn-platform/tests/random_entries.rs
@@ -0,0 +1,112 @@
+//! Random entries of other writers, in the bytes of the store's responses: none hides another one, whatever it holds.
+
+mod common;
+
+use assert_matches::assert_matches;
+use common::{TIMEOUT, answered_with, keys, list_page, object};
+use proptest::prelude::*;
+use sorrelturn_platform::{Expected, PlatformError};
+
+/// Deeper than JSON libraries parse.
+const MAX_DEPTH: usize = 300;
+
+/// A number as some serializer may write it, in range or not, or a word in its place.
+fn any_number() -> impl Strategy<Value = Vec<u8>> {
+    prop_oneof![
+        "-?(0|[1-9][0-9]{0,40})(\\.[0-9]{1,30})?([eE][+-]?[0-9]{1,4})?",
+        Just("NaN".to_owned()),
+        Just("-Infinity".to_owned()),
+        Just("Infinity".to_owned()),
+        Just("nan".to_owned()),
+        Just("+1".to_owned()),
+        Just(".5".to_owned()),
+        Just("0x10".to_owned()),
+    ]
+    .prop_map(String::into_bytes)
+}
+
+/// A string with escapes, halves of surrogate pairs, control characters and bytes other than UTF-8.
+fn any_string() -> impl Strategy<Value = Vec<u8>> {
+    let piece = prop_oneof![
+        "[a-zA-Z0-9 {}\\[\\]:,.+-]{1,5}".prop_map(String::into_bytes),
+        "\\\\u[0-9a-fA-F]{4}".prop_map(String::into_bytes),
+        "\\\\[\"\\\\/bfnrt]".prop_map(String::into_bytes),
+        (0_u8..32).prop_map(|byte| vec![byte]),
+        (128_u8..=255).prop_map(|byte| vec![byte]),
+    ];
+    proptest::collection::vec(piece, 0..6)
+        .prop_map(|pieces| [b"\"".to_vec(), pieces.concat(), b"\"".to_vec()].concat())
+}
+
+fn any_json() -> impl Strategy<Value = Vec<u8>> {
+    let scalar = prop_oneof![
+        any_number(),
+        any_string(),
+        Just(b"null".to_vec()),
+        Just(b"true".to_vec()),
+    ];
+    let nested = scalar.prop_recursive(4, 24, 4, |inner| {
+        let member = (any_string(), inner.clone())
+            .prop_map(|(name, value)| [&name[..], b":", &value].concat());
+        prop_oneof![
+            proptest::collection::vec(inner, 0..4).prop_map(|items| [
+                b"[",
+                &items.join(&b","[..])[..],
+                b"]"
+            ]
+            .concat()),
+            proptest::collection::vec(member, 0..4).prop_map(|members| [
+                b"{",
+                &members.join(&b","[..])[..],
+                b"}"
+            ]
+            .concat()),
+        ]
+    });
+    (nested, 0..MAX_DEPTH)
+        .prop_map(|(value, depth)| [&b"[".repeat(depth)[..], &value, &b"]".repeat(depth)].concat())
+}
+
+proptest! {
+    /// Guards against one entry of another writer that hides all others of its page, or its own version.
+    #[test]
+    fn no_entry_hides_another_one(value in any_json()) {
+        let objects = [
+            object("first", 1, br#""v""#),
+            object("odd", 2, &value),
+            object("last", 3, br#""v""#),
+        ];
+        let listed = answered_with(200, vec![list_page(&objects)], async |platform| {
+            platform.list("kind/").await
+        });
+        let listed = listed.expect("a list");
+        prop_assert_eq!(keys(&listed), ["kind/first", "kind/last"]);
+        let got = answered_with(200, vec![object("odd", 7, &value)], async |platform| {
+            platform.get("kind/odd").await
+        });
+        assert_matches!(got, Ok(Some(object)) if object.version == 7);
+        let written = answered_with(409, vec![object("odd", 7, &value)], async |platform| {
+            platform.put("kind/odd", "v", Expected::Absent).await
+        });
+        assert_matches!(written, Err(PlatformError::Conflict(7)));
+    }
+
+    /// Guards against a panic, which would end the daemon.
+    #[test]
+    fn any_bytes_are_parsed_or_refused(body in proptest::collection::vec(any::<u8>(), 0..200), value in any_json()) {
+        let cut = &object("odd", 2, &value)[..];
+        let cut = cut[..body.len().min(cut.len())].to_vec();
+        for body in [body, cut] {
+            for status in [200, 404, 409, 410, 503] {
+                let results = answered_with(status, vec![body.clone(); 3], async |platform| {
+                    (
+                        platform.list("kind/").await.is_ok(),
+                        platform.watch("kind/", 1, TIMEOUT).await.is_ok(),
+                        platform.get("kind/odd").await.is_ok(),
+                    )
+                });
+                let _ = results;
+            }
+        }
+    }
+}
