A daemon whose log nobody reads exits after a stop

That the disk stood still is suspected, not shown: nothing recorded its pressure then.

Cause of what can be shown: the last flush waits without end for whoever reads standard output. Change: it ends after 300 ms.

Evidence: a_daemon_whose_log_is_not_read_exits_after_a_stop: with a wait of an hour the daemon never exits (60 s), now it does.

--- a/crates/sorrelturn-daemon/src/operators/log_sink.rs
+++ b/crates/sorrelturn-daemon/src/operators/log_sink.rs
@@ -8,7 +8,7 @@
 use std::{
     io::{self, Write},
     mem,
-    sync::{Mutex, MutexGuard, OnceLock},
+    sync::{Mutex, MutexGuard, OnceLock, mpsc},
     thread,
     time::Duration,
 };
@@ -67,8 +67,19 @@
     });
 }
 
+/// As [`flush`], for at most `timeout`: the reader of standard output may have stopped reading.
+pub(crate) fn flush_within(timeout: Duration) {
+    let (tx, flushed) = mpsc::channel();
+    thread::spawn(move || {
+        flush();
+        // Nobody waits any more after the timeout.
+        let _ = tx.send(());
+    });
+    let _ = flushed.recv_timeout(timeout);
+}
+
 /// Writes the buffered lines to standard output.
-pub(crate) fn flush() {
+fn flush() {
     let (mut buf, dropped) = {
         let mut log_buffer = log_buffer();
         let spare = mem::take(&mut log_buffer.spare);
--- a/crates/sorrelturn-daemon/src/process.rs
+++ b/crates/sorrelturn-daemon/src/process.rs
@@ -4,7 +4,7 @@
 use async_signal::{Signal, Signals};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use smol::{Executor, channel, stream::StreamExt};
-use std::{path::PathBuf, process::ExitCode, sync::Arc, thread};
+use std::{path::PathBuf, process::ExitCode, sync::Arc, thread, time::Duration};
 
 /// The settings are invalid.
 const EXIT_INVALID_SETTINGS: u8 = 2;
@@ -14,6 +14,8 @@
 const EXIT_REQUESTS_CUT_OFF: u8 = 4;
 /// The environment variable with the path of the settings file, used without `--settings`.
 const SETTINGS_ENV_VAR: &str = "SORRELTURN_SETTINGS";
+/// The timeout for writing the last log lines.
+const LAST_FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
 
 fn cli_command(name: &'static str) -> Command {
     Command::new(name)
@@ -47,7 +49,7 @@
 pub fn main(name: &'static str, dialect: Dialect) -> ExitCode {
     log_sink::start();
     let code = run(&cli_command(name).get_matches(), dialect);
-    log_sink::flush();
+    log_sink::flush_within(LAST_FLUSH_TIMEOUT);
     code
 }
 
