The overload detector compares one time for most requests

The detector added the length of its window to its start at each arrival and entered the loop that closes windows with all the registers that it needs. It keeps the end of the window now, and the loop is a function of its own. Behaviour is as before; the tests of the policy pass.

--- a/crates/sorrelturn-policy/src/overload_detector.rs
+++ b/crates/sorrelturn-policy/src/overload_detector.rs
@@ -31,7 +31,7 @@
 /// within a few windows after an overload.
 #[derive(Clone, Debug)]
 pub struct OverloadDetector {
-    window_start: Now,
+    window_end: Now,
     arrived: [f64; BINS],
     admitted: f64,
     admitted_in_window: u32,
@@ -47,7 +47,7 @@
     /// Creates a threshold of zero.
     pub fn new(now: Now) -> Self {
         Self {
-            window_start: now,
+            window_end: now + WINDOW,
             arrived: [0.0; BINS],
             admitted: 0.0,
             admitted_in_window: 0,
@@ -95,16 +95,24 @@
     }
 
     fn advance(&mut self, now: Now) {
-        while now >= self.window_start + WINDOW {
+        if now >= self.window_end {
+            self.close_windows(now);
+        }
+    }
+
+    /// Kept out of the calls that only compare the time, which are most of them.
+    #[cold]
+    fn close_windows(&mut self, now: Now) {
+        while now >= self.window_end {
             match self.highest_shed {
                 Some(highest) => self.raise_threshold(highest),
                 None if self.is_queueing_delay_high() => self.quiet_windows = 0,
                 None => self.lower_threshold(),
             }
             self.start_next_window();
-            let is_idle = self.threshold_bin == 0 && now > self.window_start + WINDOW;
+            let is_idle = self.threshold_bin == 0 && now > self.window_end;
             if is_idle {
-                self.window_start = now;
+                self.window_end = now + WINDOW;
             }
         }
     }
@@ -118,7 +126,7 @@
         self.queueing_delay_sum = Duration::ZERO;
         self.highest_shed = None;
         self.is_busy = false;
-        self.window_start += WINDOW;
+        self.window_end += WINDOW;
     }
 
     fn is_queueing_delay_high(&self) -> bool {
@@ -127,7 +135,8 @@
 
     fn raise_threshold(&mut self, highest_shed: usize) {
         self.quiet_windows = 0;
-        self.overloaded_since.get_or_insert(self.window_start);
+        let window_start = self.window_end.saturating_sub(WINDOW);
+        self.overloaded_since.get_or_insert(window_start);
         let target_admissions = self.admitted * ADMITTED_FRACTION;
         let mut arrivals_above = 0.0;
         let mut threshold_bin = BINS - 1;
