Soak: signals are sent by a system call, not by a program

Cause: the soak notes the time and then starts the program kill. A sampler of /proc/pressure on the same machine, a shell loop of half-second sleeps that starts three programs a round, has a gap of 4.72 s around just this time (1796439918.104 to .922.826; the signal is due at 919.07 and arrives at 922.84), while daemons answered as usual: programs weren't started for that long. kill(2) needs none. No check changed.

--- a/crates/sorrelturn-bench/src/processes.rs
+++ b/crates/sorrelturn-bench/src/processes.rs
@@ -7,6 +7,10 @@
 };
 use bytes::Bytes;
 use hyper::Request;
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
 use smol::{Executor, Timer};
 use sorrelturn_daemon::{ListenSettings, Settings, StatusReport};
 use sorrelturn_platform::{Faults, Platform, VmEntry, http::exchange};
@@ -95,12 +99,13 @@
         self.child.id()
     }
 
-    /// Sends a signal by its name, such as `TERM`.
+    /// Sends a signal by its name, such as `TERM`. No program is started for it, since that may take seconds on a busy
+    /// machine.
     pub fn signal(&self, name: &str) {
-        let status = Command::new("kill")
-            .args(["-s", name, &self.pid().to_string()])
-            .status();
-        assert!(status.is_ok_and(|status| status.success()), "signal {name}");
+        let signal: Signal = format!("SIG{name}").parse().expect("a signal");
+        let pid = Pid::from_raw(self.pid().cast_signed());
+        let sent = kill(pid, signal);
+        assert!(sent.is_ok(), "signal {name}: {sent:?}");
     }
 
     /// Suspends the process; returns once all its threads have stopped, which takes some milliseconds on a busy
