--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -110,14 +110,6 @@
 }
 
 impl Framing {
-    /// All framings.
-    pub const ALL: [Self; 4] = [
-        Self::Length,
-        Self::Chunks,
-        Self::LengthAfterInterim,
-        Self::Close,
-    ];
-
     /// Returns a response with [`BODY`].
     fn response(self, headers: &str) -> String {
         let with_length = response_head(200, "OK", headers, Some(BODY.len())) + BODY;
--- a/crates/sorrelturn-platform/tests/common/mod.rs
+++ b/crates/sorrelturn-platform/tests/common/mod.rs
@@ -55,3 +55,12 @@
     let items = objects.join(&b","[..]);
     [br#"{"items":["#, &items[..], br#"],"store_revision":9}"#].concat()
 }
+
+/// Returns a list with an entry of this value between two usual ones.
+pub fn list_around_odd(value: &[u8]) -> Vec<u8> {
+    list_page(&[
+        object("first", 1, br#""v""#),
+        object("odd", 2, value),
+        object("last", 3, br#""v""#),
+    ])
+}
--- a/crates/sorrelturn-platform/tests/odd_entries.rs
+++ b/crates/sorrelturn-platform/tests/odd_entries.rs
@@ -4,7 +4,7 @@
 
 use assert_matches::assert_matches;
 use bytes::Bytes;
-use common::{TIMEOUT, answered_with, keys, list_page, object};
+use common::{TIMEOUT, answered_with, keys, list_around_odd, list_page, object};
 use hyper::Request;
 use smol::{Executor, net::TcpListener};
 use sorrelturn_platform::{Expected, Platform, PlatformError, StandIn, http::exchange, serve};
@@ -43,11 +43,7 @@
 #[test]
 fn an_entry_that_cant_be_parsed_hides_no_other_of_a_list() {
     for value in odd_values() {
-        let page = list_page(&[
-            object("first", 1, br#""v""#),
-            object("odd", 2, &value),
-            object("last", 3, br#""v""#),
-        ]);
+        let page = list_around_odd(&value);
         let listed = answered_with(200, vec![page], async |platform| {
             platform.list("kind/").await
         });
--- a/crates/sorrelturn-platform/tests/random_entries.rs
+++ b/crates/sorrelturn-platform/tests/random_entries.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use assert_matches::assert_matches;
-use common::{TIMEOUT, answered_with, keys, list_page, object};
+use common::{TIMEOUT, answered_with, keys, list_around_odd, object};
 use proptest::prelude::*;
 use sorrelturn_platform::{Expected, PlatformError};
 
@@ -71,12 +71,7 @@
     /// Guards against one entry of another writer that hides all others of its page, or its own version.
     #[test]
     fn no_entry_hides_another_one(value in any_json()) {
-        let objects = [
-            object("first", 1, br#""v""#),
-            object("odd", 2, &value),
-            object("last", 3, br#""v""#),
-        ];
-        let listed = answered_with(200, vec![list_page(&objects)], async |platform| {
+        let listed = answered_with(200, vec![list_around_odd(&value)], async |platform| {
             platform.list("kind/").await
         });
         let listed = listed.expect("a list");
@@ -98,14 +93,12 @@
         let cut = cut[..body.len().min(cut.len())].to_vec();
         for body in [body, cut] {
             for status in [200, 404, 409, 410, 503] {
-                let results = answered_with(status, vec![body.clone(); 3], async |platform| {
-                    (
-                        platform.list("kind/").await.is_ok(),
-                        platform.watch("kind/", 1, TIMEOUT).await.is_ok(),
-                        platform.get("kind/odd").await.is_ok(),
-                    )
+                answered_with(status, vec![body.clone(); 3], async |platform| {
+                    // Errors are as good as results here.
+                    let _ = platform.list("kind/").await;
+                    let _ = platform.watch("kind/", 1, TIMEOUT).await;
+                    let _ = platform.get("kind/odd").await;
                 });
-                let _ = results;
             }
         }
     }
