A run is heard again after a heartbeat with the highest sequence

Anybody who reaches the port of a daemon can send a heartbeat. One with the id and the start of the run that serves, and the highest sequence, made every later heartbeat of that run outdated: new slots and cold starts were ignored until the next run, and after four seconds of what looked like silence a delayed heartbeat of an earlier run took its place.

Cause: the sequence orders the heartbeats of a run, and the highest number that anybody can write has no successor.

Evidence: a_run_is_heard_again_within_seconds_of_a_heartbeat_with_the_highest_sequence failed before ("Outdated" at each later heartbeat, 14 s) and passes. Found by reading for the table in docs/design/unknown-entries.md.

Why it works: a live run repeats its heartbeats every 1.5 s with a higher sequence. If none follows the highest one for four seconds, which is the time after which a run counts as silent, it was another sender's, and the lower one counts. A leave still counts whatever its sequence.

--- a/crates/sorrelturn-policy/src/presence.rs
+++ b/crates/sorrelturn-policy/src/presence.rs
@@ -9,7 +9,8 @@
 /// replacement takes seconds and announcements are delayed by seconds, so a handful is enough.
 const MAX_EARLIER_INCARNATIONS: usize = 8;
 
-/// Silence of the current incarnation after which one with an earlier start time may replace it.
+/// Silence of the current incarnation after which one with an earlier start time may replace it, and after which its
+/// announcements may have lower sequences.
 /// Backend servers announce themselves every 1.5 s, so two announcements are overdue by then.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -260,7 +261,11 @@
                 PresenceChange::NoChange
             };
         }
-        if announcement.state < current.state || announcement.sequence < current.sequence {
+        // A live incarnation repeats its announcements with higher sequences, so if none with the highest one follows,
+        // another sender wrote it.
+        let is_silent = now >= self.last_update + SILENCE_TIMEOUT;
+        let is_delayed = announcement.sequence < current.sequence && !is_silent;
+        if announcement.state < current.state || is_delayed {
             return PresenceChange::Outdated;
         }
         current.sequence = announcement.sequence;
--- a/crates/sorrelturn-policy/tests/presence.rs
+++ b/crates/sorrelturn-policy/tests/presence.rs
@@ -164,6 +164,27 @@
     assert_eq!(change, PresenceChange::NowReady);
 }
 
+/// Guards against a sender of one heartbeat with the highest sequence, after which all further heartbeats of the same run
+/// are ignored, and one of an earlier run takes its place.
+#[test]
+fn a_run_is_heard_again_within_seconds_of_a_heartbeat_with_the_highest_sequence() {
+    let mut presence = Presence::default();
+    presence.receive(at(0), with_start_time(100, BackendState::Ready, 7));
+    presence.receive(at(1), with_start_time(200, BackendState::Ready, 1));
+    presence.receive(at(2), with_start_time(200, BackendState::Ready, u64::MAX));
+    let change = presence.receive(at(5), with_start_time(200, BackendState::Ready, 3));
+    assert_eq!(change, PresenceChange::Outdated);
+    for second in 6..20 {
+        let own = presence.receive(
+            at(second),
+            with_start_time(200, BackendState::Ready, second),
+        );
+        assert_eq!(own, PresenceChange::NoChange);
+        let earlier = presence.receive(at(second), with_start_time(100, BackendState::Ready, 8));
+        assert_eq!(earlier, PresenceChange::Outdated);
+    }
+}
+
 #[test]
 fn an_earlier_incarnation_does_not_replace_one_that_is_leaving() {
     let mut presence = Presence::default();
