Soak: the rest of what a route table in force means, and responses by the deadline

The soak checked that no response shows an older table. It didn't see a route that a table adds and that is refused with 503 for ever, a request that runs at the service of an older table, shares far from their weights, or responses seconds after the deadline (only silence of 8 s), and every plan had its first table before its daemons.

- Each version leads one route to the next service and shares another one between both by weights; the checker knows which versions may be in force at daemons that nothing disturbed, and compares where requests run (`soak/route_tables.rs`).
- In plans of changes the first table comes a second after the daemons and callers.
- `--restarts`: stops, kills and faults of paths of one daemon at a time beside the series; the others are checked on.

--- a/crates/sorrelturn-bench/src/commands/soak.rs
+++ b/crates/sorrelturn-bench/src/commands/soak.rs
@@ -86,6 +86,12 @@
                 .help("Only publish series of route tables, beside long faults that don't excuse a late one")
                 .action(ArgAction::SetTrue),
         )
+        .arg(
+            Arg::new("restarts")
+                .long("restarts")
+                .help("Daemons also restart, or their path is disturbed, one after another")
+                .action(ArgAction::SetTrue),
+        )
         .arg(
             Arg::new("other-writers")
                 .long("other-writers")
@@ -130,6 +136,10 @@
         true => plan.with_mixed_work(copied_percent),
         false => plan,
     };
+    let plan = match args.get_flag("restarts") {
+        true => plan.with_restarts(),
+        false => plan,
+    };
     let plan = match args.get_flag("other-writers") {
         true => plan.with_other_writers(),
         false => plan,
--- a/crates/sorrelturn-bench/src/soak/checker.rs
+++ b/crates/sorrelturn-bench/src/soak/checker.rs
@@ -1,9 +1,14 @@
 //! Checks the promises against what callers and backend servers observed. Takes the time as an argument and opens no
 //! socket, so that a test can feed it breaches.
 
-use super::workspaces::{CredentialKind, WorkspaceObservations};
+use super::{
+    harness::SoakTarget,
+    route_tables::{self, RouteTables},
+    workspaces::{CredentialKind, WorkspaceObservations},
+};
 use std::{
     collections::{HashMap, VecDeque},
+    ops::RangeInclusive,
     time::Duration,
 };
 
@@ -26,8 +31,8 @@
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 const LIMIT_OVERAGE: f64 = 1.5;
 const LIMIT_SLACK: f64 = 5.0;
-/// The time in which a confirmed route table has to be in force.
-const APPLY_TIME: Duration = Duration::from_secs(2);
+/// The time after the deadline of its route in which a request has to have its response.
+const RESPONSE_SLACK: Duration = Duration::from_millis(500);
 /// The time in which requests may still reach a backend server after its leave was acknowledged, or may still be sent to it
 /// after a response that says that it is leaving.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
@@ -59,8 +64,10 @@
     Leaves,
     /// An incarnation never returns to an older route table.
     Newest,
-    /// A route table that the store confirmed is in force in time.
+    /// A route table that the store confirmed is in force in time, with all its routes.
     InForce,
+    /// Every request has its response by the deadline of its route.
+    InTime,
     /// All requests are served again after the faults.
     Recovers,
     /// A request that crashes backend servers is quarantined.
@@ -82,6 +89,10 @@
     Once,
     /// Only the route table of this version has a route for it.
     Version(u64),
+    /// It may be executed repeatedly, and each version of the route table leads it to the next service.
+    Moved,
+    /// It may be executed repeatedly, and all services share its route by their weights.
+    Shared,
 }
 
 /// How a request ended for its caller.
@@ -215,9 +226,7 @@
     lag: Duration,
     daemons: Vec<DaemonObservations>,
     requests: HashMap<String, Request>,
-    newest_published: u64,
-    /// The versions that the store confirmed, and when, unless an earlier one was written afterwards.
-    confirmed: Vec<(u64, Duration)>,
+    tables: RouteTables,
     store_faulted: Vec<(Duration, Duration)>,
     /// When reads of the store failed or were slow.
     store_unreadable: Vec<(Duration, Duration)>,
@@ -240,8 +249,7 @@
                 .map(|_| DaemonObservations::default())
                 .collect(),
             requests: HashMap::new(),
-            newest_published: 0,
-            confirmed: Vec::new(),
+            tables: RouteTables::default(),
             store_faulted: Vec::new(),
             store_unreadable: Vec::new(),
             crashes: Vec::new(),
@@ -370,20 +378,19 @@
 
     /// Records that a route table may be in force from now on.
     pub fn table_published(&mut self, version: u64) {
-        self.newest_published = self.newest_published.max(version);
+        self.tables.published(version);
     }
 
     /// Records that the store confirmed the route table of a version.
     pub fn table_confirmed(&mut self, at: Duration, version: u64) {
         self.workspaces.table_confirmed(at, version);
-        self.confirmed.push((version, at));
+        self.tables.confirmed(at, version);
     }
 
     /// Records that an earlier route table is about to be written again.
     pub fn reverting_to(&mut self, version: u64) {
         self.workspaces.reverting_to(version);
-        // Daemons that start from now on may begin with the earlier version.
-        self.confirmed.clear();
+        self.tables.reverting();
     }
 
     /// Records that the leave of a backend server was acknowledged.
@@ -487,7 +494,10 @@
     }
 
     /// Checks what can be judged only after the last observation.
-    pub fn finish(&mut self) {
+    pub fn finish(&mut self, at: Duration) {
+        for description in self.tables.wrong_totals() {
+            self.add_breach(at, Promise::InForce, description);
+        }
         let mut cut_exits = Vec::new();
         for (daemon, observed) in self.daemons.iter().enumerate() {
             let incarnations = observed
@@ -636,6 +646,7 @@
         if !place.runs {
             return;
         }
+        self.check_route(at, id, place.daemon);
         self.counts.ran += 1;
         if let Some(wrong) = self
             .workspaces
@@ -663,12 +674,14 @@
 
     /// Records how a request ended for its caller.
     pub fn ended(&mut self, at: Duration, id: &str, ending: Ending) {
+        self.count_served(at, id, ending);
         match ending {
             Ending::Answer {
                 status,
                 own,
                 foreign,
             } => {
+                self.check_time(at, id);
                 if own && status == 200 {
                     self.record_passed_on_leave(at, id);
                 }
@@ -727,7 +740,7 @@
     fn check_version(&mut self, at: Duration, id: &str, version: u64, status: u16) {
         let request = &self.requests[id];
         let (daemon, incarnation, sent_at) = (request.daemon, request.incarnation, request.sent_at);
-        let published = self.newest_published;
+        let published = self.tables.newest_published();
         let Some(observed) = self.daemons[daemon].incarnations.get_mut(incarnation) else {
             return;
         };
@@ -755,31 +768,98 @@
     fn check_in_force(&mut self, at: Duration, id: &str, version: u64, status: u16) {
         let request = &self.requests[id];
         let (daemon, sent_at) = (request.daemon, request.sent_at);
-        let since = sent_at.saturating_sub(UNDISTURBED_AFTER);
-        let has_to_be = self.confirmed.iter();
-        let has_to_be = has_to_be.filter(|(_, at)| *at + APPLY_TIME + self.lag < sent_at);
-        let Some(has_to_be) = has_to_be.map(|(version, _)| *version).max() else {
+        let Some(possible) = self.possible_versions(at, daemon, sent_at) else {
             return;
         };
+        let (oldest, newest) = (*possible.start(), *possible.end());
         let is_older = match status {
-            200 => version < has_to_be,
+            200 => version < oldest,
             // Only a newer table lacks the route.
-            404 => version == has_to_be && version == self.newest_published,
+            404 => version == oldest && version == newest,
             _ => false,
         };
+        if is_older {
+            let description = format!(
+                "daemon {daemon} answers {status} to version {version}, sent at {sent_at:?}, when {oldest} has to be in force"
+            );
+            self.add_breach(at, Promise::InForce, description);
+        }
+    }
+
+    /// Returns the versions that may be in force at a daemon for a request that was sent to it and is observed at `at`;
+    /// `None` if none has to be, because the daemon was disturbed.
+    fn possible_versions(
+        &self,
+        at: Duration,
+        daemon: usize,
+        sent_at: Duration,
+    ) -> Option<RangeInclusive<u64>> {
+        let possible = self.tables.possible(sent_at, self.lag)?;
+        let since = sent_at.saturating_sub(UNDISTURBED_AFTER);
         let was_readable = !self
             .store_unreadable
             .iter()
             .any(|(from, until)| *from <= at && *until >= since);
         let is_in_touch = self.was_in_touch(daemon, sent_at) && self.was_in_touch(daemon, at);
-        if is_older && was_readable && is_in_touch {
+        (was_readable && is_in_touch).then_some(possible)
+    }
+
+    /// Checks that a request on the moved route runs where a version that may be in force leads it, and counts those on
+    /// the shared route.
+    fn check_route(&mut self, at: Duration, id: &str, daemon: usize) {
+        let request = &self.requests[id];
+        let (kind, entry, sent_at) = (request.kind, request.daemon, request.sent_at);
+        let is_first = request.places.len() == 1;
+        if !matches!(kind, Kind::Moved | Kind::Shared) {
+            return;
+        }
+        let Some(possible) = self.possible_versions(at, entry, sent_at) else {
+            return;
+        };
+        if kind == Kind::Shared && is_first {
+            self.tables.record_shared(daemon);
+        }
+        let is_possible = |version| route_tables::leads_to(version, daemon);
+        if kind == Kind::Moved && !possible.clone().any(is_possible) {
             let description = format!(
-                "daemon {daemon} answers {status} to version {version}, sent at {sent_at:?}, when {has_to_be} has to be in force"
+                "{id}, sent to daemon {entry} at {sent_at:?}, runs at {daemon}, where none of the versions {possible:?} leads"
             );
             self.add_breach(at, Promise::InForce, description);
         }
     }
 
+    /// Counts a response for the comparison of added routes with others.
+    fn count_served(&mut self, at: Duration, id: &str, ending: Ending) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let added_by = match request.kind {
+            Kind::Version(version) => Some(version),
+            Kind::Safe => None,
+            _ => return,
+        };
+        let is_served = matches!(ending, Ending::Answer { status: 200, .. });
+        if let Some(possible) = self.possible_versions(at, request.daemon, request.sent_at) {
+            self.tables.record_answer(&possible, added_by, is_served);
+        }
+    }
+
+    /// Checks that a response came by the deadline, unless its daemon was disturbed. A request behind another one may have
+    /// been read much later than it was sent.
+    fn check_time(&mut self, at: Duration, id: &str) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let (daemon, sent_at) = (request.daemon, request.sent_at);
+        let deadline = sent_at + Duration::from_millis(SoakTarget::DEADLINE_MS);
+        let is_late = at > deadline + RESPONSE_SLACK + self.lag && !request.is_behind_another;
+        if is_late && self.was_in_touch(daemon, sent_at) && self.was_in_touch(daemon, at) {
+            let description =
+                format!("{id}, sent to daemon {daemon} at {sent_at:?}, is answered late");
+            self.add_breach(at, Promise::InTime, description);
+        }
+    }
+
     fn check_lost(&mut self, at: Duration, id: &str, ending: Ending) {
         let Some(request) = self.requests.get(id) else {
             return;
--- a/crates/sorrelturn-bench/src/soak/harness.rs
+++ b/crates/sorrelturn-bench/src/soak/harness.rs
@@ -60,6 +60,8 @@
     r#"{"service":"a","state":"asleep","sequence":"1","born":1.5}"#,
 ];
 pub(super) const ROUTE_TABLE_KEY: &str = "config/main";
+/// The delay of the first route table in plans of changes; daemons and callers run already.
+const FIRST_TABLE_DELAY: Duration = Duration::from_secs(1);
 /// The first serves repeatable and versioned routes, the second at-most-once routes.
 const SERVICES: [&str; 2] = ["a", "b"];
 
@@ -74,7 +76,8 @@
     pub host: &'static str,
     /// The route table of version N: `/safe/` leads to service `a` and is repeatable, `/once/` leads to `b`
     /// and is at-most-once, `/version/N/` is like `/safe/`, and so is `/called/`, which
-    /// needs no credential. All have the deadline [`SoakTarget::DEADLINE_MS`]. Three
+    /// needs no credential. `/moved/` and `/shared/` are repeatable; the first leads to `a` in even versions and to `b` in
+    /// odd ones, and the second to both with the weights 3 and 1. All have the deadline [`SoakTarget::DEADLINE_MS`]. Three
     /// workspaces hold the credentials of `CredentialKind`; the last one has the quota of [`SoakTarget::RATE`] and
     /// [`SoakTarget::BURST`].
     pub table: fn(u64) -> String,
@@ -132,6 +135,10 @@
 ) -> SoakReport {
     let harness = Arc::new(Harness::start(ex, target, plan, folder).await);
     let running_tasks = harness.start_tasks();
+    if plan.has_table_probes {
+        Timer::after(FIRST_TABLE_DELAY).await;
+        harness.publish(false).await;
+    }
     harness.wait_until_served().await;
     let mut actions = Vec::new();
     let started_at = Instant::now();
@@ -187,7 +194,9 @@
             is_over: AtomicBool::new(false),
             ex,
         };
-        harness.publish(false).await;
+        if !plan.has_table_probes {
+            harness.publish(false).await;
+        }
         harness.write_foreign_records().await;
         for number in 0..plan.instances {
             let member = harness
@@ -454,7 +463,7 @@
 
     fn report(&self) -> SoakReport {
         let mut checker = self.checker();
-        checker.finish();
+        checker.finish(self.now());
         SoakReport {
             breaches: checker.breaches().to_vec(),
             counts: checker.counts(),
--- a/crates/sorrelturn-bench/src/soak/mod.rs
+++ b/crates/sorrelturn-bench/src/soak/mod.rs
@@ -10,6 +10,7 @@
 mod other_writers;
 mod path;
 mod plan;
+mod route_tables;
 mod traffic;
 mod workspaces;
 
--- a/crates/sorrelturn-bench/src/soak/other_writers.rs
+++ b/crates/sorrelturn-bench/src/soak/other_writers.rs
@@ -100,15 +100,20 @@
                 record.sequence = u32::MAX;
                 record.state = MemberState::Gone;
             }
-            Self::LaterStart => record.started_ms += HOUR_MS,
+            Self::LaterStart => delay_start(record),
             Self::OtherIncarnation => {
                 record.incarnation.0 ^= 1;
-                record.started_ms += HOUR_MS;
+                delay_start(record);
             }
         }
     }
 }
 
+/// The stored start may be the highest already, which another entry has left there.
+fn delay_start(record: &mut MemberRecord) {
+    record.started_ms = record.started_ms.saturating_add(HOUR_MS);
+}
+
 /// Adds entries of other clients. Records of live daemons are replaced only if `replaces_records`: a plan that kills daemons
 /// would lose a leave that only the replaced record held.
 pub(super) fn add_entries(
--- a/crates/sorrelturn-bench/src/soak/plan.rs
+++ b/crates/sorrelturn-bench/src/soak/plan.rs
@@ -25,6 +25,9 @@
 /// The part of that duration in which the series begins.
 const MAX_SERIES_DELAY_MS: u64 = 2_500;
 const MAX_SERIES_LEN: u64 = 4;
+/// The pause between two faults of single daemons beside series of route tables.
+const MIN_FAULT_PAUSE_MS: u64 = 500;
+const MAX_FAULT_PAUSE_MS: u64 = 4_000;
 /// The duration of a period in which all backend servers refuse requests.
 const MIN_OVERLOAD_MS: u64 = 2_000;
 const MAX_OVERLOAD_MS: u64 = 6_000;
@@ -252,6 +255,15 @@
         plan
     }
 
+    /// The same plan with daemons that restart, or whose path is disturbed, one after another. The others have to keep to
+    /// the route table.
+    pub fn with_restarts(mut self) -> Self {
+        let mut rng = Rng::with_seed(self.seed.rotate_right(16));
+        add_restarts(&mut rng, self.seconds, self.instances, &mut self.actions);
+        self.actions.sort_by_key(|timed| timed.at_ms);
+        self
+    }
+
     /// The same plan with backend servers that name limits and leaves in their responses.
     pub fn with_signals(mut self) -> Self {
         let mut rng = Rng::with_seed(!self.seed);
@@ -353,6 +365,26 @@
     }
 }
 
+/// Adds stops, kills and faults of paths, of one daemon at a time.
+fn add_restarts(rng: &mut Rng, seconds: u64, instances: usize, actions: &mut Vec<TimedAction>) {
+    let mut at_ms = 0;
+    while at_ms < seconds * 1_000 {
+        let daemon = rng.usize(..instances);
+        let action = match rng.u8(..5) {
+            0 => random_stop(rng, daemon),
+            1 => Action::Kill { daemon },
+            2 => Action::Reread { daemon },
+            _ => Action::Path {
+                daemon,
+                harm: choose(rng, &PATH_FAULTS),
+                ms: rng.u64(100..MAX_ACTION_MS),
+            },
+        };
+        actions.push(TimedAction { at_ms, action });
+        at_ms += rng.u64(MIN_FAULT_PAUSE_MS..MAX_FAULT_PAUSE_MS);
+    }
+}
+
 /// Adds one action, two that overlap, or a stop of every daemon in turn.
 fn add_burst(rng: &mut Rng, at_ms: u64, instances: usize, actions: &mut Vec<TimedAction>) {
     let is_series = rng.u8(..10) == 0;
--- a/crates/sorrelturn-bench/src/soak/traffic.rs
+++ b/crates/sorrelturn-bench/src/soak/traffic.rs
@@ -49,9 +49,16 @@
         while !self.is_over() {
             Timer::after(TABLE_PROBE_INTERVAL).await;
             let newest = self.version.load(Ordering::Relaxed);
-            for version in [newest, newest.saturating_sub(1)] {
+            let previous = newest.saturating_sub(1);
+            for kind in [
+                Kind::Version(newest),
+                Kind::Version(previous),
+                Kind::Moved,
+                Kind::Shared,
+                Kind::Safe,
+            ] {
                 let harness = Arc::clone(self);
-                let probe = async move { harness.is_served(number, Kind::Version(version)).await };
+                let probe = async move { harness.is_served(number, kind).await };
                 probes.push(self.ex.spawn(probe));
             }
             probes.retain(|probe| !probe.is_finished());
@@ -104,16 +111,18 @@
         let previous = newest.saturating_sub(1);
         // A credential that a daemon doesn't know makes it read the store, which hides a late route table.
         let drawn = match self.has_table_probes {
-            true => rng.u8(..10),
-            false => rng.u8(..14),
+            true => rng.u8(..12),
+            false => rng.u8(..16),
         };
         match drawn {
             0..5 => (Kind::Once, CredentialKind::Steady),
             5..8 => (Kind::Safe, CredentialKind::Steady),
             8 => (Kind::Version(newest), CredentialKind::Steady),
             9 => (Kind::Version(previous), CredentialKind::Steady),
-            10 => (Kind::Safe, CredentialKind::OfVersion(newest)),
-            11 => (Kind::Safe, CredentialKind::OfVersion(previous)),
+            10 => (Kind::Moved, CredentialKind::Steady),
+            11 => (Kind::Shared, CredentialKind::Steady),
+            12 => (Kind::Safe, CredentialKind::OfVersion(newest)),
+            13 => (Kind::Safe, CredentialKind::OfVersion(previous)),
             _ => (Kind::Once, CredentialKind::Limited),
         }
     }
@@ -188,7 +197,7 @@
         let deadline = Instant::now() + START_TIMEOUT;
         for number in 0..self.daemons.len() {
             let newest = Kind::Version(self.version.load(Ordering::Relaxed));
-            for kind in [Kind::Safe, Kind::Once, newest] {
+            for kind in [Kind::Safe, Kind::Once, Kind::Moved, Kind::Shared, newest] {
                 while !self.is_served(number, kind).await {
                     if Instant::now() > deadline {
                         let description = format!("daemon {number} doesn't serve {kind:?}");
@@ -220,5 +229,7 @@
         Kind::Safe => format!("/safe/{id}"),
         Kind::Once => format!("/once/{id}"),
         Kind::Version(version) => format!("/version/{version}/{id}"),
+        Kind::Moved => format!("/moved/{id}"),
+        Kind::Shared => format!("/shared/{id}"),
     }
 }
--- a/crates/sorrelturn-bench/tests/soak.rs
+++ b/crates/sorrelturn-bench/tests/soak.rs
@@ -230,7 +230,7 @@
             checker.paused(ms(10_020), 1);
             checker.ended(ms(11_001), "x", Ending::Cut);
         }
-        checker.finish();
+        checker.finish(ms(60_000));
         assert_eq!(broken_promises(&checker), expected);
     }
 }
@@ -386,6 +386,96 @@
     }
 }
 
+/// Sends a request to daemon 0 and executes it at a daemon; version 3 is confirmed at this time, version 2 long before.
+fn with_moved_route(confirmed_at: Duration, run_at: usize) -> Checker {
+    let mut checker = two_daemons();
+    for version in 1..=3 {
+        checker.table_published(version);
+    }
+    checker.table_confirmed(ms(100), 2);
+    checker.table_confirmed(confirmed_at, 3);
+    checker.sending(ms(10_000), "x", Kind::Moved, 0, 0);
+    checker.reached_backend(ms(10_010), "x", runs_at(run_at));
+    checker
+}
+
+#[test]
+fn a_request_that_runs_where_an_older_table_leads_it_is_found() {
+    let old_service = with_moved_route(ms(7_900), 0);
+    assert_eq!(broken_promises(&old_service), [Promise::InForce]);
+    let new_service = with_moved_route(ms(7_900), 1);
+    assert_eq!(broken_promises(&new_service), []);
+    let in_time = with_moved_route(ms(8_100), 0);
+    assert_eq!(broken_promises(&in_time), []);
+}
+
+/// A checker that was told of so many answers with these statuses to requests on the newest route and on steady ones.
+fn with_added_route(added: &[(u16, u32)], steady: &[(u16, u32)]) -> Checker {
+    let mut checker = two_daemons();
+    checker.table_published(3);
+    checker.table_confirmed(ms(1_000), 3);
+    for (kind, answers) in [(Kind::Version(3), added), (Kind::Safe, steady)] {
+        for (status, count) in answers {
+            for number in 0..*count {
+                let id = format!("{kind:?}-{status}-{number}");
+                checker.sending(ms(10_000), &id, kind, 0, 0);
+                checker.ended(ms(10_010), &id, answer(*status));
+            }
+        }
+    }
+    checker.finish(ms(60_000));
+    checker
+}
+
+#[test]
+fn an_added_route_that_is_served_far_less_than_others_is_found() {
+    let refused = with_added_route(&[(503, 16), (200, 4)], &[(200, 20)]);
+    assert_eq!(broken_promises(&refused), [Promise::InForce]);
+    let refused_alike = with_added_route(&[(503, 16), (200, 4)], &[(503, 10), (200, 10)]);
+    assert_eq!(broken_promises(&refused_alike), []);
+    let too_few = with_added_route(&[(503, 19)], &[(200, 20)]);
+    assert_eq!(broken_promises(&too_few), []);
+}
+
+/// Two hundred requests on the shared route, so many of them at the first daemon.
+fn with_shares(first: u64) -> Checker {
+    let mut checker = two_daemons();
+    checker.table_published(1);
+    checker.table_confirmed(ms(1_000), 1);
+    for number in 0..200 {
+        let id = number.to_string();
+        checker.sending(ms(10_000), &id, Kind::Shared, 0, 0);
+        checker.reached_backend(ms(10_010), &id, runs_at(usize::from(number >= first)));
+    }
+    checker.finish(ms(60_000));
+    checker
+}
+
+#[test]
+fn shares_that_are_far_from_their_weights_are_found() {
+    assert_eq!(broken_promises(&with_shares(150)), []);
+    assert_eq!(broken_promises(&with_shares(112)), []);
+    let equal = with_shares(100);
+    assert_eq!(
+        broken_promises(&equal),
+        [Promise::InForce, Promise::InForce]
+    );
+}
+
+#[test]
+fn a_response_long_after_the_deadline_is_found_unless_its_daemon_was_disturbed() {
+    for (answered_at, expected) in [(13_400, vec![]), (13_600, vec![Promise::InTime])] {
+        let mut checker = with_request(Kind::Safe);
+        checker.ended(ms(answered_at), "x", answer(504));
+        assert_eq!(broken_promises(&checker), expected);
+    }
+    let mut paused = with_request(Kind::Safe);
+    paused.paused(ms(10_100), 0);
+    paused.resumed(ms(13_500), 0);
+    paused.ended(ms(13_600), "x", answer(504));
+    assert_eq!(broken_promises(&paused), []);
+}
+
 #[test]
 fn a_route_table_may_be_late_where_the_store_or_the_daemon_was_disturbed() {
     let promises_after = |disturb: &dyn Fn(&mut Checker)| {
@@ -477,6 +567,15 @@
     let is_limit = |action: &Action| matches!(action, Action::Limit { .. });
     let is_leave = |action: &Action| matches!(action, Action::LeaveByResponse { .. });
     assert!(signals.iter().any(is_limit) && signals.iter().any(is_leave));
+    let changes = SoakPlan::of_changes(7, 30, 6);
+    let restarts = changes.clone().with_restarts().actions;
+    for action in [
+        |action: &Action| matches!(action, Action::Stop { .. } | Action::Kill { .. }),
+        |action: &Action| matches!(action, Action::Path { .. }),
+    ] {
+        assert!(!changes.actions.iter().any(|timed| action(&timed.action)));
+        assert!(restarts.iter().any(|timed| action(&timed.action)));
+    }
     let in_order = |actions: &[TimedAction]| {
         let mut daemons = actions.iter().enumerate();
         daemons
