A name in a route table that isn't Unicode no longer refuses the whole table

Half of a surrogate pair in the name of one entry ("\ud800") refused its section, and in the name of an unknown field of the table the table: it was never in force, and daemons that started had none.

Cause: the values of an object stay JSON text until each is parsed, but the names of all fields were parsed at once.

--- a/crates/sorrelturn-bundle/src/lib.rs
+++ b/crates/sorrelturn-bundle/src/lib.rs
@@ -7,6 +7,7 @@
 mod model;
 mod parse;
 mod pattern;
+mod raw_fields;
 mod routes;
 mod sign;
 mod table_document;
--- a/crates/sorrelturn-bundle/src/table_document.rs
+++ b/crates/sorrelturn-bundle/src/table_document.rs
@@ -1,13 +1,11 @@
 //! Parses a route table entry by entry, so that one that can't be parsed doesn't affect the others.
 //! See `docs/design/unknown-entries.md`.
 
+use crate::raw_fields::RawFields;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::value::RawValue;
 use std::collections::BTreeMap;
 
-/// An object whose fields are not parsed yet. Numbers, texts and depths that can't be parsed stay within their field.
-type RawFields = BTreeMap<String, Box<RawValue>>;
-
 /// A section of a route table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -75,7 +73,7 @@
     /// a table without one can't be ordered among the others.
     pub fn parse(text: &str) -> Result<Self, String> {
         let sections: RawFields = serde_json::from_str(text).map_err(|error| error.to_string())?;
-        let version = parse_field(&sections, "version");
+        let version = sections.parse("version");
         let version = version.ok_or("the version is missing or not a whole number")?;
         Ok(Self {
             version,
@@ -91,7 +89,7 @@
 
     /// Takes over the entries that another daemon rejected before it passed the table on.
     pub(crate) fn take_over_rejected(&mut self) {
-        let rejected: Option<Vec<Box<RawValue>>> = parse_field(&self.sections, "rejected");
+        let rejected: Option<Vec<Box<RawValue>>> = self.sections.parse("rejected");
         let rejected = rejected.into_iter().flatten();
         self.rejected
             .extend(rejected.filter_map(|entry| serde_json::from_str(entry.get()).ok()));
@@ -104,8 +102,8 @@
         section: TableSection,
         convert: impl Fn(T) -> U,
     ) -> BTreeMap<String, U> {
-        let is_absent = !self.sections.contains_key(section.name());
-        let entries: RawFields = match parse_field(&self.sections, section.name()) {
+        let is_absent = !self.sections.contains(section.name());
+        let entries: RawFields = match self.sections.parse(section.name()) {
             Some(entries) => entries,
             None if is_absent && section == TableSection::Workspaces => return BTreeMap::new(),
             None => {
@@ -122,9 +120,9 @@
                 }
                 Err(error) => {
                     let mut rejected = RejectedEntry::new(section, &name, error.to_string());
-                    if let Ok(fields) = serde_json::from_str(value.get()) {
-                        rejected.host = parse_field(&fields, "host");
-                        rejected.path_prefix = parse_field(&fields, "path_prefix");
+                    if let Ok(fields) = serde_json::from_str::<RawFields>(value.get()) {
+                        rejected.host = fields.parse("host");
+                        rejected.path_prefix = fields.parse("path_prefix");
                     }
                     self.rejected.push(rejected);
                 }
@@ -154,8 +152,3 @@
         self.rejected
     }
 }
-
-/// Parses a field; returns `None` if it is absent or can't be parsed.
-fn parse_field<T: DeserializeOwned>(fields: &RawFields, name: &str) -> Option<T> {
-    serde_json::from_str(fields.get(name)?.get()).ok()
-}
