One control message no longer ends a daemon

Whoever reaches the control port of a daemon could end it with one message of 50 bytes: the release build of the code as found exits with 134, "overflow when adding duration to instant". All requests that it carries break off.

Cause: a call carries the time that is left for it. The RPC library adds it to its clock while it decodes the message, and puts the sum into a timer wheel; both panic at times that they can't hold, and the release profile ends the process by any panic.

Why it works: the codec reads the start of a call, where the time stands, and rejects more than ten minutes before the library sees the message; calls between daemons have a second.

--- a/crates/sorrelturn-daemon/src/fleet/control.rs
+++ b/crates/sorrelturn-daemon/src/fleet/control.rs
@@ -4,6 +4,7 @@
     config::confirmation,
     config::fetch,
     config::in_force::Origin,
+    fleet::control_codec::{ControlCodec, Side},
     fleet::evacuation,
     fleet::gossip,
     fleet::metered::MeteredStream,
@@ -15,7 +16,7 @@
     operators::explain,
 };
 use async_compat::Compat;
-use serde::{Deserialize, Serialize};
+use serde::{Serialize, de::DeserializeOwned};
 use smol::{future::FutureExt, stream::StreamExt};
 use sorrelturn_bundle::{ContentHash, SectionBytes, SignedManifest};
 use sorrelturn_fleet::{Evacuations, ExchangeReply, ExchangeRequest, KnownVersion, Report};
@@ -27,7 +28,6 @@
 use tarpc::{
     context,
     server::{BaseChannel, Channel},
-    tokio_serde::formats::Bincode,
     tokio_util::codec::{Framed, LengthDelimitedCodec},
 };
 
@@ -200,7 +200,7 @@
         node.record_event(&events::BAD_PEER, vec![Field::new("port", "control")]);
         return;
     };
-    let channel = BaseChannel::with_defaults(transport(&node, stream));
+    let channel = BaseChannel::with_defaults(transport(&node, stream, Side::Server));
     let server = Server {
         node: Arc::clone(&node),
     };
@@ -223,15 +223,16 @@
     Compat<MeteredStream>,
     Item,
     SinkItem,
-    Bincode<Item, SinkItem>,
+    ControlCodec<Item, SinkItem>,
 >;
 
 pub(crate) fn transport<Item, SinkItem>(
     node: &Arc<Node>,
     stream: BoxStream,
+    side: Side,
 ) -> ControlTransport<Item, SinkItem>
 where
-    Item: for<'de> Deserialize<'de>,
+    Item: DeserializeOwned,
     SinkItem: Serialize,
 {
     let codec = LengthDelimitedCodec::builder()
@@ -242,5 +243,5 @@
         stream,
     };
     let framed = Framed::new(Compat::new(metered), codec);
-    tarpc::serde_transport::new(framed, Bincode::default())
+    tarpc::serde_transport::new(framed, ControlCodec::new(node, side))
 }
--- a/crates/sorrelturn-daemon/src/fleet/control_client.rs
+++ b/crates/sorrelturn-daemon/src/fleet/control_client.rs
@@ -4,6 +4,7 @@
 pub(crate) use crate::fleet::control::ControlClient;
 use crate::{
     fleet::control::transport,
+    fleet::control_codec::Side,
     node::{Node, lock},
 };
 use async_compat::Compat;
@@ -183,7 +184,10 @@
         .connect(tcp)
         .await
         .map_err(ControlError::NoConnection)?;
-    let new_client = ControlClient::new(client::Config::default(), transport(node, stream));
+    let new_client = ControlClient::new(
+        client::Config::default(),
+        transport(node, stream, Side::Client),
+    );
     let dispatch = async {
         let _ = Compat::new(new_client.dispatch).await;
     };
--- a/crates/sorrelturn-daemon/src/fleet/mod.rs
+++ b/crates/sorrelturn-daemon/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod control;
 pub(crate) mod control_client;
+pub(crate) mod control_codec;
 pub(crate) mod evacuation;
 pub(crate) mod gossip;
 pub(crate) mod instance_table;
