--- a/crates/sorrelturn-daemon/src/process.rs
+++ b/crates/sorrelturn-daemon/src/process.rs
@@ -4,7 +4,14 @@
 use async_signal::{Signal, Signals};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use smol::{Executor, channel, stream::StreamExt};
-use std::{path::PathBuf, process::ExitCode, sync::Arc, thread, time::Duration};
+use std::{
+    panic,
+    path::PathBuf,
+    process::{self, ExitCode},
+    sync::Arc,
+    thread,
+    time::Duration,
+};
 
 /// The settings are invalid.
 const EXIT_INVALID_SETTINGS: u8 = 2;
@@ -48,11 +55,22 @@
 /// Runs the daemon as the program `name`. It uses `dialect` if its settings name a route table.
 pub fn main(name: &'static str, dialect: Dialect) -> ExitCode {
     log_sink::start();
+    abort_on_panic();
     let code = run(&cli_command(name).get_matches(), dialect);
     log_sink::flush_within(LAST_FLUSH_TIMEOUT);
     code
 }
 
+/// Ends the process if a task panics, as the release profile does. Without that, the executor of a debug build keeps the
+/// panic to itself, and the daemon goes on without the task.
+fn abort_on_panic() {
+    let print = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        print(info);
+        process::abort();
+    }));
+}
+
 fn run(args: &ArgMatches, dialect: Dialect) -> ExitCode {
     let file = args
         .get_one::<PathBuf>("settings")
