Soak: routes whose deadline changes with the table, and that are never answered

CONFIG's sentences on answers at the deadline, together with tables that change it: backend servers never answer one route, each version gives it another deadline (1.2 s and 0.4 s), and a daemon that nothing disturbed has to answer within half a second of the longest deadline that may be in force.

--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -225,6 +225,8 @@
     /// Requests whose first line or body contains this text crash the backend server.
     crash_mark: Option<String>,
     crash_delay: Duration,
+    /// Requests whose first line contains this text never get a response.
+    hang_mark: Option<String>,
     crash_count: usize,
     script: Script,
     /// Lines that are added to the head of each response.
@@ -279,6 +281,7 @@
             listener_task: None,
             crash_mark: None,
             crash_delay: DEFAULT_CRASH_DELAY,
+            hang_mark: None,
             crash_count: 0,
             script: Script::default(),
             extra_headers: String::new(),
@@ -379,6 +382,17 @@
         self.lock().crash_mark = Some(mark.to_owned());
     }
 
+    /// Never responds from now on to a request whose first line contains `mark`.
+    pub fn hang_on(&self, mark: &str) {
+        self.lock().hang_mark = Some(mark.to_owned());
+    }
+
+    fn hangs_on(&self, req: &ReceivedRequest) -> bool {
+        let state = self.lock();
+        let mark = state.hang_mark.as_deref();
+        mark.is_some_and(|mark| req.line.contains(mark))
+    }
+
     /// Sets the execution time of a request before it crashes the backend server, even if the caller has gone.
     pub fn set_crash_delay(&self, delay: Duration) {
         self.lock().crash_delay = delay;
@@ -528,6 +542,10 @@
                 continue;
             }
             let sender = tcp.get_ref().clone();
+            let script = match self.hangs_on(&req) {
+                true => Script::Hangs,
+                false => script,
+            };
             let response = self.respond(&mut tcp, &req, script);
             match response.or(wait_for_close(&sender)).await {
                 Ok(true) => {}
--- a/crates/sorrelturn-bench/src/soak/checker.rs
+++ b/crates/sorrelturn-bench/src/soak/checker.rs
@@ -93,6 +93,9 @@
     Moved,
     /// It may be executed repeatedly, and all services share its route by their weights.
     Shared,
+    /// It may be executed repeatedly, but backend servers never respond, and the deadline of its route differs between
+    /// versions of the route table.
+    Timed,
 }
 
 /// How a request ended for its caller.
@@ -851,11 +854,24 @@
             return;
         };
         let (daemon, sent_at) = (request.daemon, request.sent_at);
-        let deadline = sent_at + Duration::from_millis(SoakTarget::DEADLINE_MS);
-        let is_late = at > deadline + RESPONSE_SLACK + self.lag && !request.is_behind_another;
+        let longest = Duration::from_millis(SoakTarget::DEADLINE_MS);
+        let deadline = match request.kind {
+            Kind::Timed => {
+                let possible = self.possible_versions(at, daemon, sent_at);
+                let deadlines = possible
+                    .into_iter()
+                    .flatten()
+                    .map(route_tables::timed_deadline);
+                deadlines.max().unwrap_or(longest)
+            }
+            _ => longest,
+        };
+        let is_late = at > sent_at + deadline + RESPONSE_SLACK + self.lag;
+        let is_late = is_late && !request.is_behind_another;
         if is_late && self.was_in_touch(daemon, sent_at) && self.was_in_touch(daemon, at) {
-            let description =
-                format!("{id}, sent to daemon {daemon} at {sent_at:?}, is answered late");
+            let description = format!(
+                "{id}, sent to daemon {daemon} at {sent_at:?}, is answered later than {deadline:?}"
+            );
             self.add_breach(at, Promise::InTime, description);
         }
     }
--- a/crates/sorrelturn-bench/src/soak/harness.rs
+++ b/crates/sorrelturn-bench/src/soak/harness.rs
@@ -48,6 +48,8 @@
 const LAG_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// The path of the request that crashes backend servers.
 pub(super) const CRASHING_PATH: &str = "/safe/deadly";
+/// The path of requests that backend servers never respond to.
+pub(super) const TIMED_PATH: &str = "/timed/";
 /// The path of requests that make a call, and the path of the call.
 pub(super) const CALLING_PATH: &str = "/once/calling/";
 const CALLED_PATH: &str = "/called/1";
@@ -77,7 +79,8 @@
     /// The route table of version N: `/safe/` leads to service `a` and is repeatable, `/once/` leads to `b`
     /// and is at-most-once, `/version/N/` is like `/safe/`, and so is `/called/`, which
     /// needs no credential. `/moved/` and `/shared/` are repeatable; the first leads to `a` in even versions and to `b` in
-    /// odd ones, and the second to both with the weights 3 and 1. All have the deadline [`SoakTarget::DEADLINE_MS`]. Three
+    /// odd ones, and the second to both with the weights 3 and 1. `/timed/` is like `/safe/`, with the deadline of
+    /// [`timed_deadline`](super::timed_deadline). All others have the deadline [`SoakTarget::DEADLINE_MS`]. Three
     /// workspaces hold the credentials of `CredentialKind`; the last one has the quota of [`SoakTarget::RATE`] and
     /// [`SoakTarget::BURST`].
     pub table: fn(u64) -> String,
@@ -236,6 +239,7 @@
         let header_names = &self.target.dialect.headers;
         let backend = RoutedBackend::with_observer(header_names, &id, Arc::new(observer));
         backend.play(NORMAL_WORK);
+        backend.hang_on(TIMED_PATH);
         if self.has_crashing_request {
             backend.crash_on(CRASHING_PATH);
         }
--- a/crates/sorrelturn-bench/src/soak/mod.rs
+++ b/crates/sorrelturn-bench/src/soak/mod.rs
@@ -18,4 +18,5 @@
 pub use harness::{SoakReport, SoakTarget, soak};
 pub use other_writers::{ForeignEntry, OddJson, RecordChange};
 pub use plan::{Action, PathFault, SoakPlan, StoreFault, TimedAction};
+pub use route_tables::timed_deadline;
 pub use workspaces::CredentialKind;
--- a/crates/sorrelturn-bench/src/soak/route_tables.rs
+++ b/crates/sorrelturn-bench/src/soak/route_tables.rs
@@ -132,6 +132,12 @@
     }
 }
 
+/// Returns the deadline of the timed route in a version.
+pub fn timed_deadline(version: u64) -> Duration {
+    const DEADLINES_MS: [u64; 2] = [1_200, 400];
+    Duration::from_millis(DEADLINES_MS[(version % 2) as usize])
+}
+
 /// Returns whether a version of the moved route leads to the service of this daemon; each version leads to the next one.
 pub(super) fn leads_to(version: u64, daemon: usize) -> bool {
     let services = SHARE_WEIGHTS.len();
--- a/crates/sorrelturn-bench/src/soak/traffic.rs
+++ b/crates/sorrelturn-bench/src/soak/traffic.rs
@@ -3,7 +3,7 @@
 use super::{
     caller::{Caller, CallerRequest, CallerResponse},
     checker::{Ending, Kind},
-    harness::{CRASHING_PATH, Harness, POLL_INTERVAL, RESPONSE_TIMEOUT, START_TIMEOUT},
+    harness::{CRASHING_PATH, Harness, POLL_INTERVAL, RESPONSE_TIMEOUT, START_TIMEOUT, TIMED_PATH},
     workspaces::CredentialKind,
 };
 use smol::{Task, Timer};
@@ -55,6 +55,7 @@
                 Kind::Version(previous),
                 Kind::Moved,
                 Kind::Shared,
+                Kind::Timed,
                 Kind::Safe,
             ] {
                 let harness = Arc::clone(self);
@@ -231,5 +232,6 @@
         Kind::Version(version) => format!("/version/{version}/{id}"),
         Kind::Moved => format!("/moved/{id}"),
         Kind::Shared => format!("/shared/{id}"),
+        Kind::Timed => format!("{TIMED_PATH}{id}"),
     }
 }
--- a/crates/sorrelturn-bench/tests/soak.rs
+++ b/crates/sorrelturn-bench/tests/soak.rs
@@ -462,6 +462,27 @@
     );
 }
 
+#[test]
+fn a_response_by_the_deadline_of_an_older_table_is_found() {
+    // Version 2 gives the route 1.2 s, version 3 gives it 0.4 s.
+    for (confirmed_at, answered_at, expected) in [
+        (7_900, 10_800, vec![]),
+        (7_900, 11_000, vec![Promise::InTime]),
+        (8_100, 11_600, vec![]),
+        (8_100, 11_800, vec![Promise::InTime]),
+    ] {
+        let mut checker = two_daemons();
+        for version in 1..=3 {
+            checker.table_published(version);
+        }
+        checker.table_confirmed(ms(100), 2);
+        checker.table_confirmed(ms(confirmed_at), 3);
+        checker.sending(ms(10_000), "x", Kind::Timed, 0, 0);
+        checker.ended(ms(answered_at), "x", answer(504));
+        assert_eq!(broken_promises(&checker), expected, "{answered_at} ms");
+    }
+}
+
 #[test]
 fn a_response_long_after_the_deadline_is_found_unless_its_daemon_was_disturbed() {
     for (answered_at, expected) in [(13_400, vec![]), (13_600, vec![Promise::InTime])] {
