--- a/crates/sorrelturn-bench/src/commands/soak.rs
+++ b/crates/sorrelturn-bench/src/commands/soak.rs
@@ -4,16 +4,26 @@
 //! which only the package `platform/` knows. Its example `soak` runs this command with that dialect.
 
 use crate::{
-    run_on,
+    processes, run_on,
     soak::{SoakPlan, SoakReport, SoakTarget, soak},
 };
+use async_signal::{Signal, Signals};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use std::{path::PathBuf, process::ExitCode};
+use smol::stream::StreamExt;
+use std::{
+    panic,
+    path::PathBuf,
+    process::{self, ExitCode},
+};
 
 /// The threads shared by backend servers, callers, paths and the store's stand-in.
 const THREADS: usize = 3;
 /// Each daemon has its own address, whose last byte is its number plus one.
 const MAX_INSTANCES: i64 = 200;
+/// The soak itself panicked.
+const EXIT_PANICKED: i32 = 101;
+/// The soak was interrupted.
+const EXIT_INTERRUPTED: i32 = 130;
 
 /// The arguments and the help of the command.
 pub fn signature() -> Command {
@@ -21,7 +31,8 @@
         .about("Injects faults into real daemons and checks what callers and backend servers observe")
         .after_help(
             "Examples:\n  soak --seed 7\n  soak --seed 7 --seconds 60 --instances 24 --folder /tmp/soak-7\n  \
-             soak --seed 7 --print\n\nExit codes:\n  0  no promise was broken\n  1  a promise was broken",
+             soak --seed 7 --print\n\nExit codes:\n  0    no promise was broken\n  1    a promise was broken\n  \
+             101  the soak itself failed\n  130  the soak was interrupted; its daemons have ended",
         )
         .arg(
             Arg::new("seed")
@@ -155,7 +166,18 @@
         eprintln!("error: can't create {}: {error}", folder.display());
         return ExitCode::FAILURE;
     }
-    let report = run_on(THREADS, async |ex| soak(ex, target, &plan, &folder).await);
+    end_daemons_on_panic();
+    let signals = match Signals::new([Signal::Int, Signal::Term]) {
+        Ok(signals) => signals,
+        Err(error) => {
+            eprintln!("error: can't receive signals: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let report = run_on(THREADS, async |ex| {
+        ex.spawn(end_daemons_on_signal(signals)).detach();
+        soak(ex, target, &plan, &folder).await
+    });
     print!("{report}");
     if report.breaches.is_empty() {
         return ExitCode::SUCCESS;
@@ -164,6 +186,24 @@
     ExitCode::FAILURE
 }
 
+/// Ends the daemons if the soak panics; otherwise those that its tasks hold go on without it.
+fn end_daemons_on_panic() {
+    let print = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        print(info);
+        processes::kill_all();
+        process::exit(EXIT_PANICKED);
+    }));
+}
+
+async fn end_daemons_on_signal(mut signals: Signals) {
+    if signals.next().await.is_some() {
+        eprintln!("interrupted");
+        processes::kill_all();
+        process::exit(EXIT_INTERRUPTED);
+    }
+}
+
 impl std::fmt::Display for SoakReport {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         let counts = &self.counts;
--- a/crates/sorrelturn-bench/src/processes.rs
+++ b/crates/sorrelturn-bench/src/processes.rs
@@ -16,16 +16,30 @@
 use sorrelturn_platform::{Faults, Platform, VmEntry, http::exchange};
 use sorrelturn_protocol::MemberRecord;
 use std::{
+    collections::BTreeSet,
     ffi::OsStr,
     fs::{self, File},
     io::{self, BufRead, BufReader},
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
-    sync::Arc,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
+/// The processes that this program has started. Locked while one is started, so that none is missed by [`kill_all`].
+static STARTED: Mutex<StartedProcesses> = Mutex::new(StartedProcesses {
+    running: BTreeSet::new(),
+    is_ending: false,
+});
+
+struct StartedProcesses {
+    /// The ids of those that weren't waited for.
+    running: BTreeSet<u32>,
+    /// Whether no more may be started.
+    is_ending: bool,
+}
+
 /// Long enough for a busy machine.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -62,10 +76,7 @@
     }
 
     fn start_command(command: &mut Command) -> Self {
-        let mut child = command
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the program starts");
+        let mut child = spawn(command.stdout(Stdio::piped())).expect("the program starts");
         let stdout = child.stdout.take().expect("standard output is piped");
         let mut first_line = String::new();
         BufReader::new(stdout)
@@ -78,12 +89,10 @@
     }
 
     /// Starts a program that writes its output and log to a file; doesn't wait for a line.
-    pub(crate) fn start_logged(name: &str, args: &[&str], log: &Path) -> io::Result<Self> {
+    pub fn start_logged(name: &str, args: &[&str], log: &Path) -> io::Result<Self> {
         let log = File::create(log)?;
-        let child = command(binary(name), args, "sorrelturn=info")
-            .stderr(log.try_clone()?)
-            .stdout(log)
-            .spawn()?;
+        let mut command = command(binary(name), args, "sorrelturn=info");
+        let child = spawn(command.stderr(log.try_clone()?).stdout(log))?;
         Ok(Self {
             child,
             first_line: String::new(),
@@ -91,7 +100,11 @@
     }
 
     pub(crate) fn try_exit_status(&mut self) -> Option<ExitStatus> {
-        self.child.try_wait().ok().flatten()
+        let status = self.child.try_wait().ok().flatten();
+        if status.is_some() {
+            started_processes().running.remove(&self.pid());
+        }
+        status
     }
 
     /// The process id.
@@ -135,6 +148,8 @@
 
     /// Kills the process and waits for its exit.
     pub fn kill(&mut self) {
+        // Its id may belong to another process once it was waited for.
+        started_processes().running.remove(&self.pid());
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
@@ -143,7 +158,7 @@
     pub async fn wait_for_exit(&mut self) -> ExitStatus {
         let deadline = Instant::now() + WAIT_TIMEOUT;
         loop {
-            if let Ok(Some(status)) = self.child.try_wait() {
+            if let Some(status) = self.try_exit_status() {
                 return status;
             }
             assert!(Instant::now() < deadline, "the process doesn't exit");
@@ -152,6 +167,30 @@
     }
 }
 
+fn started_processes() -> MutexGuard<'static, StartedProcesses> {
+    STARTED.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn spawn(command: &mut Command) -> io::Result<Child> {
+    let mut started = started_processes();
+    if started.is_ending {
+        return Err(io::ErrorKind::Interrupted.into());
+    }
+    let child = command.spawn()?;
+    started.running.insert(child.id());
+    Ok(child)
+}
+
+/// Kills all processes that this program has started, before it ends without dropping them. No more can be started then.
+pub(crate) fn kill_all() {
+    let mut started = started_processes();
+    started.is_ending = true;
+    for pid in &started.running {
+        // One that has exited meanwhile wasn't waited for, so its id isn't used again.
+        let _ = kill(Pid::from_raw(pid.cast_signed()), Signal::SIGKILL);
+    }
+}
+
 fn command(program: impl AsRef<OsStr>, args: &[&str], log: &str) -> Command {
     let mut command = Command::new(program);
     command
