--- a/crates/sorrelturn-bench/src/soak/traffic.rs
+++ b/crates/sorrelturn-bench/src/soak/traffic.rs
@@ -14,8 +14,10 @@
 
 /// Between two requests of a caller.
 const MAX_PAUSE_MS: u64 = 50;
-/// Between two probes of the route table in force at one daemon.
+/// Between two probes of the route table in force at one daemon, in a fleet of up to [`MAX_DAEMONS_AT_FULL_RATE`]. In a
+/// larger one, all daemons together are probed as often as there.
 const TABLE_PROBE_INTERVAL: Duration = Duration::from_millis(100);
+const MAX_DAEMONS_AT_FULL_RATE: usize = 12;
 const CRASHING_REQUEST_INTERVAL: Duration = Duration::from_millis(200);
 
 impl Harness {
@@ -46,8 +48,10 @@
     /// responses, which suspended daemons delay.
     pub(super) async fn probe_tables(self: &Arc<Self>, number: usize) {
         let mut probes: Vec<Task<bool>> = Vec::new();
+        let daemons = self.daemons.len().max(MAX_DAEMONS_AT_FULL_RATE) as f64;
+        let interval = TABLE_PROBE_INTERVAL.mul_f64(daemons / MAX_DAEMONS_AT_FULL_RATE as f64);
         while !self.is_over() {
-            Timer::after(TABLE_PROBE_INTERVAL).await;
+            Timer::after(interval).await;
             let newest = self.version.load(Ordering::Relaxed);
             let previous = newest.saturating_sub(1);
             for kind in [
