The codec of control messages no longer holds the daemon's state

It used nothing of Node but the event about a message that can't be decoded, which the caller passes as a closure now. The comment on a panic of a daemon's task says only the reason. Behaviour as before.

--- a/crates/sorrelturn-daemon/src/fleet/control.rs
+++ b/crates/sorrelturn-daemon/src/fleet/control.rs
@@ -243,5 +243,10 @@
         stream,
     };
     let framed = Framed::new(Compat::new(metered), codec);
-    tarpc::serde_transport::new(framed, ControlCodec::new(node, side))
+    let node = Arc::clone(node);
+    let report = move |error: &std::io::Error| {
+        let fields = vec![Field::new("port", "control"), Field::new("error", error)];
+        node.record_event(&events::BAD_PEER, fields);
+    };
+    tarpc::serde_transport::new(framed, ControlCodec::new(side, report))
 }
--- a/crates/sorrelturn-daemon/src/fleet/control_codec.rs
+++ b/crates/sorrelturn-daemon/src/fleet/control_codec.rs
@@ -1,11 +1,9 @@
 //! The encoding of control messages. See `docs/design/between-daemons.md`.
 
-use crate::node::Node;
 use bincode::{DefaultOptions, Options};
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use sorrelturn_telemetry::{Field, events};
-use std::{io, marker::PhantomData, pin::Pin, sync::Arc, time::Duration};
+use std::{io, marker::PhantomData, pin::Pin, time::Duration};
 use tarpc::tokio_serde::{Deserializer, Serializer};
 
 /// Far above the timeout of any control call. The RPC library panics at a deadline that is years ahead.
@@ -22,8 +20,9 @@
 
 /// Encodes and decodes control messages. A message that can't be decoded ends its connection.
 pub(crate) struct ControlCodec<Item, SinkItem> {
-    node: Arc<Node>,
     side: Side,
+    /// Called with the reason why a message can't be decoded; the RPC library only closes the connection.
+    report: Box<dyn Fn(&io::Error) + Send + Sync>,
     messages: PhantomData<fn(SinkItem) -> Item>,
 }
 
@@ -35,10 +34,10 @@
 }
 
 impl<Item, SinkItem> ControlCodec<Item, SinkItem> {
-    pub(crate) fn new(node: &Arc<Node>, side: Side) -> Self {
+    pub(crate) fn new(side: Side, report: impl Fn(&io::Error) + Send + Sync + 'static) -> Self {
         Self {
-            node: Arc::clone(node),
             side,
+            report: Box::new(report),
             messages: PhantomData,
         }
     }
@@ -53,10 +52,7 @@
             Side::Server => check_timeout(src),
         };
         let decoded = checked.and_then(|()| options().deserialize(src).map_err(invalid_data));
-        decoded.inspect_err(|error| {
-            let fields = vec![Field::new("port", "control"), Field::new("error", error)];
-            self.node.record_event(&events::BAD_PEER, fields);
-        })
+        decoded.inspect_err(|error| (self.report)(error))
     }
 }
 
--- a/crates/sorrelturn-daemon/src/process.rs
+++ b/crates/sorrelturn-daemon/src/process.rs
@@ -61,8 +61,8 @@
     code
 }
 
-/// Ends the process if a task panics, as the release profile does. Without that, the executor of a debug build keeps the
-/// panic to itself, and the daemon goes on without the task.
+/// Ends the process if a task panics, as the release profile does: executors of other builds drop the panic of a task that
+/// nobody waits for.
 fn abort_on_panic() {
     let print = panic::take_hook();
     panic::set_hook(Box::new(move |info| {
