--- a/crates/sorrelturn-bench/src/commands/soak.rs
+++ b/crates/sorrelturn-bench/src/commands/soak.rs
@@ -132,14 +132,15 @@
         false => SoakPlan::from_seed,
     };
     let plan = generate(number("seed"), number("seconds"), instances as usize);
-    let plan = match args.get_flag("crashes") {
-        true => plan.with_crashes(),
-        false => plan,
-    };
-    let plan = match args.get_flag("signals") {
-        true => plan.with_signals(),
-        false => plan,
+    let with_flag = |plan: SoakPlan, name, extend: fn(SoakPlan) -> SoakPlan| {
+        if args.get_flag(name) {
+            extend(plan)
+        } else {
+            plan
+        }
     };
+    let plan = with_flag(plan, "crashes", SoakPlan::with_crashes);
+    let plan = with_flag(plan, "signals", SoakPlan::with_signals);
     let copied_percent = *args
         .get_one::<u8>("copied-percent")
         .expect("the argument has a default");
@@ -147,14 +148,8 @@
         true => plan.with_mixed_work(copied_percent),
         false => plan,
     };
-    let plan = match args.get_flag("restarts") {
-        true => plan.with_restarts(),
-        false => plan,
-    };
-    let plan = match args.get_flag("other-writers") {
-        true => plan.with_other_writers(),
-        false => plan,
-    };
+    let plan = with_flag(plan, "restarts", SoakPlan::with_restarts);
+    let plan = with_flag(plan, "other-writers", SoakPlan::with_other_writers);
     print!("{plan}");
     if args.get_flag("print") {
         return ExitCode::SUCCESS;
--- a/crates/sorrelturn-bench/src/soak/checker.rs
+++ b/crates/sorrelturn-bench/src/soak/checker.rs
@@ -32,7 +32,7 @@
 const LIMIT_OVERAGE: f64 = 1.5;
 const LIMIT_SLACK: f64 = 5.0;
 /// The time after the deadline of its route in which a request has to have its response.
-const RESPONSE_SLACK: Duration = Duration::from_millis(500);
+const MAX_TIME_PAST_DEADLINE: Duration = Duration::from_millis(500);
 /// The time in which requests may still reach a backend server after its leave was acknowledged, or may still be sent to it
 /// after a response that says that it is leaving.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
@@ -866,7 +866,7 @@
             }
             _ => longest,
         };
-        let is_late = at > sent_at + deadline + RESPONSE_SLACK + self.lag;
+        let is_late = at > sent_at + deadline + MAX_TIME_PAST_DEADLINE + self.lag;
         let is_late = is_late && !request.is_behind_another;
         if is_late && self.was_in_touch(daemon, sent_at) && self.was_in_touch(daemon, at) {
             let description = format!(
