--- a/crates/sorrelturn-platform/tests/common/mod.rs
+++ b/crates/sorrelturn-platform/tests/common/mod.rs
@@ -1,11 +1,12 @@
 //! Scripted responses of the store, in bytes that its stand-in wouldn't send.
 
+use assert_matches::assert_matches;
 use smol::{
     Executor,
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
 };
-use sorrelturn_platform::{Changes, Platform};
+use sorrelturn_platform::{Changes, Expected, Platform, PlatformError};
 use std::{sync::Arc, time::Duration};
 
 pub const TIMEOUT: Duration = Duration::from_secs(20);
@@ -44,6 +45,18 @@
     }))
 }
 
+/// Checks that the version of an object with this value is read, both of the object and of a write's conflict.
+pub fn check_version_is_read(value: &[u8]) {
+    let got = answered_with(200, vec![object("odd", 7, value)], async |platform| {
+        platform.get("kind/odd").await
+    });
+    assert_matches!(got, Ok(Some(object)) if object.version == 7);
+    let written = answered_with(409, vec![object("odd", 7, value)], async |platform| {
+        platform.put("kind/odd", "v", Expected::Absent).await
+    });
+    assert_matches!(written, Err(PlatformError::Conflict(7)));
+}
+
 /// Returns the keys of all objects but `kind/odd`.
 pub fn keys(changes: &Changes) -> Vec<&str> {
     let keys = changes.objects.iter().map(|object| object.key.as_str());
--- a/crates/sorrelturn-platform/tests/odd_entries.rs
+++ b/crates/sorrelturn-platform/tests/odd_entries.rs
@@ -4,10 +4,12 @@
 
 use assert_matches::assert_matches;
 use bytes::Bytes;
-use common::{TIMEOUT, answered_with, keys, list_around_odd, list_page, object};
+use common::{
+    TIMEOUT, answered_with, check_version_is_read, keys, list_around_odd, list_page, object,
+};
 use hyper::Request;
 use smol::{Executor, net::TcpListener};
-use sorrelturn_platform::{Expected, Platform, PlatformError, StandIn, http::exchange, serve};
+use sorrelturn_platform::{Expected, Platform, StandIn, http::exchange, serve};
 use std::{net::SocketAddr, sync::Arc};
 
 /// Deeper than JSON libraries parse.
@@ -84,14 +86,7 @@
 #[test]
 fn the_version_of_an_object_that_cant_be_parsed_is_read() {
     for value in odd_values() {
-        let got = answered_with(200, vec![object("odd", 7, &value)], async |platform| {
-            platform.get("kind/odd").await
-        });
-        assert_matches!(got, Ok(Some(object)) if object.version == 7);
-        let written = answered_with(409, vec![object("odd", 7, &value)], async |platform| {
-            platform.put("kind/odd", "v", Expected::Absent).await
-        });
-        assert_matches!(written, Err(PlatformError::Conflict(7)));
+        check_version_is_read(&value);
     }
 }
 
@@ -105,9 +100,8 @@
             &first[..],
             br#"],"has_more":true,"store_revision":9}"#,
         ];
-        let second = object("last", 3, br#""v""#);
-        let second = [br#"{"items":["#, &second[..], br#"],"store_revision":9}"#];
-        let pages = vec![first.concat(), second.concat()];
+        let second = list_page(&[object("last", 3, br#""v""#)]);
+        let pages = vec![first.concat(), second];
         let listed = answered_with(200, pages, async |platform| platform.list("kind/").await);
         assert_eq!(keys(&listed.expect("a list")), ["kind/last"]);
     }
--- a/crates/sorrelturn-platform/tests/random_entries.rs
+++ b/crates/sorrelturn-platform/tests/random_entries.rs
@@ -2,10 +2,8 @@
 
 mod common;
 
-use assert_matches::assert_matches;
-use common::{TIMEOUT, answered_with, keys, list_around_odd, object};
+use common::{TIMEOUT, answered_with, check_version_is_read, keys, list_around_odd, object};
 use proptest::prelude::*;
-use sorrelturn_platform::{Expected, PlatformError};
 
 /// Deeper than JSON libraries parse.
 const MAX_DEPTH: usize = 300;
@@ -76,14 +74,7 @@
         });
         let listed = listed.expect("a list");
         prop_assert_eq!(keys(&listed), ["kind/first", "kind/last"]);
-        let got = answered_with(200, vec![object("odd", 7, &value)], async |platform| {
-            platform.get("kind/odd").await
-        });
-        assert_matches!(got, Ok(Some(object)) if object.version == 7);
-        let written = answered_with(409, vec![object("odd", 7, &value)], async |platform| {
-            platform.put("kind/odd", "v", Expected::Absent).await
-        });
-        assert_matches!(written, Err(PlatformError::Conflict(7)));
+        check_version_is_read(&value);
     }
 
     /// Guards against a panic, which would end the daemon.
