Review: case 5 loses requests that were taken before the SIGTERM (LOST)

Cause: the instances of the stand-ins ignored X-Sorrelturn-Deadline-Ms, although PROTOCOL.md says that an instance stops its work at the value that it receives. The five requests that case 5 counted were sent after the SIGTERM, and their instances receive a time budget that ends 0.1 s before the daemon's stop.

Adds: stand-in instances stop at the budget that they receive, with a 504 of their own. Case 5 now judges requests that were taken and passed on before the SIGTERM, whose budgets nobody shortened: budget 10 s, timeout of the route 6 s, work 5.7 s, grace 10 s. The daemon breaks them off 5.1 s after the SIGTERM.

--- a/review/standins-2/grace.rs
+++ b/review/standins-2/grace.rs
@@ -11,10 +11,12 @@
 
 /// `grace` of protokols-riga-large and protokols-riga-fleet, in seconds.
 const GRACE: f64 = 10.0;
-/// The clients' time budget and the `timeout` of the route, in milliseconds.
-const BUDGET_MS: u64 = 5_000;
+/// The clients' time budget, in milliseconds: the longest one on the sheets.
+const BUDGET_MS: u64 = 10_000;
+/// The `timeout` of the route, in milliseconds.
+const TIMEOUT_MS: u64 = 6_000;
 /// How long every second request takes, in milliseconds; the others take 210 ms.
-const LONG_MS: u64 = 4_000;
+const LONG_MS: u64 = 5_700;
 /// Clients go on sending until readiness has been missed twice, in seconds from SIGTERM.
 const CLIENTS_STAY: f64 = 2.0;
 
@@ -43,9 +45,9 @@
 
 fn run(site: &Site, record: &Record) -> i32 {
     let store = Store::start(&site.ip(1));
-    store.put_manifest(
-        r#"{"version":3,"routes":{"certify":{"host":"h.example","path_prefix":"/certify/","execution":"at-most-once","deadline_ms":5000,"target_ms":1500,"rank":0,"service":"b","attempts":2}},"services":{"a":{"probe_path":"/health","connections":630,"protocol":"h1","tls":false},"b":{"probe_path":"/health","connections":630,"protocol":"h1","tls":false}},"limits":{"head_bytes":16384,"body_bytes":67108864,"head_ms":3000,"idle_ms":15000}}"#,
-    );
+    store.put_manifest(&format!(
+        r#"{{"version":3,"routes":{{"certify":{{"host":"h.example","path_prefix":"/certify/","execution":"at-most-once","deadline_ms":{TIMEOUT_MS},"target_ms":5000,"rank":0,"service":"b","attempts":2}}}},"services":{{"a":{{"probe_path":"/health","connections":630,"protocol":"h1","tls":false}},"b":{{"probe_path":"/health","connections":630,"protocol":"h1","tls":false}}}},"limits":{{"head_bytes":16384,"body_bytes":67108864,"head_ms":3000,"idle_ms":15000}}}}"#
+    ));
     let entry = Arc::new(site.machine(2, "m-entry", "a", "z1", store.addr));
     let others = [
         site.machine(3, "m-a2", "a", "z1", store.addr),
@@ -74,7 +76,7 @@
     thread::sleep(ms(5_000));
     record.say("the deployment serves");
 
-    // Clients on the entry's machine: ten requests a second, each on a connection of its own.
+    // Clients on the entry's machine: twenty requests a second, each on a connection of its own.
     let stop_at = record.now() + 2.0;
     let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
     let clients = {
@@ -104,7 +106,7 @@
                         signature,
                     });
                 }));
-                thread::sleep(ms(100));
+                thread::sleep(ms(50));
             }
             attempts
                 .into_iter()
@@ -146,19 +148,19 @@
             answered += 1;
             continue;
         }
-        let at_budget = sent.ended_at - sent.at >= BUDGET_MS as f64 / 1_000.0 - 0.2;
+        let at_timeout = sent.ended_at - sent.at >= TIMEOUT_MS as f64 / 1_000.0 - 0.2;
         let in_last_sixth =
             sent.at <= stopped + 3.0 && sent.ended_at >= stopped + GRACE * 5.0 / 6.0;
-        if at_budget || in_last_sixth {
+        if at_timeout || in_last_sixth {
             excused += 1;
             continue;
         }
         lost += 1;
         record.say(format!(
-            "lost: {} was sent {:.2} s after SIGTERM, began to run at {:.2} s, and ended for the client with {} at {:.2} s ({:.2} s after it was sent, its budget is 5 s); at the instance: {run_ended}",
+            "lost: {} was sent {:.2} s before SIGTERM, began to run {:.2} s before it, and ended for the client with {} at {:.2} s after it ({:.2} s after it was sent; its timeout is 6 s); at the instance: {run_ended}",
             sent.id,
-            sent.at - stopped,
-            ran_at - stopped,
+            stopped - sent.at,
+            stopped - ran_at,
             sent.outcome,
             sent.ended_at - stopped,
             sent.ended_at - sent.at
--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -482,6 +482,9 @@
 /// Added to an instance's working time: it spoils this answer.
 pub const SPOILED: u64 = 1 << 40;
 
+/// How a run ends that takes longer than the time budget which the instance received: with a 504 of its own.
+const AT_BUDGET: &str = "stopped at its time budget, answered with 504";
+
 /// The whole body of an instance's answer to a request.
 pub fn answer_body(id: &str) -> String {
     format!("done {id} {}", "x".repeat(400))
@@ -659,11 +662,17 @@
             };
             let work = work(&id);
             let until = Instant::now() + ms(work % SPOILED);
+            // It stops its work at the time budget that it receives.
+            let budget = req.headers.get("x-sorrelturn-deadline-ms");
+            let budget = budget.and_then(|text| text.parse().ok()).map(ms);
+            let budget_ends = budget.map(|budget| Instant::now() + budget);
             let _ = tcp.set_read_timeout(Some(ms(20)));
             let mut ended = "answered";
             while Instant::now() < until && ended == "answered" {
                 if self.ended.load(SeqCst) {
                     ended = "cut by the end of the instance";
+                } else if budget_ends.is_some_and(|end| Instant::now() >= end) {
+                    ended = AT_BUDGET;
                 } else if matches!(tcp.peek(&mut [0; 1]), Ok(0)) {
                     ended = "dropped, the connection was closed";
                 }
@@ -672,6 +681,16 @@
             self.runs.lock().unwrap()[index].ended = ended;
             self.record
                 .add(format!("instance {}: run of {id} ends, {ended}", self.id));
+            if ended == AT_BUDGET {
+                let text = format!(
+                    "HTTP/1.1 504 Gateway Timeout\r\nX-Sorrelturn-Request-Id: {id}\r\nX-Sorrelturn-Response-Signature: {}.{id}\r\n{close}Content-Length: 0\r\n\r\n",
+                    self.id
+                );
+                if (&tcp).write_all(text.as_bytes()).is_err() || is_leaving {
+                    return;
+                }
+                continue;
+            }
             if ended != "answered" {
                 let _ = tcp.shutdown(std::net::Shutdown::Both);
                 return;
