Review: a script that can't run ends its daemons too

Cause: where a script ended early, a thread of clients still held a machine, so its daemon went on running (seen in a scratch copy of case 7).

Adds: the stand-ins keep a list of the processes that they start, and end all of them at the end of a script.

--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -737,10 +737,26 @@
     settings: PathBuf,
     log: PathBuf,
     root: PathBuf,
-    process: Mutex<Option<Child>>,
+    process: Arc<Mutex<Option<Child>>>,
     record: Record,
 }
 
+/// The processes of all machines, so that none outlives the script.
+static PROCESSES: Mutex<Vec<Arc<Mutex<Option<Child>>>>> = Mutex::new(Vec::new());
+
+fn new_process() -> Arc<Mutex<Option<Child>>> {
+    let process = Arc::default();
+    PROCESSES.lock().unwrap().push(Arc::clone(&process));
+    process
+}
+
+fn end_process(process: &Mutex<Option<Child>>) {
+    if let Some(child) = process.lock().unwrap().as_mut() {
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
+
 /// The repository and a temporary folder for one run of a script.
 pub struct Site {
     pub root: PathBuf,
@@ -815,7 +831,7 @@
             settings,
             log: self.temp.join(format!("{name}.log")),
             root: self.root.clone(),
-            process: Mutex::new(None),
+            process: new_process(),
             record: self.record.clone(),
         }
     }
@@ -928,10 +944,7 @@
     }
 
     pub fn kill(&self) {
-        if let Some(child) = self.process.lock().unwrap().as_mut() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        end_process(&self.process);
     }
 
     pub fn is_ready(&self) -> bool {
@@ -982,6 +995,10 @@
 
 /// Writes the record and ends the script.
 pub fn finish(record: &Record, folder: &Path, code: i32, verdict: &str) -> ! {
+    // A thread of clients may still hold a machine.
+    for process in PROCESSES.lock().unwrap().iter() {
+        end_process(process);
+    }
     record.say(verdict);
     record.write(folder);
     std::process::exit(code)
