--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -585,6 +585,12 @@
         self.report("deregister", &body)
     }
 
+    /// As `fleetbench wire` shows it.
+    pub fn deregister_without_body(&self) -> String {
+        self.leaving.store(true, SeqCst);
+        self.report("deregister", "")
+    }
+
     fn report(&self, what: &str, body: &str) -> String {
         let head = format!(
             "POST /backend/{}/{what} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\nConnection: close\r\n",
