A caller's time left at the end of its range no longer overflows the detection of retries

In release builds the sum wrapped, so a request with the full timeout counted as one with less time left, and could be shed as a retry.

Cause: `RetryDetector::observe` added the tolerance to a time left that a caller chose, at two places.

Change: both compare differences, which can't overflow: the longest known time left is never below the one at hand. A saturating sum would have left a fault: the longest time left would not count as full beside itself.

--- a/crates/sorrelturn-policy/src/retry_detector.rs
+++ b/crates/sorrelturn-policy/src/retry_detector.rs
@@ -51,12 +51,12 @@
     /// Records a request with `left_ms` until its deadline; returns whether it is a retry.
     pub fn observe(&mut self, left_ms: u32) -> bool {
         if left_ms > self.full_timeout_ms {
-            if left_ms > self.full_timeout_ms + TIMEOUT_TOLERANCE_MS {
+            if left_ms - self.full_timeout_ms > TIMEOUT_TOLERANCE_MS {
                 self.recent = 0;
             }
             self.full_timeout_ms = left_ms;
         }
-        let has_full_timeout = left_ms + TIMEOUT_TOLERANCE_MS > self.full_timeout_ms;
+        let has_full_timeout = self.full_timeout_ms - left_ms < TIMEOUT_TOLERANCE_MS;
         self.recent = self.recent << 1 | u32::from(has_full_timeout);
         if self.recent == 0 {
             // No recent request had the full timeout, so a shorter one replaces it.
--- a/crates/sorrelturn-policy/tests/entry_admission.rs
+++ b/crates/sorrelturn-policy/tests/entry_admission.rs
@@ -236,6 +236,18 @@
     assert!(!detector.observe(4_995));
 }
 
+// Guards against a time left at the end of its range that overflows, or that counts as shorter than itself.
+#[test]
+fn the_longest_time_left_that_a_caller_can_send_is_a_full_timeout() {
+    let mut detector = RetryDetector::default();
+    for _ in 0..40 {
+        assert!(!detector.observe(u32::MAX));
+        assert!(!detector.observe(u32::MAX - 1));
+    }
+    assert!(detector.observe(u32::MAX - 10));
+    assert!(detector.observe(0));
+}
+
 #[test]
 fn no_retries_are_detected_if_timeouts_of_callers_vary() {
     let mut rng = fastrand::Rng::with_seed(3);
