A response whose head leaves the end of its body in doubt is 502, judged in one place

Cause: nobody judged where a response ends. hyper takes each contradiction in its own way; the daemon then removed `Transfer-Encoding` as a header of one connection and kept the length, or passed on what came until the end. A head that an empty line splits ends there, and its rest came first in the body.

Change: `check_framing` of sorrelturn-platform judges the head for all readers: hops to backend servers and daemons (`Pool`), health checks and the store's client (`exchange`). `LimitedReads` reads along and fails if a body begins like the rest of a head. S216 says what was wrong. Ruled out: removing the length beside a coding (the body of a spoilt head is no better than its length).

--- a/crates/sorrelturn-bench/src/routed_backend.rs
+++ b/crates/sorrelturn-bench/src/routed_backend.rs
@@ -46,6 +46,13 @@
     },
     /// Responds without a length, and closes the connection after the body.
     AnswersUnframed,
+    /// Responds with bytes of a test around its request id, and closes the connection after them.
+    Writes {
+        /// The status line, and what else comes before the request id.
+        start: &'static str,
+        /// The rest of the head, and the body.
+        rest: &'static str,
+    },
     /// Sends the response twice.
     AnswersTwice,
     /// Responds with status 500.
@@ -674,6 +681,10 @@
                 response_head(200, "OK", &response_headers, None) + BODY,
                 false,
             ),
+            Script::Writes { start, rest } => {
+                let id_header = format!("{name}: {request_id}\r\n");
+                (start.to_owned() + &id_header + rest, false)
+            }
             Script::AnswersTwice => (full_response.clone() + &full_response, true),
             Script::Fails => (
                 response_head(500, "Internal Server Error", &response_headers, Some(0)),
--- a/crates/sorrelturn-daemon/src/net/pool.rs
+++ b/crates/sorrelturn-daemon/src/net/pool.rs
@@ -18,7 +18,9 @@
     client::conn::http1::{Builder, SendRequest},
 };
 use smol::{Executor, Timer, future::FutureExt, net::TcpStream};
-use sorrelturn_platform::{LimitedReads, ReadLimit, hyper_io};
+use sorrelturn_platform::{
+    LimitedReads, MalformedResponse, ReadLimit, check_framing, hyper_io, malformed_by,
+};
 use sorrelturn_policy::{ConnectionLimits, IDLE_TIMEOUT, Now, SPARE_IDLE_TIMEOUT};
 use sorrelturn_protocol::Refusal;
 use std::{
@@ -64,6 +66,8 @@
     Refused(Refusal),
     /// All or part of the request was sent.
     Interrupted,
+    /// The request was sent, and its response can't be passed on.
+    Malformed(MalformedResponse),
     /// The request was sent over a broken path; the peer never received it and will refuse it
     /// from now on.
     NeverArrived,
@@ -246,6 +250,16 @@
     }
 }
 
+/// Returns a response whose head tells in one way where its body ends.
+fn accept_head(res: Response<Incoming>) -> Result<Response<Incoming>, SendError> {
+    check_framing(&res).map_err(SendError::Malformed)?;
+    Ok(res)
+}
+
+fn interrupted_by(error: &hyper::Error) -> SendError {
+    malformed_by(error).map_or(SendError::Interrupted, SendError::Malformed)
+}
+
 /// Returns whether the connection that has been idle longest was opened for a burst that is over.
 fn has_surplus_idle(idle: &VecDeque<Idle>, now: Now) -> bool {
     let oldest = idle.front().map(|oldest| now.saturating_sub(oldest.since));
@@ -399,9 +413,10 @@
                 return Err(SendError::Refused(refusal));
             }
             let sent = self.clock.now();
-            conn.read_limit.set(MAX_BYTES_BEFORE_RESPONSE);
+            conn.read_limit.expect_response(MAX_BYTES_BEFORE_RESPONSE);
             match conn.sender.try_send_request(req).await {
                 Ok(res) => {
+                    let res = accept_head(res)?;
                     conn.read_limit.lift();
                     self.response_times.record(sent, conn.opened_at);
                     let lease = Lease {
@@ -414,7 +429,7 @@
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if was_idle => req = unsent,
                     Some(_) => return Err(SendError::NotSent),
-                    None => return Err(SendError::Interrupted),
+                    None => return Err(interrupted_by(error.error())),
                 },
             }
         }
@@ -432,7 +447,7 @@
         let ready = conn.sender.ready().await;
         ready.map_err(|_| SendError::NotSent)?;
         let res = conn.sender.send_request(req).await;
-        let res = res.map_err(|_| SendError::Interrupted)?;
+        let res = accept_head(res.map_err(|error| interrupted_by(&error))?)?;
         conn.read_limit.lift();
         let pool = Arc::clone(self);
         Ok((
--- a/crates/sorrelturn-daemon/src/request/exchange.rs
+++ b/crates/sorrelturn-daemon/src/request/exchange.rs
@@ -18,6 +18,7 @@
     AnswerContext, AttemptId, AttemptStatus, CallContext, Refusal, Verdict,
     headers::{ANSWER, ATTEMPT_STATUS, CONTEXT},
 };
+use sorrelturn_telemetry::{Field, events};
 use std::sync::Arc;
 
 pub(crate) enum Failure {
@@ -92,6 +93,10 @@
             Err(SendError::Full) => Err(Failure::Full),
             Err(SendError::NotSent | SendError::Refused(_)) => Err(Failure::NotSent),
             Err(SendError::Interrupted) => Err(Failure::Interrupted),
+            Err(SendError::Malformed(error)) => {
+                node.record_event(&events::BAD_PEER, vec![Field::new("error", error)]);
+                Err(Failure::Interrupted)
+            }
             Err(SendError::NeverArrived) => Err(Failure::NeverArrived),
             Err(SendError::AnswerLost) => Err(Failure::AnswerLost),
         }
--- a/crates/sorrelturn-daemon/src/request/hop.rs
+++ b/crates/sorrelturn-daemon/src/request/hop.rs
@@ -213,6 +213,16 @@
                 };
                 self.failure_reply(&guard, refusal)
             }
+            Some(Err(SendError::Malformed(error))) => {
+                in_progress.mark_finished();
+                slot.release(Outcome::Failed);
+                let fields = vec![
+                    Field::new("kind", &self.kind.name),
+                    Field::new("error", error),
+                ];
+                self.record_event(&events::RESPONSE_MALFORMED, fields);
+                self.failure_reply(&guard, Refusal::BackendBroke)
+            }
             Some(Err(SendError::NeverArrived | SendError::AnswerLost)) => {
                 slot.release(Outcome::Failed);
                 self.failure_reply(&guard, Refusal::BackendBroke)
--- a/crates/sorrelturn-platform/src/http.rs
+++ b/crates/sorrelturn-platform/src/http.rs
@@ -1,6 +1,6 @@
 //! Minimal HTTP/1.1 client for control calls: one connection per call, buffered bodies, one timeout.
 
-use crate::{LimitedReads, ReadLimit, hyper_io};
+use crate::{LimitedReads, ReadLimit, check_framing, hyper_io};
 use bytes::Bytes;
 use displaydoc::Display;
 use http_body_util::{BodyExt, Full, Limited};
@@ -77,6 +77,7 @@
             .send_request(req.map(Full::new))
             .await
             .map_err(interrupted)?;
+        check_framing(&res).map_err(|error| ExchangeError::Interrupted(error.to_string()))?;
         let (head, body) = res.into_parts();
         let body = Limited::new(body, max_bytes)
             .collect()
--- a/crates/sorrelturn-platform/src/read_limit.rs
+++ b/crates/sorrelturn-platform/src/read_limit.rs
@@ -1,5 +1,7 @@
-//! A limit on the bytes that are read from a connection. hyper limits the length of one head, but not of the interim
-//! responses before it, which a peer may send without end.
+//! What the reader of responses checks beside hyper: the bytes that a peer sends, and where a head ends. hyper limits the
+//! length of one head, but not of the interim responses before it, which a peer may send without end.
+
+use crate::{response_framing::MalformedResponse, split_head::SplitHeadDetector};
 
 use smol::io::{AsyncRead, AsyncWrite};
 use std::{
@@ -7,55 +9,81 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     task::{Context, Poll, ready},
 };
 
 /// How many more bytes may be read from a connection; clones share it.
 #[derive(Clone, Debug)]
-pub struct ReadLimit(Arc<AtomicU64>);
+pub struct ReadLimit(Arc<Limit>);
+
+#[derive(Debug)]
+struct Limit {
+    bytes_left: AtomicU64,
+    /// Whether the next bytes begin a response.
+    is_response_due: AtomicBool,
+}
 
 impl ReadLimit {
     /// Allows this many bytes.
     pub fn new(bytes: u64) -> Self {
-        Self(Arc::new(AtomicU64::new(bytes)))
+        Self(Arc::new(Limit {
+            bytes_left: AtomicU64::new(bytes),
+            is_response_due: AtomicBool::new(true),
+        }))
     }
 
-    /// Allows this many bytes from now on.
-    pub fn set(&self, bytes: u64) {
-        self.0.store(bytes, Ordering::Relaxed);
+    /// Allows this many bytes from now on, which begin a response.
+    pub fn expect_response(&self, bytes: u64) {
+        self.0.bytes_left.store(bytes, Ordering::Relaxed);
+        self.0.is_response_due.store(true, Ordering::Relaxed);
     }
 
     /// Allows any number of bytes from now on.
     pub fn lift(&self) {
-        self.set(u64::MAX);
+        self.0.bytes_left.store(u64::MAX, Ordering::Relaxed);
+    }
+
+    /// Returns once for each response whether its first bytes are read now.
+    fn begins_response(&self) -> bool {
+        let is_due = &self.0.is_response_due;
+        is_due.load(Ordering::Relaxed) && is_due.swap(false, Ordering::Relaxed)
     }
 
     /// Counts bytes that were read. Fails if they exceed the limit.
     fn count(&self, bytes: usize) -> io::Result<()> {
-        let left = self.0.load(Ordering::Relaxed);
+        let left = self.0.bytes_left.load(Ordering::Relaxed);
         if left < bytes as u64 {
-            let error = "the peer sends more than is allowed here";
-            return Err(io::Error::new(io::ErrorKind::InvalidData, error));
+            return Err(invalid_data(MalformedResponse::TooLong));
         }
         if left < u64::MAX {
-            self.0.fetch_sub(bytes as u64, Ordering::Relaxed);
+            let bytes_left = &self.0.bytes_left;
+            bytes_left.fetch_sub(bytes as u64, Ordering::Relaxed);
         }
         Ok(())
     }
 }
 
-/// A stream whose reads fail beyond a limit.
+fn invalid_data(error: MalformedResponse) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, error)
+}
+
+/// A stream of responses whose reads fail beyond a limit, and behind a head that was split.
 pub struct LimitedReads<S> {
     stream: S,
     limit: ReadLimit,
+    split_head: SplitHeadDetector,
 }
 
 impl<S> LimitedReads<S> {
     /// Wraps a stream.
     pub fn new(stream: S, limit: ReadLimit) -> Self {
-        Self { stream, limit }
+        Self {
+            stream,
+            limit,
+            split_head: SplitHeadDetector::default(),
+        }
     }
 }
 
@@ -67,6 +95,11 @@
     ) -> Poll<io::Result<usize>> {
         let len = ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         self.limit.count(len)?;
+        if self.limit.begins_response() {
+            self.split_head = SplitHeadDetector::default();
+        }
+        let inspected = self.split_head.inspect(&buf[..len]);
+        inspected.map_err(invalid_data)?;
         Poll::Ready(Ok(len))
     }
 }
--- a/crates/sorrelturn-telemetry/src/events.rs
+++ b/crates/sorrelturn-telemetry/src/events.rs
@@ -73,6 +73,8 @@
 
     LEAVE_UNCONFIRMED = 215 "leave-unconfirmed" Warn "A leave of the backend server isn't acknowledged yet, since the platform's store doesn't have it; it is obeyed all the same.";
 
+    RESPONSE_MALFORMED = 216 "response-malformed" Warn "The response of the backend server to a request was malformed and was not passed on.";
+
     BUNDLE_IN_FORCE = 300 "bundle-in-force" Info "A higher bundle version is in force on this daemon.";
     BUNDLE_REFUSED = 301 "bundle-refused" Error "A bundle was rejected.";
     BUNDLE_FETCH_FAILED = 302 "bundle-fetch-failed" Warn "A higher bundle version is known but could not be fetched.";
