A response of HTTP/1.0 is framed for its caller as one of HTTP/1.1

What callers saw: a response of a backend server that speaks HTTP/1.0, without a length, was passed on with that version.

Cause: the version of a response belongs to its connection, but was passed on with the response.

Change: `normalize_version` beside the judge of framing, for all pools of connections. The caller gets chunks and a last chunk.

--- a/crates/sorrelturn-daemon/src/net/pool.rs
+++ b/crates/sorrelturn-daemon/src/net/pool.rs
@@ -20,6 +20,7 @@
 use smol::{Executor, Timer, future::FutureExt, net::TcpStream};
 use sorrelturn_platform::{
     LimitedReads, MalformedResponse, ReadLimit, check_framing, hyper_io, malformed_by,
+    normalize_version,
 };
 use sorrelturn_policy::{ConnectionLimits, IDLE_TIMEOUT, Now, SPARE_IDLE_TIMEOUT};
 use sorrelturn_protocol::Refusal;
@@ -251,8 +252,9 @@
 }
 
 /// Returns a response whose head tells in one way where its body ends.
-fn accept_head(res: Response<Incoming>) -> Result<Response<Incoming>, SendError> {
+fn accept_head(mut res: Response<Incoming>) -> Result<Response<Incoming>, SendError> {
     check_framing(&res).map_err(SendError::Malformed)?;
+    normalize_version(&mut res);
     Ok(res)
 }
 
--- a/crates/sorrelturn-platform/src/lib.rs
+++ b/crates/sorrelturn-platform/src/lib.rs
@@ -19,5 +19,5 @@
 pub use read_ahead::ReadAhead;
 pub use read_limit::{LimitedReads, ReadLimit};
 pub use ready_socket::ReadySocket;
-pub use response_framing::{MalformedResponse, check_framing, malformed_by};
+pub use response_framing::{MalformedResponse, check_framing, malformed_by, normalize_version};
 pub use stand_in::{StandIn, serve};
--- a/crates/sorrelturn-platform/src/response_framing.rs
+++ b/crates/sorrelturn-platform/src/response_framing.rs
@@ -3,7 +3,7 @@
 
 use displaydoc::Display;
 use hyper::{
-    HeaderMap, Response,
+    HeaderMap, Response, Version,
     header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING},
 };
 
@@ -61,6 +61,13 @@
     }
 }
 
+/// Makes the version of a response that of the next connection, whose framing is its own.
+///
+/// A response of HTTP/1.0 that is passed on as such would end with its connection, and a cut one would look whole.
+pub fn normalize_version<B>(res: &mut Response<B>) {
+    *res.version_mut() = Version::HTTP_11;
+}
+
 /// Returns what is wrong with a response that could not be read; `None` if its connection broke off or the request could
 /// not be sent.
 pub fn malformed_by(error: &hyper::Error) -> Option<MalformedResponse> {
