The end of a planned stop follows from the platform's grace; untold, a daemon breaks off nothing it had begun

Cause: the settings template named one end of a stop, 5.4 s, for all deployments. The platform's grace was filled in nowhere.

Change: `stop.grace` (filled from the platform's bounds, a number of seconds or a text with a unit) sets the end 0.6 s before the kill, so 5.4 s as before where the grace is 6 s. A short grace shortens the linger time.

--- a/crates/sorrelturn-bench/src/routed_fleet.rs
+++ b/crates/sorrelturn-bench/src/routed_fleet.rs
@@ -247,6 +247,7 @@
         backend: SocketAddr,
     ) -> Settings {
         let listen = serde_json::to_string(listen).expect("addresses are JSON");
+        let stopping = serde_json::to_string(&self.stopping).expect("settings are JSON");
         let text = format!(
             r#"{{
                 "instance": "i-{number}", "service": "{service}", "failure_domain": "d",
@@ -254,9 +255,9 @@
                 "backend": {{ "address": "{backend}" }},
                 "platform": {{ "address": "{}" }},
                 "routes": {{ "object": "{ROUTE_TABLE_KEY}", "retry_slack": {RETRY_SLACK}, "revocation_ms": {REVOCATION_MS} }},
-                "stop": {{ "linger_ms": {}, "most_ms": {} }}
+                "stop": {stopping}
             }}"#,
-            self.platform, self.stopping.linger_ms, self.stopping.most_ms
+            self.platform
         );
         Settings::parse("test", &text).expect("the settings are valid")
     }
--- a/crates/sorrelturn-daemon/src/config/settings.rs
+++ b/crates/sorrelturn-daemon/src/config/settings.rs
@@ -309,9 +309,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct StopSettings {
-    /// The maximum time from the signal to the exit, in milliseconds. All requests have a final
+    /// The time from the signal until the platform kills the process, as in `6`, `6s` or `6000ms`. All requests have
+    /// final responses shortly before.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub grace: Option<Grace>,
+    /// Without `grace`: the maximum time from the signal to the exit, in milliseconds. All requests have a final
     /// response by then, and the process may be killed soon after.
     pub most_ms: u64,
+    /// Without `grace`: the maximum time from the signal to the final responses of requests that are passed on after it, in
+    /// milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub late_ms: Option<u64>,
     /// How long requests are still accepted after the daemon stops being ready, in milliseconds,
     /// so that readiness checks can notice.
     pub linger_ms: u64,
@@ -320,12 +328,79 @@
 impl Default for StopSettings {
     fn default() -> Self {
         Self {
+            grace: None,
             most_ms: 60_000,
+            late_ms: None,
             linger_ms: 500,
         }
     }
 }
 
+/// The maximum times from the signal to the ends of the parts of a planned stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopLimits {
+    /// To the exit.
+    pub most: Duration,
+    /// To the final responses of requests that are passed on after the signal.
+    pub late: Duration,
+    /// To the last request that is accepted.
+    pub linger: Duration,
+}
+
+impl StopSettings {
+    /// Returns the limits of the stop. Where the platform tells when it kills, they follow from that.
+    pub fn limits(&self) -> StopLimits {
+        let told = self.grace.map(Grace::before_kill);
+        let most = told.unwrap_or(Duration::from_millis(self.most_ms));
+        let late = self.late_ms.map(Duration::from_millis);
+        let min_after_linger = Duration::from_millis(MIN_TIME_AFTER_LINGER_MS);
+        StopLimits {
+            most,
+            late: late.filter(|_| told.is_none()).unwrap_or(most).min(most),
+            linger: Duration::from_millis(self.linger_ms)
+                .min(most.saturating_sub(min_after_linger)),
+        }
+    }
+}
+
+/// The time from the signal to stop until the process is killed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Grace(Duration);
+
+impl Grace {
+    fn before_kill(self) -> Duration {
+        self.0.saturating_sub(KILL_MARGIN)
+    }
+}
+
+impl TryFrom<String> for Grace {
+    type Error = String;
+
+    fn try_from(text: String) -> Result<Self, String> {
+        let (number, unit) = match text.strip_suffix("ms") {
+            Some(number) => (number, Duration::from_millis(1)),
+            None => (
+                text.strip_suffix('s').unwrap_or(&text),
+                Duration::from_secs(1),
+            ),
+        };
+        let number = number.trim().parse::<f64>().ok();
+        let time =
+            number.and_then(|number| Duration::try_from_secs_f64(number * unit.as_secs_f64()).ok());
+        match time.filter(|time| !time.is_zero()) {
+            Some(time) => Ok(Self(time)),
+            None => Err(format!("{text:?} is not a time, write it as in \"6s\"")),
+        }
+    }
+}
+
+impl From<Grace> for String {
+    fn from(grace: Grace) -> Self {
+        format!("{}ms", grace.0.as_millis())
+    }
+}
+
 /// The export of traces.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -417,6 +492,10 @@
 /// the revocation margin.
 const MIN_REVOCATION_MS: u64 = 3_000;
 
+/// The time by which a stop ends before the platform kills the process. A busy daemon notices the signal up to half a second
+/// late.
+const KILL_MARGIN: Duration = Duration::from_millis(600);
+
 /// The minimum time for requests after the linger time, in milliseconds. Most requests end within a second.
 const MIN_TIME_AFTER_LINGER_MS: u64 = 1_000;
 
--- a/crates/sorrelturn-daemon/src/lib.rs
+++ b/crates/sorrelturn-daemon/src/lib.rs
@@ -16,9 +16,9 @@
 pub use backend::report::{Deregistration, Heartbeat, read_deregistration, read_heartbeat};
 pub use clock::{Clock, since_boot};
 pub use config::settings::{
-    AdvertiseSettings, BackendSettings, ContentionSettings, EventSettings, FleetKeySettings,
+    AdvertiseSettings, BackendSettings, ContentionSettings, EventSettings, FleetKeySettings, Grace,
     ListenSettings, MetricsSettings, OnceSettings, PlatformSettings, RouteSettings, Settings,
-    StopSettings, TraceSettings,
+    StopLimits, StopSettings, TraceSettings,
 };
 pub use net::stream::fleet_client_stream;
 pub use operators::status::{RoomStatus, StatusReport};
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -9,7 +9,7 @@
     config::confirmation,
     config::contention::Contention,
     config::route_staleness::RouteStaleness,
-    config::settings::{ListenSettings, RouteSettings, Settings},
+    config::settings::{ListenSettings, RouteSettings, Settings, StopLimits},
     fleet::control_client::ControlLinks,
     fleet::evacuation::EvacuationState,
     fleet::gossip,
@@ -218,10 +218,12 @@
     /// last records. Returns whether no request was cut off.
     pub async fn stop(self) -> bool {
         let node = &self.node;
-        let stop_deadline = node.now() + Duration::from_millis(node.settings.stop.most_ms);
+        let StopLimits { most, late, linger } = node.settings.stop.limits();
+        let begun_at = node.now();
+        let stop_deadline = begun_at + most;
         let answer_deadline = stop_deadline.saturating_sub(FINAL_ANSWER_MARGIN);
-        node.shutdown.set_answer_deadline(answer_deadline);
-        let linger = Duration::from_millis(node.settings.stop.linger_ms);
+        let late_deadline = (begun_at + late).saturating_sub(FINAL_ANSWER_MARGIN);
+        node.shutdown.set_answer_deadline(late_deadline);
         node.record_event(&events::STOPPING, node.counts.as_fields());
         // Keep accepting calls for most of the linger time, so that readiness checks notice the stop first.
         Timer::after(linger.saturating_sub(LEAVING_NOTICE_DURATION)).await;
