A signal to stop ends the wait for the store at the start

Cause: the process looked at signals once `Daemon::start` was over, which waits for the store up to its timeout (2 s) while the listeners serve; the stop then began that much later than the signal.

Change: `listen` and `join` are the parts of a start, and the process waits for a signal beside the second one.

--- a/crates/sorrelturn-daemon/src/process.rs
+++ b/crates/sorrelturn-daemon/src/process.rs
@@ -1,9 +1,13 @@
 //! The daemon process: reads its settings, runs, checks them again on SIGHUP and stops on SIGTERM or SIGINT.
 
-use crate::{Daemon, Dialect, Settings, operators::log_sink};
+use crate::{Clock, Daemon, Dialect, Settings, operators::log_sink};
 use async_signal::{Signal, Signals};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use smol::{Executor, channel, stream::StreamExt};
+use smol::{
+    Executor, channel,
+    future::{self, FutureExt},
+    stream::StreamExt,
+};
 use std::{
     panic,
     path::PathBuf,
@@ -131,20 +135,28 @@
     ex: Arc<Executor<'static>>,
 ) -> ExitCode {
     let signals = spawn_signal_listener(&ex);
-    let daemon = match Daemon::start(settings, dialect, ex).await {
+    let daemon = match Daemon::listen(settings, dialect, ex, Clock::system()) {
         Ok(daemon) => daemon,
         Err(error) => {
             eprintln!("error: {error}\n  help: correct the settings and restart");
             return ExitCode::from(EXIT_START_FAILED);
         }
     };
-    println!(
-        "{}",
-        serde_json::to_string(&daemon.addresses).unwrap_or_default()
-    );
-    while let Ok(Signal::Hup) = signals.recv().await {
-        daemon.settings_changed(read_settings(file));
-    }
+    let run = async {
+        daemon.join().await;
+        println!(
+            "{}",
+            serde_json::to_string(&daemon.addresses).unwrap_or_default()
+        );
+        future::pending().await
+    };
+    // Requests are served while the start waits for the store, so a signal to stop must not wait for it.
+    let stopped = async {
+        while let Ok(Signal::Hup) = signals.recv().await {
+            daemon.settings_changed(read_settings(file));
+        }
+    };
+    run.or(stopped).await;
     if daemon.stop().await {
         ExitCode::SUCCESS
     } else {
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -141,6 +141,18 @@
         dialect: Dialect,
         ex: Arc<Executor<'static>>,
         clock: Clock,
+    ) -> Result<Self, StartError> {
+        let daemon = Self::listen(settings, dialect, ex, clock)?;
+        daemon.join().await;
+        Ok(daemon)
+    }
+
+    /// Begins to serve, before the daemon knows the fleet; [`Daemon::join`] completes the start.
+    pub(crate) fn listen(
+        settings: Settings,
+        dialect: Dialect,
+        ex: Arc<Executor<'static>>,
+        clock: Clock,
     ) -> Result<Self, StartError> {
         let listeners = Listeners::bind(&settings)?;
         let addresses = listeners.addresses(&settings)?;
@@ -155,20 +167,23 @@
         let (entry_close_guard, entries_closed) = channel::bounded(1);
         let (close_guard, closed) = channel::bounded(1);
         listeners.serve(&node, &entries_closed, &closed);
-        let daemon = Self {
+        Ok(Self {
             addresses,
             node,
             entry_close_guard,
             answer_guard,
             close_guard,
-        };
-        join::join(&daemon.node).await;
-        daemon.spawn_tasks();
-        daemon.node.record_event(
+        })
+    }
+
+    /// Joins the fleet and starts the background tasks. Waits for the platform's store for as long as its timeout.
+    pub(crate) async fn join(&self) {
+        join::join(&self.node).await;
+        self.spawn_tasks();
+        self.node.record_event(
             &events::STARTED,
-            vec![Field::new("incarnation", daemon.node.incarnation)],
+            vec![Field::new("incarnation", self.node.incarnation)],
         );
-        Ok(daemon)
     }
 
     /// Returns the number of known members, including this daemon, and whether a bundle is in force.
