An acknowledged leave is final for its id until a later boot is proved, in any order of reports, leaves and restarts

Cause: a leave was a state of the incarnation that was current, and lasted as long as that stayed current. Requests carry the id alone, so the promise is one for the id.

Change: `Presence` remembers the ids that have left and the latest start that the one that left may have had, its own or the VM's time of the leave; a report makes such an id ready only with a later start, or after 15 s of reports (clocks that step back). Leaves of a replaced backend server are acknowledged only if a later start shows its end. The last four ids are in the member record (one version for all daemons). A report of a boot that started earlier doesn't replace a live one.

--- a/crates/sorrelturn-daemon/src/backend/announce.rs
+++ b/crates/sorrelturn-daemon/src/backend/announce.rs
@@ -129,20 +129,26 @@
         return ok_response();
     }
     let leaving = report.announcement.state != BackendState::Ready;
-    let id = report.announcement.id.clone();
+    let (id, born) = (report.announcement.id.clone(), report.announcement.born);
     if state::may_have_stopped_leaving(routed, &report.announcement) {
         check_leaving(node, routed);
     }
-    match receive_announcement(node, routed, report.announcement, Source::Report) {
+    let change = receive_announcement(node, routed, report.announcement, Source::Report);
+    let is_news = match change {
         PresenceChange::Foreign => return status(StatusCode::BAD_REQUEST),
         // An acknowledgement would promise that the backend server gets no more requests.
         PresenceChange::Unconfirmed if leaving => return status(StatusCode::SERVICE_UNAVAILABLE),
-        PresenceChange::Outdated | PresenceChange::Unconfirmed => return ok_response(),
-        PresenceChange::NoChange | PresenceChange::NowReady | PresenceChange::NowLeaving => {}
-    }
-    update_slots(node, routed, report.slots);
-    if let Some(remaining) = report.cold_remaining {
-        state::record_cold_remaining(node, remaining);
+        PresenceChange::Outdated if leaving && !routed.has_left_for_good(&id, born) => {
+            return status(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        PresenceChange::Outdated | PresenceChange::Unconfirmed => false,
+        PresenceChange::NoChange | PresenceChange::NowReady | PresenceChange::NowLeaving => true,
+    };
+    if is_news {
+        update_slots(node, routed, report.slots);
+        if let Some(remaining) = report.cold_remaining {
+            state::record_cold_remaining(node, remaining);
+        }
     }
     if leaving {
         let is_saved = save_leave(node, routed).await;
@@ -157,6 +163,8 @@
 /// Writes the leave to the store. Returns whether the store has it within [`SAVE_TIMEOUT`]; if not, a background task
 /// repeats the write.
 async fn save_leave(node: &Arc<Node>, routed: &Routed) -> bool {
+    // A leave that doesn't change the state may be of a later incarnation than the known one.
+    state::record_left(node, routed);
     let save = state::save(node, routed);
     let is_saved = member_record::write_within(node, SAVE_TIMEOUT, save).await;
     if !is_saved {
--- a/crates/sorrelturn-daemon/src/backend/state.rs
+++ b/crates/sorrelturn-daemon/src/backend/state.rs
@@ -3,6 +3,7 @@
 
 use crate::{
     backend::{crash, signals, work_times},
+    clock::unix_ms,
     fleet::gossip,
     node::{LastTime, Node, lock},
     request::dialect::Dialect,
@@ -15,7 +16,7 @@
     CallGraph, GateConfig, LeavingCause, Presence, PresenceChange, RequestOrigins, Responder,
     WorkTimes,
 };
-use sorrelturn_protocol::{Announcement, BackendState, MemberRecord, RequestRate};
+use sorrelturn_protocol::{Announcement, BackendState, LeftBackend, MemberRecord, RequestRate};
 use sorrelturn_telemetry::{EventKind, Field, events};
 use std::{
     ops::RangeInclusive,
@@ -157,6 +158,16 @@
         presence.current().is_some_and(|current| current.id == id)
     }
 
+    /// Returns the backend servers that left last, for the next incarnation of this daemon.
+    fn left(&self) -> Vec<LeftBackend> {
+        lock(&self.presence).left()
+    }
+
+    /// Returns whether an outdated leave may be acknowledged.
+    pub(crate) fn has_left_for_good(&self, id: &str, born: Option<u64>) -> bool {
+        lock(&self.presence).has_left_for_good(id, born)
+    }
+
     /// Returns the configuration of the gate in front of the backend server.
     pub(crate) fn gate_config(&self) -> GateConfig {
         let slots = self.slots.load(Ordering::Relaxed).max(1);
@@ -236,7 +247,9 @@
         Field::new("source", source.name()),
     ];
     let before = routed.current();
-    let change = lock(&routed.presence).receive(node.now(), announcement);
+    // The time of a restored leave isn't known.
+    let received_at = (source != Source::EarlierIncarnation).then(unix_ms);
+    let change = lock(&routed.presence).receive_at(node.now(), received_at, announcement);
     match change {
         PresenceChange::NowReady => {
             node.record_event(&events::BACKEND_READY, fields);
@@ -260,9 +273,15 @@
     let Some(id) = backend_id(routed, headers) else {
         return;
     };
-    let responder = lock(&routed.presence).record_answer_from(id);
+    let before = routed.current();
+    let responder = lock(&routed.presence).record_answer_from(node.now(), id);
     match responder {
         Responder::Current => {}
+        Responder::Returned => {
+            report_if_replaced(node, routed, before.as_ref());
+            record_answer_event(node, &events::BACKEND_READY, id, Source::Response);
+            on_backend_ready(node, routed);
+        }
         Responder::Unknown => {
             record_event_of(
                 node,
@@ -402,7 +421,7 @@
     if let Some(backend) = &backend {
         signals::backend_started(node, routed, &backend.id);
     }
-    node.set_own_backend(backend);
+    node.set_own_backend(backend, routed.left());
     node.admission.with_gate(|gate, _| gate.reset_tuning());
     work_times::reset(routed);
     node.backend.drop_idle();
@@ -443,17 +462,30 @@
 
 fn on_backend_leaving(node: &Arc<Node>, routed: &Routed) {
     routed.is_saved.store(false, Ordering::Relaxed);
-    node.set_own_backend(routed.current());
+    node.set_own_backend(routed.current(), routed.left());
     node.start_leaving(LeavingCause::Backend);
     gossip::push_own_record(node);
 }
 
+/// Puts the backend servers that left last into the own record, if they have changed.
+pub(crate) fn record_left(node: &Node, routed: &Routed) {
+    let left = routed.left();
+    if node.own_record.load().left != left {
+        routed.is_saved.store(false, Ordering::Relaxed);
+        node.set_own_backend(routed.current(), left);
+    }
+}
+
 /// Restores what an earlier incarnation of this daemon published of its backend server, unless that was replaced
 /// meanwhile: that it is leaving, and the limit that it names.
 pub(crate) fn restore(node: &Arc<Node>, earlier: &MemberRecord) {
     let (Some(routed), Some(backend)) = (&node.routed, &earlier.backend) else {
         return;
     };
+    let leave_of_current = lock(&routed.presence).restore_left(&earlier.left);
+    if let Some(leave) = leave_of_current {
+        receive_announcement(node, routed, leave, Source::EarlierIncarnation);
+    }
     let current = routed.current();
     if current
         .as_ref()
--- a/crates/sorrelturn-daemon/src/node.rs
+++ b/crates/sorrelturn-daemon/src/node.rs
@@ -33,7 +33,9 @@
 use sorrelturn_once::{AttemptRegister, Ledger};
 use sorrelturn_platform::{Expected, Platform};
 use sorrelturn_policy::{ColdRate, DemandByClass, GateConfig, Leaving, LeavingCause, Now};
-use sorrelturn_protocol::{Announcement, Incarnation, MemberRecord, MemberState, RequestRate};
+use sorrelturn_protocol::{
+    Announcement, Incarnation, LeftBackend, MemberRecord, MemberState, RequestRate,
+};
 use sorrelturn_telemetry::{EventKind, EventRing, Field, SpanBuffer, events};
 use std::{
     collections::{HashMap, VecDeque},
@@ -514,8 +516,15 @@
     }
 
     /// Changes the announcement of the backend server in the own record.
-    pub(crate) fn set_own_backend(&self, backend: Option<Announcement>) -> MemberRecord {
-        self.change_own_record(|record| record.backend = backend)
+    pub(crate) fn set_own_backend(
+        &self,
+        backend: Option<Announcement>,
+        left: Vec<LeftBackend>,
+    ) -> MemberRecord {
+        self.change_own_record(|record| {
+            record.backend = backend;
+            record.left = left;
+        })
     }
 
     /// Copies what an earlier incarnation published of its backend server into the own record.
@@ -523,6 +532,7 @@
         self.change_own_record(|record| {
             record.backend.clone_from(&earlier.backend);
             record.rate_limit = earlier.rate_limit;
+            record.left.clone_from(&earlier.left);
         })
     }
 
--- a/crates/sorrelturn-daemon/src/run.rs
+++ b/crates/sorrelturn-daemon/src/run.rs
@@ -348,6 +348,7 @@
         control_addr: settings.advertise.control.unwrap_or(addresses.control),
         backend: None,
         rate_limit: None,
+        left: Vec::new(),
     };
     let ledger_config = LedgerConfig {
         ttl: Duration::from_secs(settings.once.ttl_s),
--- a/crates/sorrelturn-fleet/tests/membership.rs
+++ b/crates/sorrelturn-fleet/tests/membership.rs
@@ -20,6 +20,7 @@
         control_addr: ([127, 0, 0, 1], 2).into(),
         backend: None,
         rate_limit: None,
+        left: Vec::new(),
     }
 }
 
--- a/crates/sorrelturn-policy/src/presence.rs
+++ b/crates/sorrelturn-policy/src/presence.rs
@@ -2,7 +2,7 @@
 //! See `docs/design/running-on-the-platform.md`.
 
 use crate::Now;
-use sorrelturn_protocol::{Announcement, BackendState};
+use sorrelturn_protocol::{Announcement, BackendState, LeftBackend};
 use std::{collections::VecDeque, time::Duration};
 
 /// Maximum number of earlier incarnations that are remembered, so that delayed announcements of them are recognized. A
@@ -14,6 +14,15 @@
 /// Backend servers announce themselves every 1.5 s, so two announcements are overdue by then.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Maximum number of ids that are remembered because a backend server with them has left.
+const MAX_LEFT: usize = 32;
+/// How many of them the next incarnation of the daemon is told.
+const MAX_SAVED_LEFT: usize = 4;
+
+/// How long an id that has left has to announce that it is ready, without a pause of [`SILENCE_TIMEOUT`], to prove a later
+/// incarnation if its start time can't. Longer than announcements from before the leave keep arriving.
+const PROOF_DURATION: Duration = Duration::from_secs(15);
+
 /// The result of processing an announcement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PresenceChange {
@@ -54,11 +63,75 @@
     }
 }
 
+/// An id under which a backend server has left.
+#[derive(Clone, Debug)]
+struct LeftId {
+    backend: LeftBackend,
+    /// Whether the incarnation was the current one, whose state outlives the daemon.
+    was_current: bool,
+    /// The announcements since then that say otherwise.
+    contradiction: Option<Contradiction>,
+}
+
+/// Announcements of an incarnation that may have left or may be a later one with the same id.
+#[derive(Clone, Debug)]
+struct Contradiction {
+    born: Option<u64>,
+    since: Now,
+    last: Now,
+    sequence: u64,
+}
+
+impl Contradiction {
+    fn begin(now: Now, announcement: &Announcement) -> Self {
+        Self {
+            born: announcement.born,
+            since: now,
+            last: now,
+            sequence: announcement.sequence,
+        }
+    }
+
+    /// Returns whether this announcement continues the ones before.
+    fn continues(&self, now: Now, announcement: &Announcement) -> bool {
+        self.born == announcement.born
+            && announcement.sequence > self.sequence
+            && now < self.last + SILENCE_TIMEOUT
+    }
+}
+
+impl LeftId {
+    /// Returns whether an announcement proves that an incarnation with this id started after the one that left.
+    fn is_proved_later(&mut self, now: Now, announcement: &Announcement) -> bool {
+        let (born, started_by) = (announcement.born, self.backend.started_by);
+        if started_by.is_some() && born > started_by {
+            return true;
+        }
+        if born.is_none() || born == started_by {
+            return false;
+        }
+        match &mut self.contradiction {
+            Some(known) if known.continues(now, announcement) => {
+                known.last = now;
+                known.sequence = announcement.sequence;
+                now >= known.since + PROOF_DURATION
+            }
+            Some(known) if known.born == born && announcement.sequence <= known.sequence => false,
+            contradiction => {
+                *contradiction = Some(Contradiction::begin(now, announcement));
+                false
+            }
+        }
+    }
+}
+
 /// What a response tells by the id of the backend server that sent it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Responder {
     /// The current backend server sent it, or it says nothing new.
     Current,
+    /// A backend server sent it that has announced itself before, and that now is the current one.
+    Returned,
     /// A backend server sent it that has never announced itself, so its service isn't known. The current one isn't at
     /// its address any more and gets no requests until it announces itself again.
     Unknown,
@@ -84,7 +157,12 @@
 /// one with the later start time is current. As clocks may step back, an incarnation with an
 /// earlier start time also becomes current once the known one has been silent for longer than a
 /// live one would be. Until then the daemon keeps the current incarnation. This is safe: requests carry
-/// only the id, and a leaving announcement is acknowledged only for the current incarnation.
+/// only the id, and a leave isn't acknowledged while a backend server with its id accepts work.
+///
+/// A leave is final for its id, in whatever order announcements arrive, until a later incarnation with that id is
+/// proved: by a later start time than that of the one that left, or by announcements that go on for [`PROOF_DURATION`]
+/// where the start times can't tell. An incarnation with another id needs no proof, since the one that left refuses its
+/// requests.
 ///
 /// An incarnation becomes ready only by its own announcement, which names its service: another service may get the address
 /// of one that ended, so an answer from there proves nothing.
@@ -102,6 +180,8 @@
     is_leaving_by_answer: bool,
     /// Whether another backend server has answered at the address of the current incarnation.
     is_absent: bool,
+    /// The ids that have left, the last one at the back.
+    left: VecDeque<LeftId>,
     /// The id of the backend server that announced itself to an earlier incarnation of the daemon.
     expected: Option<String>,
 }
@@ -121,35 +201,76 @@
 
     /// Processes an announcement. An incarnation that is leaving never becomes ready again; a new
     /// incarnation has another id or start time.
-    pub fn receive(&mut self, now: Now, mut announcement: Announcement) -> PresenceChange {
-        if announcement.born.is_none() && announcement.state == BackendState::Gone {
+    pub fn receive(&mut self, now: Now, announcement: Announcement) -> PresenceChange {
+        self.receive_at(now, None, announcement)
+    }
+
+    /// As [`Self::receive`], at `unix_ms` by the clock of the VM. Whatever announces that it leaves has started by then.
+    pub fn receive_at(
+        &mut self,
+        now: Now,
+        unix_ms: Option<u64>,
+        mut announcement: Announcement,
+    ) -> PresenceChange {
+        let is_leave = announcement.state != BackendState::Ready;
+        let has_start = announcement.born.is_some();
+        let mut is_resolved = has_start;
+        if !has_start && announcement.state == BackendState::Gone {
             match self.incarnation_with_id(&announcement.id) {
-                IncarnationWithId::Current(born) => announcement.born = born,
-                IncarnationWithId::Earlier => return PresenceChange::Outdated,
+                IncarnationWithId::Current(born) => {
+                    announcement.born = born;
+                    is_resolved = true;
+                }
+                IncarnationWithId::Earlier => {
+                    self.remember_leave(&announcement.id, unix_ms, false);
+                    return PresenceChange::Outdated;
+                }
                 IncarnationWithId::Several => return PresenceChange::Unconfirmed,
                 IncarnationWithId::None => {}
             }
         }
-        if announcement.born.is_none() && self.sends_start_time {
+        if !is_resolved && self.sends_start_time {
             return PresenceChange::Foreign;
         }
         self.sends_start_time |= announcement.born.is_some();
+        if !is_leave && !self.may_be_ready(now, &announcement) {
+            return PresenceChange::Outdated;
+        }
+        let change = self.apply(now, &announcement);
+        if is_leave {
+            let current = self.current.as_ref();
+            let is_current = current
+                .is_some_and(|current| BackendIncarnation::of(current).matches(&announcement));
+            // A leave of an earlier incarnation with the current id says nothing of the current one.
+            if is_current || !self.has_current_id(&announcement.id) {
+                // Without a start time, it may be of a later incarnation than the known one.
+                let started_by = match has_start {
+                    true => announcement.born,
+                    false => unix_ms.max(announcement.born),
+                };
+                self.remember_leave(&announcement.id, started_by, is_current);
+            }
+        }
+        change
+    }
+
+    fn apply(&mut self, now: Now, announcement: &Announcement) -> PresenceChange {
         let Some(current) = &self.current else {
-            return self.replace(now, announcement);
+            return self.replace(now, announcement.clone());
         };
-        if self.is_first_announcement(&announcement) {
-            return self.adopt_first_announcement(now, announcement);
+        if self.is_first_announcement(announcement) {
+            return self.adopt_first_announcement(now, announcement.clone());
         }
-        if BackendIncarnation::of(current).matches(&announcement) {
+        if BackendIncarnation::of(current).matches(announcement) {
             return self.update_current(now, announcement);
         }
-        if self.supersedes_current(now, &announcement) {
-            return self.replace(now, announcement);
+        if self.supersedes_current(now, announcement) {
+            return self.replace(now, announcement.clone());
         }
         if self
             .earlier
             .iter()
-            .any(|earlier| earlier.matches(&announcement))
+            .any(|earlier| earlier.matches(announcement))
         {
             PresenceChange::Outdated
         } else {
@@ -157,6 +278,100 @@
         }
     }
 
+    /// Returns whether a leave that was outdated may be acknowledged: its incarnation accepts no work, and won't after a
+    /// restart of the daemon.
+    pub fn has_left_for_good(&self, id: &str, born: Option<u64>) -> bool {
+        let current = self.current.as_ref().filter(|current| current.id == id);
+        let has_ended = current.is_some_and(|current| born.is_some() && born < current.born);
+        let mut left = self.left.iter().filter(|left| left.was_current);
+        has_ended || self.serving() != Some(id) && left.any(|left| left.backend.id == id)
+    }
+
+    /// Returns the backend servers that left last, for the next incarnation of the daemon.
+    pub fn left(&self) -> Vec<LeftBackend> {
+        let saved = self.left.iter().filter(|left| left.was_current);
+        let mut saved: Vec<_> = saved.rev().take(MAX_SAVED_LEFT).collect();
+        saved.reverse();
+        saved.iter().map(|left| left.backend.clone()).collect()
+    }
+
+    /// Restores what an earlier incarnation of the daemon returned as [`Self::left`]. Returns the leave of the current backend
+    /// server, which is to be received, if it is among them.
+    pub fn restore_left(&mut self, left: &[LeftBackend]) -> Option<Announcement> {
+        for backend in left {
+            self.remember_leave(&backend.id, backend.started_by, true);
+        }
+        let current = self.current.as_ref()?;
+        let has_left =
+            |backend: &LeftBackend| backend.id == current.id && current.born <= backend.started_by;
+        left.iter().any(has_left).then(|| Announcement {
+            state: BackendState::Gone,
+            sequence: u64::MAX,
+            ..current.clone()
+        })
+    }
+
+    /// Records the id of the backend server that announced itself to an earlier incarnation of the daemon.
+    pub fn expect(&mut self, id: &str) {
+        self.expected = Some(id.to_owned());
+    }
+
+    fn has_current_id(&self, id: &str) -> bool {
+        self.current
+            .as_ref()
+            .is_some_and(|current| current.id == id)
+    }
+
+    /// Returns whether no leave speaks against this announcement that a backend server is ready.
+    fn may_be_ready(&mut self, now: Now, announcement: &Announcement) -> bool {
+        let left = self.left.iter_mut();
+        let mut with_id = left.filter(|left| left.backend.id == announcement.id);
+        let Some(left) = with_id.next() else {
+            return true;
+        };
+        if !left.is_proved_later(now, announcement) {
+            return false;
+        }
+        if announcement.born < left.backend.started_by || left.backend.started_by.is_none() {
+            // The clock stepped back, or the start time of the one that left isn't known.
+            self.left.retain(|left| left.backend.id != announcement.id);
+            self.forget(&announcement.id);
+        }
+        true
+    }
+
+    /// Forgets the incarnations with this id, after which another one with it may be current whatever its start time.
+    fn forget(&mut self, id: &str) {
+        self.earlier.retain(|earlier| earlier.id != id);
+        if self.has_current_id(id) {
+            self.current = None;
+        }
+    }
+
+    /// Makes a leave final for its id.
+    fn remember_leave(&mut self, id: &str, started_by: Option<u64>, was_current: bool) {
+        let known = self.left.iter().position(|left| left.backend.id == id);
+        let before = known.and_then(|at| self.left.remove(at));
+        if self.left.len() == MAX_LEFT {
+            self.left.pop_front();
+        }
+        // An incarnation that was known before the leave isn't a later one, whatever its clock said.
+        let with_id = self.earlier.iter().filter(|earlier| earlier.id == id);
+        let started_before = before.as_ref().and_then(|before| before.backend.started_by);
+        let started_by = with_id
+            .map(|earlier| earlier.born)
+            .chain([started_before])
+            .fold(started_by, Option::max);
+        self.left.push_back(LeftId {
+            backend: LeftBackend {
+                id: id.to_owned(),
+                started_by,
+            },
+            was_current: was_current || before.as_ref().is_some_and(|before| before.was_current),
+            contradiction: before.and_then(|before| before.contradiction),
+        });
+    }
+
     /// Returns which of the known incarnations an announcement without a start time is of.
     fn incarnation_with_id(&self, id: &str) -> IncarnationWithId {
         let current = self.current.as_ref().filter(|current| current.id == id);
@@ -174,23 +389,24 @@
         }
     }
 
-    /// Records the id of the backend server that announced itself to an earlier incarnation of the daemon.
-    pub fn expect(&mut self, id: &str) {
-        self.expected = Some(id.to_owned());
-    }
-
-    fn has_current_id(&self, id: &str) -> bool {
-        self.current
-            .as_ref()
-            .is_some_and(|current| current.id == id)
-    }
-
     /// Records that a backend server with this id responded to a request that was meant for the current one.
-    pub fn record_answer_from(&mut self, id: &str) -> Responder {
-        if self.has_current_id(id) {
+    pub fn record_answer_from(&mut self, now: Now, id: &str) -> Responder {
+        if self.current.is_none() || self.has_current_id(id) {
             return Responder::Current;
         }
-        if self.earlier.iter().any(|earlier| earlier.id == id) || self.serving().is_none() {
+        let known = self.earlier.iter().find(|earlier| earlier.id == id);
+        let has_left = self.left.iter().any(|left| left.backend.id == id);
+        if let Some(known) = known.filter(|_| !has_left) {
+            let announcement = Announcement {
+                id: known.id.clone(),
+                born: known.born,
+                state: BackendState::Ready,
+                sequence: 0,
+            };
+            self.replace(now, announcement);
+            return Responder::Returned;
+        }
+        if self.serving().is_none() {
             return Responder::Current;
         }
         self.is_absent = true;
@@ -283,7 +499,7 @@
         }
     }
 
-    fn update_current(&mut self, now: Now, announcement: Announcement) -> PresenceChange {
+    fn update_current(&mut self, now: Now, announcement: &Announcement) -> PresenceChange {
         let Some(current) = &mut self.current else {
             return PresenceChange::Outdated;
         };
@@ -326,20 +542,23 @@
             .earlier
             .iter()
             .any(|earlier| earlier.matches(announcement));
-        let has_later_start = current.id != announcement.id || announcement.born > current.born;
-        if !was_known && has_later_start {
-            return true;
-        }
         let is_silent = now >= self.last_update + SILENCE_TIMEOUT;
+        let is_leaving = current.state != BackendState::Ready;
         let accepts_work = announcement.state == BackendState::Ready;
-        // If a replaced incarnation still announces itself, it was replaced because of a delayed
-        // announcement. But if the current one is leaving, that was acknowledged, and an earlier
-        // one doesn't come back.
-        let may_take_over = match (was_known, current.state) {
-            (true, state) => state == BackendState::Ready && announcement.born.is_some(),
-            (false, state) => state != BackendState::Draining,
-        };
-        is_silent && accepts_work && may_take_over
+        if current.id == announcement.id {
+            let has_later_start = announcement.born > current.born;
+            // An incarnation that was replaced and still announces itself was replaced because of a delayed announcement.
+            return !was_known && has_later_start || is_silent && accepts_work && !is_leaving;
+        }
+        if was_known {
+            let may_return =
+                is_leaving || self.is_absent || announcement.born.is_some() && is_silent;
+            return accepts_work && may_return;
+        }
+        // A delayed announcement of a crashed incarnation must not replace a live one.
+        let has_earlier_start = announcement.born.is_some() && announcement.born < current.born;
+        let is_live = !is_leaving && !self.is_absent && !is_silent;
+        !(accepts_work && has_earlier_start && is_live)
     }
 
     fn replace(&mut self, now: Now, announcement: Announcement) -> PresenceChange {
--- a/crates/sorrelturn-policy/tests/presence.rs
+++ b/crates/sorrelturn-policy/tests/presence.rs
@@ -75,9 +75,9 @@
 fn an_answer_under_another_id_ends_requests_until_an_announcement() {
     let mut presence = Presence::default();
     presence.receive(NOW, announcement("a", BackendState::Ready, 3));
-    assert_eq!(presence.record_answer_from("a"), Responder::Current);
-    assert_eq!(presence.record_answer_from("b"), Responder::Unknown);
-    assert_eq!(presence.record_answer_from("b"), Responder::Current);
+    assert_eq!(presence.record_answer_from(NOW, "a"), Responder::Current);
+    assert_eq!(presence.record_answer_from(NOW, "b"), Responder::Unknown);
+    assert_eq!(presence.record_answer_from(NOW, "b"), Responder::Current);
     assert_eq!(presence.serving(), None);
     let mut replaced = presence.clone();
     let own = presence.receive(NOW, announcement("a", BackendState::Ready, 4));
@@ -285,6 +285,122 @@
     assert_eq!(change, PresenceChange::NowLeaving);
 }
 
+/// A deregistration without a body.
+fn deregistration(id: &str) -> Announcement {
+    announcement(id, BackendState::Gone, u64::MAX)
+}
+
+/// Guards against a report from before an acknowledged leave that undoes it after a restart of the daemon.
+#[test]
+fn a_late_report_does_not_undo_the_leave_of_a_backend_server_known_by_its_health_check() {
+    let mut presence = Presence::default();
+    presence.expect("a");
+    assert!(presence.record_health_of(at(1), "a"));
+    let change = presence.receive_at(at(2), Some(2_000), deregistration("a"));
+    assert_eq!(change, PresenceChange::NowLeaving);
+    let late = with_start_time(500, BackendState::Ready, 7);
+    assert_eq!(presence.receive(at(3), late), PresenceChange::Outdated);
+    assert_eq!(presence.serving(), None);
+    let next = with_start_time(2_500, BackendState::Ready, 1);
+    assert_eq!(presence.receive(at(4), next), PresenceChange::NowReady);
+}
+
+/// Guards against a report of a crashed incarnation that undoes the acknowledged leave of the next one with its id.
+#[test]
+fn a_late_report_of_the_incarnation_before_does_not_undo_a_leave_under_the_same_id() {
+    for has_start in [true, false] {
+        let mut presence = Presence::default();
+        presence.receive(at(1), with_start_time(200, BackendState::Ready, 1));
+        let leave = match has_start {
+            true => with_start_time(200, BackendState::Gone, u64::MAX),
+            false => deregistration("a"),
+        };
+        let change = presence.receive_at(at(2), Some(2_000), leave);
+        assert_eq!(change, PresenceChange::NowLeaving);
+        let late = with_start_time(100, BackendState::Ready, 9);
+        assert_eq!(presence.receive(at(7), late), PresenceChange::Outdated);
+        assert_eq!(presence.serving(), None);
+    }
+}
+
+/// Guards against a report of a crashed incarnation that takes the place of the live one, whose leave then counts for
+/// nothing.
+#[test]
+fn a_late_report_of_a_crashed_incarnation_with_another_id_does_not_replace_a_live_one() {
+    let crashed = Announcement {
+        born: Some(100),
+        ..announcement("crashed", BackendState::Ready, 3)
+    };
+    let mut presence = Presence::default();
+    presence.receive(at(1), with_start_time(200, BackendState::Ready, 1));
+    let change = presence.receive(at(2), crashed.clone());
+    assert_eq!(change, PresenceChange::Unconfirmed);
+    assert_eq!(presence.serving(), Some("a"));
+    // The live one is suspended, so it seems to be gone.
+    assert_eq!(presence.receive(at(6), crashed), PresenceChange::NowReady);
+    let leave = with_start_time(200, BackendState::Draining, 2);
+    assert_eq!(presence.receive(at(7), leave), PresenceChange::Outdated);
+    assert!(
+        !presence.has_left_for_good("a", Some(200)),
+        "after a restart of the daemon"
+    );
+    let late = with_start_time(200, BackendState::Ready, 1);
+    assert_eq!(presence.receive(at(20), late), PresenceChange::Outdated);
+}
+
+#[test]
+fn a_backend_server_that_was_replaced_by_mistake_is_current_again_when_it_answers() {
+    let mut presence = Presence::default();
+    presence.receive(at(1), announcement("a", BackendState::Ready, 1));
+    presence.receive(at(2), announcement("late", BackendState::Ready, 9));
+    assert_eq!(presence.record_answer_from(at(3), "a"), Responder::Returned);
+    assert_eq!(presence.serving(), Some("a"));
+    presence.receive(at(4), announcement("a", BackendState::Draining, 2));
+    presence.receive(at(5), announcement("late", BackendState::Ready, 10));
+    assert_eq!(presence.record_answer_from(at(6), "a"), Responder::Unknown);
+    assert_eq!(presence.serving(), None);
+}
+
+/// Guards against a clock that stepped back, by which a later incarnation with the id of one that left looks earlier.
+#[test]
+fn an_id_that_left_is_served_again_once_its_reports_have_gone_on_for_long() {
+    let mut presence = Presence::default();
+    presence.receive(at(1), with_start_time(200, BackendState::Ready, 1));
+    presence.receive(at(2), with_start_time(200, BackendState::Gone, u64::MAX));
+    for second in 3..18 {
+        let report = with_start_time(100, BackendState::Ready, second);
+        assert_eq!(
+            presence.receive(at(second), report),
+            PresenceChange::Outdated
+        );
+    }
+    let report = with_start_time(100, BackendState::Ready, 18);
+    assert_eq!(presence.receive(at(18), report), PresenceChange::NowReady);
+    let left = with_start_time(200, BackendState::Gone, u64::MAX);
+    assert_eq!(presence.receive(at(19), left), PresenceChange::NowLeaving);
+}
+
+#[test]
+fn a_leave_binds_the_next_incarnation_of_the_daemon_though_another_backend_server_reported_since() {
+    let mut before = Presence::default();
+    before.receive(at(1), announcement("a", BackendState::Ready, 1));
+    before.receive(at(2), announcement("a", BackendState::Gone, u64::MAX));
+    before.receive(at(3), announcement("late", BackendState::Ready, 1));
+    let mut presence = Presence::default();
+    assert_eq!(presence.restore_left(&before.left()), None);
+    let late = announcement("a", BackendState::Ready, 1);
+    assert_eq!(
+        presence.receive(at(4), late.clone()),
+        PresenceChange::Outdated
+    );
+    // The store was away when this one started.
+    let mut presence = Presence::default();
+    assert_eq!(presence.receive(at(4), late), PresenceChange::NowReady);
+    let leave = presence.restore_left(&before.left()).expect("it has left");
+    assert_eq!(presence.receive(at(5), leave), PresenceChange::NowLeaving);
+    assert_eq!(presence.serving(), None);
+}
+
 proptest! {
     /// Guards against announcements of an earlier incarnation that change the state of the last
     /// one, in any order of arrival.
--- a/crates/sorrelturn-protocol/src/backend.rs
+++ b/crates/sorrelturn-protocol/src/backend.rs
@@ -37,3 +37,14 @@
         self.id == other.id && (!have_start_times || self.born == other.born)
     }
 }
+
+/// A backend server whose leave was acknowledged.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct LeftBackend {
+    /// The backend server's id.
+    pub id: String,
+    /// The latest start time that the incarnation that left may have, in milliseconds since the Unix epoch: its own, or the
+    /// time of the leave by the clock of the VM if it stated none. Absent if neither is known.
+    #[serde(default)]
+    pub started_by: Option<u64>,
+}
--- a/crates/sorrelturn-protocol/src/lib.rs
+++ b/crates/sorrelturn-protocol/src/lib.rs
@@ -14,7 +14,7 @@
 mod verdict;
 
 pub use attempt_status::{AttemptId, AttemptStatus, AttemptStatusQuery};
-pub use backend::{Announcement, BackendState};
+pub use backend::{Announcement, BackendState, LeftBackend};
 pub use context::{
     AnswerContext, CallContext, ContentionReport, HeaderError, InstanceRoom, RepeatShare,
 };
--- a/crates/sorrelturn-protocol/src/member.rs
+++ b/crates/sorrelturn-protocol/src/member.rs
@@ -1,6 +1,6 @@
 //! The membership record of a daemon.
 
-use crate::{Announcement, BackendState, Incarnation, RequestRate};
+use crate::{Announcement, BackendState, Incarnation, LeftBackend, RequestRate};
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
 
@@ -48,6 +48,10 @@
     /// The limit that the backend server names in its responses, from which the next incarnation resumes.
     #[serde(default)]
     pub rate_limit: Option<RequestRate>,
+    /// The last backend servers whose leaves were acknowledged, since reports from before may still arrive. A few at the
+    /// most, so that records stay small.
+    #[serde(default)]
+    pub left: Vec<LeftBackend>,
 }
 
 impl MemberRecord {
--- a/crates/sorrelturn-protocol/tests/member_records.rs
+++ b/crates/sorrelturn-protocol/tests/member_records.rs
@@ -19,6 +19,7 @@
         control_addr: ([127, 0, 0, 1], 2).into(),
         backend: None,
         rate_limit: None,
+        left: Vec::new(),
     }
 }
 
