--- a/crates/sorrelturn-policy/tests/presence.rs
+++ b/crates/sorrelturn-policy/tests/presence.rs
@@ -401,6 +401,19 @@
     assert_eq!(presence.serving(), None);
 }
 
+/// Guards against member records that grow with each backend server that ever left.
+#[test]
+fn the_next_incarnation_of_the_daemon_is_told_of_the_last_few_that_left() {
+    let mut presence = Presence::default();
+    for number in 0..100 {
+        let id = format!("b-{number}");
+        presence.receive(at(number), announcement(&id, BackendState::Ready, 1));
+        presence.receive(at(number), announcement(&id, BackendState::Gone, u64::MAX));
+    }
+    let ids: Vec<_> = presence.left().into_iter().map(|left| left.id).collect();
+    assert_eq!(ids, ["b-96", "b-97", "b-98", "b-99"]);
+}
+
 proptest! {
     /// Guards against announcements of an earlier incarnation that change the state of the last
     /// one, in any order of arrival.
