A backend server that goes on saying that it drains costs no write of the store each time

Cause: the time of a leave without a start time went into the member record, and each announcement of a backend server that drains was one. Where announcements have no start time, none is ever compared with it.

Change: only a deregistration takes the time of the leave, and only where other announcements haven't come without a start time.

Evidence: `what_the_next_incarnation_is_told_does_not_change_with_each_announcement_of_a_leave`: eight announcements and a deregistration leave one record; the search of orders passes.

--- a/crates/sorrelturn-policy/src/presence.rs
+++ b/crates/sorrelturn-policy/src/presence.rs
@@ -176,6 +176,8 @@
     earlier: VecDeque<BackendIncarnation>,
     /// Whether backend servers here send their start time.
     sends_start_time: bool,
+    /// Whether they don't: other announcements than deregistrations came without one.
+    lacks_start_time: bool,
     /// Whether only a response says that the current incarnation is leaving.
     is_leaving_by_answer: bool,
     /// Whether another backend server has answered at the address of the current incarnation.
@@ -233,6 +235,8 @@
             return PresenceChange::Foreign;
         }
         self.sends_start_time |= announcement.born.is_some();
+        let is_deregistration = announcement.state == BackendState::Gone;
+        self.lacks_start_time |= !has_start && !is_deregistration;
         if !is_leave && !self.may_be_ready(now, &announcement) {
             return PresenceChange::Outdated;
         }
@@ -243,11 +247,10 @@
                 .is_some_and(|current| BackendIncarnation::of(current).matches(&announcement));
             // A leave of an earlier incarnation with the current id says nothing of the current one.
             if is_current || !self.has_current_id(&announcement.id) {
-                // Without a start time, it may be of a later incarnation than the known one.
-                let started_by = match has_start {
-                    true => announcement.born,
-                    false => unix_ms.max(announcement.born),
-                };
+                // A deregistration without a start time may be of a later incarnation than the known one.
+                let may_be_later = !has_start && !self.lacks_start_time;
+                let left_at = unix_ms.filter(|_| is_deregistration && may_be_later);
+                let started_by = left_at.max(announcement.born);
                 self.remember_leave(&announcement.id, started_by, is_current);
             }
         }
--- a/crates/sorrelturn-policy/tests/presence.rs
+++ b/crates/sorrelturn-policy/tests/presence.rs
@@ -401,6 +401,25 @@
     assert_eq!(presence.serving(), None);
 }
 
+/// Guards against a write to the store for each announcement of a backend server that is draining.
+#[test]
+fn what_the_next_incarnation_is_told_does_not_change_with_each_announcement_of_a_leave() {
+    let mut presence = Presence::default();
+    presence.receive_at(at(0), Some(0), announcement("a", BackendState::Ready, 1));
+    let mut told = Vec::new();
+    for second in 1..10 {
+        let state = match second {
+            9 => BackendState::Gone,
+            _ => BackendState::Draining,
+        };
+        let leave = announcement("a", state, second);
+        presence.receive_at(at(second), Some(second * 1_000), leave);
+        told.push(presence.left());
+    }
+    told.dedup();
+    assert_eq!(told.len(), 1, "{told:?}");
+}
+
 /// Guards against member records that grow with each backend server that ever left.
 #[test]
 fn the_next_incarnation_of_the_daemon_is_told_of_the_last_few_that_left() {
