--- a/crates/sorrelturn-policy/src/presence.rs
+++ b/crates/sorrelturn-policy/src/presence.rs
@@ -16,7 +16,7 @@
 
 /// Maximum number of ids that are remembered because a backend server with them has left.
 const MAX_LEFT: usize = 32;
-/// How many of them the next incarnation of the daemon is told.
+/// Maximum number of them in the member record, for the next incarnation of the daemon.
 const MAX_SAVED_LEFT: usize = 4;
 
 /// How long an id that has left has to announce that it is ready, without a pause of [`SILENCE_TIMEOUT`], to prove a later
--- a/crates/sorrelturn-policy/tests/presence_orders.rs
+++ b/crates/sorrelturn-policy/tests/presence_orders.rs
@@ -146,7 +146,7 @@
         });
     }
 
-    /// The next report of the run at the address, which goes on saying that it drains.
+    /// Returns the next report of the run at the address; `None` once it is leaving.
     fn report(&mut self) -> Option<Announcement> {
         let run = self.run.as_mut().filter(|run| !run.is_leaving)?;
         run.sequence += 1;
